--- /dev/null
+++ b/crates/rampbay-core/src/plan.rs
@@ -0,0 +1,631 @@
+//! The planner: tables of workers, workspaces, jobs and gangs, and the systems that run each tick.
+
+mod place_jobs;
+mod reserve;
+mod views;
+mod yielding;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::{
+    ids::{FencingToken, JobId, ProcessId, WorkspaceId},
+    job::{Class, JobSpec},
+    knobs::Knobs,
+    lease::LeaseMeta,
+    place::{IndexedPart, Preference, largest},
+    reason::Reason,
+    shape::Shape,
+    tables::{Demand, Fleet, Gang, JobRow, JobState, QueueTable},
+    topology::{Placement, WorkerSpec},
+};
+
+use reserve::Reservation;
+
+/// What the planner wants done. Whoever drives it reports back how it went.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Hold and commit every part, then report [`Planner::started`] or
+    /// [`Planner::start_refused`].
+    Start {
+        /// The job.
+        job: JobId,
+        /// What the leases are for, with the fencing token.
+        meta: LeaseMeta,
+        /// Where the gang goes.
+        placement: Placement,
+    },
+    /// Have a running gang give way, then report [`Planner::shrunk`] or [`Planner::stopped`].
+    Yield {
+        /// The gang's fencing token.
+        token: FencingToken,
+        /// Its job.
+        job: JobId,
+        /// The process that renews its leases.
+        holder: ProcessId,
+        /// How it gives way.
+        how: YieldKind,
+        /// Every part that it has now.
+        parts: Placement,
+        /// The job that it gives way to.
+        for_job: JobId,
+    },
+    /// The job's deadline has passed while it waited; it isn't in the tables any more.
+    Expire {
+        /// The job.
+        job: JobId,
+    },
+}
+
+/// How a gang gives way.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum YieldKind {
+    /// It runs on with these parts.
+    Shrink {
+        /// Parts that it keeps.
+        keep: Placement,
+    },
+    /// It is checkpointed and goes on later.
+    Checkpoint,
+    /// It is stopped and starts anew later.
+    Stop,
+}
+
+/// Why a job isn't taken into the queue. None of it has run.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum SubmitError {
+    /// The table has no such workspace.
+    #[error("workspace `{0}` is not in the table")]
+    UnknownWorkspace(WorkspaceId),
+    /// The job asks for no gang, for zero devices, or for a minimum above its size.
+    #[error("gang.devices must be at least 1, and gang.min_devices between 1 and gang.devices")]
+    BadGang,
+    /// No place of this fleet could ever hold the gang.
+    #[error("needs {need} devices, but the largest such place has {largest}")]
+    Impossible {
+        /// Devices that it needs at least.
+        need: u32,
+        /// Devices of the largest place.
+        largest: u32,
+    },
+    /// The workspace's queue is full.
+    #[error("workspace has reached its queued_limit of {limit} jobs")]
+    QueueFull {
+        /// The limit in jobs.
+        limit: u32,
+    },
+    /// The workspace has too much urgent work.
+    #[error("workspace has reached its urgent_limit of {limit} jobs")]
+    UrgentFull {
+        /// The limit in jobs.
+        limit: u32,
+    },
+    /// A job of this id is in the tables.
+    #[error("a job with this id is already waiting or running")]
+    Duplicate,
+}
+
+/// Why an edit of the table can't be accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum GuaranteeError {
+    /// The guarantees together don't fit into the fleet.
+    #[error("the fleet can't hold all guarantees at once: short of {short}")]
+    Infeasible {
+        /// Cells that are missing.
+        short: Shape,
+    },
+}
+
+/// Times and bounds of the planner's systems.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlanSettings {
+    /// Time after which a gang that finds no room gets a reservation, in milliseconds.
+    pub reserve_after_ms: u64,
+    /// Most gangs moved in a minute to open a reserved place.
+    pub moves_per_minute: u32,
+    /// Time after which a yield that had no effect is asked for again, in milliseconds.
+    pub yield_again_ms: u64,
+    /// Longest pause after a refused start, in milliseconds.
+    pub refusal_backoff_ms: u64,
+    /// Starts tried in one tick at most.
+    pub starts_per_tick: u32,
+}
+
+impl Default for PlanSettings {
+    fn default() -> Self {
+        Self {
+            reserve_after_ms: 30_000,
+            moves_per_minute: 6,
+            yield_again_ms: 2_000,
+            refusal_backoff_ms: 800,
+            starts_per_tick: 256,
+        }
+    }
+}
+
+/// The planner. See the [crate page](crate) for an example.
+#[derive(Debug, Clone)]
+pub struct Planner {
+    seed: u64,
+    holder: ProcessId,
+    settings: PlanSettings,
+    fleet: Fleet,
+    jobs: BTreeMap<JobId, JobRow>,
+    queue: QueueTable,
+    deadlines: BTreeSet<(Duration, JobId)>,
+    reclaiming: BTreeMap<JobId, Duration>,
+    reservations: Vec<Reservation>,
+    moves: VecDeque<Duration>,
+    /// Demands with new jobs since the last tick.
+    fresh: BTreeSet<Demand>,
+    /// Whether anything may start now that couldn't at the last tick.
+    capacity_gained: bool,
+    /// Why the head of each demand's queue waits.
+    blocked: BTreeMap<Demand, Reason>,
+    last_token: FencingToken,
+    next_scan: Duration,
+}
+
+/// What `explain` tells of one job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// The job.
+    pub job: JobId,
+    /// Why it is in its state.
+    pub reason: Reason,
+    /// Time since it arrived.
+    pub age: Duration,
+    /// Time since it last began to wait.
+    pub waiting: Duration,
+    /// Jobs of the same demand that go first.
+    pub ahead: u32,
+}
+
+/// Counts of one workspace.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WorkspaceView {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// Devices held.
+    pub held: u32,
+    /// Devices held beyond the guarantee.
+    pub borrowed: u32,
+    /// Gangs running.
+    pub running: u32,
+    /// Gangs waiting here.
+    pub waiting: u32,
+    /// Part of the guarantee that is not in use.
+    pub unused: Shape,
+}
+
+/// Bits of a fencing token below its time.
+const TOKEN_SEED_BITS: u32 = 20;
+
+impl Planner {
+    /// Creates an empty planner; planners that run side by side take different seeds.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            holder: "planner".into(),
+            settings: PlanSettings::default(),
+            fleet: Fleet::default(),
+            jobs: BTreeMap::new(),
+            queue: QueueTable::new(),
+            deadlines: BTreeSet::new(),
+            reclaiming: BTreeMap::new(),
+            reservations: Vec::new(),
+            moves: VecDeque::new(),
+            fresh: BTreeSet::new(),
+            capacity_gained: false,
+            blocked: BTreeMap::new(),
+            last_token: 0,
+            next_scan: Duration::ZERO,
+        }
+    }
+
+    /// Sets the name of the process that renews this planner's leases.
+    #[must_use]
+    pub fn holder(mut self, holder: impl Into<ProcessId>) -> Self {
+        self.holder = holder.into();
+        self
+    }
+
+    /// Sets times and bounds.
+    #[must_use]
+    pub const fn settings(mut self, settings: PlanSettings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Adds a worker, or brings a known one back.
+    pub fn add_worker(&mut self, spec: WorkerSpec) {
+        self.fleet.workers.add(spec);
+        self.capacity_gained = true;
+    }
+
+    /// Takes a worker out, and returns the jobs of this planner that lose devices with it.
+    ///
+    /// Their gangs are stopped whole; the caller reports them with [`Planner::lost`] once their
+    /// other parts are released.
+    pub fn remove_worker(&mut self, id: &str) -> Vec<JobId> {
+        let Some(index) = self.fleet.workers.index(id) else {
+            return Vec::new();
+        };
+        self.fleet.workers.change(index, |row| row.present = 0);
+        let tokens: Vec<_> =
+            self.fleet.workers.rows[index].holders.iter().map(|holder| holder.token).collect();
+        self.capacity_gained = true;
+        let gangs = tokens.iter().filter_map(|token| self.fleet.gangs.get(token));
+        gangs.filter(|gang| gang.local).map(|gang| gang.meta.job.clone()).collect()
+    }
+
+    /// Sets a workspace's knobs.
+    pub fn set_workspace(&mut self, name: impl Into<WorkspaceId>, knobs: Knobs) {
+        let name = name.into();
+        let index = self.fleet.workspaces.ensure(&name);
+        self.fleet.workspaces.rows[index].removed = false;
+        self.fleet.workspaces.set_knobs(index, knobs);
+        self.fleet.derive(index);
+        self.capacity_gained = true;
+    }
+
+    /// Removes a workspace: its guarantee ends, and it takes no new jobs.
+    pub fn remove_workspace(&mut self, name: &str) {
+        let Some(index) = self.fleet.workspaces.index(name) else {
+            return;
+        };
+        self.fleet.workspaces.set_knobs(index, Knobs::default());
+        self.fleet.derive(index);
+        self.fleet.workspaces.rows[index].removed = true;
+        self.capacity_gained = true;
+    }
+
+    /// Checks whether the fleet could hold all guarantees at once.
+    ///
+    /// # Errors
+    ///
+    /// Returns the cells that would be missing.
+    pub fn check_guarantees<'a>(
+        &self,
+        knobs: impl IntoIterator<Item = &'a Knobs>,
+    ) -> Result<(), GuaranteeError> {
+        let mut needs = Shape::EMPTY;
+        for row in knobs {
+            needs.add(&row.guarantee);
+        }
+        let mut cells = crate::guarantee::CellIndex::default();
+        for row in &self.fleet.workers.rows {
+            cells.update(row.rack, 0, row.present);
+        }
+        let short = cells.missing(&needs);
+        if short.is_empty() { Ok(()) } else { Err(GuaranteeError::Infeasible { short }) }
+    }
+
+    /// Takes a job into the queue.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the job is refused; nothing of it has run.
+    pub fn submit(&mut self, spec: JobSpec, now: Duration) -> Result<(), SubmitError> {
+        let workspace = self
+            .fleet
+            .workspaces
+            .index(&spec.workspace)
+            .ok_or_else(|| SubmitError::UnknownWorkspace(spec.workspace.clone()))?;
+        let gang = spec.gang.as_ref().ok_or(SubmitError::BadGang)?;
+        if gang.devices == 0 || gang.min_devices.is_some_and(|min| min == 0 || min > gang.devices) {
+            return Err(SubmitError::BadGang);
+        }
+        if self.jobs.contains_key(&spec.id) {
+            return Err(SubmitError::Duplicate);
+        }
+        let largest = largest(&self.fleet.workers, gang.adjacency);
+        if gang.smallest() > largest {
+            return Err(SubmitError::Impossible { need: gang.smallest(), largest });
+        }
+        let row = &mut self.fleet.workspaces.rows[workspace];
+        if row.waiting >= row.knobs.queued_limit {
+            return Err(SubmitError::QueueFull { limit: row.knobs.queued_limit });
+        }
+        if spec.class == Class::Urgent && row.urgent >= row.knobs.urgent_limit {
+            return Err(SubmitError::UrgentFull { limit: row.knobs.urgent_limit });
+        }
+        row.urgent += u32::from(spec.class == Class::Urgent);
+        if let Some(deadline) = spec.deadline_ms {
+            self.deadlines.insert((now + Duration::from_millis(deadline), spec.id.clone()));
+        }
+        let id = spec.id.clone();
+        let row = JobRow {
+            spec,
+            workspace,
+            arrived: now,
+            waiting_since: now,
+            state: JobState::Waiting,
+            reason: Reason::Queued,
+            refusals: 0,
+            not_before: now,
+        };
+        self.jobs.insert(id.clone(), row);
+        self.enqueue(&id, false);
+        Ok(())
+    }
+
+    fn enqueue(&mut self, id: &JobId, front: bool) {
+        let Some(row) = self.jobs.get(id) else { return };
+        let Some(demand) = Demand::of(&row.spec, row.workspace) else {
+            return;
+        };
+        self.fleet.workspaces.rows[row.workspace].waiting += 1;
+        let jobs = self.queue.entry(demand.clone()).or_default();
+        if front {
+            jobs.push_front(id.clone());
+        } else {
+            jobs.push_back(id.clone());
+        }
+        self.fresh.insert(demand);
+    }
+
+    fn dequeue(&mut self, id: &JobId) {
+        let Some(row) = self.jobs.get(id) else { return };
+        let Some(demand) = Demand::of(&row.spec, row.workspace) else {
+            return;
+        };
+        let Some(jobs) = self.queue.get_mut(&demand) else {
+            return;
+        };
+        let Some(at) = jobs.iter().position(|queued| queued == id) else {
+            return;
+        };
+        jobs.remove(at);
+        if jobs.is_empty() {
+            self.queue.remove(&demand);
+            self.blocked.remove(&demand);
+        }
+        self.fleet.workspaces.rows[row.workspace].waiting -= 1;
+        self.release_reservation(id);
+    }
+
+    /// Runs every system once and returns what is to be done.
+    pub fn tick(&mut self, now: Duration) -> Vec<Command> {
+        let mut commands = Vec::new();
+        self.expire(now, &mut commands);
+        self.advance_reclaims(now, &mut commands);
+        if self.scan_due(now) {
+            self.place_waiting(now, &mut commands);
+            self.reserve_for_starving(now, &mut commands);
+            self.capacity_gained = false;
+            self.fresh.clear();
+        }
+        commands
+    }
+
+    /// A scan is due when something changed that could let a job start, and now and then because
+    /// waiting jobs grow old.
+    fn scan_due(&mut self, now: Duration) -> bool {
+        const SCAN_EVERY: Duration = Duration::from_secs(1);
+        if self.queue.is_empty() {
+            return false;
+        }
+        if !self.capacity_gained && self.fresh.is_empty() && now < self.next_scan {
+            return false;
+        }
+        if now >= self.next_scan {
+            self.next_scan = now + SCAN_EVERY;
+            self.capacity_gained = true;
+        }
+        true
+    }
+
+    fn expire(&mut self, now: Duration, commands: &mut Vec<Command>) {
+        while let Some((at, job)) = self.deadlines.first().cloned() {
+            if at > now {
+                break;
+            }
+            self.deadlines.pop_first();
+            let waits = self.jobs.get(&job).is_some_and(|row| row.state == JobState::Waiting);
+            if waits {
+                self.forget(&job);
+                commands.push(Command::Expire { job });
+            }
+        }
+    }
+
+    /// Reports that a gang's leases are committed and its work runs.
+    pub fn started(&mut self, job: &str, now: Duration) {
+        let Some(row) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let JobState::Starting { token } = row.state else {
+            return;
+        };
+        row.state = JobState::Running { token };
+        row.refusals = 0;
+        if let Some(gang) = self.fleet.gangs.get_mut(&token) {
+            gang.meta.started = now;
+            row.reason = Reason::Running { devices: gang.devices(), borrowed: !gang.owned };
+        }
+    }
+
+    /// Reports that a worker refused part of a gang; every hold has been released.
+    pub fn start_refused(&mut self, job: &str, now: Duration) {
+        let Some(row) = self.jobs.get_mut(job) else {
+            return;
+        };
+        row.refusals += 1;
+        let times = row.refusals;
+        row.not_before = now + backoff(self.seed, self.settings.refusal_backoff_ms, times);
+        self.wait_again(job, Reason::StartRefused { times }, now);
+    }
+
+    /// Reports that a job's gang was lost with a worker or a lapsed lease; the job waits again.
+    pub fn lost(&mut self, job: &str, now: Duration) {
+        self.wait_again(job, Reason::Lost, now);
+    }
+
+    fn wait_again(&mut self, job: &str, reason: Reason, now: Duration) {
+        let Some((id, row)) = self.jobs.get_key_value(job) else {
+            return;
+        };
+        let id = id.clone();
+        let Some(token) = gang_token(&row.state) else {
+            return;
+        };
+        self.drop_gang(token, now);
+        if let Some(row) = self.jobs.get_mut(&id) {
+            row.state = JobState::Waiting;
+            row.reason = reason;
+            row.waiting_since = now;
+        }
+        self.enqueue(&id, true);
+    }
+
+    fn drop_gang(&mut self, token: FencingToken, now: Duration) {
+        let Some(workspace) = self.fleet.gangs.get(&token).map(|gang| gang.workspace) else {
+            return;
+        };
+        self.fleet.workspaces.rows[workspace].accrue(now);
+        self.fleet.remove(token);
+        self.capacity_gained = true;
+    }
+
+    /// Reports that a job is done or was cancelled; its devices are free.
+    pub fn finished(&mut self, job: &str, now: Duration) {
+        let Some((id, row)) = self.jobs.get_key_value(job) else {
+            return;
+        };
+        let id = id.clone();
+        if let Some(token) = gang_token(&row.state) {
+            self.drop_gang(token, now);
+        }
+        self.forget(&id);
+    }
+
+    fn forget(&mut self, job: &JobId) {
+        self.dequeue(job);
+        self.reclaiming.remove(job);
+        let Some(row) = self.jobs.remove(job) else {
+            return;
+        };
+        let workspace = &mut self.fleet.workspaces.rows[row.workspace];
+        workspace.urgent -= u32::from(row.spec.class == Class::Urgent);
+        if let Some(deadline) = row.spec.deadline_ms {
+            let at = row.arrived + Duration::from_millis(deadline);
+            self.deadlines.remove(&(at, job.clone()));
+        }
+    }
+
+    /// Replaces what is known of one worker's leases that this planner's jobs don't hold.
+    pub fn sync_worker(&mut self, worker: &str, leases: &[(LeaseMeta, u64)], now: Duration) {
+        let Some(index) = self.fleet.workers.index(worker) else {
+            return;
+        };
+        let known: Vec<FencingToken> =
+            self.fleet.workers.rows[index].holders.iter().map(|holder| holder.token).collect();
+        for token in known {
+            let foreign = self.fleet.gangs.get(&token).is_some_and(|gang| !gang.local);
+            let reported = leases.iter().find(|(meta, _)| meta.token == token);
+            let same = reported.is_some_and(|(_, devices)| {
+                let parts = &self.fleet.gangs[&token].parts;
+                parts.contains(&(index, *devices))
+            });
+            if foreign && !same {
+                self.edit_foreign(token, now, |parts| parts.retain(|(at, _)| *at != index));
+            }
+        }
+        for (meta, devices) in leases {
+            let part = (index, *devices);
+            match self.fleet.gangs.get(&meta.token) {
+                Some(gang) if gang.local || gang.parts.contains(&part) => {}
+                Some(_) => self.edit_foreign(meta.token, now, |parts| parts.push(part)),
+                None => self.insert_foreign(meta, part, now),
+            }
+        }
+    }
+
+    fn insert_foreign(&mut self, meta: &LeaseMeta, part: IndexedPart, now: Duration) {
+        let workspace = self.fleet.workspaces.ensure(&meta.workspace);
+        self.fleet.workspaces.rows[workspace].accrue(now);
+        self.fleet.insert(Gang {
+            meta: meta.clone(),
+            workspace,
+            parts: vec![part],
+            shape: Shape::EMPTY,
+            owned: false,
+            yields_to: None,
+            local: false,
+            cores_per_device: 0,
+            memory_per_device: 0,
+        });
+    }
+
+    fn edit_foreign(
+        &mut self,
+        token: FencingToken,
+        now: Duration,
+        edit: impl FnOnce(&mut Vec<IndexedPart>),
+    ) {
+        let Some(workspace) = self.fleet.gangs.get(&token).map(|gang| gang.workspace) else {
+            return;
+        };
+        self.fleet.workspaces.rows[workspace].accrue(now);
+        let Some(mut gang) = self.fleet.remove(token) else {
+            return;
+        };
+        edit(&mut gang.parts);
+        self.capacity_gained = true;
+        if !gang.parts.is_empty() {
+            self.fleet.insert(gang);
+        }
+    }
+
+    /// Takes a lagging usage report of the platform in place of what was counted up to `until`.
+    ///
+    /// What was committed after `until` still counts, so that a lag can't be used to borrow more.
+    pub fn report_usage(&mut self, name: &str, device_seconds: f64, until: Duration) {
+        let Some(index) = self.fleet.workspaces.index(name) else {
+            return;
+        };
+        let row = &mut self.fleet.workspaces.rows[index];
+        let unreported = row.usage_at.saturating_sub(until).as_secs_f64();
+        row.usage = device_seconds + f64::from(row.held_devices) * unreported;
+    }
+
+    fn preference(&self, demand: &Demand) -> Preference {
+        let packing = self.fleet.workspaces.rows[demand.workspace].knobs.packing;
+        Preference { packing, offset: usize::try_from(self.seed % 1_024).unwrap_or(0) }
+    }
+
+    fn next_token(&mut self, now: Duration) -> FencingToken {
+        let millis = u64::try_from(now.as_millis()).unwrap_or(u64::MAX >> TOKEN_SEED_BITS);
+        let seed = self.seed & ((1 << TOKEN_SEED_BITS) - 1);
+        let token = (millis << TOKEN_SEED_BITS) | seed;
+        self.last_token = token.max(self.last_token + (1 << TOKEN_SEED_BITS));
+        self.last_token
+    }
+}
+
+/// Returns the token of the gang that a state has devices through.
+fn gang_token(state: &JobState) -> Option<FencingToken> {
+    match state {
+        JobState::Waiting => None,
+        JobState::Reclaiming { token, .. }
+        | JobState::Starting { token }
+        | JobState::Running { token } => Some(*token),
+    }
+}
+
+/// Returns a pause that grows with the refusals and differs by seed, so that two planners part.
+fn backoff(seed: u64, longest_ms: u64, refusals: u32) -> Duration {
+    const FIRST_MS: u64 = 20;
+    let ceiling = (FIRST_MS << refusals.min(16)).min(longest_ms.max(1));
+    let mixed = (seed ^ u64::from(refusals)).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+    Duration::from_millis(1 + mixed % ceiling)
+}
--- /dev/null
+++ b/crates/rampbay-core/src/plan/place_jobs.rs
@@ -0,0 +1,339 @@
+//! The system that starts waiting jobs, in order of class, ownership, share and age.
+
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use crate::{
+    ids::{FencingToken, JobId},
+    job::Class,
+    lease::LeaseMeta,
+    place::{Found, IndexedPart, find},
+    reason::Reason,
+    reclaim,
+    shape::{LEVELS, Shape},
+    tables::{Demand, Gang, JobState, WorkerRow},
+};
+
+use super::{Command, Planner};
+
+/// Order of service; the smallest goes first.
+type ServiceKey = (Class, bool, u64, Duration);
+
+/// What came of trying to start one job.
+enum Tried {
+    Started,
+    Blocked(Reason),
+}
+
+impl Planner {
+    pub(super) fn place_waiting(&mut self, now: Duration, commands: &mut Vec<Command>) {
+        let mut left = self.settings.starts_per_tick;
+        let demands: Vec<Demand> = if self.capacity_gained {
+            self.queue.keys().cloned().collect()
+        } else {
+            self.fresh.iter().filter(|demand| self.queue.contains_key(*demand)).cloned().collect()
+        };
+        let mut heap: BinaryHeap<Reverse<(ServiceKey, Demand)>> = BinaryHeap::new();
+        for demand in demands {
+            if let Some(key) = self.service_key(&demand, now) {
+                heap.push(Reverse((key, demand)));
+            }
+        }
+        while let Some(Reverse((_, demand))) = heap.pop() {
+            if left == 0 {
+                self.next_scan = now;
+                break;
+            }
+            let Some(job) = self.head(&demand, now) else {
+                continue;
+            };
+            match self.try_start(&job, &demand, now, commands) {
+                Tried::Started => {
+                    left -= 1;
+                    if let Some(key) = self.service_key(&demand, now) {
+                        heap.push(Reverse((key, demand)));
+                    }
+                }
+                Tried::Blocked(reason) => {
+                    self.blocked.insert(demand, reason);
+                }
+            }
+        }
+    }
+
+    /// Returns the first job of a demand that may be tried now.
+    fn head(&self, demand: &Demand, now: Duration) -> Option<JobId> {
+        let jobs = self.queue.get(demand)?;
+        jobs.iter().find(|job| self.jobs[*job].not_before <= now).cloned()
+    }
+
+    fn service_key(&mut self, demand: &Demand, now: Duration) -> Option<ServiceKey> {
+        let head = self.queue.get(demand)?.front()?;
+        let since = self.jobs[head].arrived;
+        let row = &mut self.fleet.workspaces.rows[demand.workspace];
+        row.accrue(now);
+        let owned = row.unused.devices() >= demand.devices;
+        // What is held now counts like the coming minutes of use, so that shares part at once.
+        const HORIZON_SECONDS: f64 = 600.0;
+        let held = f64::from(row.held_devices) / f64::from(row.knobs.weight.max(1));
+        let share = row.share() + held * HORIZON_SECONDS;
+        Some((demand.class, !owned, share.to_bits(), since))
+    }
+
+    fn try_start(
+        &mut self,
+        job: &JobId,
+        demand: &Demand,
+        now: Duration,
+        commands: &mut Vec<Command>,
+    ) -> Tried {
+        let knobs = &self.fleet.workspaces.rows[demand.workspace].knobs;
+        let limit = knobs.running_limit;
+        let running = self.fleet.workspaces.rows[demand.workspace].gangs.len();
+        if running >= limit as usize {
+            return Tried::Blocked(Reason::RunningLimit { limit });
+        }
+        let mut reason = None;
+        for devices in sizes(demand) {
+            match self.try_free(job, demand, devices, now, commands) {
+                Tried::Started => return Tried::Started,
+                Tried::Blocked(why) => reason = reason.or(Some(why)),
+            }
+        }
+        for devices in sizes(demand) {
+            if self.try_reclaim(job, demand, devices, now, commands) {
+                return Tried::Started;
+            }
+        }
+        Tried::Blocked(reason.unwrap_or(Reason::Queued))
+    }
+
+    /// Tries to start on free devices.
+    fn try_free(
+        &mut self,
+        job: &JobId,
+        demand: &Demand,
+        devices: u32,
+        now: Duration,
+        commands: &mut Vec<Command>,
+    ) -> Tried {
+        let closed = self.closed_to(job, demand, now);
+        let usable = |index: usize, row: &WorkerRow| {
+            if closed.contains(&index) { row.free() & !row.earmarked } else { row.free() }
+        };
+        let preference = self.preference(demand);
+        let mut found = find(&self.fleet.workers, demand, devices, preference, &usable);
+        let mut reason = Reason::Queued;
+        for _ in 0..2 {
+            match found {
+                Found::Place(parts) => match self.admit(job, demand, parts, &[], now) {
+                    Ok(token) => {
+                        self.begin(job, token, commands);
+                        return Tried::Started;
+                    }
+                    Err(why) => reason = why,
+                },
+                Found::NoRoom { best } => {
+                    return Tried::Blocked(self.no_room(demand, devices, best, &closed));
+                }
+            }
+            // The preferred place would endanger a guarantee: try the one that breaks no cell.
+            let tight = |index: usize, row: &WorkerRow| {
+                let mask = usable(index, row);
+                if mask == row.present && devices < row.spec.devices { 0 } else { mask }
+            };
+            found = find(&self.fleet.workers, demand, devices, preference, &tight);
+            if matches!(found, Found::NoRoom { .. }) {
+                break;
+            }
+        }
+        Tried::Blocked(reason)
+    }
+
+    fn no_room(&self, demand: &Demand, devices: u32, best: u32, closed: &[usize]) -> Reason {
+        let open = |_: usize, row: &WorkerRow| row.free();
+        let reserved = !closed.is_empty()
+            && matches!(
+                find(&self.fleet.workers, demand, devices, self.preference(demand), &open),
+                Found::Place(_)
+            );
+        match self.reservations.first() {
+            Some(reservation) if reserved => {
+                Reason::BehindReservation { job: reservation.job.clone() }
+            }
+            _ => Reason::NoRoom { need: devices, adjacency: demand.adjacency, best },
+        }
+    }
+
+    /// Tries to start on devices that others give back.
+    fn try_reclaim(
+        &mut self,
+        job: &JobId,
+        demand: &Demand,
+        devices: u32,
+        now: Duration,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        let mut unused = self.fleet.workspaces.rows[demand.workspace].unused;
+        let owned = unused.take(&ideal_shape(devices));
+        if !owned && demand.class != Class::Urgent {
+            return false;
+        }
+        let preference = self.preference(demand);
+        for plan in reclaim::plans(&self.fleet, demand, devices, owned, preference) {
+            let victims: Vec<_> = plan.victims.keys().copied().collect();
+            if let Ok(token) = self.admit(job, demand, plan.parts, &victims, now) {
+                self.begin_reclaim(job, token, plan.victims, now, commands);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Puts a gang into the tables if every guarantee can still be reclaimed with it there.
+    ///
+    /// `victims` are gangs that give way for it.
+    fn admit(
+        &mut self,
+        job: &JobId,
+        demand: &Demand,
+        parts: Vec<IndexedPart>,
+        victims: &[FencingToken],
+        now: Duration,
+    ) -> Result<FencingToken, Reason> {
+        let short_before = self.fleet.short();
+        let borrowed_before = self.fleet.workspaces.rows[demand.workspace].borrowed_devices;
+        let removed: Vec<Gang> =
+            victims.iter().filter_map(|token| self.fleet.remove(*token)).collect();
+        let token = self.next_token(now);
+        let gang = self.new_gang(job, demand, token, parts, now);
+        self.fleet.insert(gang);
+        let verdict = self.verdict(demand, token, short_before, borrowed_before);
+        if verdict.is_err() {
+            self.fleet.remove(token);
+        }
+        for mut gang in removed {
+            if verdict.is_ok() {
+                gang.yields_to = Some(job.clone());
+            }
+            let yields = gang.yields_to.is_some();
+            let token = gang.meta.token;
+            self.fleet.insert(gang);
+            if yields {
+                self.fleet.withdraw_lent(token);
+            }
+        }
+        verdict.map(|()| token)
+    }
+
+    fn verdict(
+        &self,
+        demand: &Demand,
+        token: FencingToken,
+        short_before: Shape,
+        borrowed_before: u32,
+    ) -> Result<(), Reason> {
+        let short = self.fleet.short();
+        if short.devices() > short_before.devices() {
+            return Err(Reason::ProtectsGuarantee { short });
+        }
+        let row = &self.fleet.workspaces.rows[demand.workspace];
+        let limit = row.knobs.borrow_limit;
+        if row.borrowed_devices > limit && row.borrowed_devices > borrowed_before {
+            return Err(Reason::BorrowLimit { held: borrowed_before, limit });
+        }
+        let gang = &self.fleet.gangs[&token];
+        if gang.owned {
+            return Ok(());
+        }
+        if !demand.reclaimable {
+            return Err(Reason::NeedsOwnCells);
+        }
+        let free = self.fleet.workers.free_devices;
+        let kept = self.fleet.workspaces.unlent_devices;
+        if free < kept {
+            let lendable = (free + gang.devices()).saturating_sub(kept);
+            return Err(Reason::LendLimit { lendable });
+        }
+        Ok(())
+    }
+
+    fn new_gang(
+        &self,
+        job: &JobId,
+        demand: &Demand,
+        token: FencingToken,
+        parts: Vec<IndexedPart>,
+        now: Duration,
+    ) -> Gang {
+        let spec = &self.jobs[job].spec;
+        let gang = spec.gang.as_ref();
+        let devices = parts.iter().map(|(_, devices)| devices.count_ones()).sum();
+        let meta = LeaseMeta {
+            job: job.clone(),
+            workspace: spec.workspace.clone(),
+            class: spec.class,
+            token,
+            holder: self.holder.clone(),
+            gang_devices: devices,
+            min_devices: demand.smallest,
+            reclaimable: demand.reclaimable,
+            checkpointable: gang.is_some_and(|gang| gang.checkpointable),
+            started: now,
+            expected_end: gang
+                .and_then(super::super::job::GangSpec::expected_run)
+                .map(|run| now + run),
+        };
+        Gang {
+            meta,
+            workspace: demand.workspace,
+            parts,
+            shape: Shape::EMPTY,
+            owned: false,
+            yields_to: None,
+            local: true,
+            cores_per_device: demand.cores,
+            memory_per_device: demand.memory,
+        }
+    }
+
+    /// Takes a job out of the queue and asks for its start.
+    pub(super) fn begin(&mut self, job: &JobId, token: FencingToken, commands: &mut Vec<Command>) {
+        self.dequeue(job);
+        let Some(row) = self.jobs.get_mut(job) else {
+            return;
+        };
+        row.state = JobState::Starting { token };
+        row.reason = Reason::Starting;
+        let gang = &self.fleet.gangs[&token];
+        commands.push(Command::Start {
+            job: job.clone(),
+            meta: gang.meta.clone(),
+            placement: self.fleet.placement(&gang.parts),
+        });
+    }
+}
+
+/// Sizes to try: the full one, then halves down to the smallest.
+fn sizes(demand: &Demand) -> Vec<u32> {
+    let mut sizes = vec![demand.devices];
+    let mut devices = demand.devices / 2;
+    while devices > demand.smallest {
+        sizes.push(devices);
+        devices /= 2;
+    }
+    if demand.smallest < demand.devices {
+        sizes.push(demand.smallest);
+    }
+    sizes
+}
+
+/// Returns the cells that a gang takes up when it is placed as tightly as can be.
+fn ideal_shape(devices: u32) -> Shape {
+    let mut left = devices;
+    let mut shape = Shape::EMPTY;
+    for level in LEVELS.into_iter().rev() {
+        shape = shape.with(level, left / level.devices());
+        left %= level.devices();
+    }
+    shape
+}
--- /dev/null
+++ b/crates/rampbay-core/src/plan/reserve.rs
@@ -0,0 +1,207 @@
+//! The system that keeps room for large gangs that have waited long, and moves small ones away.
+
+use std::time::Duration;
+
+use crate::{
+    ids::{FencingToken, JobId, WorkerIndex},
+    job::{Adjacency, Class},
+    place::{Found, find},
+    reason::Reason,
+    reclaim::Yield,
+    tables::{Demand, Gang, WorkerRow},
+};
+
+use super::{Command, Planner};
+
+/// Workers kept for one job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Reservation {
+    pub job: JobId,
+    pub workers: Vec<WorkerIndex>,
+    /// When its devices are expected to be free.
+    pub ready_at: Duration,
+}
+
+/// Workers for each reservation that may stand at once.
+const WORKERS_PER_RESERVATION: usize = 32;
+const MINUTE: Duration = Duration::from_secs(60);
+/// Assumed to be left of a run of which nothing is known.
+const LEAST_REMAINING: Duration = Duration::from_secs(60);
+
+impl Planner {
+    /// Returns the workers that are kept for other jobs and that `job` would hold too long.
+    pub(super) fn closed_to(
+        &self,
+        job: &JobId,
+        demand: &Demand,
+        now: Duration,
+    ) -> Vec<WorkerIndex> {
+        if demand.class == Class::Urgent {
+            return Vec::new();
+        }
+        let ends = demand.expected_ms.map(|ms| now + Duration::from_millis(ms));
+        self.reservations
+            .iter()
+            .filter(|reservation| reservation.job != *job)
+            .filter(|reservation| ends.is_none_or(|ends| ends > reservation.ready_at))
+            .flat_map(|reservation| reservation.workers.iter().copied())
+            .collect()
+    }
+
+    pub(super) fn release_reservation(&mut self, job: &JobId) {
+        let Some(at) = self.reservations.iter().position(|kept| kept.job == *job) else {
+            return;
+        };
+        let reservation = self.reservations.remove(at);
+        for worker in reservation.workers {
+            self.fleet.workers.rows[worker].earmarked = 0;
+        }
+        self.capacity_gained = true;
+    }
+
+    pub(super) fn reserve_for_starving(&mut self, now: Duration, commands: &mut Vec<Command>) {
+        let most = self.fleet.workers.rows.len().div_ceil(WORKERS_PER_RESERVATION);
+        if self.reservations.len() < most
+            && let Some((job, demand)) = self.most_starved(now)
+            && let Some(reservation) = self.choose_workers(&job, &demand, now)
+        {
+            for worker in &reservation.workers {
+                let row = &mut self.fleet.workers.rows[*worker];
+                row.earmarked = row.spec.all_devices();
+            }
+            self.reservations.push(reservation);
+        }
+        self.open_reserved(now, commands);
+    }
+
+    /// Returns the job that has waited longest beyond the limit for want of room.
+    fn most_starved(&self, now: Duration) -> Option<(JobId, Demand)> {
+        let limit = Duration::from_millis(self.settings.reserve_after_ms);
+        let room = |reason: &Reason| {
+            matches!(reason, Reason::NoRoom { .. } | Reason::BehindReservation { .. })
+        };
+        self.blocked
+            .iter()
+            .filter(|(_, reason)| room(reason))
+            .filter_map(|(demand, _)| Some((self.queue.get(demand)?.front()?, demand)))
+            .filter(|(job, _)| !self.reservations.iter().any(|kept| kept.job == **job))
+            .filter(|(job, _)| now.saturating_sub(self.jobs[*job].arrived) >= limit)
+            .min_by_key(|(job, demand)| (demand.class, self.jobs[*job].arrived))
+            .map(|(job, demand)| (job.clone(), demand.clone()))
+    }
+
+    /// Chooses the workers that are expected to be free soonest.
+    fn choose_workers(&self, job: &JobId, demand: &Demand, now: Duration) -> Option<Reservation> {
+        let workers = &self.fleet.workers;
+        let all: Vec<Vec<WorkerIndex>> = match demand.adjacency {
+            Adjacency::Worker => (0..workers.rows.len()).map(|index| vec![index]).collect(),
+            Adjacency::Rack => workers.racks.clone(),
+            Adjacency::FailureDomain => workers.failure_domains.clone(),
+            Adjacency::Any => vec![(0..workers.rows.len()).collect()],
+        };
+        all.iter()
+            .filter_map(|members| self.soonest(members, demand, now))
+            .min_by_key(|(ready_at, workers)| (*ready_at, workers.len()))
+            .map(|(ready_at, workers)| Reservation { job: job.clone(), workers, ready_at })
+    }
+
+    fn soonest(
+        &self,
+        members: &[WorkerIndex],
+        demand: &Demand,
+        now: Duration,
+    ) -> Option<(Duration, Vec<WorkerIndex>)> {
+        let mut free_at: Vec<(Duration, WorkerIndex)> = members
+            .iter()
+            .filter(|index| self.fleet.workers.rows[**index].earmarked == 0)
+            .map(|index| (self.worker_free_at(*index, now), *index))
+            .collect();
+        free_at.sort_unstable();
+        let mut devices = 0;
+        let mut chosen = Vec::new();
+        for (at, worker) in free_at {
+            devices += self.fleet.workers.rows[worker].present.count_ones();
+            chosen.push(worker);
+            if devices >= demand.smallest {
+                return Some((at, chosen));
+            }
+        }
+        None
+    }
+
+    fn worker_free_at(&self, worker: WorkerIndex, now: Duration) -> Duration {
+        let ends = |gang: &Gang| {
+            let elapsed = now.saturating_sub(gang.meta.started);
+            gang.meta.expected_end.unwrap_or(now + elapsed.max(LEAST_REMAINING)).max(now)
+        };
+        let row: &WorkerRow = &self.fleet.workers.rows[worker];
+        let gangs = row.holders.iter().filter_map(|holder| self.fleet.gangs.get(&holder.token));
+        gangs.map(ends).max().unwrap_or(now)
+    }
+
+    /// Moves checkpointable gangs out of reserved workers where they find room elsewhere.
+    fn open_reserved(&mut self, now: Duration, commands: &mut Vec<Command>) {
+        while self.moves.front().is_some_and(|at| now.saturating_sub(*at) > MINUTE) {
+            self.moves.pop_front();
+        }
+        let reservations = self.reservations.clone();
+        for reservation in reservations {
+            for token in self.movable(&reservation, now) {
+                if self.moves.len() >= self.settings.moves_per_minute as usize {
+                    return;
+                }
+                self.moves.push_back(now);
+                if let Some(gang) = self.fleet.gangs.get_mut(&token) {
+                    gang.yields_to = Some(reservation.job.clone());
+                }
+                self.ask_to_yield(token, Yield::Checkpoint, &reservation.job, commands);
+            }
+        }
+    }
+
+    /// Returns the gangs that stand on reserved workers and could run elsewhere.
+    fn movable(&self, reservation: &Reservation, now: Duration) -> Vec<FencingToken> {
+        let mut tokens: Vec<FencingToken> = reservation
+            .workers
+            .iter()
+            .flat_map(|worker| self.fleet.workers.rows[*worker].holders.iter())
+            .map(|holder| holder.token)
+            .collect();
+        tokens.sort_unstable();
+        tokens.dedup();
+        let worth = |gang: &Gang| {
+            let left = gang.meta.expected_end.map(|end| end.saturating_sub(now));
+            left.is_none_or(|left| left > MINUTE)
+        };
+        tokens.retain(|token| {
+            self.fleet.gangs.get(token).is_some_and(|gang| {
+                gang.meta.checkpointable
+                    && gang.meta.reclaimable
+                    && gang.yields_to.is_none()
+                    && worth(gang)
+                    && self.fits_elsewhere(gang, reservation)
+            })
+        });
+        tokens
+    }
+
+    fn fits_elsewhere(&self, gang: &Gang, reservation: &Reservation) -> bool {
+        let demand = Demand {
+            class: gang.meta.class,
+            workspace: gang.workspace,
+            devices: gang.devices(),
+            smallest: gang.devices(),
+            adjacency: Adjacency::Rack,
+            reclaimable: true,
+            cores: gang.cores_per_device,
+            memory: gang.memory_per_device,
+            expected_ms: None,
+        };
+        let usable = |index: WorkerIndex, row: &WorkerRow| {
+            if reservation.workers.contains(&index) { 0 } else { row.free() & !row.earmarked }
+        };
+        let preference = self.preference(&demand);
+        let found = find(&self.fleet.workers, &demand, gang.devices(), preference, &usable);
+        matches!(found, Found::Place(_))
+    }
+}
--- /dev/null
+++ b/crates/rampbay-core/src/plan/yielding.rs
@@ -0,0 +1,165 @@
+//! The system that follows devices on their way back to an owner.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    ids::{FencingToken, JobId},
+    place::IndexedPart,
+    reason::Reason,
+    reclaim::Yield,
+    tables::{JobRow, JobState},
+    topology::Placement,
+};
+
+use super::{Command, Planner, YieldKind};
+
+impl Planner {
+    pub(super) fn begin_reclaim(
+        &mut self,
+        job: &JobId,
+        token: FencingToken,
+        victims: BTreeMap<FencingToken, Yield>,
+        now: Duration,
+        commands: &mut Vec<Command>,
+    ) {
+        self.dequeue(job);
+        let from: Vec<FencingToken> = victims.keys().copied().collect();
+        for (victim, how) in victims {
+            self.ask_to_yield(victim, how, job, commands);
+        }
+        let names = self.job_names(&from);
+        if let Some(row) = self.jobs.get_mut(job) {
+            row.state = JobState::Reclaiming { token, from };
+            row.reason = Reason::Reclaiming { from: names };
+        }
+        self.reclaiming.insert(job.clone(), now);
+    }
+
+    fn job_names(&self, tokens: &[FencingToken]) -> Vec<JobId> {
+        tokens
+            .iter()
+            .filter_map(|token| self.fleet.gangs.get(token))
+            .map(|gang| gang.meta.job.clone())
+            .collect()
+    }
+
+    pub(super) fn ask_to_yield(
+        &self,
+        token: FencingToken,
+        how: Yield,
+        for_job: &JobId,
+        commands: &mut Vec<Command>,
+    ) {
+        let Some(gang) = self.fleet.gangs.get(&token) else {
+            return;
+        };
+        let how = match how {
+            Yield::Shrink { keep } => YieldKind::Shrink { keep: self.fleet.placement(&keep) },
+            Yield::Checkpoint => YieldKind::Checkpoint,
+            Yield::Stop => YieldKind::Stop,
+        };
+        commands.push(Command::Yield {
+            token,
+            job: gang.meta.job.clone(),
+            holder: gang.meta.holder.clone(),
+            how,
+            parts: self.fleet.placement(&gang.parts),
+            for_job: for_job.clone(),
+        });
+    }
+
+    /// Starts the jobs whose devices have all come back, and asks again where that takes long.
+    pub(super) fn advance_reclaims(&mut self, now: Duration, commands: &mut Vec<Command>) {
+        let again = Duration::from_millis(self.settings.yield_again_ms);
+        let jobs: Vec<(JobId, Duration)> =
+            self.reclaiming.iter().map(|(job, since)| (job.clone(), *since)).collect();
+        for (job, since) in jobs {
+            let Some(JobRow { state: JobState::Reclaiming { token, from }, .. }) =
+                self.jobs.get(&job)
+            else {
+                self.reclaiming.remove(&job);
+                continue;
+            };
+            let token = *token;
+            let left: Vec<FencingToken> =
+                from.iter().copied().filter(|victim| self.still_yields(*victim, &job)).collect();
+            if left.is_empty() {
+                self.reclaiming.remove(&job);
+                self.begin(&job, token, commands);
+            } else if now.saturating_sub(since) >= again {
+                self.reclaiming.insert(job.clone(), now);
+                for victim in left {
+                    self.ask_again(victim, token, &job, commands);
+                }
+            }
+        }
+    }
+
+    fn still_yields(&self, victim: FencingToken, job: &JobId) -> bool {
+        self.fleet.gangs.get(&victim).is_some_and(|gang| gang.yields_to.as_ref() == Some(job))
+    }
+
+    fn ask_again(
+        &self,
+        victim: FencingToken,
+        taker: FencingToken,
+        job: &JobId,
+        commands: &mut Vec<Command>,
+    ) {
+        let (Some(gang), Some(taker)) =
+            (self.fleet.gangs.get(&victim), self.fleet.gangs.get(&taker))
+        else {
+            return;
+        };
+        let how = crate::reclaim::how(gang, &taker.parts);
+        self.ask_to_yield(victim, how, job, commands);
+    }
+
+    /// Reports that a gang gave devices back and runs on with `keep`.
+    pub fn shrunk(&mut self, token: FencingToken, keep: &Placement, now: Duration) {
+        let keep: Vec<IndexedPart> = keep
+            .iter()
+            .filter_map(|part| Some((self.fleet.workers.index(&part.worker)?, part.devices)))
+            .collect();
+        let Some(workspace) = self.fleet.gangs.get(&token).map(|gang| gang.workspace) else {
+            return;
+        };
+        self.fleet.workspaces.rows[workspace].accrue(now);
+        let Some(mut gang) = self.fleet.remove(token) else {
+            return;
+        };
+        let devices = keep.iter().map(|(_, devices)| devices.count_ones()).sum();
+        gang.parts = keep;
+        gang.meta.gang_devices = devices;
+        let for_job = gang.yields_to.take();
+        let job = gang.meta.job.clone();
+        self.fleet.insert(gang);
+        self.capacity_gained = true;
+        if let (Some(row), Some(for_job)) = (self.jobs.get_mut(&job), for_job) {
+            row.reason = Reason::ShrunkFor { job: for_job, devices };
+        }
+    }
+
+    /// Reports that a gang was checkpointed or stopped and all its devices are free.
+    ///
+    /// A job of this planner waits again; returns whether it was one.
+    pub fn stopped(&mut self, token: FencingToken, now: Duration) -> Option<JobId> {
+        let gang = self.fleet.gangs.get(&token)?;
+        let (job, local) = (gang.meta.job.clone(), gang.local);
+        let for_job = gang.yields_to.clone();
+        if !local {
+            self.drop_gang(token, now);
+            return None;
+        }
+        let reason = for_job.map_or(Reason::Lost, |for_job| Reason::StoppedFor {
+            workspace: self.workspace_of(&for_job),
+            job: for_job,
+        });
+        self.wait_again(&job, reason, now);
+        Some(job)
+    }
+
+    fn workspace_of(&self, job: &JobId) -> crate::ids::WorkspaceId {
+        self.jobs.get(job).map_or_else(|| "".into(), |row| row.spec.workspace.clone())
+    }
+}
--- /dev/null
+++ b/crates/rampbay-core/src/tables.rs
@@ -0,0 +1,496 @@
+//! The planner's tables of entities. Systems in the other modules run over them.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    time::Duration,
+};
+
+use crate::{
+    guarantee::{CellIndex, derive_ownership, gang_shape},
+    ids::{FencingToken, JobId, WorkerId, WorkerIndex, WorkspaceId, WorkspaceIndex},
+    job::{Adjacency, Class, JobSpec},
+    knobs::Knobs,
+    lease::LeaseMeta,
+    reason::Reason,
+    shape::Shape,
+    topology::{DeviceMask, Placement, WorkerSpec},
+};
+
+/// One worker.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkerRow {
+    pub spec: WorkerSpec,
+    pub rack: usize,
+    pub failure_domain: usize,
+    /// Devices that exist and work.
+    pub present: DeviceMask,
+    /// Which gang has which devices.
+    pub holders: Vec<Holder>,
+    /// Devices that some gang has.
+    pub used: DeviceMask,
+    /// Devices of gangs that are borrowed and reclaimable.
+    pub lent: DeviceMask,
+    /// Devices kept for one job.
+    pub earmarked: DeviceMask,
+    pub cores_used: u32,
+    pub memory_used: u32,
+}
+
+/// One gang's part on a worker.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Holder {
+    pub token: FencingToken,
+    pub devices: DeviceMask,
+    pub lent: bool,
+}
+
+impl WorkerRow {
+    /// Derives the masks from the holders, so that overlapping views leave nothing behind.
+    fn derive_masks(&mut self) {
+        self.used = self.holders.iter().fold(0, |mask, holder| mask | holder.devices);
+        self.lent = self
+            .holders
+            .iter()
+            .filter(|holder| holder.lent)
+            .fold(0, |mask, holder| mask | holder.devices);
+    }
+
+    pub fn free(&self) -> DeviceMask {
+        self.present & !self.used
+    }
+
+    /// Devices that an owner can have: free ones and those lent out.
+    pub fn reclaimable(&self) -> DeviceMask {
+        self.free() | (self.lent & self.present)
+    }
+}
+
+/// All workers, with the groups that they stand in.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct WorkerTable {
+    pub rows: Vec<WorkerRow>,
+    by_id: HashMap<WorkerId, WorkerIndex>,
+    pub racks: Vec<Vec<WorkerIndex>>,
+    pub failure_domains: Vec<Vec<WorkerIndex>>,
+    rack_names: HashMap<String, usize>,
+    failure_domain_names: HashMap<String, usize>,
+    pub cells: CellIndex,
+    pub rack_free: Vec<u32>,
+    pub failure_domain_free: Vec<u32>,
+    pub free_devices: u32,
+}
+
+impl WorkerTable {
+    pub fn index(&self, id: &str) -> Option<WorkerIndex> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Adds a worker, or brings a known one back.
+    pub fn add(&mut self, spec: WorkerSpec) -> WorkerIndex {
+        if let Some(known) = self.index(&spec.id) {
+            let present = spec.all_devices();
+            self.rows[known].spec = spec;
+            self.change(known, |row| row.present = present);
+            return known;
+        }
+        let index = self.rows.len();
+        let rack = group(&mut self.rack_names, &mut self.racks, &spec.rack, index);
+        let failure_domain = group(
+            &mut self.failure_domain_names,
+            &mut self.failure_domains,
+            &spec.failure_domain,
+            index,
+        );
+        self.rack_free.resize(self.racks.len(), 0);
+        self.failure_domain_free.resize(self.failure_domains.len(), 0);
+        self.by_id.insert(spec.id.clone(), index);
+        let present = spec.all_devices();
+        self.rows.push(WorkerRow {
+            spec,
+            rack,
+            failure_domain,
+            present: 0,
+            holders: Vec::new(),
+            used: 0,
+            lent: 0,
+            earmarked: 0,
+            cores_used: 0,
+            memory_used: 0,
+        });
+        self.change(index, |row| row.present = present);
+        index
+    }
+
+    /// Changes one row and keeps the counts of free devices and cells up to date.
+    pub fn change(&mut self, index: WorkerIndex, edit: impl FnOnce(&mut WorkerRow)) {
+        let row = &mut self.rows[index];
+        let (free_before, cells_before) = (row.free(), row.reclaimable());
+        edit(row);
+        let (free_after, cells_after) = (row.free(), row.reclaimable());
+        self.cells.update(row.rack, cells_before, cells_after);
+        let (before, after) = (free_before.count_ones(), free_after.count_ones());
+        let rack_free = &mut self.rack_free[row.rack];
+        *rack_free = *rack_free + after - before;
+        let domain_free = &mut self.failure_domain_free[row.failure_domain];
+        *domain_free = *domain_free + after - before;
+        self.free_devices = self.free_devices + after - before;
+    }
+}
+
+fn group(
+    names: &mut HashMap<String, usize>,
+    groups: &mut Vec<Vec<WorkerIndex>>,
+    name: &str,
+    member: WorkerIndex,
+) -> usize {
+    let at = *names.entry(name.to_owned()).or_insert_with(|| {
+        groups.push(Vec::new());
+        groups.len() - 1
+    });
+    groups[at].push(member);
+    at
+}
+
+/// A running gang, of this planner or of another.
+#[derive(Debug, Clone)]
+pub(crate) struct Gang {
+    pub meta: LeaseMeta,
+    pub workspace: WorkspaceIndex,
+    pub parts: Vec<(WorkerIndex, DeviceMask)>,
+    pub shape: Shape,
+    pub owned: bool,
+    /// The job that this gang gives way to, if it does.
+    pub yields_to: Option<JobId>,
+    /// Whether this planner's own jobs table has its job.
+    pub local: bool,
+    pub cores_per_device: u32,
+    pub memory_per_device: u32,
+}
+
+impl Gang {
+    pub fn devices(&self) -> u32 {
+        self.parts.iter().map(|(_, devices)| devices.count_ones()).sum()
+    }
+
+    /// The order in which gangs count against the guarantee.
+    fn rank(&self) -> (bool, Class, FencingToken) {
+        let class = if self.meta.reclaimable { self.meta.class } else { Class::Urgent };
+        (self.meta.reclaimable, class, self.meta.token)
+    }
+}
+
+/// One workspace.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkspaceRow {
+    pub name: WorkspaceId,
+    pub knobs: Knobs,
+    /// Gangs in the order of the rule of ownership.
+    pub gangs: BTreeSet<(bool, Class, FencingToken)>,
+    /// Part of the guarantee that no gang uses.
+    pub unused: Shape,
+    pub borrowed_devices: u32,
+    pub held_devices: u32,
+    pub waiting: u32,
+    pub urgent: u32,
+    /// Device-seconds, decayed, up to `usage_at`.
+    pub usage: f64,
+    pub usage_at: Duration,
+    pub removed: bool,
+}
+
+/// Time in which past usage loses half its weight.
+const USAGE_HALF_LIFE: Duration = Duration::from_secs(3_600);
+
+impl WorkspaceRow {
+    /// Brings decayed usage up to `now`, with the devices held meanwhile.
+    pub fn accrue(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.usage_at).as_secs_f64();
+        if passed <= 0.0 {
+            return;
+        }
+        let decay = 0.5_f64.powf(passed / USAGE_HALF_LIFE.as_secs_f64());
+        self.usage = self.usage * decay + f64::from(self.held_devices) * passed;
+        self.usage_at = now;
+    }
+
+    pub fn share(&self) -> f64 {
+        self.usage / f64::from(self.knobs.weight.max(1))
+    }
+}
+
+/// All workspaces.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct WorkspaceTable {
+    pub rows: Vec<WorkspaceRow>,
+    by_name: HashMap<WorkspaceId, WorkspaceIndex>,
+    /// Sum of what all workspaces leave unused.
+    pub unused: Shape,
+    /// Devices that owners don't lend, over all workspaces.
+    pub unlent_devices: u32,
+}
+
+impl WorkspaceTable {
+    pub fn index(&self, name: &str) -> Option<WorkspaceIndex> {
+        self.by_name.get(name).copied().filter(|index| !self.rows[*index].removed)
+    }
+
+    /// Returns the row for a name, made with default knobs if it is unknown.
+    pub fn ensure(&mut self, name: &WorkspaceId) -> WorkspaceIndex {
+        if let Some(known) = self.by_name.get(name) {
+            return *known;
+        }
+        let index = self.rows.len();
+        self.rows.push(WorkspaceRow {
+            name: name.clone(),
+            knobs: Knobs::default(),
+            gangs: BTreeSet::new(),
+            unused: Shape::EMPTY,
+            borrowed_devices: 0,
+            held_devices: 0,
+            waiting: 0,
+            urgent: 0,
+            usage: 0.0,
+            usage_at: Duration::ZERO,
+            removed: true,
+        });
+        self.by_name.insert(name.clone(), index);
+        index
+    }
+
+    /// Recomputes the sums over all workspaces' unused guarantees.
+    fn replace_unused(&mut self, index: WorkspaceIndex, unused: Shape) {
+        let row = &mut self.rows[index];
+        self.unlent_devices -= unlent(row.unused, row.knobs.lend_limit);
+        self.unused = subtract(self.unused, row.unused);
+        row.unused = unused;
+        self.unused.add(&unused);
+        self.unlent_devices += unlent(unused, row.knobs.lend_limit);
+    }
+
+    pub fn set_knobs(&mut self, index: WorkspaceIndex, knobs: Knobs) {
+        let unused = self.rows[index].unused;
+        self.replace_unused(index, Shape::EMPTY);
+        self.rows[index].knobs = knobs;
+        self.replace_unused(index, unused);
+    }
+}
+
+fn unlent(unused: Shape, lend_limit: u32) -> u32 {
+    unused.devices().saturating_sub(lend_limit)
+}
+
+fn subtract(from: Shape, part: Shape) -> Shape {
+    crate::shape::LEVELS
+        .into_iter()
+        .fold(Shape::EMPTY, |shape, level| shape.with(level, from.count(level) - part.count(level)))
+}
+
+/// A job's state.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum JobState {
+    Waiting,
+    /// Devices come back for it.
+    Reclaiming {
+        token: FencingToken,
+        from: Vec<FencingToken>,
+    },
+    Starting {
+        token: FencingToken,
+    },
+    Running {
+        token: FencingToken,
+    },
+}
+
+/// One job of this planner.
+#[derive(Debug, Clone)]
+pub(crate) struct JobRow {
+    pub spec: JobSpec,
+    pub workspace: WorkspaceIndex,
+    pub arrived: Duration,
+    pub waiting_since: Duration,
+    pub state: JobState,
+    pub reason: Reason,
+    pub refusals: u32,
+    pub not_before: Duration,
+}
+
+/// Jobs that are alike to the planner; if the first can't start, no other can.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Demand {
+    pub class: Class,
+    pub workspace: WorkspaceIndex,
+    pub devices: u32,
+    pub smallest: u32,
+    pub adjacency: Adjacency,
+    pub reclaimable: bool,
+    pub cores: u32,
+    pub memory: u32,
+    pub expected_ms: Option<u64>,
+}
+
+impl Demand {
+    pub fn of(spec: &JobSpec, workspace: WorkspaceIndex) -> Option<Self> {
+        let gang = spec.gang.as_ref()?;
+        Some(Self {
+            class: spec.class,
+            workspace,
+            devices: gang.devices,
+            smallest: gang.smallest(),
+            adjacency: gang.adjacency,
+            reclaimable: spec.is_reclaimable(),
+            cores: gang.cores_per_device,
+            memory: gang.memory_mib_per_device,
+            expected_ms: gang.expected_ms.map(round_up_to_power_of_two),
+        })
+    }
+}
+
+/// Expected run times are grouped by powers of two, so that alike jobs share one demand.
+fn round_up_to_power_of_two(ms: u64) -> u64 {
+    ms.checked_next_power_of_two().unwrap_or(u64::MAX)
+}
+
+/// Waiting jobs by demand, in order of arrival.
+pub(crate) type QueueTable = BTreeMap<Demand, VecDeque<JobId>>;
+
+/// The running gangs and the masks that they leave on workers and workspaces.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Fleet {
+    pub workers: WorkerTable,
+    pub workspaces: WorkspaceTable,
+    pub gangs: BTreeMap<FencingToken, Gang>,
+}
+
+impl Fleet {
+    /// Returns the cells that a set of parts takes up.
+    pub fn shape_of(&self, parts: &[(WorkerIndex, DeviceMask)]) -> Shape {
+        let by_rack: Vec<_> = parts
+            .iter()
+            .map(|(worker, devices)| (self.workers.rows[*worker].rack, *devices))
+            .collect();
+        gang_shape(&by_rack)
+    }
+
+    /// Adds a gang, marks its devices and derives its workspace's ownership anew.
+    pub fn insert(&mut self, mut gang: Gang) {
+        gang.shape = self.shape_of(&gang.parts);
+        gang.owned = false;
+        self.mark(&gang, true);
+        let workspace = gang.workspace;
+        let row = &mut self.workspaces.rows[workspace];
+        row.gangs.insert(gang.rank());
+        row.held_devices += gang.devices();
+        row.borrowed_devices += gang.devices();
+        if gang.meta.reclaimable {
+            self.mark_lent(gang.meta.token, &gang.parts, true);
+        }
+        self.gangs.insert(gang.meta.token, gang);
+        self.derive(workspace);
+    }
+
+    /// Takes a gang out and derives its workspace's ownership anew.
+    pub fn remove(&mut self, token: FencingToken) -> Option<Gang> {
+        let gang = self.gangs.remove(&token)?;
+        self.mark(&gang, false);
+        let row = &mut self.workspaces.rows[gang.workspace];
+        row.gangs.remove(&gang.rank());
+        row.held_devices -= gang.devices();
+        if !gang.owned {
+            row.borrowed_devices -= gang.devices();
+        }
+        self.derive(gang.workspace);
+        Some(gang)
+    }
+
+    /// Derives which of a workspace's gangs are owned.
+    pub fn derive(&mut self, workspace: WorkspaceIndex) {
+        let row = &self.workspaces.rows[workspace];
+        let tokens: Vec<_> = row.gangs.iter().map(|(_, _, token)| *token).collect();
+        let shapes = tokens.iter().map(|token| self.gangs[token].shape);
+        let (owned, unused) = derive_ownership(row.knobs.guarantee, shapes);
+        self.workspaces.replace_unused(workspace, unused);
+        for (token, owned) in tokens.into_iter().zip(owned) {
+            self.set_owned(token, owned);
+        }
+    }
+
+    fn set_owned(&mut self, token: FencingToken, owned: bool) {
+        let Some(gang) = self.gangs.get_mut(&token) else {
+            return;
+        };
+        if gang.owned == owned {
+            return;
+        }
+        gang.owned = owned;
+        let devices = gang.devices();
+        let lends = gang.meta.reclaimable && gang.yields_to.is_none();
+        let parts = gang.parts.clone();
+        let row = &mut self.workspaces.rows[gang.workspace];
+        if owned {
+            row.borrowed_devices -= devices;
+        } else {
+            row.borrowed_devices += devices;
+        }
+        if lends {
+            self.mark_lent(token, &parts, !owned);
+        }
+    }
+
+    fn mark(&mut self, gang: &Gang, used: bool) {
+        let token = gang.meta.token;
+        for (worker, devices) in &gang.parts {
+            let devices = *devices;
+            let count = devices.count_ones();
+            let (cores, memory) = (count * gang.cores_per_device, count * gang.memory_per_device);
+            self.workers.change(*worker, |row| {
+                if used {
+                    row.holders.push(Holder { token, devices, lent: false });
+                    row.cores_used += cores;
+                    row.memory_used += memory;
+                } else {
+                    row.holders.retain(|holder| holder.token != token);
+                    row.cores_used -= cores;
+                    row.memory_used -= memory;
+                }
+                row.derive_masks();
+            });
+        }
+    }
+
+    fn mark_lent(&mut self, token: FencingToken, parts: &[(WorkerIndex, DeviceMask)], lent: bool) {
+        for (worker, _) in parts {
+            self.workers.change(*worker, |row| {
+                for holder in row.holders.iter_mut().filter(|holder| holder.token == token) {
+                    holder.lent = lent;
+                }
+                row.derive_masks();
+            });
+        }
+    }
+
+    /// Stops counting a gang's devices as lent: they are on their way to one owner already.
+    pub fn withdraw_lent(&mut self, token: FencingToken) {
+        let Some(gang) = self.gangs.get(&token) else {
+            return;
+        };
+        let parts = gang.parts.clone();
+        self.mark_lent(token, &parts, false);
+    }
+
+    /// Returns the cells that are missing for all unused guarantees, empty if none is.
+    pub fn short(&self) -> Shape {
+        self.workers.cells.missing(&self.workspaces.unused)
+    }
+
+    /// Turns rows of workers into their names.
+    pub fn placement(&self, parts: &[(WorkerIndex, DeviceMask)]) -> Placement {
+        parts
+            .iter()
+            .map(|(worker, devices)| crate::topology::Part {
+                worker: self.workers.rows[*worker].spec.id.clone(),
+                devices: *devices,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/rampbay-demo/src/main.rs
@@ -0,0 +1,119 @@
+//! The demo: a site on loopback, load on it, and what the stand-ins saw.
+
+use std::{process::ExitCode, time::Duration};
+
+use argh::FromArgs;
+use comfy_table::Table;
+use indicatif::{ProgressBar, ProgressStyle};
+use rampbay_core::ids::ProcessId;
+use rampbay_demo::site::{RunningSite, SiteError, SiteOptions};
+use rampbay_load::{
+    report::Report,
+    run::{Plan, run},
+};
+use rampbay_node::logs;
+use rampbay_standin::settings::Site;
+
+/// Runs a whole site in one process on loopback, and shows what it does under load.
+#[derive(FromArgs)]
+struct Args {
+    /// take the Verbund's sizes in place of Stockline's
+    #[argh(switch)]
+    verbund: bool,
+    /// requests (default 3000)
+    #[argh(option, default = "3000")]
+    count: u64,
+    /// requests a second (default 300)
+    #[argh(option, default = "300.0")]
+    rate: f64,
+    /// level of the logs (default error)
+    #[argh(option, default = "String::from(\"error\")")]
+    log_level: String,
+}
+
+/// Longest time of the load.
+const LONGEST: Duration = Duration::from_secs(40);
+const WORK: Duration = Duration::from_millis(50);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    match demo(&args).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn demo(args: &Args) -> Result<bool, SiteError> {
+    logs::start(&ProcessId::from("demo"), &args.log_level)?;
+    let sizes = if args.verbund { Site::verbund() } else { Site::stockline() };
+    println!("rampbay demo, {}'s sizes: 3 entries, 10 upstreams, 10 workers", sizes.name);
+    let site = RunningSite::start(SiteOptions::new(sizes)).await?;
+    let plan = Plan {
+        targets: site.callers(),
+        rate: args.rate,
+        count: args.count,
+        longest: LONGEST,
+        workspaces: site.workspaces().iter().map(|(name, _)| (name.to_string(), 1.0)).collect(),
+        work: WORK,
+        exponential: true,
+        gangs: 0.2,
+        urgent: 0.05,
+        once: 0.1,
+        prefix: "demo".to_owned(),
+        ..Plan::default()
+    };
+    let bar = ProgressBar::new(args.count);
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} requests, {eta} left");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    let report = run(&plan, |sent| bar.set_position(sent)).await;
+    bar.finish_and_clear();
+    print!("{}", report.to_text());
+    fragmentation(&site).await;
+    Ok(prove(&site, &report))
+}
+
+/// Shows what the planner left free.
+async fn fragmentation(site: &RunningSite) {
+    let Some(entry) = site.entries.iter().flatten().next() else {
+        return;
+    };
+    let view = entry.parts().gangs.ask(rampbay_entry::gangs::Input::View).await;
+    if let Some(view) = view {
+        println!(
+            "devices: {} of {} free, guarantees short of {}",
+            view.free, view.devices, view.short
+        );
+    }
+}
+
+/// Judges the run by the stand-ins' own records.
+fn prove(site: &RunningSite, report: &Report) -> bool {
+    let starts = site.starts();
+    let workers = site.platform.workers.record();
+    let ran_though_refused = report.not_run.iter().filter(|id| starts.contains_key(*id)).count();
+    let lost = report.answered.iter().filter(|id| !starts.contains_key(*id)).count();
+    let most_busy = site.upstreams.iter().map(|u| u.model.record().most_busy).max().unwrap_or(0);
+    let checks = [
+        ("answers that weren't whole or not their own", report.wrong_answers, 0),
+        ("requests without an answer", report.outcome("no_answer"), 0),
+        ("refused as not run, but started", ran_though_refused as u64, 0),
+        ("answered, but never started", lost as u64, 0),
+        ("gates opened with a gang in part", workers.opened_in_part, 0),
+        ("most requests at once at one upstream", most_busy.into(), 8),
+    ];
+    let mut table = Table::new();
+    table.set_header(["judged by the stand-ins", "seen", "allowed"]);
+    let mut good = true;
+    for (what, seen, allowed) in checks {
+        good &= seen <= allowed;
+        table.add_row([what.to_owned(), seen.to_string(), format!("{allowed} at most")]);
+    }
+    println!("{table}");
+    println!("gangs started: {}", workers.opened);
+    good
+}
--- /dev/null
+++ b/crates/rampbay-entry/src/shared.rs
@@ -0,0 +1,171 @@
+//! What the parts of an entry share.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use prometheus_client::metrics::{
+    counter::Counter, family::Family, gauge::Gauge, histogram::Histogram,
+};
+use rampbay_core::{
+    ids::{Incarnation, JobId, ProcessId, WorkspaceId},
+    job::Adjacency,
+};
+use rampbay_node::{
+    logs,
+    metrics::{Labels, Metrics},
+};
+use rampbay_table::state::TableState;
+use rampbay_wire::{
+    clock::Clock,
+    event::{Code, Timeline},
+    mailbox::{LinkCounts, Post},
+};
+
+use crate::{jobs::Jobs, keys::Keys, settings::EntrySettings};
+
+/// What the parts of an entry share.
+#[derive(Debug)]
+pub struct Shared {
+    /// The settings.
+    pub settings: EntrySettings,
+    /// This start's number.
+    pub incarnation: Incarnation,
+    /// The clock of the time line.
+    pub clock: Arc<Clock>,
+    /// The time line.
+    pub timeline: Timeline,
+    /// The link to other processes.
+    pub post: Post,
+    /// Counts of the link.
+    pub link_counts: Arc<LinkCounts>,
+    /// The accepted table.
+    pub table: RwLock<TableState>,
+    /// The requests.
+    pub jobs: Jobs,
+    /// The keys.
+    pub keys: Keys,
+    /// Set while the entry stops.
+    pub draining: AtomicBool,
+    /// The metrics.
+    pub metrics: EntryMetrics,
+    /// Devices of the largest place of each adjacency, as the planner last saw the fleet.
+    pub largest: RwLock<BTreeMap<Adjacency, u32>>,
+    /// Mailboxes of other entries.
+    pub peers: RwLock<Vec<(ProcessId, SocketAddr)>>,
+    started: Instant,
+}
+
+/// The metrics of an entry.
+#[derive(Debug, Clone)]
+pub struct EntryMetrics {
+    /// All of them.
+    pub all: Metrics,
+    /// Requests by workspace and outcome.
+    pub outcomes: Family<Labels, Counter>,
+    /// Completion time by workspace and class.
+    pub completion: Family<Labels, Histogram>,
+    /// The table's version.
+    pub table_version: Family<Labels, Gauge>,
+    /// Requests without an outcome.
+    pub open: Family<Labels, Gauge>,
+    /// Messages dropped or refused, by why.
+    pub dropped: Family<Labels, Gauge>,
+    /// Devices by state.
+    pub devices: Family<Labels, Gauge>,
+    /// Commands to workers by what became of them.
+    pub gangs: Family<Labels, Counter>,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let all = Metrics::default();
+        Self {
+            outcomes: all.counters("requests", "Requests by workspace, outcome and reason"),
+            completion: all
+                .seconds("completion", "Time from arrival until the outcome, by workspace"),
+            table_version: all.gauges("table_version", "Version of the table in force"),
+            open: all.gauges("requests_open", "Requests that have no outcome yet"),
+            dropped: all.gauges("messages_dropped", "Messages dropped, by why"),
+            devices: all.gauges("devices", "Devices by state as the planner sees them"),
+            gangs: all.counters("gangs", "Gangs by what became of them"),
+            all,
+        }
+    }
+}
+
+impl Shared {
+    /// Puts the shared parts together.
+    #[must_use]
+    pub fn new(
+        settings: EntrySettings,
+        incarnation: Incarnation,
+        clock: Arc<Clock>,
+        post: Post,
+        link_counts: Arc<LinkCounts>,
+    ) -> Self {
+        let limits = settings.limits;
+        let keep = Duration::from_millis(settings.times.keep_answer_ms);
+        Self {
+            incarnation,
+            clock,
+            timeline: Timeline::new(settings.id.clone(), limits.timeline_events),
+            post,
+            link_counts,
+            table: RwLock::default(),
+            jobs: Jobs::new(keep, limits.kept_answer_bytes, limits.requests, limits.held_bytes),
+            keys: Keys::new(settings.keys.clone()),
+            draining: AtomicBool::new(false),
+            metrics: EntryMetrics::default(),
+            largest: RwLock::default(),
+            peers: RwLock::default(),
+            started: Instant::now(),
+            settings,
+        }
+    }
+
+    /// Returns the time since this start.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Reads the table.
+    pub fn table(&self) -> RwLockReadGuard<'_, TableState> {
+        self.table.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the table.
+    pub fn table_mut(&self) -> RwLockWriteGuard<'_, TableState> {
+        self.table.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the entry stops.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// Returns the mailboxes of other entries.
+    #[must_use]
+    pub fn peers(&self) -> Vec<(ProcessId, SocketAddr)> {
+        self.peers.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Records an event.
+    pub fn event(
+        &self,
+        code: Code,
+        job: Option<&JobId>,
+        workspace: Option<&WorkspaceId>,
+        detail: impl Into<String>,
+    ) {
+        logs::event(&self.timeline, &self.clock, code, job, workspace, detail);
+    }
+}
--- /dev/null
+++ b/crates/rampbay-node/src/settings.rs
@@ -0,0 +1,119 @@
+//! Settings in JSON, checked whole before a process starts.
+
+use std::{fmt, fs, path::Path};
+
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+/// One fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Where in the file, for example `limits.body_bytes`.
+    pub path: String,
+    /// What stands there.
+    pub value: String,
+    /// What range and unit is expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} = {}: expected {}", self.path, self.value, self.expected)
+    }
+}
+
+/// Collects every fault of a settings file.
+#[derive(Debug, Default)]
+pub struct Checker {
+    faults: Vec<Fault>,
+}
+
+impl Checker {
+    /// Checks that a number is within a range.
+    pub fn range(&mut self, path: &str, value: u64, low: u64, high: u64, unit: &str) {
+        if !(low..=high).contains(&value) {
+            let expected = format!("{low} to {high} {unit}");
+            self.fault(path, value.to_string(), expected);
+        }
+    }
+
+    /// Checks that a text isn't empty.
+    pub fn not_empty(&mut self, path: &str, value: &str) {
+        if value.trim().is_empty() {
+            self.fault(path, "\"\"".to_owned(), "a text that is not empty".to_owned());
+        }
+    }
+
+    /// Adds a fault.
+    pub fn fault(
+        &mut self,
+        path: impl Into<String>,
+        value: impl Into<String>,
+        expected: impl Into<String>,
+    ) {
+        let fault = Fault { path: path.into(), value: value.into(), expected: expected.into() };
+        self.faults.push(fault);
+    }
+
+    /// Ends the check.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault that was found.
+    pub fn finish(self) -> Result<(), SettingsError> {
+        if self.faults.is_empty() { Ok(()) } else { Err(SettingsError::Faults(self.faults)) }
+    }
+}
+
+/// Settings that can be checked as a whole.
+pub trait Checked {
+    /// Reports every fault.
+    fn check(&self, checker: &mut Checker);
+}
+
+/// Why settings can't be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("settings {path} can't be read: {source}")]
+    Read {
+        /// The file.
+        path: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The text isn't JSON of the settings' form.
+    #[error("settings are not of the expected form: {0}")]
+    Form(#[from] serde_json::Error),
+    /// Values are out of their ranges.
+    #[error("settings have {} fault(s):\n{}", .0.len(), list(.0))]
+    Faults(Vec<Fault>),
+}
+
+fn list(faults: &[Fault]) -> String {
+    faults.iter().map(|fault| format!("  {fault}")).collect::<Vec<_>>().join("\n")
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Returns every fault at once, each with its path, expected range and unit.
+pub fn load<T: DeserializeOwned + Checked>(path: &Path) -> Result<T, SettingsError> {
+    let text = fs::read_to_string(path)
+        .map_err(|source| SettingsError::Read { path: path.display().to_string(), source })?;
+    parse(&text)
+}
+
+/// Parses and checks settings.
+///
+/// # Errors
+///
+/// As [`load`].
+pub fn parse<T: DeserializeOwned + Checked>(text: &str) -> Result<T, SettingsError> {
+    let settings: T = serde_json::from_str(text)?;
+    let mut checker = Checker::default();
+    settings.check(&mut checker);
+    checker.finish()?;
+    Ok(settings)
+}
--- /dev/null
+++ b/crates/rampbay-wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Messages between rampbay's processes, the mailbox that carries them, and the time line.
+//!
+//! Every process has one [`Mailbox`](mailbox::Mailbox), an nng pull socket, and one push socket for
+//! each peer that it writes to. Pipelines are used because they never send a message twice on
+//! their own: nng's request protocol resends on a timer and on reconnect, which would break
+//! "at most once". A message may be lost; what has to be sure is acknowledged by the state
+//! machines of [`rampbay_dispatch`].
+
+pub mod clock;
+pub mod envelope;
+pub mod event;
+pub mod mailbox;
--- /dev/null
+++ b/crates/rampctl/src/main.rs
@@ -0,0 +1,2 @@
+//! The operators' command line.
+fn main() {}
