fix: refuse at once a gang that may never run, and spread planners over the fleet

Cause: five requests of the demo waited 30 s for not_placed. They may not be repeated and asked for more than their workspace's guarantee, so no place could ever take them. Ruled out: lost wake-ups, refused holds (none of the five was ever tried). Change: submit refuses such a gang as beyond_guarantee; planners start their scan at different groups.

--- a/crates/rampbay-core/src/place.rs
+++ b/crates/rampbay-core/src/place.rs
@@ -120,6 +120,9 @@
     preference: Preference,
     usable: &impl Usable,
 ) -> Found {
+    let mut groups: Vec<Group<'a>> = groups.into_iter().collect();
+    let count = groups.len().max(1);
+    groups.rotate_left(preference.offset % count);
     let mut best_free = 0;
     let mut best: Option<(u32, Vec<IndexedPart>)> = None;
     let mut candidates: Vec<(WorkerIndex, DeviceMask)> = Vec::new();
--- a/crates/rampbay-core/src/plan.rs
+++ b/crates/rampbay-core/src/plan.rs
@@ -94,6 +94,12 @@
         /// Devices of the largest place.
         largest: u32,
     },
+    /// Work that can't be stopped may run on its workspace's own devices only, and they don't do.
+    #[error("can't be stopped, so it must fit into the guarantee of {guarantee}")]
+    BeyondGuarantee {
+        /// The workspace's guarantee.
+        guarantee: Shape,
+    },
     /// The workspace's queue is full.
     #[error("workspace has reached its queued_limit of {limit} jobs")]
     QueueFull {
@@ -332,6 +338,10 @@
             return Err(SubmitError::Impossible { need: gang.smallest(), largest });
         }
         let row = &mut self.fleet.workspaces.rows[workspace];
+        let guarantee = row.knobs.guarantee;
+        if !spec.is_reclaimable() && !guarantee.holds(&Shape::tightest(gang.smallest())) {
+            return Err(SubmitError::BeyondGuarantee { guarantee });
+        }
         if row.waiting >= row.knobs.queued_limit {
             return Err(SubmitError::QueueFull { limit: row.knobs.queued_limit });
         }
--- a/crates/rampbay-core/src/plan/place_jobs.rs
+++ b/crates/rampbay-core/src/plan/place_jobs.rs
@@ -9,7 +9,7 @@
     place::{Found, IndexedPart, find},
     reason::Reason,
     reclaim,
-    shape::{LEVELS, Shape},
+    shape::Shape,
     tables::{Demand, Gang, JobState, WorkerRow},
 };
 
@@ -173,8 +173,8 @@
         now: Duration,
         commands: &mut Vec<Command>,
     ) -> bool {
-        let mut unused = self.fleet.workspaces.rows[demand.workspace].unused;
-        let owned = unused.take(&ideal_shape(devices));
+        let unused = self.fleet.workspaces.rows[demand.workspace].unused;
+        let owned = unused.holds(&Shape::tightest(devices));
         if !owned && demand.class != Class::Urgent {
             return false;
         }
@@ -326,14 +326,3 @@
     }
     sizes
 }
-
-/// Returns the cells that a gang takes up when it is placed as tightly as can be.
-fn ideal_shape(devices: u32) -> Shape {
-    let mut left = devices;
-    let mut shape = Shape::EMPTY;
-    for level in LEVELS.into_iter().rev() {
-        shape = shape.with(level, left / level.devices());
-        left %= level.devices();
-    }
-    shape
-}
--- a/crates/rampbay-core/src/shape.rs
+++ b/crates/rampbay-core/src/shape.rs
@@ -105,6 +105,25 @@
     /// The shape without cells.
     pub const EMPTY: Shape = Shape { cells: [0; 5] };
 
+    /// Returns the cells that a gang takes up when it is placed as tightly as can be.
+    #[must_use]
+    pub fn tightest(devices: u32) -> Self {
+        let mut left = devices;
+        let mut shape = Shape::EMPTY;
+        for level in LEVELS.into_iter().rev() {
+            shape = shape.with(level, left / level.devices());
+            left %= level.devices();
+        }
+        shape
+    }
+
+    /// Returns whether the cells of `other` fit into this shape.
+    #[must_use]
+    pub fn holds(&self, other: &Shape) -> bool {
+        let mut left = *self;
+        left.take(other)
+    }
+
     /// Returns this shape with `count` more cells of `level`.
     #[must_use]
     pub const fn with(mut self, level: Level, count: u32) -> Self {
--- a/crates/rampbay-demo/tests/whole_path.rs
+++ b/crates/rampbay-demo/tests/whole_path.rs
@@ -14,6 +14,7 @@
         workspaces: site.workspaces().iter().map(|(name, _)| (name.to_string(), 1.0)).collect(),
         work: Duration::from_millis(5),
         gangs: 0.3,
+        gang_devices: vec![1, 2, 4],
         once: 0.2,
         ..Plan::default()
     }
--- a/crates/rampbay-dispatch/src/message.rs
+++ b/crates/rampbay-dispatch/src/message.rs
@@ -185,6 +185,8 @@
     ClaimUnavailable,
     /// A gang could not be placed before the deadline.
     NotPlaced,
+    /// Work that can't be stopped doesn't fit into its workspace's guarantee.
+    BeyondGuarantee,
     /// The entry has no table yet.
     NoTable,
 }
--- a/crates/rampbay-entry/src/callers.rs
+++ b/crates/rampbay-entry/src/callers.rs
@@ -385,6 +385,7 @@
         Outcome::NotRun(NotRun::QueueFull | NotRun::Busy) => {
             (StatusCode::TOO_MANY_REQUESTS, Some(1))
         }
+        Outcome::NotRun(NotRun::BeyondGuarantee) => (StatusCode::UNPROCESSABLE_ENTITY, None),
         Outcome::NotRun(NotRun::Cancelled) => (StatusCode::CONFLICT, None),
         Outcome::NotRun(NotRun::Expired | NotRun::NotPlaced) => {
             (StatusCode::SERVICE_UNAVAILABLE, Some(5))
--- a/crates/rampbay-entry/src/lifecycle.rs
+++ b/crates/rampbay-entry/src/lifecycle.rs
@@ -136,6 +136,7 @@
 fn refusal(e: &SubmitError) -> NotRun {
     match e {
         SubmitError::QueueFull { .. } | SubmitError::UrgentFull { .. } => NotRun::QueueFull,
+        SubmitError::BeyondGuarantee { .. } => NotRun::BeyondGuarantee,
         _ => NotRun::NotPlaced,
     }
 }
