feat: planners look after failure domains, and count devices free only once released

Ruled out: the guarantee check after holding (it refused none; it now has an error of its own). Suspected: planners choosing the same place, and a planner reusing devices whose release was still under way. Change: rendezvous hashing makes a failure domain one entry's first choice; a finished gang counts as free once its workers have answered the release.

--- a/crates/rampbay-core/src/place.rs
+++ b/crates/rampbay-core/src/place.rs
@@ -25,12 +25,14 @@
 }
 
 /// What the search prefers.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Preference {
     /// 0 takes the first place that fits, 100 the one that breaks the fewest large cells.
     pub packing: u32,
     /// Where the scan starts, so that two planners differ.
     pub offset: usize,
+    /// Failure domains, by row, that other planners look after; dearer, but not closed.
+    pub others: u64,
 }
 
 /// The result of a search.
@@ -42,6 +44,15 @@
     NoRoom { best: u32 },
 }
 
+/// What it costs to plan into a failure domain that another planner looks after: more than an
+/// untidy fit, less than a broken worker cell.
+const OTHER_PLANNERS_DOMAIN: u32 = 128;
+
+/// Returns the bit of a failure domain; with more than 64 of them several share one.
+pub(crate) const fn domain_bit(failure_domain: usize) -> u64 {
+    1 << (failure_domain % 64)
+}
+
 /// Packing up to this value takes the first group that fits.
 const FIRST_FIT_PACKING: u32 = 10;
 
@@ -139,8 +150,12 @@
             continue;
         }
         let parts = choose(&mut candidates, devices, preference.offset);
-        let cost = cost(workers, &parts, free - devices, usable);
-        if preference.packing <= FIRST_FIT_PACKING {
+        let foreign = parts.iter().any(|(worker, _)| {
+            preference.others & domain_bit(workers.rows[*worker].failure_domain) != 0
+        });
+        let away = if foreign { OTHER_PLANNERS_DOMAIN } else { 0 };
+        let cost = cost(workers, &parts, free - devices, usable) + away;
+        if preference.packing <= FIRST_FIT_PACKING && !foreign {
             return Found::Place(parts);
         }
         if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
--- a/crates/rampbay-core/src/plan.rs
+++ b/crates/rampbay-core/src/plan.rs
@@ -18,7 +18,7 @@
     job::{Class, JobSpec},
     knobs::Knobs,
     lease::LeaseMeta,
-    place::{IndexedPart, Preference, largest},
+    place::{IndexedPart, Preference, domain_bit, largest},
     reason::Reason,
     shape::Shape,
     tables::{Demand, Fleet, Gang, JobRow, JobState, QueueTable},
@@ -177,6 +177,8 @@
     blocked: BTreeMap<Demand, Reason>,
     last_token: FencingToken,
     next_scan: Duration,
+    /// Failure domains that other planners look after.
+    others: u64,
 }
 
 /// What `explain` tells of one job.
@@ -234,6 +236,7 @@
             blocked: BTreeMap::new(),
             last_token: 0,
             next_scan: Duration::ZERO,
+            others: 0,
         }
     }
 
@@ -273,6 +276,14 @@
         gangs.filter(|gang| gang.local).map(|gang| gang.meta.job.clone()).collect()
     }
 
+    /// Says which failure domains this planner looks after; it plans into the others too, but only
+    /// where its own don't do as well. That lowers conflicts, and no promise rests on it.
+    pub fn look_after(&mut self, owns: impl Fn(&str) -> bool) {
+        let names = self.fleet.workers.failure_domain_names();
+        let others = names.filter(|(name, _)| !owns(name));
+        self.others = others.fold(0, |bits, (_, row)| bits | domain_bit(row));
+    }
+
     /// Sets a workspace's knobs.
     pub fn set_workspace(&mut self, name: impl Into<WorkspaceId>, knobs: Knobs) {
         let name = name.into();
@@ -610,7 +621,8 @@
 
     fn preference(&self, demand: &Demand) -> Preference {
         let packing = self.fleet.workspaces.rows[demand.workspace].knobs.packing;
-        Preference { packing, offset: usize::try_from(self.seed % 1_024).unwrap_or(0) }
+        let offset = usize::try_from(self.seed % 1_024).unwrap_or(0);
+        Preference { packing, offset, others: self.others }
     }
 
     fn next_token(&mut self, now: Duration) -> FencingToken {
--- a/crates/rampbay-core/src/plan/views.rs
+++ b/crates/rampbay-core/src/plan/views.rs
@@ -126,7 +126,7 @@
             memory: 0,
             expected_ms: None,
         };
-        let first = Preference { packing: 0, offset: 0 };
+        let first = Preference::default();
         let free = |_: usize, row: &WorkerRow| row.free();
         matches!(find(&self.fleet.workers, &demand, devices, first, &free), Found::Place(_))
     }
--- a/crates/rampbay-core/src/tables.rs
+++ b/crates/rampbay-core/src/tables.rs
@@ -121,6 +121,11 @@
         index
     }
 
+    /// Returns the names of the failure domains with their rows.
+    pub fn failure_domain_names(&self) -> impl Iterator<Item = (&str, usize)> {
+        self.failure_domain_names.iter().map(|(name, row)| (name.as_str(), *row))
+    }
+
     /// Changes one row and keeps the counts of free devices and cells up to date.
     pub fn change(&mut self, index: WorkerIndex, edit: impl FnOnce(&mut WorkerRow)) {
         let row = &mut self.rows[index];
--- a/crates/rampbay-entry/src/gangs.rs
+++ b/crates/rampbay-entry/src/gangs.rs
@@ -2,12 +2,13 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use rampbay_core::{
-    ids::{FencingToken, JobId, WorkerId, WorkspaceId},
+    ids::{FencingToken, JobId, ProcessId, WorkerId, WorkspaceId},
     job::{Adjacency, JobSpec},
     knobs::Knobs,
     lease::LeaseMeta,
@@ -18,6 +19,7 @@
 use rampbay_platform::workers::{LostLease, WorkerError, WorkerReport, Workers, WorkersPage};
 use rampbay_wire::event::Code;
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
@@ -86,7 +88,9 @@
     /// Every part of a gang is held; may it go on?
     Held(FencingToken, JobId, Option<WorkersPage>, oneshot::Sender<bool>),
     /// A start has ended.
-    StartEnded(JobId, FencingToken, Result<(), WorkerError>),
+    StartEnded(JobId, FencingToken, Result<(), StartError>),
+    /// The workers have released a finished job's gang.
+    Released(JobId),
     /// A shrink was carried out.
     Shrunk(FencingToken, Placement),
     /// Leases of a worker were renewed.
@@ -177,6 +181,15 @@
     }
 }
 
+/// Returns whether this entry looks after a failure domain: the highest hash of the live entries
+/// does (rendezvous hashing). The list lags, so two may think so at once; that only costs refusals.
+fn looks_after(this: &ProcessId, peers: &[(ProcessId, SocketAddr)], domain: &str) -> bool {
+    let weight =
+        |id: &ProcessId| rapidhash::v3::rapidhash_v3(format!("{domain}\u{0}{id}").as_bytes());
+    let own = weight(this);
+    peers.iter().all(|(id, _)| weight(id) < own)
+}
+
 async fn poll_workers(
     workers: Arc<dyn Workers>,
     tx: mpsc::UnboundedSender<Input>,
@@ -265,6 +278,7 @@
                 let _ = tx.send(wanted && !self.planner.endangers(token));
             }
             Input::StartEnded(job, token, result) => self.start_ended(&job, token, result, now),
+            Input::Released(job) => self.planner.finished(&job, now),
             Input::Shrunk(token, keep) => self.shrunk(token, &keep, now),
             Input::Renewed(worker, result) => self.renewed(&worker, result, now),
             Input::Polled(result) => self.polled(result, now),
@@ -295,16 +309,24 @@
         if self.callers.remove(job).is_none() {
             return;
         }
-        if let Some((token, placement)) = self.planner.gang_of(job) {
-            self.running.remove(&token);
-            self.release(token, placement, job);
-        }
-        self.planner.finished(job, now);
-    }
-
-    fn release(&self, token: FencingToken, placement: Placement, job: &JobId) {
+        let Some((token, placement)) = self.planner.gang_of(job) else {
+            self.planner.finished(job, now);
+            return;
+        };
+        // The planner learns of the free devices only once the workers have released them;
+        // otherwise its next start would be refused by its own earlier lease.
+        self.running.remove(&token);
         self.shared.event(Code::GangReleased, Some(job), None, format!("{token:x}"));
         self.count("released");
+        let (workers, tx, job) = (self.workers.clone(), self.tx.clone(), job.clone());
+        tokio::spawn(async move {
+            release_all(&workers, token, &placement).await;
+            let _ = tx.send(Input::Released(job));
+        });
+    }
+
+    /// Releases what is left of a gang that the planner doesn't count any more.
+    fn release(&self, token: FencingToken, placement: Placement) {
         let workers = self.workers.clone();
         tokio::spawn(async move { release_all(&workers, token, &placement).await });
     }
@@ -381,7 +403,7 @@
         &mut self,
         job: &JobId,
         token: FencingToken,
-        result: Result<(), WorkerError>,
+        result: Result<(), StartError>,
         now: Duration,
     ) {
         let current = self.planner.gang_of(job).filter(|(held, _)| *held == token);
@@ -494,6 +516,9 @@
             self.renew(&worker);
         }
         self.note_largest();
+        let this = self.shared.settings.id.clone();
+        let peers = self.shared.peers();
+        self.planner.look_after(|domain| looks_after(&this, &peers, domain));
     }
 
     fn note_largest(&self) {
@@ -519,7 +544,7 @@
         {
             self.shared.event(Code::GangLost, Some(job), None, format!("{token:x}"));
             self.count("lost");
-            self.release(token, placement, job);
+            self.release(token, placement);
             self.tell_caller(job, GangEvent::Interrupted);
             self.planner.lost(job, now);
         }
@@ -602,7 +627,7 @@
                 self.running.remove(&token);
                 self.shared.event(Code::GangReleased, Some(&job), None, detail);
                 if let Some((_, placement)) = parts {
-                    self.release(token, placement, &job);
+                    self.release(token, placement);
                 }
                 self.tell_caller(&job, GangEvent::Interrupted);
                 self.planner.stopped(token, now);
@@ -611,6 +636,18 @@
     }
 }
 
+/// Why a gang didn't start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// A worker refused or didn't answer.
+    #[error("{0}")]
+    Worker(#[from] WorkerError),
+    /// Together with what others hold by now it would leave a guarantee short, or it isn't
+    /// wanted any more.
+    #[error("another planner's hold came first, and both would leave a guarantee short")]
+    Endangers,
+}
+
 /// Holds every part, has the planner look again at what others hold, then commits.
 async fn start_parts(
     workers: &Arc<dyn Workers>,
@@ -619,7 +656,7 @@
     times: LeaseTimes,
     seen: u64,
     tx: &mpsc::UnboundedSender<Input>,
-) -> Result<(), WorkerError> {
+) -> Result<(), StartError> {
     hold_all(workers, meta, placement, times).await?;
     // Two planners may each see room for one gang, and together leave a guarantee short. So each
     // looks again at all holds before it commits.
@@ -628,9 +665,10 @@
     let _ = tx.send(Input::Held(meta.token, meta.job.clone(), page, answer));
     if !verdict.await.unwrap_or(false) {
         release_all(workers, meta.token, placement).await;
-        return Err(WorkerError::Taken);
+        return Err(StartError::Endangers);
     }
-    commit_all(workers, meta.token, placement, times).await
+    commit_all(workers, meta.token, placement, times).await?;
+    Ok(())
 }
 
 async fn shrink_parts(
