--- a/crates/rampbay-core/src/plan/views.rs
+++ b/crates/rampbay-core/src/plan/views.rs
@@ -112,6 +112,12 @@
         self.fleet.workers.rows.iter().map(|row| row.present.count_ones()).sum()
     }
 
+    /// Returns the free devices of each rack.
+    #[must_use]
+    pub fn free_by_rack(&self) -> Vec<u32> {
+        self.fleet.workers.rack_free.clone()
+    }
+
     /// Returns whether a gang of `devices` within one rack finds free devices.
     #[must_use]
     pub fn has_room(&self, devices: u32) -> bool {
