fix: a guaranteed cell stays bound to its place until its last gang ends

Cause: random event sequences found guarantees that could not be reclaimed although no worker was lost. Counting cells per level forgets that the rest of a rack in use must be had in that same rack; and deriving bindings anew when a gang ends moves them to places whose rest is taken. Three further faults came out: gangs that only start were asked to yield, the same by the mover, and a reclaim without victims waited for nothing.

--- a/crates/rampbay-core/src/guarantee.rs
+++ b/crates/rampbay-core/src/guarantee.rs
@@ -1,11 +1,13 @@
 //! Which leases are owned, which are borrowed, and whether every guarantee can be reclaimed.
 //!
-//! Whether a gang is owned is derived from the table and the leases, never stamped on them: every
-//! planner that sees the same leases comes to the same answer, and an edit of the table takes
-//! effect on gangs that already run.
+//! A gang is owned if it was started in cells of its workspace's guarantee; its lease says in
+//! which level of cell, so that every planner that reads the leases comes to the same answer. How
+//! much a guarantee has left, and whether that can be reclaimed, is derived from the table and the
+//! leases, so that an edit of the table takes effect on gangs that already run.
 
 use crate::{
-    shape::{DEVICES_PER_WORKER, Level, Shape, WORKERS_PER_RACK},
+    ids::WorkerIndex,
+    shape::{DEVICES_PER_WORKER, LEVELS, Level, Shape, WORKERS_PER_RACK},
     topology::DeviceMask,
 };
 
@@ -55,30 +57,6 @@
     }
 }
 
-/// Returns the cells that a gang's parts take up, with full racks counted as rack cells.
-///
-/// `parts` gives the rack's row index and the devices of each part.
-#[must_use]
-pub fn gang_shape(parts: &[(usize, DeviceMask)]) -> Shape {
-    let mut whole_by_rack: Vec<(usize, u32)> = Vec::new();
-    let mut shape = Shape::EMPTY;
-    for (rack, devices) in parts {
-        let [singles, pairs, quads, whole] = worker_cells(*devices).counts;
-        shape =
-            shape.with(Level::Device, singles).with(Level::Pair, pairs).with(Level::Quad, quads);
-        match whole_by_rack.iter_mut().find(|(known, _)| known == rack) {
-            Some((_, count)) => *count += whole,
-            None => whole_by_rack.push((*rack, whole)),
-        }
-    }
-    for (_, whole) in whole_by_rack {
-        shape = shape
-            .with(Level::Rack, whole / WORKERS_PER_RACK)
-            .with(Level::Worker, whole % WORKERS_PER_RACK);
-    }
-    shape
-}
-
 /// Counts of available cells over the whole fleet, kept up to date worker by worker.
 #[derive(Debug, Clone, Default)]
 pub struct CellIndex {
@@ -88,7 +66,7 @@
 }
 
 impl CellIndex {
-    /// Replaces one worker's available devices.
+    /// Replaces one worker's available devices; `rack` is the row of its rack cell.
     pub fn update(&mut self, rack: usize, before: DeviceMask, after: DeviceMask) {
         if before == after {
             return;
@@ -131,17 +109,257 @@
     }
 }
 
-/// Applies the rule of ownership to one workspace's gangs.
+/// Where cells lie in the fleet.
+pub trait Geometry {
+    /// Returns the three workers of the rack cell that a worker belongs to, if it belongs to one.
+    fn rack_cell(&self, worker: WorkerIndex) -> Option<[WorkerIndex; WORKERS_PER_RACK as usize]>;
+}
+
+/// One cell of a guarantee that is in use, and the place that it is bound to.
 ///
-/// `gangs` gives the cells that each gang takes up. It must be in the order of the rule: gangs that can't be reclaimed first, then by class,
-/// then by fencing token. Returns for each gang whether it is owned, and the part of the guarantee
-/// that no gang uses.
-#[must_use]
-pub fn derive_ownership(
+/// A cell is bound as a whole as soon as a part of it is used: the rest of a guaranteed rack must
+/// be had in the same rack when the owner asks for it, whichever of its gangs end first.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Binding {
+    /// The cell's level.
+    pub level: Level,
+    /// Workers and devices of the place.
+    pub region: Vec<(WorkerIndex, DeviceMask)>,
+    /// Those of them that the owner's gangs use, in the region's order.
+    pub used: Vec<DeviceMask>,
+}
+
+impl Binding {
+    fn is_used(&self) -> bool {
+        self.used.iter().any(|used| *used != 0)
+    }
+
+    /// Returns the devices of the place that the owner doesn't use.
+    pub fn rest(&self) -> impl Iterator<Item = (WorkerIndex, DeviceMask)> + '_ {
+        let pairs = self.region.iter().zip(&self.used);
+        pairs.map(|((worker, devices), used)| (*worker, devices & !used))
+    }
+}
+
+/// The cells of one workspace's guarantee: which are bound to a place, and which are free to be.
+///
+/// A binding stays where it is until the last gang in it ends. Were it derived anew from the gangs
+/// that are left, it could move to a place whose rest is not to be had; a property test found that.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct CellBook {
     guarantee: Shape,
-    gangs: impl IntoIterator<Item = Shape>,
-) -> (Vec<bool>, Shape) {
-    let mut unused = guarantee;
-    let owned = gangs.into_iter().map(|gang| unused.take(&gang)).collect();
-    (owned, unused)
+    unbound: Shape,
+    bindings: Vec<Binding>,
+}
+
+impl CellBook {
+    /// Creates the book of a guarantee of which nothing is in use.
+    #[must_use]
+    pub const fn new(guarantee: Shape) -> Self {
+        Self { guarantee, unbound: guarantee, bindings: Vec::new() }
+    }
+
+    /// Returns the cells that no gang uses any part of.
+    #[must_use]
+    pub const fn unbound(&self) -> Shape {
+        self.unbound
+    }
+
+    /// Returns the cells that are in use.
+    #[must_use]
+    pub fn bindings(&self) -> &[Binding] {
+        &self.bindings
+    }
+
+    /// Returns all that is left of the guarantee, in bound and unbound cells.
+    #[must_use]
+    pub fn unused(&self) -> Shape {
+        let mut shape = self.unbound;
+        for binding in &self.bindings {
+            for (_, devices) in binding.rest() {
+                let [singles, pairs, quads, whole] = worker_cells(devices).counts;
+                shape = shape
+                    .with(Level::Device, singles)
+                    .with(Level::Pair, pairs)
+                    .with(Level::Quad, quads)
+                    .with(Level::Worker, whole);
+            }
+        }
+        shape
+    }
+
+    /// Claims cells for a gang: each part must lie in a cell that is bound already, or bind one.
+    ///
+    /// Cells smaller than `least` aren't bound. Returns the largest level that was used, or
+    /// nothing if the gang doesn't fit; the book is unchanged then.
+    pub fn claim(
+        &mut self,
+        parts: &[(WorkerIndex, DeviceMask)],
+        least: Level,
+        geometry: &impl Geometry,
+    ) -> Option<Level> {
+        let before = self.clone();
+        let mut largest = Level::Device;
+        for (worker, devices) in parts {
+            for chunk in chunks(*devices) {
+                match self.assign(*worker, chunk, least, geometry) {
+                    Some(level) => largest = largest.max(level),
+                    None => {
+                        *self = before;
+                        return None;
+                    }
+                }
+            }
+        }
+        Some(largest)
+    }
+
+    /// Gives back what a gang's parts used; a cell that nothing uses any more is unbound.
+    pub fn release(&mut self, parts: &[(WorkerIndex, DeviceMask)]) {
+        for binding in &mut self.bindings {
+            for ((at, _), used) in binding.region.iter().zip(&mut binding.used) {
+                for (_, devices) in parts.iter().filter(|(worker, _)| worker == at) {
+                    *used &= !devices;
+                }
+            }
+        }
+        let (kept, ended) =
+            std::mem::take(&mut self.bindings).into_iter().partition(Binding::is_used);
+        self.bindings = kept;
+        let ended: Vec<Binding> = ended;
+        for binding in ended {
+            self.unbound = self.unbound.with(binding.level, 1);
+        }
+    }
+
+    /// Changes the guarantee. Bindings that it has no cell for any more are dropped, the latest
+    /// first; the gangs in them are borrowed from then on.
+    pub fn reshape(&mut self, guarantee: Shape) {
+        self.guarantee = guarantee;
+        let mut left = guarantee;
+        self.bindings.retain(|binding| {
+            let fits = left.count(binding.level) > 0;
+            if fits {
+                left = left.without_one(binding.level);
+            }
+            fits
+        });
+        self.unbound = left;
+    }
+
+    /// Returns whether a part lies in a bound cell that counts it as used.
+    #[must_use]
+    pub fn covers(&self, worker: WorkerIndex, devices: DeviceMask) -> bool {
+        let places = self.bindings.iter().flat_map(|b| b.region.iter().zip(&b.used));
+        let used = places.filter(|((at, _), _)| *at == worker);
+        let mask = used.fold(0, |mask, (_, used)| mask | used);
+        devices & !mask == 0
+    }
+
+    fn assign(
+        &mut self,
+        worker: WorkerIndex,
+        devices: DeviceMask,
+        least: Level,
+        geometry: &impl Geometry,
+    ) -> Option<Level> {
+        self.assign_bound(worker, devices)
+            .or_else(|| self.bind(worker, devices, least, geometry))
+            .or_else(|| self.assign_halves(worker, devices, least, geometry))
+    }
+
+    fn assign_bound(&mut self, worker: WorkerIndex, devices: DeviceMask) -> Option<Level> {
+        for binding in &mut self.bindings {
+            for ((at, region), used) in binding.region.iter().zip(&mut binding.used) {
+                if *at == worker && devices & !*region == 0 && devices & *used == 0 {
+                    *used |= devices;
+                    return Some(binding.level);
+                }
+            }
+        }
+        None
+    }
+
+    /// Binds the smallest cell that is left and holds the devices.
+    fn bind(
+        &mut self,
+        worker: WorkerIndex,
+        devices: DeviceMask,
+        least: Level,
+        geometry: &impl Geometry,
+    ) -> Option<Level> {
+        for level in LEVELS.into_iter().filter(|level| *level >= least) {
+            if self.unbound.count(level) == 0 {
+                continue;
+            }
+            let Some(region) = region_of(level, worker, devices, geometry) else { continue };
+            if self.bindings.iter().any(|binding| overlaps(&binding.region, &region)) {
+                continue;
+            }
+            self.unbound = self.unbound.without_one(level);
+            let used = region.iter().map(|(at, _)| if *at == worker { devices } else { 0 });
+            let used = used.collect();
+            self.bindings.push(Binding { level, region, used });
+            return Some(level);
+        }
+        None
+    }
+
+    fn assign_halves(
+        &mut self,
+        worker: WorkerIndex,
+        devices: DeviceMask,
+        least: Level,
+        geometry: &impl Geometry,
+    ) -> Option<Level> {
+        let block = (1..=3).map(|level| 1 << level).find_map(|size| block_of(size, devices))?;
+        let half = block.count_ones() / 2;
+        let low = devices & block & !(block << half);
+        let high = devices & !low;
+        if low == 0 || high == 0 {
+            return None;
+        }
+        let first = self.assign(worker, low, least, geometry)?;
+        let second = self.assign(worker, high, least, geometry)?;
+        Some(first.max(second))
+    }
+}
+
+/// Splits devices by aligned worker cells.
+fn chunks(devices: DeviceMask) -> impl Iterator<Item = DeviceMask> {
+    (0..DeviceMask::BITS)
+        .step_by(CHUNK as usize)
+        .map(move |start| devices & (0xff << start))
+        .filter(|chunk| *chunk != 0)
+}
+
+/// Returns the aligned block of `size` devices that holds all of `devices`, if one does.
+#[must_use]
+pub fn block_of(size: u32, devices: DeviceMask) -> Option<DeviceMask> {
+    let start = devices.trailing_zeros() / size * size;
+    let block: DeviceMask = ((1 << size) - 1) << start;
+    (devices & !block == 0).then_some(block)
+}
+
+fn region_of(
+    level: Level,
+    worker: WorkerIndex,
+    devices: DeviceMask,
+    geometry: &impl Geometry,
+) -> Option<Vec<(WorkerIndex, DeviceMask)>> {
+    match level {
+        Level::Rack => {
+            const WHOLE: DeviceMask = (1 << CHUNK) - 1;
+            let workers = geometry.rack_cell(worker)?;
+            let inside = devices & !WHOLE == 0;
+            inside.then(|| workers.iter().map(|member| (*member, WHOLE)).collect())
+        }
+        _ => block_of(level.devices(), devices).map(|block| vec![(worker, block)]),
+    }
+}
+
+fn overlaps(a: &[(WorkerIndex, DeviceMask)], b: &[(WorkerIndex, DeviceMask)]) -> bool {
+    a.iter().any(|(worker, devices)| {
+        b.iter().any(|(other, others)| worker == other && devices & others != 0)
+    })
 }
--- a/crates/rampbay-core/src/lease.rs
+++ b/crates/rampbay-core/src/lease.rs
@@ -7,6 +7,7 @@
 use crate::{
     ids::{FencingToken, JobId, ProcessId, WorkspaceId},
     job::Class,
+    shape::Level,
 };
 
 /// What a lease is for; travels as the lease's metadata, so that the workers themselves are the
@@ -27,6 +28,8 @@
     pub gang_devices: u32,
     /// Fewest devices that the gang can run with.
     pub min_devices: u32,
+    /// The largest level of guaranteed cell that the gang was started in; absent if it borrows.
+    pub cell: Option<Level>,
     /// Whether the gang may be stopped for an owner.
     pub reclaimable: bool,
     /// Whether the work can be checkpointed.
--- a/crates/rampbay-core/src/plan.rs
+++ b/crates/rampbay-core/src/plan.rs
@@ -21,7 +21,7 @@
     place::{IndexedPart, Preference, domain_bit, largest},
     reason::Reason,
     shape::Shape,
-    tables::{Demand, Fleet, Gang, JobRow, JobState, QueueTable},
+    tables::{Claim, Demand, Fleet, Gang, JobRow, JobState, QueueTable},
     topology::{Placement, WorkerSpec},
 };
 
@@ -289,8 +289,7 @@
         let name = name.into();
         let index = self.fleet.workspaces.ensure(&name);
         self.fleet.workspaces.rows[index].removed = false;
-        self.fleet.workspaces.set_knobs(index, knobs);
-        self.fleet.derive(index);
+        self.fleet.set_knobs(index, knobs);
         self.capacity_gained = true;
     }
 
@@ -299,8 +298,7 @@
         let Some(index) = self.fleet.workspaces.index(name) else {
             return;
         };
-        self.fleet.workspaces.set_knobs(index, Knobs::default());
-        self.fleet.derive(index);
+        self.fleet.set_knobs(index, Knobs::default());
         self.fleet.workspaces.rows[index].removed = true;
         self.capacity_gained = true;
     }
@@ -320,7 +318,7 @@
         }
         let mut cells = crate::guarantee::CellIndex::default();
         for row in &self.fleet.workers.rows {
-            cells.update(row.rack, 0, row.present);
+            cells.update(row.rack_cell, 0, row.present);
         }
         let short = cells.missing(&needs);
         if short.is_empty() { Ok(()) } else { Err(GuaranteeError::Infeasible { short }) }
@@ -471,6 +469,7 @@
         row.refusals = 0;
         if let Some(gang) = self.fleet.gangs.get_mut(&token) {
             gang.meta.started = now;
+            gang.running = true;
             row.reason = Reason::Running { devices: gang.devices(), borrowed: !gang.owned };
         }
     }
@@ -574,17 +573,18 @@
     fn insert_foreign(&mut self, meta: &LeaseMeta, part: IndexedPart, now: Duration) {
         let workspace = self.fleet.workspaces.ensure(&meta.workspace);
         self.fleet.workspaces.rows[workspace].accrue(now);
-        self.fleet.insert(Gang {
+        let gang = Gang {
             meta: meta.clone(),
             workspace,
             parts: vec![part],
-            shape: Shape::EMPTY,
             owned: false,
             yields_to: None,
             local: false,
+            running: true,
             cores_per_device: 0,
             memory_per_device: 0,
-        });
+        };
+        self.fleet.insert(gang, Claim::AsLeased(meta.cell));
     }
 
     fn edit_foreign(
@@ -603,7 +603,8 @@
         edit(&mut gang.parts);
         self.capacity_gained = true;
         if !gang.parts.is_empty() {
-            self.fleet.insert(gang);
+            let claim = Claim::AsLeased(gang.meta.cell);
+            self.fleet.insert(gang, claim);
         }
     }
 
--- a/crates/rampbay-core/src/plan/place_jobs.rs
+++ b/crates/rampbay-core/src/plan/place_jobs.rs
@@ -1,16 +1,21 @@
 //! The system that starts waiting jobs, in order of class, ownership, share and age.
 
-use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::Duration,
+};
 
 use crate::{
+    guarantee::Binding,
     ids::{FencingToken, JobId},
-    job::Class,
+    job::{Adjacency, Class},
     lease::LeaseMeta,
-    place::{Found, IndexedPart, find},
+    place::{Found, IndexedPart, find, find_among},
     reason::Reason,
     reclaim,
     shape::Shape,
-    tables::{Demand, Gang, JobState, WorkerRow},
+    tables::{Claim, Demand, Gang, JobState, WorkerRow, WorkerTable},
 };
 
 use super::{Command, Planner};
@@ -120,6 +125,10 @@
         let usable = |index: usize, row: &WorkerRow| {
             if closed.contains(&index) { row.free() & !row.earmarked } else { row.free() }
         };
+        if let Some(token) = self.try_bound(job, demand, devices, now) {
+            self.begin(job, token, commands);
+            return Tried::Started;
+        }
         let preference = self.preference(demand);
         let mut found = find(&self.fleet.workers, demand, devices, preference, &usable);
         let mut reason = Reason::Queued;
@@ -149,6 +158,41 @@
         Tried::Blocked(reason)
     }
 
+    /// Tries the free rest of cells that are bound to the workspace already: what starts there
+    /// breaks no other cell.
+    fn try_bound(
+        &mut self,
+        job: &JobId,
+        demand: &Demand,
+        devices: u32,
+        now: Duration,
+    ) -> Option<FencingToken> {
+        let bindings = &self.fleet.workspaces.rows[demand.workspace].cells.bindings();
+        let mut rest: BTreeMap<usize, u64> = BTreeMap::new();
+        for (worker, devices) in bindings.iter().flat_map(Binding::rest) {
+            *rest.entry(worker).or_default() |= devices;
+        }
+        let room: u32 = rest.values().map(|mask| mask.count_ones()).sum();
+        if room < devices {
+            return None;
+        }
+        let usable =
+            |index: usize, row: &WorkerRow| rest.get(&index).map_or(0, |mask| mask & row.free());
+        let members: Vec<usize> = rest.keys().copied().collect();
+        let together = within_adjacency(&self.fleet.workers, &members, demand.adjacency);
+        let preference = self.preference(demand);
+        for members in together {
+            let workers = &self.fleet.workers;
+            let found = find_among(workers, &members, demand, devices, preference, &usable);
+            if let Found::Place(parts) = found
+                && let Ok(token) = self.admit(job, demand, parts, &[], now)
+            {
+                return Some(token);
+            }
+        }
+        None
+    }
+
     fn no_room(&self, demand: &Demand, devices: u32, best: u32, closed: &[usize]) -> Reason {
         let open = |_: usize, row: &WorkerRow| row.free();
         let reserved = !closed.is_empty()
@@ -179,9 +223,16 @@
             return false;
         }
         let preference = self.preference(demand);
-        for plan in reclaim::plans(&self.fleet, demand, devices, owned, preference) {
+        let cells =
+            if owned { reclaim::cell_plans(&self.fleet, demand, devices) } else { Vec::new() };
+        let groups = reclaim::plans(&self.fleet, demand, devices, owned, preference);
+        for plan in cells.into_iter().chain(groups) {
             let victims: Vec<_> = plan.victims.keys().copied().collect();
             if let Ok(token) = self.admit(job, demand, plan.parts, &victims, now) {
+                if victims.is_empty() {
+                    self.begin(job, token, commands);
+                    return true;
+                }
                 self.begin_reclaim(job, token, plan.victims, now, commands);
                 return true;
             }
@@ -206,7 +257,7 @@
             victims.iter().filter_map(|token| self.fleet.remove(*token)).collect();
         let token = self.next_token(now);
         let gang = self.new_gang(job, demand, token, parts, now);
-        self.fleet.insert(gang);
+        self.fleet.insert(gang, Claim::IfItFits);
         let verdict = self.verdict(demand, token, short_before, borrowed_before);
         if verdict.is_err() {
             self.fleet.remove(token);
@@ -217,7 +268,8 @@
             }
             let yields = gang.yields_to.is_some();
             let token = gang.meta.token;
-            self.fleet.insert(gang);
+            let claim = Claim::AsLeased(gang.meta.cell.filter(|_| gang.owned));
+            self.fleet.insert(gang, claim);
             if yields {
                 self.fleet.withdraw_lent(token);
             }
@@ -277,6 +329,7 @@
             gang_devices: devices,
             min_devices: demand.smallest,
             reclaimable: demand.reclaimable,
+            cell: None,
             checkpointable: gang.is_some_and(|gang| gang.checkpointable),
             started: now,
             expected_end: gang
@@ -287,10 +340,10 @@
             meta,
             workspace: demand.workspace,
             parts,
-            shape: Shape::EMPTY,
             owned: false,
             yields_to: None,
             local: true,
+            running: false,
             cores_per_device: demand.cores,
             memory_per_device: demand.memory,
         }
@@ -313,6 +366,26 @@
     }
 }
 
+/// Divides workers into groups that an adjacency allows a gang to span.
+fn within_adjacency(
+    workers: &WorkerTable,
+    members: &[usize],
+    adjacency: Adjacency,
+) -> Vec<Vec<usize>> {
+    let mut groups: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+    for member in members {
+        let row = &workers.rows[*member];
+        let group = match adjacency {
+            Adjacency::Worker => *member,
+            Adjacency::Rack => row.rack,
+            Adjacency::FailureDomain => row.failure_domain,
+            Adjacency::Any => 0,
+        };
+        groups.entry(group).or_default().push(*member);
+    }
+    groups.into_values().collect()
+}
+
 /// Sizes to try: the full one, then halves down to the smallest.
 fn sizes(demand: &Demand) -> Vec<u32> {
     let mut sizes = vec![demand.devices];
--- a/crates/rampbay-core/src/plan/reserve.rs
+++ b/crates/rampbay-core/src/plan/reserve.rs
@@ -175,7 +175,8 @@
         };
         tokens.retain(|token| {
             self.fleet.gangs.get(token).is_some_and(|gang| {
-                gang.meta.checkpointable
+                gang.running
+                    && gang.meta.checkpointable
                     && gang.meta.reclaimable
                     && gang.yields_to.is_none()
                     && worth(gang)
--- a/crates/rampbay-core/src/plan/yielding.rs
+++ b/crates/rampbay-core/src/plan/yielding.rs
@@ -7,7 +7,7 @@
     place::IndexedPart,
     reason::Reason,
     reclaim::Yield,
-    tables::{JobRow, JobState},
+    tables::{Claim, JobRow, JobState},
     topology::Placement,
 };
 
@@ -133,7 +133,8 @@
         gang.meta.gang_devices = devices;
         let for_job = gang.yields_to.take();
         let job = gang.meta.job.clone();
-        self.fleet.insert(gang);
+        let claim = Claim::AsLeased(gang.meta.cell.filter(|_| gang.owned));
+        self.fleet.insert(gang, claim);
         self.capacity_gained = true;
         if let (Some(row), Some(for_job)) = (self.jobs.get_mut(&job), for_job) {
             row.reason = Reason::ShrunkFor { job: for_job, devices };
--- a/crates/rampbay-core/src/reclaim.rs
+++ b/crates/rampbay-core/src/reclaim.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 
 use crate::{
+    guarantee::Binding,
     ids::{FencingToken, WorkerIndex},
     job::{Adjacency, Class},
-    place::{Found, IndexedPart, Preference, find_among},
+    place::{Found, IndexedPart, Preference, find_among, pick},
+    shape::DEVICES_PER_WORKER,
     tables::{Demand, Fleet, Gang, WorkerRow},
     topology::DeviceMask,
 };
@@ -33,7 +35,7 @@
 /// A borrowed gang gives way to an owner, and a batch one to urgent work. Within one workspace
 /// urgent work goes before the other classes.
 pub(crate) fn may_yield(gang: &Gang, demand: &Demand, demand_owned: bool) -> bool {
-    if !gang.meta.reclaimable || gang.yields_to.is_some() {
+    if !gang.running || !gang.meta.reclaimable || gang.yields_to.is_some() {
         return false;
     }
     if gang.workspace == demand.workspace {
@@ -86,6 +88,89 @@
     found.into_iter().map(|(_, reclaim)| reclaim).collect()
 }
 
+/// Finds single aligned cells that could be cleared for an owner's gang of at most a worker.
+///
+/// The cheapest comes first, those within the owner's bound cells before all others. Since every
+/// cell of the fleet is looked at, an owner that has a cell left finds one.
+pub(crate) fn cell_plans(fleet: &Fleet, demand: &Demand, devices: u32) -> Vec<Reclaim> {
+    let size = devices.next_power_of_two();
+    if size > DEVICES_PER_WORKER {
+        return Vec::new();
+    }
+    let rest: BTreeMap<WorkerIndex, DeviceMask> = fleet.workspaces.rows[demand.workspace]
+        .cells
+        .bindings()
+        .iter()
+        .flat_map(Binding::rest)
+        .fold(BTreeMap::new(), |mut rest, (worker, devices)| {
+            *rest.entry(worker).or_default() |= devices;
+            rest
+        });
+    let mut found: Vec<(u64, WorkerIndex, DeviceMask)> = Vec::new();
+    for (index, row) in fleet.workers.rows.iter().enumerate() {
+        let (clearable, cost_of) = clearable(fleet, row, demand);
+        for start in (0..row.spec.devices).step_by(size as usize) {
+            let block: DeviceMask = ((1 << size) - 1) << start;
+            let mask = block & clearable;
+            if mask.count_ones() < devices {
+                continue;
+            }
+            let bound = rest.get(&index).copied().unwrap_or(0);
+            let chosen = choose_in_block(mask, row.free(), bound, devices);
+            let away = if chosen & !bound == 0 { 0 } else { NOT_IN_BOUND_CELL };
+            found.push((cost_of(chosen) + away, index, chosen));
+        }
+    }
+    found.sort_unstable();
+    found.truncate(MAX_CELLS);
+    found
+        .into_iter()
+        .map(|(_, worker, devices)| {
+            let parts = vec![(worker, devices)];
+            let victims = victims(fleet, &parts, &|gang| may_yield(gang, demand, true));
+            Reclaim { parts, victims }
+        })
+        .collect()
+}
+
+/// Dearer than any set of gangs on one worker.
+const NOT_IN_BOUND_CELL: u64 = 1 << 40;
+/// Cells that are tried in full.
+const MAX_CELLS: usize = 256;
+
+/// Returns a worker's devices that are free or would yield, and what a choice of them costs.
+fn clearable<'a>(
+    fleet: &'a Fleet,
+    row: &'a WorkerRow,
+    demand: &'a Demand,
+) -> (DeviceMask, impl Fn(DeviceMask) -> u64 + 'a) {
+    let yields = |token: &FencingToken| {
+        fleet.gangs.get(token).is_some_and(|gang| may_yield(gang, demand, true))
+    };
+    let others = row.holders.iter().filter(|holder| !yields(&holder.token));
+    let taken = others.fold(0, |mask, holder| mask | holder.devices);
+    let cost_of = move |chosen: DeviceMask| {
+        let hit = row.holders.iter().filter(|holder| holder.devices & chosen != 0);
+        hit.filter_map(|holder| fleet.gangs.get(&holder.token)).map(cost).sum()
+    };
+    (row.present & !taken, cost_of)
+}
+
+/// Picks devices of a block: bound ones first, then free ones, then those that yield.
+fn choose_in_block(
+    mask: DeviceMask,
+    free: DeviceMask,
+    bound: DeviceMask,
+    devices: u32,
+) -> DeviceMask {
+    let mut chosen: DeviceMask = 0;
+    for tier in [mask & bound & free, mask & bound, mask & free, mask] {
+        let need = devices - chosen.count_ones();
+        chosen |= pick(tier & !chosen, need);
+    }
+    chosen
+}
+
 /// Returns the groups of workers that an adjacency allows.
 fn groups(fleet: &Fleet, adjacency: Adjacency) -> Vec<Vec<WorkerIndex>> {
     let workers = &fleet.workers;
@@ -133,7 +218,7 @@
             && let Found::Place(parts) =
                 find_among(&fleet.workers, members, demand, devices, preference, &usable)
         {
-            let victims = victims(fleet, &parts, yielding);
+            let victims = victims(fleet, &parts, &|gang| yielding.contains_key(&gang.meta.token));
             let cost = victims.keys().map(|token| cost(yielding[token])).sum();
             return Some((cost, Reclaim { parts, victims }));
         }
@@ -162,11 +247,11 @@
     each * class * u64::from(gang.devices())
 }
 
-/// Returns the gangs that have devices in `parts`, and how each gives way.
+/// Returns the gangs that have devices in `parts` and yield, and how each gives way.
 fn victims(
     fleet: &Fleet,
     parts: &[IndexedPart],
-    yielding: &BTreeMap<FencingToken, &Gang>,
+    yields: &dyn Fn(&Gang) -> bool,
 ) -> BTreeMap<FencingToken, Yield> {
     let mut victims = BTreeMap::new();
     for (worker, taken) in parts {
@@ -174,7 +259,7 @@
             if holder.devices & taken == 0 || victims.contains_key(&holder.token) {
                 continue;
             }
-            if let Some(gang) = yielding.get(&holder.token) {
+            if let Some(gang) = fleet.gangs.get(&holder.token).filter(|gang| yields(gang)) {
                 victims.insert(holder.token, how(gang, parts));
             }
         }
--- a/crates/rampbay-core/src/shape.rs
+++ b/crates/rampbay-core/src/shape.rs
@@ -149,6 +149,13 @@
         self.cells == [0; 5]
     }
 
+    /// Returns this shape with one cell of `level` less; it must have one.
+    #[must_use]
+    pub(crate) const fn without_one(mut self, level: Level) -> Self {
+        self.cells[level.index()] -= 1;
+        self
+    }
+
     /// Adds the cells of `other`.
     pub fn add(&mut self, other: &Shape) {
         for (count, more) in self.cells.iter_mut().zip(other.cells) {
--- a/crates/rampbay-core/src/tables.rs
+++ b/crates/rampbay-core/src/tables.rs
@@ -6,13 +6,13 @@
 };
 
 use crate::{
-    guarantee::{CellIndex, derive_ownership, gang_shape},
+    guarantee::{Binding, CellBook, CellIndex, Geometry},
     ids::{FencingToken, JobId, WorkerId, WorkerIndex, WorkspaceId, WorkspaceIndex},
     job::{Adjacency, Class, JobSpec},
     knobs::Knobs,
     lease::LeaseMeta,
     reason::Reason,
-    shape::Shape,
+    shape::{Level, Shape, WORKERS_PER_RACK},
     topology::{DeviceMask, Placement, WorkerSpec},
 };
 
@@ -21,6 +21,8 @@
 pub(crate) struct WorkerRow {
     pub spec: WorkerSpec,
     pub rack: usize,
+    /// The row of the rack cell that it belongs to, and its place in that.
+    pub rack_cell: usize,
     pub failure_domain: usize,
     /// Devices that exist and work.
     pub present: DeviceMask,
@@ -32,6 +34,8 @@
     pub lent: DeviceMask,
     /// Devices kept for one job.
     pub earmarked: DeviceMask,
+    /// Places on it that guaranteed cells are bound to.
+    pub bound: Vec<BoundPart>,
     pub cores_used: u32,
     pub memory_used: u32,
 }
@@ -44,7 +48,34 @@
     pub lent: bool,
 }
 
+/// A worker's part of a bound cell.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BoundPart {
+    pub workspace: WorkspaceIndex,
+    pub region: DeviceMask,
+    pub used: DeviceMask,
+}
+
 impl WorkerRow {
+    /// Devices that some workspace's cells are bound to.
+    pub fn bound_mask(&self) -> DeviceMask {
+        self.bound.iter().fold(0, |mask, part| mask | part.region)
+    }
+
+    /// Devices that any unbound cell may be placed on.
+    fn open_to_cells(&self) -> DeviceMask {
+        self.reclaimable() & !self.bound_mask()
+    }
+
+    /// Devices of bound cells that their owner doesn't use and couldn't have back.
+    fn violated(&self) -> u32 {
+        let used = self.bound.iter().fold(0, |mask, part| mask | part.used);
+        let regions: u32 = self.bound.iter().map(|part| part.region.count_ones()).sum();
+        let mask = self.bound_mask();
+        let overlap = regions - mask.count_ones();
+        (mask & !used & !self.reclaimable()).count_ones() + overlap
+    }
+
     /// Derives the masks from the holders, so that overlapping views leave nothing behind.
     fn derive_masks(&mut self) {
         self.used = self.holders.iter().fold(0, |mask, holder| mask | holder.devices);
@@ -75,6 +106,10 @@
     rack_names: HashMap<String, usize>,
     failure_domain_names: HashMap<String, usize>,
     pub cells: CellIndex,
+    /// Workers of each rack cell.
+    pub rack_cells: Vec<Vec<WorkerIndex>>,
+    /// Devices of bound cells that their owners couldn't have back.
+    pub violated: u32,
     pub rack_free: Vec<u32>,
     pub failure_domain_free: Vec<u32>,
     pub free_devices: u32,
@@ -101,6 +136,7 @@
             &spec.failure_domain,
             index,
         );
+        let rack_cell = self.join_rack_cell(rack, index, spec.is_full_size());
         self.rack_free.resize(self.racks.len(), 0);
         self.failure_domain_free.resize(self.failure_domains.len(), 0);
         self.by_id.insert(spec.id.clone(), index);
@@ -108,12 +144,14 @@
         self.rows.push(WorkerRow {
             spec,
             rack,
+            rack_cell,
             failure_domain,
             present: 0,
             holders: Vec::new(),
             used: 0,
             lent: 0,
             earmarked: 0,
+            bound: Vec::new(),
             cores_used: 0,
             memory_used: 0,
         });
@@ -121,6 +159,19 @@
         index
     }
 
+    /// Puts a worker into its rack's last cell, or into a new one if that is full.
+    fn join_rack_cell(&mut self, rack: usize, worker: WorkerIndex, full_size: bool) -> usize {
+        let size = WORKERS_PER_RACK as usize;
+        let last = self.racks[rack].iter().rev().skip(1).map(|w| self.rows[*w].rack_cell).max();
+        let open = last.filter(|cell| full_size && self.rack_cells[*cell].len() < size);
+        let cell = open.unwrap_or_else(|| {
+            self.rack_cells.push(Vec::new());
+            self.rack_cells.len() - 1
+        });
+        self.rack_cells[cell].push(worker);
+        cell
+    }
+
     /// Returns the names of the failure domains with their rows.
     pub fn failure_domain_names(&self) -> impl Iterator<Item = (&str, usize)> {
         self.failure_domain_names.iter().map(|(name, row)| (name.as_str(), *row))
@@ -129,10 +180,12 @@
     /// Changes one row and keeps the counts of free devices and cells up to date.
     pub fn change(&mut self, index: WorkerIndex, edit: impl FnOnce(&mut WorkerRow)) {
         let row = &mut self.rows[index];
-        let (free_before, cells_before) = (row.free(), row.reclaimable());
+        let (free_before, cells_before) = (row.free(), row.open_to_cells());
+        let violated = row.violated();
         edit(row);
-        let (free_after, cells_after) = (row.free(), row.reclaimable());
-        self.cells.update(row.rack, cells_before, cells_after);
+        let (free_after, cells_after) = (row.free(), row.open_to_cells());
+        self.cells.update(row.rack_cell, cells_before, cells_after);
+        self.violated = self.violated + row.violated() - violated;
         let (before, after) = (free_before.count_ones(), free_after.count_ones());
         let rack_free = &mut self.rack_free[row.rack];
         *rack_free = *rack_free + after - before;
@@ -142,6 +195,13 @@
     }
 }
 
+impl Geometry for WorkerTable {
+    fn rack_cell(&self, worker: WorkerIndex) -> Option<[WorkerIndex; WORKERS_PER_RACK as usize]> {
+        let members = &self.rack_cells[self.rows[worker].rack_cell];
+        members.as_slice().try_into().ok()
+    }
+}
+
 fn group(
     names: &mut HashMap<String, usize>,
     groups: &mut Vec<Vec<WorkerIndex>>,
@@ -162,12 +222,13 @@
     pub meta: LeaseMeta,
     pub workspace: WorkspaceIndex,
     pub parts: Vec<(WorkerIndex, DeviceMask)>,
-    pub shape: Shape,
     pub owned: bool,
     /// The job that this gang gives way to, if it does.
     pub yields_to: Option<JobId>,
     /// Whether this planner's own jobs table has its job.
     pub local: bool,
+    /// Whether its work runs; a gang that only starts can't be asked to give way.
+    pub running: bool,
     pub cores_per_device: u32,
     pub memory_per_device: u32,
 }
@@ -176,12 +237,6 @@
     pub fn devices(&self) -> u32 {
         self.parts.iter().map(|(_, devices)| devices.count_ones()).sum()
     }
-
-    /// The order in which gangs count against the guarantee.
-    fn rank(&self) -> (bool, Class, FencingToken) {
-        let class = if self.meta.reclaimable { self.meta.class } else { Class::Urgent };
-        (self.meta.reclaimable, class, self.meta.token)
-    }
 }
 
 /// One workspace.
@@ -189,10 +244,14 @@
 pub(crate) struct WorkspaceRow {
     pub name: WorkspaceId,
     pub knobs: Knobs,
-    /// Gangs in the order of the rule of ownership.
-    pub gangs: BTreeSet<(bool, Class, FencingToken)>,
+    /// Its gangs.
+    pub gangs: BTreeSet<FencingToken>,
     /// Part of the guarantee that no gang uses.
     pub unused: Shape,
+    /// Which cells of the guarantee are in use, and where.
+    pub cells: CellBook,
+    /// Workers that its cells are bound to.
+    pub bound_workers: BTreeSet<WorkerIndex>,
     pub borrowed_devices: u32,
     pub held_devices: u32,
     pub waiting: u32,
@@ -228,8 +287,8 @@
 pub(crate) struct WorkspaceTable {
     pub rows: Vec<WorkspaceRow>,
     by_name: HashMap<WorkspaceId, WorkspaceIndex>,
-    /// Sum of what all workspaces leave unused.
-    pub unused: Shape,
+    /// Sum of the cells that no workspace uses any part of.
+    pub unbound: Shape,
     /// Devices that owners don't lend, over all workspaces.
     pub unlent_devices: u32,
 }
@@ -250,6 +309,8 @@
             knobs: Knobs::default(),
             gangs: BTreeSet::new(),
             unused: Shape::EMPTY,
+            cells: CellBook::default(),
+            bound_workers: BTreeSet::new(),
             borrowed_devices: 0,
             held_devices: 0,
             waiting: 0,
@@ -262,21 +323,27 @@
         index
     }
 
-    /// Recomputes the sums over all workspaces' unused guarantees.
-    fn replace_unused(&mut self, index: WorkspaceIndex, unused: Shape) {
+    /// Changes a workspace's cells, and keeps the sums over all workspaces.
+    fn change_cells<T>(
+        &mut self,
+        index: WorkspaceIndex,
+        edit: impl FnOnce(&mut CellBook) -> T,
+    ) -> T {
         let row = &mut self.rows[index];
         self.unlent_devices -= unlent(row.unused, row.knobs.lend_limit);
-        self.unused = subtract(self.unused, row.unused);
-        row.unused = unused;
-        self.unused.add(&unused);
-        self.unlent_devices += unlent(unused, row.knobs.lend_limit);
+        self.unbound = subtract(self.unbound, row.cells.unbound());
+        let result = edit(&mut row.cells);
+        row.unused = row.cells.unused();
+        self.unbound.add(&row.cells.unbound());
+        self.unlent_devices += unlent(row.unused, row.knobs.lend_limit);
+        result
     }
 
-    pub fn set_knobs(&mut self, index: WorkspaceIndex, knobs: Knobs) {
-        let unused = self.rows[index].unused;
-        self.replace_unused(index, Shape::EMPTY);
-        self.rows[index].knobs = knobs;
-        self.replace_unused(index, unused);
+    fn set_knobs(&mut self, index: WorkspaceIndex, knobs: Knobs) {
+        let row = &mut self.rows[index];
+        self.unlent_devices -= unlent(row.unused, row.knobs.lend_limit);
+        row.knobs = knobs;
+        self.unlent_devices += unlent(row.unused, row.knobs.lend_limit);
     }
 }
 
@@ -359,6 +426,24 @@
 /// Waiting jobs by demand, in order of arrival.
 pub(crate) type QueueTable = BTreeMap<Demand, VecDeque<JobId>>;
 
+/// How a gang that is inserted counts against its workspace's guarantee.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Claim {
+    /// It takes cells if it fits into them.
+    IfItFits,
+    /// It was started in a cell of this level, or borrowed, as its lease says.
+    AsLeased(Option<Level>),
+}
+
+impl Claim {
+    const fn least(self) -> Option<Level> {
+        match self {
+            Claim::IfItFits => Some(Level::Device),
+            Claim::AsLeased(level) => level,
+        }
+    }
+}
+
 /// The running gangs and the masks that they leave on workers and workspaces.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Fleet {
@@ -368,56 +453,84 @@
 }
 
 impl Fleet {
-    /// Returns the cells that a set of parts takes up.
-    pub fn shape_of(&self, parts: &[(WorkerIndex, DeviceMask)]) -> Shape {
-        let by_rack: Vec<_> = parts
-            .iter()
-            .map(|(worker, devices)| (self.workers.rows[*worker].rack, *devices))
-            .collect();
-        gang_shape(&by_rack)
-    }
-
-    /// Adds a gang, marks its devices and derives its workspace's ownership anew.
-    pub fn insert(&mut self, mut gang: Gang) {
-        gang.shape = self.shape_of(&gang.parts);
+    /// Adds a gang, marks its devices, and claims cells of its workspace's guarantee for it.
+    pub fn insert(&mut self, mut gang: Gang, claim: Claim) {
         gang.owned = false;
         self.mark(&gang, true);
-        let workspace = gang.workspace;
+        let (token, workspace) = (gang.meta.token, gang.workspace);
         let row = &mut self.workspaces.rows[workspace];
-        row.gangs.insert(gang.rank());
+        row.gangs.insert(token);
         row.held_devices += gang.devices();
         row.borrowed_devices += gang.devices();
-        if gang.meta.reclaimable {
-            self.mark_lent(gang.meta.token, &gang.parts, true);
+        let lends = gang.meta.reclaimable && gang.yields_to.is_none();
+        let parts = gang.parts.clone();
+        self.gangs.insert(token, gang);
+        if lends {
+            self.mark_lent(token, &parts, true);
+        }
+        let Some(least) = claim.least() else { return };
+        let workers = &self.workers;
+        let level =
+            self.workspaces.change_cells(workspace, |cells| cells.claim(&parts, least, workers));
+        if let Some(gang) = self.gangs.get_mut(&token) {
+            gang.meta.cell = level;
+        }
+        if level.is_some() {
+            self.place_bindings(workspace);
+            self.set_owned(token, true);
         }
-        self.gangs.insert(gang.meta.token, gang);
-        self.derive(workspace);
     }
 
-    /// Takes a gang out and derives its workspace's ownership anew.
+    /// Takes a gang out; cells that nothing uses any more are unbound.
     pub fn remove(&mut self, token: FencingToken) -> Option<Gang> {
         let gang = self.gangs.remove(&token)?;
         self.mark(&gang, false);
         let row = &mut self.workspaces.rows[gang.workspace];
-        row.gangs.remove(&gang.rank());
+        row.gangs.remove(&token);
         row.held_devices -= gang.devices();
-        if !gang.owned {
+        if gang.owned {
+            self.workspaces.change_cells(gang.workspace, |cells| cells.release(&gang.parts));
+            self.place_bindings(gang.workspace);
+        } else {
             row.borrowed_devices -= gang.devices();
         }
-        self.derive(gang.workspace);
         Some(gang)
     }
 
-    /// Derives which of a workspace's gangs are owned.
-    pub fn derive(&mut self, workspace: WorkspaceIndex) {
-        let row = &self.workspaces.rows[workspace];
-        let tokens: Vec<_> = row.gangs.iter().map(|(_, _, token)| *token).collect();
-        let shapes = tokens.iter().map(|token| self.gangs[token].shape);
-        let (owned, unused) = derive_ownership(row.knobs.guarantee, shapes);
-        self.workspaces.replace_unused(workspace, unused);
-        for (token, owned) in tokens.into_iter().zip(owned) {
-            self.set_owned(token, owned);
+    /// Sets a workspace's knobs; gangs whose cells are gone with the old ones are borrowed.
+    pub fn set_knobs(&mut self, workspace: WorkspaceIndex, knobs: Knobs) {
+        let guarantee = knobs.guarantee;
+        self.workspaces.set_knobs(workspace, knobs);
+        self.workspaces.change_cells(workspace, |cells| cells.reshape(guarantee));
+        self.place_bindings(workspace);
+        let tokens: Vec<FencingToken> =
+            self.workspaces.rows[workspace].gangs.iter().copied().collect();
+        for token in tokens {
+            let cells = &self.workspaces.rows[workspace].cells;
+            let gang = &self.gangs[&token];
+            let covered = gang.parts.iter().all(|(at, devices)| cells.covers(*at, *devices));
+            if gang.owned && !covered {
+                self.set_owned(token, false);
+            }
+        }
+    }
+
+    /// Marks a workspace's bound cells on the workers where they lie.
+    fn place_bindings(&mut self, workspace: WorkspaceIndex) {
+        let bindings: Vec<Binding> = self.workspaces.rows[workspace].cells.bindings().to_vec();
+        let before = std::mem::take(&mut self.workspaces.rows[workspace].bound_workers);
+        for worker in before {
+            self.workers.change(worker, |row| row.bound.retain(|p| p.workspace != workspace));
+        }
+        let mut workers = BTreeSet::new();
+        for binding in &bindings {
+            for ((worker, region), used) in binding.region.iter().zip(&binding.used) {
+                let part = BoundPart { workspace, region: *region, used: *used };
+                self.workers.change(*worker, |row| row.bound.push(part));
+                workers.insert(*worker);
+            }
         }
+        self.workspaces.rows[workspace].bound_workers = workers;
     }
 
     fn set_owned(&mut self, token: FencingToken, owned: bool) {
@@ -483,9 +596,13 @@
         self.mark_lent(token, &parts, false);
     }
 
-    /// Returns the cells that are missing for all unused guarantees, empty if none is.
+    /// Returns the cells that are missing for all guarantees, empty if none is.
+    ///
+    /// Unbound cells must all fit at once into what is free or lent; of a bound cell, what its
+    /// owner doesn't use must be free or lent in its place.
     pub fn short(&self) -> Shape {
-        self.workers.cells.missing(&self.workspaces.unused)
+        let missing = self.workers.cells.missing(&self.workspaces.unbound);
+        missing.with(Level::Device, self.workers.violated)
     }
 
     /// Turns rows of workers into their names.
--- /dev/null
+++ b/crates/rampbay-core/tests/invariants.rs
@@ -0,0 +1,264 @@
+//! Properties of the planner over random sequences of events.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use proptest::prelude::*;
+use rampbay_core::{
+    ids::{FencingToken, JobId},
+    job::{Class, GangSpec, JobSpec},
+    knobs::Knobs,
+    lease::LeaseMeta,
+    plan::{Command, Planner, YieldKind},
+    topology::{Placement, WorkerSpec, placement_devices},
+};
+
+#[derive(Debug, Clone)]
+enum Event {
+    Submit {
+        workspace: usize,
+        size: usize,
+        class: usize,
+        repeatable: bool,
+        checkpoint: bool,
+        elastic: bool,
+    },
+    Finish(usize),
+    Refuse(usize),
+    Lose(usize),
+    Back(usize),
+    Edit {
+        workspace: usize,
+        shape: usize,
+    },
+    Wait(u64),
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    let event = prop_oneof![
+        6 => (0..4usize, 0..6usize, 0..3usize, any::<bool>(), any::<bool>(), any::<bool>()).prop_map(
+            |(workspace, size, class, repeatable, checkpoint, elastic)| Event::Submit {
+                workspace, size, class, repeatable, checkpoint, elastic
+            }
+        ),
+        4 => any::<usize>().prop_map(Event::Finish),
+        1 => any::<usize>().prop_map(Event::Refuse),
+        1 => (0..10usize).prop_map(Event::Lose),
+        1 => (0..10usize).prop_map(Event::Back),
+        1 => (0..4usize, 0..4usize).prop_map(|(workspace, shape)| Event::Edit { workspace, shape }),
+        2 => (1..100_000u64).prop_map(Event::Wait),
+    ];
+    prop::collection::vec(event, 1..120)
+}
+
+const NAMES: [&str; 4] = ["large", "middle", "steady", "small"];
+const SIZES: [u32; 6] = [1, 2, 4, 8, 16, 24];
+const SHAPES: [[&str; 4]; 4] = [
+    ["1 rack", "1 rack", "2 worker", "1 worker"],
+    ["2 worker", "2 worker", "1 worker", "3 worker"],
+    ["1 worker", "0 device", "1 worker", "1 quad"],
+    ["1 quad", "1 quad + 1 pair", "1 quad", "0 device"],
+];
+
+fn worker(at: usize) -> WorkerSpec {
+    let domains = ["a", "b", "c"];
+    let rack = at / 3;
+    WorkerSpec::new(&format!("w{at}"), &format!("r{rack}"), domains[rack % 3], "region", 8)
+}
+
+fn knobs(workspace: usize, shape: usize) -> Knobs {
+    Knobs::default().guarantee(SHAPES[workspace][shape].parse().expect("shape"))
+}
+
+/// Drives a planner as the workers would.
+struct Drive {
+    planner: Planner,
+    now: Duration,
+    jobs: Vec<JobId>,
+    gangs: BTreeMap<JobId, (LeaseMeta, Placement)>,
+    lost: Vec<usize>,
+    log: Vec<String>,
+    submitted: usize,
+}
+
+impl Drive {
+    fn new() -> Self {
+        let mut planner = Planner::new(3);
+        for at in 0..10 {
+            planner.add_worker(worker(at));
+        }
+        for (at, name) in NAMES.iter().enumerate() {
+            planner.set_workspace(*name, knobs(at, 0));
+        }
+        Self {
+            planner,
+            now: Duration::from_secs(1_000),
+            jobs: Vec::new(),
+            gangs: BTreeMap::new(),
+            lost: Vec::new(),
+            log: Vec::new(),
+            submitted: 0,
+        }
+    }
+
+    fn take(&mut self, event: &Event) {
+        self.now += Duration::from_millis(10);
+        match *event {
+            Event::Submit { workspace, size, class, repeatable, checkpoint, elastic } => {
+                let class = [Class::Urgent, Class::Normal, Class::Batch][class];
+                let devices = SIZES[size];
+                let mut gang = GangSpec::new(devices).checkpointable(checkpoint);
+                if elastic && devices > 1 {
+                    gang = gang.min_devices(devices / 2);
+                }
+                let id: JobId = format!("j{}", self.submitted).into();
+                self.submitted += 1;
+                let spec = JobSpec::new(id.clone(), NAMES[workspace]).class(class);
+                let spec = spec.repeatable(repeatable).gang(gang);
+                if self.planner.submit(spec, self.now).is_ok() {
+                    self.jobs.push(id);
+                }
+            }
+            Event::Finish(at) if !self.jobs.is_empty() => {
+                let job = self.jobs.remove(at % self.jobs.len());
+                self.gangs.remove(&job);
+                self.planner.finished(&job, self.now);
+            }
+            Event::Refuse(at) if !self.gangs.is_empty() => {
+                let job = self.gangs.keys().nth(at % self.gangs.len()).cloned().expect("gang");
+                self.gangs.remove(&job);
+                self.planner.lost(&job, self.now);
+            }
+            Event::Finish(_) | Event::Refuse(_) => {}
+            Event::Lose(at) => {
+                self.lost.push(at);
+                for job in self.planner.remove_worker(&format!("w{at}")) {
+                    self.gangs.remove(&job);
+                    self.planner.lost(&job, self.now);
+                }
+            }
+            Event::Back(at) => {
+                self.lost.retain(|lost| *lost != at);
+                self.planner.add_worker(worker(at));
+            }
+            Event::Edit { workspace, shape } => {
+                self.planner.set_workspace(NAMES[workspace], knobs(workspace, shape));
+            }
+            Event::Wait(millis) => self.now += Duration::from_millis(millis),
+        }
+        self.settle();
+    }
+
+    /// Ticks until nothing more is decided; every command is carried out at once.
+    fn settle(&mut self) {
+        for _ in 0..40 {
+            let commands = self.planner.tick(self.now);
+            if commands.is_empty() {
+                break;
+            }
+            for command in commands {
+                self.log.push(format!("{command:?}"));
+                self.carry_out(command);
+            }
+            assert_eq!(self.planner.doubly_held(), 0, "a device has two gangs");
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Start { job, meta, placement } => {
+                let spec_devices = placement_devices(&placement);
+                assert_eq!(spec_devices, meta.gang_devices, "a gang starts whole");
+                assert!(spec_devices >= meta.min_devices);
+                self.planner.started(&job, self.now);
+                self.gangs.insert(job, (meta, placement));
+            }
+            Command::Yield { token, job, how, .. } => {
+                let meta = &self.gangs[&job].0;
+                assert!(meta.reclaimable, "work that can't be stopped is never asked to yield");
+                self.yielded(token, &job, how);
+            }
+            Command::Expire { job } => self.jobs.retain(|known| *known != job),
+        }
+    }
+
+    fn yielded(&mut self, token: FencingToken, job: &JobId, how: YieldKind) {
+        match how {
+            YieldKind::Shrink { keep } => {
+                let (meta, placement) = self.gangs.get_mut(job).expect("gang runs");
+                assert!(placement_devices(&keep) >= meta.min_devices, "never below its minimum");
+                placement.clone_from(&keep);
+                self.planner.shrunk(token, &keep, self.now);
+            }
+            YieldKind::Checkpoint | YieldKind::Stop => {
+                self.gangs.remove(job);
+                self.planner.stopped(token, self.now);
+            }
+        }
+    }
+
+    fn held(&self) -> u32 {
+        self.gangs.values().map(|(_, placement)| placement_devices(placement)).sum()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    #[test]
+    fn tick_any_events_counts_stay_true(events in events()) {
+        let mut drive = Drive::new();
+        for event in &events {
+            drive.take(event);
+            let lost: u32 = if drive.lost.is_empty() { 0 } else { 80 };
+            let used = drive.planner.present_devices() - drive.planner.free_devices();
+            if lost == 0 {
+                prop_assert_eq!(used, drive.held(), "devices are counted once each");
+            }
+        }
+    }
+
+    #[test]
+    fn tick_without_losses_guarantees_stay_reclaimable(events in events()) {
+        let mut drive = Drive::new();
+        let steady = |event: &&Event| !matches!(event, Event::Lose(_) | Event::Edit { .. });
+        for event in events.iter().filter(steady) {
+            drive.take(event);
+            prop_assert!(drive.planner.short().is_empty(), "short of {}", drive.planner.short());
+        }
+    }
+
+    #[test]
+    fn tick_owned_job_starts_at_once_whatever_runs(events in events(), workspace in 0..4usize) {
+        let mut drive = Drive::new();
+        let steady = |event: &&Event| !matches!(event, Event::Lose(_) | Event::Edit { .. });
+        for event in events.iter().filter(steady) {
+            drive.take(event);
+        }
+        // What is left of the guarantee, asked for as its largest cell, starts within one settle.
+        let views = drive.planner.workspaces();
+        let view = views.iter().find(|view| &*view.workspace == NAMES[workspace]).expect("row");
+        let largest = [24, 8, 4, 2, 1]
+            .into_iter()
+            .find(|size| view.unused.holds(&rampbay_core::shape::Shape::tightest(*size)));
+        if let Some(devices) = largest {
+            let spec = JobSpec::new("owner", NAMES[workspace]).class(Class::Urgent);
+            drive.planner.submit(spec.gang(GangSpec::new(devices)), drive.now).expect("taken");
+            drive.settle();
+            let runs = drive.gangs.contains_key("owner");
+            let why = drive.planner.explain("owner", drive.now);
+            prop_assert!(runs, "{devices} devices of {}: {why:?}", view.unused);
+        }
+    }
+
+    #[test]
+    fn tick_same_events_same_decisions(events in events()) {
+        let run = || {
+            let mut drive = Drive::new();
+            for event in &events {
+                drive.take(event);
+            }
+            drive.log
+        };
+        prop_assert_eq!(run(), run());
+    }
+}
