feat: victims are chosen by the work that is lost with them

Change: the cost of yielding is device-seconds lost, weighed by class; short work may fill a reserved place only until what can't be moved has ended; own borrowed gangs yield to work in own cells.

--- a/crates/rampbay-core/src/plan/place_jobs.rs
+++ b/crates/rampbay-core/src/plan/place_jobs.rs
@@ -224,8 +224,8 @@
         }
         let preference = self.preference(demand);
         let cells =
-            if owned { reclaim::cell_plans(&self.fleet, demand, devices) } else { Vec::new() };
-        let groups = reclaim::plans(&self.fleet, demand, devices, owned, preference);
+            if owned { reclaim::cell_plans(&self.fleet, demand, devices, now) } else { Vec::new() };
+        let groups = reclaim::plans(&self.fleet, demand, devices, owned, preference, now);
         for plan in cells.into_iter().chain(groups) {
             let victims: Vec<_> = plan.victims.keys().copied().collect();
             if let Ok(token) = self.admit(job, demand, plan.parts, &victims, now) {
--- a/crates/rampbay-core/src/plan/reserve.rs
+++ b/crates/rampbay-core/src/plan/reserve.rs
@@ -131,6 +131,9 @@
 
     fn worker_free_at(&self, worker: WorkerIndex, now: Duration) -> Duration {
         let ends = |gang: &Gang| {
+            if gang.yields_to.is_some() || (gang.meta.checkpointable && gang.meta.reclaimable) {
+                return now;
+            }
             let elapsed = now.saturating_sub(gang.meta.started);
             gang.meta.expected_end.unwrap_or(now + elapsed.max(LEAST_REMAINING)).max(now)
         };
@@ -144,6 +147,13 @@
         while self.moves.front().is_some_and(|at| now.saturating_sub(*at) > MINUTE) {
             self.moves.pop_front();
         }
+        for at in 0..self.reservations.len() {
+            // What yields or can be moved doesn't count: short work may fill in only until the
+            // rest has ended.
+            let workers = &self.reservations[at].workers;
+            let ready_at = workers.iter().map(|worker| self.worker_free_at(*worker, now)).max();
+            self.reservations[at].ready_at = ready_at.unwrap_or(now);
+        }
         let reservations = self.reservations.clone();
         for reservation in reservations {
             for token in self.movable(&reservation, now) {
--- a/crates/rampbay-core/src/reclaim.rs
+++ b/crates/rampbay-core/src/reclaim.rs
@@ -1,6 +1,6 @@
 //! Which running gangs give way so that another gang can start.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     guarantee::Binding,
@@ -33,13 +33,16 @@
 /// Returns whether a running gang may have to give way to a demand.
 ///
 /// A borrowed gang gives way to an owner, and a batch one to urgent work. Within one workspace
-/// urgent work goes before the other classes.
+/// urgent work goes before the other classes, and work in the workspace's own cells before work of
+/// the same or a later class that borrows.
 pub(crate) fn may_yield(gang: &Gang, demand: &Demand, demand_owned: bool) -> bool {
     if !gang.running || !gang.meta.reclaimable || gang.yields_to.is_some() {
         return false;
     }
     if gang.workspace == demand.workspace {
-        return demand.class == Class::Urgent && gang.meta.class != Class::Urgent;
+        let urgent_first = demand.class == Class::Urgent && gang.meta.class != Class::Urgent;
+        let into_own_cells = !gang.owned && demand_owned && demand.class <= gang.meta.class;
+        return urgent_first || into_own_cells;
     }
     let urgent_over_batch = demand.class == Class::Urgent && gang.meta.class == Class::Batch;
     !gang.owned && (demand_owned || urgent_over_batch)
@@ -57,6 +60,7 @@
     devices: u32,
     demand_owned: bool,
     preference: Preference,
+    now: Duration,
 ) -> Vec<Reclaim> {
     let yielding: BTreeMap<FencingToken, &Gang> = fleet
         .gangs
@@ -81,7 +85,7 @@
         .filter(|members| room(members) >= devices)
         .take(MAX_GROUPS)
         .filter_map(|members| {
-            clear(fleet, &yielding, &members, demand, devices, preference, &available)
+            clear(fleet, &yielding, &members, demand, devices, preference, &available, now)
         })
         .collect();
     found.sort_by_key(|(cost, _)| *cost);
@@ -92,7 +96,12 @@
 ///
 /// The cheapest comes first, those within the owner's bound cells before all others. Since every
 /// cell of the fleet is looked at, an owner that has a cell left finds one.
-pub(crate) fn cell_plans(fleet: &Fleet, demand: &Demand, devices: u32) -> Vec<Reclaim> {
+pub(crate) fn cell_plans(
+    fleet: &Fleet,
+    demand: &Demand,
+    devices: u32,
+    now: Duration,
+) -> Vec<Reclaim> {
     let size = devices.next_power_of_two();
     if size > DEVICES_PER_WORKER {
         return Vec::new();
@@ -108,7 +117,7 @@
         });
     let mut found: Vec<(u64, WorkerIndex, DeviceMask)> = Vec::new();
     for (index, row) in fleet.workers.rows.iter().enumerate() {
-        let (clearable, cost_of) = clearable(fleet, row, demand);
+        let (clearable, cost_of) = clearable(fleet, row, demand, now);
         for start in (0..row.spec.devices).step_by(size as usize) {
             let block: DeviceMask = ((1 << size) - 1) << start;
             let mask = block & clearable;
@@ -118,7 +127,8 @@
             let bound = rest.get(&index).copied().unwrap_or(0);
             let chosen = choose_in_block(mask, row.free(), bound, devices);
             let away = if chosen & !bound == 0 { 0 } else { NOT_IN_BOUND_CELL };
-            found.push((cost_of(chosen) + away, index, chosen));
+            let kept = if chosen & row.earmarked == 0 { 0 } else { RESERVED };
+            found.push((cost_of(chosen) + away + kept, index, chosen));
         }
     }
     found.sort_unstable();
@@ -135,6 +145,8 @@
 
 /// Dearer than any set of gangs on one worker.
 const NOT_IN_BOUND_CELL: u64 = 1 << 40;
+/// What it costs to go into a place that is kept for a large gang.
+const RESERVED: u64 = 3_600;
 /// Cells that are tried in full.
 const MAX_CELLS: usize = 256;
 
@@ -143,6 +155,7 @@
     fleet: &'a Fleet,
     row: &'a WorkerRow,
     demand: &'a Demand,
+    now: Duration,
 ) -> (DeviceMask, impl Fn(DeviceMask) -> u64 + 'a) {
     let yields = |token: &FencingToken| {
         fleet.gangs.get(token).is_some_and(|gang| may_yield(gang, demand, true))
@@ -151,7 +164,7 @@
     let taken = others.fold(0, |mask, holder| mask | holder.devices);
     let cost_of = move |chosen: DeviceMask| {
         let hit = row.holders.iter().filter(|holder| holder.devices & chosen != 0);
-        hit.filter_map(|holder| fleet.gangs.get(&holder.token)).map(cost).sum()
+        hit.filter_map(|holder| fleet.gangs.get(&holder.token)).map(|gang| cost(gang, now)).sum()
     };
     (row.present & !taken, cost_of)
 }
@@ -182,6 +195,7 @@
     }
 }
 
+#[expect(clippy::too_many_arguments, reason = "one search, told apart by its bounds")]
 /// Clears one group: frees the cheapest gangs until the demand fits, then sees who really yields.
 fn clear(
     fleet: &Fleet,
@@ -191,11 +205,12 @@
     devices: u32,
     preference: Preference,
     available: &dyn Fn(WorkerIndex, &WorkerRow) -> DeviceMask,
+    now: Duration,
 ) -> Option<(u64, Reclaim)> {
     let mut here: Vec<(u64, FencingToken)> = members
         .iter()
         .flat_map(|index| fleet.workers.rows[*index].holders.iter())
-        .filter_map(|holder| yielding.get(&holder.token).map(|gang| (cost(gang), holder.token)))
+        .filter_map(|holder| yielding.get(&holder.token).map(|gang| (cost(gang, now), holder.token)))
         .collect();
     here.sort_unstable();
     here.dedup();
@@ -219,7 +234,7 @@
                 find_among(&fleet.workers, members, demand, devices, preference, &usable)
         {
             let victims = victims(fleet, &parts, &|gang| yielding.contains_key(&gang.meta.token));
-            let cost = victims.keys().map(|token| cost(yielding[token])).sum();
+            let cost = victims.keys().map(|token| cost(yielding[token], now)).sum();
             return Some((cost, Reclaim { parts, victims }));
         }
         cleared.push(here.get(next)?.1);
@@ -227,24 +242,25 @@
     }
 }
 
-/// What it costs that a gang gives way: work lost, by how it gives way.
-fn cost(gang: &Gang) -> u64 {
-    const ELASTIC: u64 = 1;
-    const CHECKPOINT: u64 = 4;
-    const STOP: u64 = 40;
-    let each = if gang.meta.min_devices < gang.meta.gang_devices {
-        ELASTIC
+/// What it costs that a gang gives way, in device-seconds of lost work, weighed by class.
+fn cost(gang: &Gang, now: Duration) -> u64 {
+    const SHRINK_SECONDS: u64 = 1;
+    const CHECKPOINT_SECONDS: u64 = 30;
+    const RESTART_SECONDS: u64 = 60;
+    let elapsed = now.saturating_sub(gang.meta.started).as_secs();
+    let seconds = if gang.meta.min_devices < gang.meta.gang_devices {
+        SHRINK_SECONDS
     } else if gang.meta.checkpointable {
-        CHECKPOINT
+        CHECKPOINT_SECONDS
     } else {
-        STOP
+        RESTART_SECONDS + elapsed
     };
     let class = match gang.meta.class {
         Class::Batch => 1,
         Class::Normal => 2,
         Class::Urgent => 16,
     };
-    each * class * u64::from(gang.devices())
+    seconds * class * u64::from(gang.devices())
 }
 
 /// Returns the gangs that have devices in `parts` and yield, and how each gives way.
