--- a/crates/rampbay-core/src/reclaim.rs
+++ b/crates/rampbay-core/src/reclaim.rs
@@ -210,7 +210,9 @@
     let mut here: Vec<(u64, FencingToken)> = members
         .iter()
         .flat_map(|index| fleet.workers.rows[*index].holders.iter())
-        .filter_map(|holder| yielding.get(&holder.token).map(|gang| (cost(gang, now), holder.token)))
+        .filter_map(|holder| {
+            yielding.get(&holder.token).map(|gang| (cost(gang, now), holder.token))
+        })
         .collect();
     here.sort_unstable();
     here.dedup();
