--- a/crates/rampbay-load/src/run.rs
+++ b/crates/rampbay-load/src/run.rs
@@ -107,6 +107,13 @@
         .collect()
 }
 
+/// Returns the ids of the plan's requests that must run at most once, with their workspaces.
+#[must_use]
+pub fn ids_to_run_once(plan: &Plan) -> Vec<String> {
+    let once = draw(plan).into_iter().filter(|shot| !shot.spec.repeatable);
+    once.map(|shot| format!("{}/{}", shot.spec.workspace, shot.spec.id)).collect()
+}
+
 fn shot(plan: &Plan, number: u64, at: Duration, rng: &mut ChaCha8Rng) -> Shot {
     let total: f64 = plan.workspaces.iter().map(|(_, share)| share).sum();
     let mut pick = rng.random::<f64>() * total;
--- a/crates/rampctl/src/commands.rs
+++ b/crates/rampctl/src/commands.rs
@@ -39,7 +39,7 @@
             TableCommand::Set(set) => table_set(&client, &set, json).await,
             TableCommand::Show(_) => {
                 let view: TableView = client.get("/v1/table").await?;
-                Ok(show(json, &view, |view| grids::table(view)))
+                Ok(show(json, &view, grids::table))
             }
             TableCommand::Log(_) => {
                 let rows: Vec<HistoryRow> = client.get("/v1/table/log").await?;
