fix: an entry that dies takes its tasks along, and never says not run on the way

Cause: a killed entry in the tests went on polling and dispatching, since only some of its tasks were ended; idle sites measured 0.3 of a core. Change: every long-lived task belongs to the entry and ends with it; a lost channel is unknown.

--- a/crates/rampbay-entry/src/callers.rs
+++ b/crates/rampbay-entry/src/callers.rs
@@ -242,7 +242,7 @@
     let digest = rapidhash::v3::rapidhash_v3(&body);
     let progress = match shared.jobs.take(&spec, digest) {
         Taken::New(progress, cancelled) => {
-            tokio::spawn(lifecycle::run(parts.clone(), spec.clone(), body, cancelled));
+            shared.spawn(lifecycle::run(parts.clone(), spec.clone(), body, cancelled));
             progress
         }
         Taken::Known(progress) => progress,
--- a/crates/rampbay-entry/src/claims.rs
+++ b/crates/rampbay-entry/src/claims.rs
@@ -126,9 +126,9 @@
         let index = Arc::new(Mutex::new(ClaimIndex::default()));
         let (folded_tx, folded) = watch::channel(None);
         let poll = Duration::from_millis(shared.settings.times.log_poll_ms);
-        tokio::spawn(follow(log.clone(), index.clone(), folded_tx, poll));
-        let task = Appender { shared, log, index, folded };
-        tokio::spawn(task.run(rx));
+        shared.spawn(follow(log.clone(), index.clone(), folded_tx, poll));
+        let task = Appender { shared: shared.clone(), log, index, folded };
+        shared.spawn(task.run(rx));
         Self { tx, next: Arc::new(AtomicU64::new(1)) }
     }
 
--- a/crates/rampbay-entry/src/dispatching.rs
+++ b/crates/rampbay-entry/src/dispatching.rs
@@ -9,7 +9,7 @@
 };
 use rampbay_dispatch::{
     dispatcher::{Action, Dispatcher, Limits, Settings},
-    message::{NotRun, Outcome},
+    message::{Outcome, Unknown},
 };
 use rampbay_platform::boxes::BoxRow;
 use rampbay_wire::{
@@ -79,8 +79,13 @@
         };
         let domain = shared.settings.failure_domain.clone();
         let dispatcher = Dispatcher::new(shared.incarnation, &domain, settings);
-        let task = Task { shared, dispatcher, addrs: HashMap::new(), callers: HashMap::new() };
-        tokio::spawn(task.run(rx));
+        let task = Task {
+            shared: shared.clone(),
+            dispatcher,
+            addrs: HashMap::new(),
+            callers: HashMap::new(),
+        };
+        shared.spawn(task.run(rx));
         Self { tx }
     }
 
@@ -96,7 +101,8 @@
         let (tx, rx) = oneshot::channel();
         let mut guard = CancelGuard { dispatching: self, job: Some(spec.id.clone()) };
         self.tell(Input::Submit(Box::new(spec), body, tx));
-        let outcome = rx.await.unwrap_or(Outcome::NotRun(NotRun::Stopping));
+        // Were the task to end, nobody would know what became of an attempt that was sent.
+        let outcome = rx.await.unwrap_or(Outcome::Unknown(Unknown::SideUnreachable));
         guard.job = None;
         outcome
     }
--- a/crates/rampbay-entry/src/entry.rs
+++ b/crates/rampbay-entry/src/entry.rs
@@ -17,7 +17,6 @@
     mailbox::{LinkCounts, Mailbox, Post},
 };
 use thiserror::Error;
-use tokio::task::JoinHandle;
 
 use crate::{
     callers,
@@ -98,7 +97,13 @@
     callers: Serving,
     operators: Serving,
     mailbox: SocketAddr,
-    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.parts.shared.abort_tasks();
+        self.parts.shared.post.retain(&[]);
+    }
 }
 
 impl Entry {
@@ -140,18 +145,13 @@
         let callers = Serving::start(shared.settings.callers, callers::router(&parts)).await?;
         let operators =
             Serving::start(shared.settings.operators, operators::router(&parts)).await?;
-        let tasks = vec![
-            tokio::spawn(receive(shared.clone(), mailbox, followers.clone())),
-            tokio::spawn(table::follow(shared.clone(), borders.log, followers)),
-            tokio::spawn(membership::follow(
-                shared.clone(),
-                borders.boxes,
-                parts.dispatching.clone(),
-            )),
-            tokio::spawn(send_events(shared.clone())),
-        ];
+        shared.spawn(receive(shared.clone(), mailbox, followers.clone()));
+        shared.spawn(table::follow(shared.clone(), borders.log, followers));
+        let dispatching = parts.dispatching.clone();
+        shared.spawn(membership::follow(shared.clone(), borders.boxes, dispatching));
+        shared.spawn(send_events(shared.clone()));
         shared.event(Code::ProcessStarted, None, None, format!("incarnation {incarnation:x}"));
-        Ok(Self { parts, callers, operators, mailbox: addr, tasks })
+        Ok(Self { parts, callers, operators, mailbox: addr })
     }
 
     /// Returns the entry's name.
@@ -192,7 +192,7 @@
     }
 
     /// Takes no new requests, waits at most `longest` for those in progress, and ends.
-    pub async fn drain(self, longest: Duration) {
+    pub async fn drain(mut self, longest: Duration) {
         self.parts.begin_drain();
         let shared = self.parts.shared.clone();
         let until = shared.now() + longest;
@@ -202,18 +202,13 @@
         self.callers.drain(longest).await;
         shared.event(Code::ProcessDrained, None, None, "");
         hand_events_on(&shared);
+        // Give the link the time to pass the last events on.
         tokio::time::sleep(DRAIN_LOOK).await;
-        for task in self.tasks {
-            task.abort();
-        }
     }
 
     /// Ends the entry at once, as a crash does.
     pub fn kill(self) {
-        for task in &self.tasks {
-            task.abort();
-        }
-        self.parts.shared.post.retain(&[]);
+        drop(self);
     }
 }
 
--- a/crates/rampbay-entry/src/gangs.rs
+++ b/crates/rampbay-entry/src/gangs.rs
@@ -118,9 +118,9 @@
         let planner = Planner::new(shared.incarnation)
             .holder(shared.settings.id.clone())
             .settings(shared.settings.plan);
-        tokio::spawn(poll_workers(workers.clone(), tx.clone(), poll));
+        shared.spawn(poll_workers(workers.clone(), tx.clone(), poll));
         let task = Task {
-            shared,
+            shared: shared.clone(),
             workers,
             times,
             planner,
@@ -134,7 +134,7 @@
             next_renewal: Duration::ZERO,
             revision: 0,
         };
-        tokio::spawn(task.run(rx));
+        shared.spawn(task.run(rx));
         Self { tx }
     }
 
@@ -319,7 +319,7 @@
         self.shared.event(Code::GangReleased, Some(job), None, format!("{token:x}"));
         self.count("released");
         let (workers, tx, job) = (self.workers.clone(), self.tx.clone(), job.clone());
-        tokio::spawn(async move {
+        self.shared.spawn(async move {
             release_all(&workers, token, &placement).await;
             let _ = tx.send(Input::Released(job));
         });
@@ -328,7 +328,7 @@
     /// Releases what is left of a gang that the planner doesn't count any more.
     fn release(&self, token: FencingToken, placement: Placement) {
         let workers = self.workers.clone();
-        tokio::spawn(async move { release_all(&workers, token, &placement).await });
+        self.shared.spawn(async move { release_all(&workers, token, &placement).await });
     }
 
     fn count(&self, what: &str) {
@@ -391,7 +391,7 @@
         self.shared.event(Code::GangHolds, Some(&job), Some(&meta.workspace), detail);
         let (workers, times, tx) = (self.workers.clone(), self.times, self.tx.clone());
         let seen = self.revision;
-        tokio::spawn(async move {
+        self.shared.spawn(async move {
             let token = meta.token;
             let result = start_parts(&workers, &meta, &placement, times, seen, &tx).await;
             // The receiver is gone only when the process ends.
@@ -440,12 +440,12 @@
             .into_iter()
             .map(|worker| rampbay_core::topology::Part { worker, devices: 0 })
             .collect();
-        tokio::spawn(async move { release_all(&workers, token, &parts).await });
+        self.shared.spawn(async move { release_all(&workers, token, &parts).await });
     }
 
     fn ask_to_yield(&self, token: FencingToken, how: YieldKind, parts: Placement, for_job: JobId) {
         let (workers, tx) = (self.workers.clone(), self.tx.clone());
-        tokio::spawn(async move {
+        self.shared.spawn(async move {
             match how {
                 YieldKind::Shrink { keep } => {
                     if shrink_parts(&workers, token, &parts, &keep).await {
@@ -584,7 +584,7 @@
             .collect();
         let (workers, tx, worker) = (self.workers.clone(), self.tx.clone(), worker.clone());
         let lease_ms = self.times.lease_ms();
-        tokio::spawn(async move {
+        self.shared.spawn(async move {
             let result = workers.renew(&worker, &tokens, lease_ms).await;
             let _ = tx.send(Input::Renewed(worker, result));
         });
--- a/crates/rampbay-entry/src/settings.rs
+++ b/crates/rampbay-entry/src/settings.rs
@@ -55,6 +55,8 @@
     pub requests: usize,
     /// Requests that wait for a slot.
     pub queue: usize,
+    /// Upstreams that this entry sends work to at most, those of its failure domain first.
+    pub upstreams: usize,
     /// Bytes of bodies held at once.
     pub held_bytes: usize,
     /// Bytes of answers kept for callers that fetch them later.
@@ -69,6 +71,7 @@
             body_bytes: 4 * 1024 * 1024,
             requests: 50_000,
             queue: 20_000,
+            upstreams: 64,
             held_bytes: 256 * 1024 * 1024,
             kept_answer_bytes: 64 * 1024 * 1024,
             timeline_events: 50_000,
@@ -177,6 +180,7 @@
         checker.range("limits.body_bytes", limits.body_bytes as u64, 1, 32 * MIB, "bytes");
         checker.range("limits.requests", limits.requests as u64, 1, 1_000_000, "requests");
         checker.range("limits.queue", limits.queue as u64, 1, 1_000_000, "requests");
+        checker.range("limits.upstreams", limits.upstreams as u64, 1, 10_000, "upstreams");
         checker.range("limits.held_bytes", limits.held_bytes as u64, MIB, 4096 * MIB, "bytes");
         let kept = limits.kept_answer_bytes as u64;
         checker.range("limits.kept_answer_bytes", kept, 0, 4096 * MIB, "bytes");
--- a/crates/rampbay-entry/src/shared.rs
+++ b/crates/rampbay-entry/src/shared.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard,
+        Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -27,6 +27,7 @@
     event::{Code, Timeline},
     mailbox::{LinkCounts, Post},
 };
+use tokio::task::AbortHandle;
 
 use crate::{jobs::Jobs, keys::Keys, settings::EntrySettings};
 
@@ -60,8 +61,12 @@
     /// Mailboxes of other entries.
     pub peers: RwLock<Vec<(ProcessId, SocketAddr)>>,
     started: Instant,
+    tasks: Mutex<Vec<AbortHandle>>,
 }
 
+/// Finished tasks are forgotten once this many are known.
+const FORGET_TASKS_AT: usize = 1_024;
+
 /// The metrics of an entry.
 #[derive(Debug, Clone)]
 pub struct EntryMetrics {
@@ -126,10 +131,29 @@
             largest: RwLock::default(),
             peers: RwLock::default(),
             started: Instant::now(),
+            tasks: Mutex::default(),
             settings,
         }
     }
 
+    /// Runs a task that ends with the entry.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let handle = tokio::spawn(task).abort_handle();
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        if tasks.len() >= FORGET_TASKS_AT {
+            tasks.retain(|task| !task.is_finished());
+        }
+        tasks.push(handle);
+    }
+
+    /// Ends every task at once.
+    pub fn abort_tasks(&self) {
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        for task in tasks.drain(..) {
+            task.abort();
+        }
+    }
+
     /// Returns the time since this start.
     #[must_use]
     pub fn now(&self) -> Duration {
--- a/crates/rampbay-node/src/serve.rs
+++ b/crates/rampbay-node/src/serve.rs
@@ -53,7 +53,7 @@
 
     /// Takes no new connections and waits until requests in progress are answered, at most for
     /// `longest`.
-    pub async fn drain(mut self, longest: Duration) {
+    pub async fn drain(&mut self, longest: Duration) {
         self.handle.stop_graceful(longest);
         // The task ends when the last answer is out; a panic in it has been logged by then.
         let _ = (&mut self.task).await;
