--- a/crates/rampbay-capacity/src/measure.rs
+++ b/crates/rampbay-capacity/src/measure.rs
@@ -36,6 +36,8 @@
 pub struct Figures {
     /// Processors of the machine.
     pub processors: usize,
+    /// Memory of this process before anything was measured, in bytes.
+    pub base_memory: f64,
     /// Bytes of one message of each kind, with its envelope, without an opaque body.
     pub message_bytes: Vec<(String, f64)>,
     /// Memory of the planner by workers, in bytes, at ten tasks a worker.
@@ -70,10 +72,12 @@
 ///
 /// Returns an error if a site can't start.
 pub async fn all() -> Result<Figures, String> {
+    let base_memory = memory() as f64;
     // First, while the allocator holds no memory of earlier measurements.
     let (memory_by_sides, processor_ms_by_sides) = sides().await?;
     let figures = Figures {
         processors: std::thread::available_parallelism().map_or(1, usize::from),
+        base_memory,
         message_bytes: message_bytes(),
         planner_memory_by_workers: planner_memory(),
         tick_us_by_tasks: tick_time(),
@@ -283,9 +287,11 @@
 async fn sides() -> Result<(Line, Line), String> {
     let mut memories = Vec::new();
     let mut times = Vec::new();
-    for count in [8, 32, 64] {
+    for count in [20, 60, 180] {
         let before = memory();
-        let site = start(site(count, 1)).await?;
+        let mut options = site(count, 1);
+        options.slots = 8;
+        let site = start(options).await?;
         tokio::time::sleep(Duration::from_secs(2)).await;
         let used = memory().saturating_sub(before);
         let processor = processor_time();
--- a/crates/rampbay-demo/src/site.rs
+++ b/crates/rampbay-demo/src/site.rs
@@ -300,7 +300,8 @@
             let alive = parts.dispatching.view().await;
             let heard = alive.iter().filter(|row| row.slots > 0 && row.silent_ms < 1_000).count();
             let no_fleet = parts.shared.largest.read().is_ok_and(|largest| largest.is_empty());
-            if parts.shared.table().version() == 0 || heard < running || no_fleet {
+            let wanted = running.min(parts.shared.settings.limits.upstreams);
+            if parts.shared.table().version() == 0 || heard < wanted || no_fleet {
                 return false;
             }
         }
