feat: owners use their own and open cells first, and nobody stops for work that would borrow

Three reasons: a free place whose cell couldn't be bound was refused although borrowing there was harmless; free devices in reserved places were left for evictions elsewhere; and when an owner's own cell was already being vacated, a second job of it took devices from others only to borrow them. Change: open cells are searched as such; owners enter reserved places; only a gang that ends up in its own cell, or urgent work, makes others stop; reservations move and count aged arrivals.

--- a/crates/rampbay-core/src/place.rs
+++ b/crates/rampbay-core/src/place.rs
@@ -4,7 +4,7 @@
     guarantee::worker_cells,
     ids::WorkerIndex,
     job::Adjacency,
-    shape::DEVICES_PER_WORKER,
+    shape::{DEVICES_PER_WORKER, Level},
     tables::{Demand, WorkerRow, WorkerTable},
     topology::DeviceMask,
 };
@@ -33,6 +33,24 @@
     pub offset: usize,
     /// Failure domains, by row, that other planners look after; dearer, but not closed.
     pub others: u64,
+    /// What the gang that is placed means to guarantees.
+    pub stake: Stake,
+}
+
+/// What a gang that is placed means to guarantees.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum Stake {
+    /// Nothing that is known.
+    #[default]
+    None,
+    /// It borrows: it will have to go where an owner is active, and what it has done by then may
+    /// be lost.
+    Borrows {
+        /// Whether its work can be checkpointed.
+        checkpointable: bool,
+    },
+    /// It will bind a new cell of this level: whoever has borrowed there will have to go.
+    Binds(Level),
 }
 
 /// The result of a search.
@@ -154,7 +172,9 @@
             preference.others & domain_bit(workers.rows[*worker].failure_domain) != 0
         });
         let away = if foreign { OTHER_PLANNERS_DOMAIN } else { 0 };
-        let cost = cost(workers, &parts, free - devices, usable) + away;
+        let stake: u32 =
+            parts.iter().map(|part| stake_cost(workers, *part, demand, preference)).sum();
+        let cost = cost(workers, &parts, free - devices, usable) + away + stake;
         if preference.packing <= FIRST_FIT_PACKING && !foreign {
             return Found::Place(parts);
         }
@@ -264,6 +284,30 @@
     mask & !left
 }
 
+/// What a part costs for the guarantees that it touches.
+fn stake_cost(
+    workers: &WorkerTable,
+    (worker, devices): IndexedPart,
+    demand: &Demand,
+    preference: Preference,
+) -> u32 {
+    const MOVE: u32 = 6;
+    const LOSE: u32 = 24;
+    let row = &workers.rows[worker];
+    match preference.stake {
+        Stake::None => 0,
+        Stake::Borrows { checkpointable } => {
+            let bound = row.bound_by_others(demand.workspace);
+            (devices & bound).count_ones() * if checkpointable { MOVE } else { LOSE }
+        }
+        Stake::Binds(Level::Rack) => {
+            let members = &workers.rack_cells[row.rack_cell];
+            members.iter().map(|member| workers.rows[*member].cost_of_lent()).sum()
+        }
+        Stake::Binds(_) => row.cost_of_lent(),
+    }
+}
+
 /// What a place costs: cells that it breaks, and what it leaves of a rack that was whole.
 fn cost(workers: &WorkerTable, parts: &[IndexedPart], leftover: u32, usable: &impl Usable) -> u32 {
     const BROKEN_WORKER: u32 = 64;
--- a/crates/rampbay-core/src/plan.rs
+++ b/crates/rampbay-core/src/plan.rs
@@ -18,9 +18,9 @@
     job::{Class, JobSpec},
     knobs::Knobs,
     lease::LeaseMeta,
-    place::{IndexedPart, Preference, domain_bit, largest},
+    place::{IndexedPart, Preference, Stake, domain_bit, largest},
     reason::Reason,
-    shape::Shape,
+    shape::{LEVELS, Shape},
     tables::{Claim, Demand, Fleet, Gang, JobRow, JobState, QueueTable},
     topology::{Placement, WorkerSpec},
 };
@@ -623,7 +623,22 @@
     fn preference(&self, demand: &Demand) -> Preference {
         let packing = self.fleet.workspaces.rows[demand.workspace].knobs.packing;
         let offset = usize::try_from(self.seed % 1_024).unwrap_or(0);
-        Preference { packing, offset, others: self.others }
+        Preference { packing, offset, others: self.others, stake: self.stake(demand) }
+    }
+
+    /// Guesses what a gang will mean to guarantees: whether its cells fit into what is unbound.
+    fn stake(&self, demand: &Demand) -> Stake {
+        let unbound = self.fleet.workspaces.rows[demand.workspace].cells.unbound();
+        let tightest = Shape::tightest(demand.devices);
+        let needed = LEVELS.into_iter().rev().find(|level| tightest.count(*level) > 0);
+        let binds = needed.and_then(|needed| {
+            let larger = LEVELS.into_iter().filter(|level| *level >= needed);
+            larger.into_iter().find(|level| unbound.count(*level) > 0)
+        });
+        match binds {
+            Some(level) if unbound.holds(&tightest) => Stake::Binds(level),
+            _ => Stake::Borrows { checkpointable: demand.checkpointable },
+        }
     }
 
     fn next_token(&mut self, now: Duration) -> FencingToken {
--- a/crates/rampbay-core/src/plan/place_jobs.rs
+++ b/crates/rampbay-core/src/plan/place_jobs.rs
@@ -11,7 +11,7 @@
     ids::{FencingToken, JobId},
     job::{Adjacency, Class},
     lease::LeaseMeta,
-    place::{Found, IndexedPart, find, find_among},
+    place::{Found, IndexedPart, Stake, Usable, find, find_among},
     reason::Reason,
     reclaim,
     shape::Shape,
@@ -98,12 +98,22 @@
             return Tried::Blocked(Reason::RunningLimit { limit });
         }
         let mut reason = None;
+        let closed = self.closed_to(job, demand, now);
         for devices in sizes(demand) {
-            match self.try_free(job, demand, devices, now, commands) {
+            match self.try_free(job, demand, devices, &closed, now, commands) {
                 Tried::Started => return Tried::Started,
                 Tried::Blocked(why) => reason = reason.or(Some(why)),
             }
         }
+        // An owner goes into reserved places before others have to stop for it.
+        let unused = self.fleet.workspaces.rows[demand.workspace].unused;
+        let owner = unused.holds(&Shape::tightest(demand.devices));
+        if owner
+            && !closed.is_empty()
+            && let Tried::Started = self.try_free(job, demand, demand.devices, &[], now, commands)
+        {
+            return Tried::Started;
+        }
         for devices in sizes(demand) {
             if self.try_reclaim(job, demand, devices, now, commands) {
                 return Tried::Started;
@@ -112,50 +122,72 @@
         Tried::Blocked(reason.unwrap_or(Reason::Queued))
     }
 
-    /// Tries to start on free devices.
+    /// Tries to start on free devices: in the workspace's own cells, then anywhere.
     fn try_free(
         &mut self,
         job: &JobId,
         demand: &Demand,
         devices: u32,
+        closed: &[usize],
         now: Duration,
         commands: &mut Vec<Command>,
     ) -> Tried {
-        let closed = self.closed_to(job, demand, now);
+        let preference = self.preference(demand);
+        let avoids_owners = loses_much(demand, preference.stake);
         let usable = |index: usize, row: &WorkerRow| {
-            if closed.contains(&index) { row.free() & !row.earmarked } else { row.free() }
+            let kept = if closed.contains(&index) { row.earmarked } else { 0 };
+            let owners = if avoids_owners { row.bound_by_others(demand.workspace) } else { 0 };
+            row.free() & !kept & !owners
         };
-        if let Some(token) = self.try_bound(job, demand, devices, now) {
+        let own = self
+            .try_bound(job, demand, devices, now)
+            .or_else(|| self.try_open_cell(job, demand, devices, &usable, now));
+        if let Some(token) = own {
             self.begin(job, token, commands);
             return Tried::Started;
         }
-        let preference = self.preference(demand);
-        let mut found = find(&self.fleet.workers, demand, devices, preference, &usable);
-        let mut reason = Reason::Queued;
-        for _ in 0..2 {
-            match found {
-                Found::Place(parts) => match self.admit(job, demand, parts, &[], now) {
-                    Ok(token) => {
-                        self.begin(job, token, commands);
-                        return Tried::Started;
-                    }
-                    Err(why) => reason = why,
-                },
-                Found::NoRoom { best } => {
-                    return Tried::Blocked(self.no_room(demand, devices, best, &closed));
-                }
+        let parts = match find(&self.fleet.workers, demand, devices, preference, &usable) {
+            Found::Place(parts) => parts,
+            Found::NoRoom { best } => {
+                return Tried::Blocked(self.no_room(demand, devices, best, closed));
             }
-            // The preferred place would endanger a guarantee: try the one that breaks no cell.
-            let tight = |index: usize, row: &WorkerRow| {
-                let mask = usable(index, row);
-                if mask == row.present && devices < row.spec.devices { 0 } else { mask }
-            };
-            found = find(&self.fleet.workers, demand, devices, preference, &tight);
-            if matches!(found, Found::NoRoom { .. }) {
-                break;
+        };
+        let admitted = self.admit(job, demand, parts.clone(), &[], Claim::IfItFits, now);
+        // In a place where it can't have a cell of its own it may still borrow.
+        let admitted = admitted.or_else(|why| match why {
+            Reason::ProtectsGuarantee { .. } if demand.reclaimable => {
+                self.admit(job, demand, parts, &[], Claim::AsLeased(None), now)
+            }
+            why => Err(why),
+        });
+        match admitted {
+            Ok(token) => {
+                self.begin(job, token, commands);
+                Tried::Started
             }
+            Err(why) => Tried::Blocked(why),
+        }
+    }
+
+    /// Tries free devices in cells that the workspace could bind whole.
+    fn try_open_cell(
+        &mut self,
+        job: &JobId,
+        demand: &Demand,
+        devices: u32,
+        usable: &impl Usable,
+        now: Duration,
+    ) -> Option<FencingToken> {
+        let preference = self.preference(demand);
+        let Stake::Binds(level) = preference.stake else { return None };
+        let workers = &self.fleet.workers;
+        let in_open_cell = |index: usize, row: &WorkerRow| {
+            usable.devices(index, row) & workers.open_cells(index, level)
+        };
+        match find(workers, demand, devices, preference, &in_open_cell) {
+            Found::Place(parts) => self.admit(job, demand, parts, &[], Claim::IfItFits, now).ok(),
+            Found::NoRoom { .. } => None,
         }
-        Tried::Blocked(reason)
     }
 
     /// Tries the free rest of cells that are bound to the workspace already: what starts there
@@ -185,7 +217,7 @@
             let workers = &self.fleet.workers;
             let found = find_among(workers, &members, demand, devices, preference, &usable);
             if let Found::Place(parts) = found
-                && let Ok(token) = self.admit(job, demand, parts, &[], now)
+                && let Ok(token) = self.admit(job, demand, parts, &[], Claim::IfItFits, now)
             {
                 return Some(token);
             }
@@ -228,7 +260,7 @@
         let groups = reclaim::plans(&self.fleet, demand, devices, owned, preference, now);
         for plan in cells.into_iter().chain(groups) {
             let victims: Vec<_> = plan.victims.keys().copied().collect();
-            if let Ok(token) = self.admit(job, demand, plan.parts, &victims, now) {
+            if let Ok(token) = self.admit(job, demand, plan.parts, &victims, Claim::IfItFits, now) {
                 if victims.is_empty() {
                     self.begin(job, token, commands);
                     return true;
@@ -249,6 +281,7 @@
         demand: &Demand,
         parts: Vec<IndexedPart>,
         victims: &[FencingToken],
+        claim: Claim,
         now: Duration,
     ) -> Result<FencingToken, Reason> {
         let short_before = self.fleet.short();
@@ -257,8 +290,13 @@
             victims.iter().filter_map(|token| self.fleet.remove(*token)).collect();
         let token = self.next_token(now);
         let gang = self.new_gang(job, demand, token, parts, now);
-        self.fleet.insert(gang, Claim::IfItFits);
-        let verdict = self.verdict(demand, token, short_before, borrowed_before);
+        self.fleet.insert(gang, claim);
+        let mut verdict = self.verdict(demand, token, short_before, borrowed_before);
+        // Nobody stops for work that would itself borrow, but for urgent work.
+        let borrows = !self.fleet.gangs[&token].owned;
+        if !victims.is_empty() && borrows && demand.class != Class::Urgent {
+            verdict = verdict.and(Err(Reason::NeedsOwnCells));
+        }
         if verdict.is_err() {
             self.fleet.remove(token);
         }
@@ -366,6 +404,15 @@
     }
 }
 
+/// Whether a gang that borrows would lose much work when an owner asks for its devices: then it
+/// keeps away from cells whose owner is active.
+fn loses_much(demand: &Demand, stake: Stake) -> bool {
+    const LARGE: u32 = 8;
+    const SHORT_MS: u64 = 15 * 60 * 1_000;
+    let short = demand.expected_ms.is_some_and(|ms| ms <= SHORT_MS);
+    stake == Stake::Borrows { checkpointable: false } && demand.devices >= LARGE && !short
+}
+
 /// Divides workers into groups that an adjacency allows a gang to span.
 fn within_adjacency(
     workers: &WorkerTable,
--- a/crates/rampbay-core/src/plan/reserve.rs
+++ b/crates/rampbay-core/src/plan/reserve.rs
@@ -23,11 +23,22 @@
 }
 
 /// Workers for each reservation that may stand at once.
-const WORKERS_PER_RESERVATION: usize = 32;
+const WORKERS_PER_RESERVATION: usize = 5;
 const MINUTE: Duration = Duration::from_secs(60);
 /// Assumed to be left of a run of which nothing is known.
 const LEAST_REMAINING: Duration = Duration::from_secs(60);
 
+/// Whether a checkpointable gang is small enough to give way to a starving one without a place to
+/// go to.
+fn is_small(gang: &Gang, demand: &Demand) -> bool {
+    const TIMES_SMALLER: u32 = 3;
+    gang.running
+        && gang.meta.checkpointable
+        && gang.meta.reclaimable
+        && gang.meta.class >= demand.class
+        && gang.devices() * TIMES_SMALLER <= demand.devices
+}
+
 impl Planner {
     /// Returns the workers that are kept for other jobs and that `job` would hold too long.
     pub(super) fn closed_to(
@@ -53,9 +64,7 @@
             return;
         };
         let reservation = self.reservations.remove(at);
-        for worker in reservation.workers {
-            self.fleet.workers.rows[worker].earmarked = 0;
-        }
+        self.mark_reserved(&reservation.workers, false);
         self.capacity_gained = true;
     }
 
@@ -65,15 +74,38 @@
             && let Some((job, demand)) = self.most_starved(now)
             && let Some(reservation) = self.choose_workers(&job, &demand, now)
         {
-            for worker in &reservation.workers {
-                let row = &mut self.fleet.workers.rows[*worker];
-                row.earmarked = row.spec.all_devices();
-            }
+            self.mark_reserved(&reservation.workers, true);
             self.reservations.push(reservation);
         }
+        self.renew_reservations(now);
         self.open_reserved(now, commands);
     }
 
+    /// Moves a reservation to a place that is expected to be free clearly sooner.
+    fn renew_reservations(&mut self, now: Duration) {
+        const CLEARLY: Duration = Duration::from_secs(600);
+        for at in 0..self.reservations.len() {
+            let old = self.reservations[at].clone();
+            if old.ready_at <= now + CLEARLY {
+                continue;
+            }
+            let row = &self.jobs[&old.job];
+            let Some(demand) = Demand::of(&row.spec, row.workspace) else { continue };
+            self.mark_reserved(&old.workers, false);
+            let better = self.choose_workers(&old.job, &demand, now);
+            let chosen = better.filter(|new| new.ready_at + CLEARLY < old.ready_at).unwrap_or(old);
+            self.mark_reserved(&chosen.workers, true);
+            self.reservations[at] = chosen;
+        }
+    }
+
+    fn mark_reserved(&mut self, workers: &[WorkerIndex], reserved: bool) {
+        for worker in workers {
+            let row = &mut self.fleet.workers.rows[*worker];
+            row.earmarked = if reserved { row.spec.all_devices() } else { 0 };
+        }
+    }
+
     /// Returns the job that has waited longest beyond the limit for want of room.
     fn most_starved(&self, now: Duration) -> Option<(JobId, Demand)> {
         let limit = Duration::from_millis(self.settings.reserve_after_ms);
@@ -86,10 +118,21 @@
             .filter_map(|(demand, _)| Some((self.queue.get(demand)?.front()?, demand)))
             .filter(|(job, _)| !self.reservations.iter().any(|kept| kept.job == **job))
             .filter(|(job, _)| now.saturating_sub(self.jobs[*job].arrived) >= limit)
-            .min_by_key(|(job, demand)| (demand.class, self.jobs[*job].arrived))
+            .min_by_key(|(job, demand)| self.aged_arrival(job, demand.class))
             .map(|(job, demand)| (job.clone(), demand.clone()))
     }
 
+    /// Counts a job of a later class as one that arrived later, so that none waits for ever behind
+    /// the earlier classes.
+    pub(super) fn aged_arrival(&self, job: &JobId, class: Class) -> Duration {
+        let head_start = match class {
+            Class::Urgent => Duration::ZERO,
+            Class::Normal => Duration::from_secs(1_800),
+            Class::Batch => Duration::from_secs(2 * 3_600),
+        };
+        self.jobs[job].arrived + head_start
+    }
+
     /// Chooses the workers that are expected to be free soonest.
     fn choose_workers(&self, job: &JobId, demand: &Demand, now: Duration) -> Option<Reservation> {
         let workers = &self.fleet.workers;
@@ -114,7 +157,10 @@
         let mut free_at: Vec<(Duration, WorkerIndex)> = members
             .iter()
             .filter(|index| self.fleet.workers.rows[**index].earmarked == 0)
-            .map(|index| (self.worker_free_at(*index, now), *index))
+            .map(|index| {
+                let free_at = self.worker_free_at(*index, now, |gang| is_small(gang, demand));
+                (free_at + self.owners_delay(*index, demand), *index)
+            })
             .collect();
         free_at.sort_unstable();
         let mut devices = 0;
@@ -129,9 +175,23 @@
         None
     }
 
-    fn worker_free_at(&self, worker: WorkerIndex, now: Duration) -> Duration {
+    /// A place that another workspace's cell is bound to clears late: its owner goes on using it.
+    fn owners_delay(&self, worker: WorkerIndex, demand: &Demand) -> Duration {
+        const OWNER_STAYS: Duration = Duration::from_secs(4 * 3_600);
+        let row = &self.fleet.workers.rows[worker];
+        let foreign = row.bound.iter().any(|part| part.workspace != demand.workspace);
+        if foreign { OWNER_STAYS } else { Duration::ZERO }
+    }
+
+    /// Returns when a worker is expected to be free, if the gangs that go at once do.
+    fn worker_free_at(
+        &self,
+        worker: WorkerIndex,
+        now: Duration,
+        goes_at_once: impl Fn(&Gang) -> bool,
+    ) -> Duration {
         let ends = |gang: &Gang| {
-            if gang.yields_to.is_some() || (gang.meta.checkpointable && gang.meta.reclaimable) {
+            if gang.yields_to.is_some() || goes_at_once(gang) {
                 return now;
             }
             let elapsed = now.saturating_sub(gang.meta.started);
@@ -150,12 +210,18 @@
         for at in 0..self.reservations.len() {
             // What yields or can be moved doesn't count: short work may fill in only until the
             // rest has ended.
-            let workers = &self.reservations[at].workers;
-            let ready_at = workers.iter().map(|worker| self.worker_free_at(*worker, now)).max();
-            self.reservations[at].ready_at = ready_at.unwrap_or(now);
+            let reservation = self.reservations[at].clone();
+            let blockers = reservation.workers.iter().map(|worker| {
+                self.worker_free_at(*worker, now, |gang| self.is_movable(gang, &reservation, now))
+            });
+            self.reservations[at].ready_at = blockers.max().unwrap_or(now);
         }
         let reservations = self.reservations.clone();
         for reservation in reservations {
+            // A move is worth it only if it opens the place soon.
+            if reservation.ready_at > now + MINUTE {
+                continue;
+            }
             for token in self.movable(&reservation, now) {
                 if self.moves.len() >= self.settings.moves_per_minute as usize {
                     return;
@@ -179,23 +245,29 @@
             .collect();
         tokens.sort_unstable();
         tokens.dedup();
-        let worth = |gang: &Gang| {
-            let left = gang.meta.expected_end.map(|end| end.saturating_sub(now));
-            left.is_none_or(|left| left > MINUTE)
-        };
         tokens.retain(|token| {
-            self.fleet.gangs.get(token).is_some_and(|gang| {
-                gang.running
-                    && gang.meta.checkpointable
-                    && gang.meta.reclaimable
-                    && gang.yields_to.is_none()
-                    && worth(gang)
-                    && self.fits_elsewhere(gang, reservation)
-            })
+            let gang = self.fleet.gangs.get(token);
+            gang.is_some_and(|gang| self.is_movable(gang, reservation, now))
         });
         tokens
     }
 
+    /// Whether a gang on reserved workers gives way: it can be checkpointed, would stay for a
+    /// while, and finds room elsewhere or is so small that it will soon.
+    fn is_movable(&self, gang: &Gang, reservation: &Reservation, now: Duration) -> bool {
+        let left = gang.meta.expected_end.map(|end| end.saturating_sub(now));
+        let stays = left.is_none_or(|left| left > MINUTE);
+        let row = &self.jobs[&reservation.job];
+        let small =
+            Demand::of(&row.spec, row.workspace).is_some_and(|demand| is_small(gang, &demand));
+        gang.running
+            && gang.meta.checkpointable
+            && gang.meta.reclaimable
+            && gang.yields_to.is_none()
+            && stays
+            && (small || self.fits_elsewhere(gang, reservation))
+    }
+
     fn fits_elsewhere(&self, gang: &Gang, reservation: &Reservation) -> bool {
         let demand = Demand {
             class: gang.meta.class,
@@ -204,6 +276,7 @@
             smallest: gang.devices(),
             adjacency: Adjacency::Rack,
             reclaimable: true,
+            checkpointable: true,
             cores: gang.cores_per_device,
             memory: gang.memory_per_device,
             expected_ms: None,
--- a/crates/rampbay-core/src/plan/views.rs
+++ b/crates/rampbay-core/src/plan/views.rs
@@ -128,6 +128,7 @@
             smallest: devices,
             adjacency: Adjacency::Rack,
             reclaimable: true,
+            checkpointable: true,
             cores: 0,
             memory: 0,
             expected_ms: None,
--- a/crates/rampbay-core/src/reclaim.rs
+++ b/crates/rampbay-core/src/reclaim.rs
@@ -128,7 +128,14 @@
             }
             let bound = rest.get(&index).copied().unwrap_or(0);
             let chosen = choose_in_block(mask, row.free(), bound, devices);
-            let away = if chosen & !bound == 0 { 0 } else { NOT_IN_BOUND_CELL };
+            let away = if chosen & !bound == 0 {
+                0
+            } else {
+                // Binding a new cell puts all that is lent around it at risk.
+                let around = &fleet.workers.rack_cells[row.rack_cell];
+                let lent = around.iter().map(|at| fleet.workers.rows[*at].cost_of_lent());
+                NOT_IN_BOUND_CELL + u64::from(lent.sum::<u32>()) * AT_RISK
+            };
             let kept = if chosen & row.earmarked == 0 { 0 } else { RESERVED };
             found.push((cost_of(chosen) + away + kept, index, chosen));
         }
@@ -147,8 +154,10 @@
 
 /// Dearer than any set of gangs on one worker.
 const NOT_IN_BOUND_CELL: u64 = 1 << 40;
+/// Seconds for each unit of what lending costs.
+const AT_RISK: u64 = 60;
 /// What it costs to go into a place that is kept for a large gang.
-const RESERVED: u64 = 3_600;
+const RESERVED: u64 = 1 << 20;
 /// Cells that are tried in full.
 const MAX_CELLS: usize = 256;
 
@@ -251,20 +260,23 @@
     const SHRINK_SECONDS: u64 = 1;
     const CHECKPOINT_SECONDS: u64 = 30;
     const RESTART_SECONDS: u64 = 60;
+    // A gang that stops waits again, and the larger it is the longer: for each device.
+    const WAIT_SECONDS: u64 = 60;
+    let devices = u64::from(gang.devices());
     let elapsed = now.saturating_sub(gang.meta.started).as_secs();
     let seconds = if gang.meta.min_devices < gang.meta.gang_devices {
         SHRINK_SECONDS
     } else if gang.meta.checkpointable {
-        CHECKPOINT_SECONDS
+        CHECKPOINT_SECONDS + WAIT_SECONDS * devices
     } else {
-        RESTART_SECONDS + elapsed
+        RESTART_SECONDS + WAIT_SECONDS * devices + elapsed
     };
     let class = match gang.meta.class {
         Class::Batch => 1,
         Class::Normal => 2,
         Class::Urgent => 16,
     };
-    seconds * class * u64::from(gang.devices())
+    seconds * class * devices
 }
 
 /// Returns the gangs that have devices in `parts` and yield, and how each gives way.
--- a/crates/rampbay-core/src/tables.rs
+++ b/crates/rampbay-core/src/tables.rs
@@ -12,7 +12,7 @@
     knobs::Knobs,
     lease::LeaseMeta,
     reason::Reason,
-    shape::{Level, Shape, WORKERS_PER_RACK},
+    shape::{DEVICES_PER_WORKER, Level, Shape, WORKERS_PER_RACK},
     topology::{DeviceMask, Placement, WorkerSpec},
 };
 
@@ -46,6 +46,8 @@
     pub token: FencingToken,
     pub devices: DeviceMask,
     pub lent: bool,
+    /// Whether its work is lost when it stops.
+    pub fixed: bool,
 }
 
 /// A worker's part of a bound cell.
@@ -62,6 +64,20 @@
         self.bound.iter().fold(0, |mask, part| mask | part.region)
     }
 
+    /// Devices that workspaces other than one have cells bound to.
+    pub fn bound_by_others(&self, workspace: WorkspaceIndex) -> DeviceMask {
+        let others = self.bound.iter().filter(|part| part.workspace != workspace);
+        others.fold(0, |mask, part| mask | part.region)
+    }
+
+    /// What it costs to take back all that is lent here: work that is lost counts more.
+    pub fn cost_of_lent(&self) -> u32 {
+        const MOVE: u32 = 6;
+        const LOSE: u32 = 24;
+        let lent = self.holders.iter().filter(|holder| holder.lent);
+        lent.map(|h| h.devices.count_ones() * if h.fixed { LOSE } else { MOVE }).sum()
+    }
+
     /// Devices that any unbound cell may be placed on.
     fn open_to_cells(&self) -> DeviceMask {
         self.reclaimable() & !self.bound_mask()
@@ -177,6 +193,26 @@
         self.failure_domain_names.iter().map(|(name, row)| (name.as_str(), *row))
     }
 
+    /// Returns the devices of a worker that lie in cells of a level which nobody has bound and of
+    /// which all is free or lent.
+    pub fn open_cells(&self, index: WorkerIndex, level: Level) -> DeviceMask {
+        const WHOLE: DeviceMask = (1 << DEVICES_PER_WORKER) - 1;
+        let open = |at: &WorkerIndex| self.rows[*at].open_to_cells();
+        if level == Level::Rack {
+            let members = &self.rack_cells[self.rows[index].rack_cell];
+            let whole = members.len() == WORKERS_PER_RACK as usize
+                && members.iter().all(|member| open(member) & WHOLE == WHOLE);
+            return if whole { WHOLE } else { 0 };
+        }
+        let mask = open(&index);
+        let size = level.devices();
+        (0..DeviceMask::BITS)
+            .step_by(size as usize)
+            .map(|start| ((1 << size) - 1) << start)
+            .filter(|block| mask & block == *block)
+            .fold(0, |all, block| all | block)
+    }
+
     /// Changes one row and keeps the counts of free devices and cells up to date.
     pub fn change(&mut self, index: WorkerIndex, edit: impl FnOnce(&mut WorkerRow)) {
         let row = &mut self.rows[index];
@@ -396,6 +432,7 @@
     pub smallest: u32,
     pub adjacency: Adjacency,
     pub reclaimable: bool,
+    pub checkpointable: bool,
     pub cores: u32,
     pub memory: u32,
     pub expected_ms: Option<u64>,
@@ -411,6 +448,7 @@
             smallest: gang.smallest(),
             adjacency: gang.adjacency,
             reclaimable: spec.is_reclaimable(),
+            checkpointable: gang.checkpointable,
             cores: gang.cores_per_device,
             memory: gang.memory_mib_per_device,
             expected_ms: gang.expected_ms.map(round_up_to_power_of_two),
@@ -557,13 +595,14 @@
 
     fn mark(&mut self, gang: &Gang, used: bool) {
         let token = gang.meta.token;
+        let fixed = !gang.meta.checkpointable;
         for (worker, devices) in &gang.parts {
             let devices = *devices;
             let count = devices.count_ones();
             let (cores, memory) = (count * gang.cores_per_device, count * gang.memory_per_device);
             self.workers.change(*worker, |row| {
                 if used {
-                    row.holders.push(Holder { token, devices, lent: false });
+                    row.holders.push(Holder { token, devices, lent: false, fixed });
                     row.cores_used += cores;
                     row.memory_used += memory;
                 } else {
