--- a/crates/rampbay-demo/src/main.rs
+++ b/crates/rampbay-demo/src/main.rs
@@ -26,6 +26,9 @@
     /// requests a second (default 300)
     #[argh(option, default = "300.0")]
     rate: f64,
+    /// measure the path at 10, 50, 90 and 120 % of the slots against straight to the upstreams
+    #[argh(switch)]
+    measure: bool,
     /// level of the logs (default error)
     #[argh(option, default = "String::from(\"error\")")]
     log_level: String,
@@ -53,6 +56,9 @@
     let sizes = if args.verbund { Site::verbund() } else { Site::stockline() };
     println!("rampbay demo, {}'s sizes: 3 entries, 10 upstreams, 10 workers", sizes.name);
     let site = RunningSite::start(SiteOptions::new(sizes)).await?;
+    if args.measure {
+        return Ok(measure(&site).await);
+    }
     let plan = Plan {
         targets: site.callers(),
         rate: args.rate,
@@ -77,6 +83,71 @@
     Ok(prove(&site, &report))
 }
 
+/// Time of the work in measurements; a hundred times the path's own.
+const MEASURED_WORK: Duration = Duration::from_millis(100);
+/// Seconds of each measured load.
+const MEASURED_SECONDS: f64 = 10.0;
+
+/// Compares the way through rampbay with the way straight to the upstreams.
+async fn measure(site: &RunningSite) -> bool {
+    let capacity = f64::from(site.slots()) / MEASURED_WORK.as_secs_f64();
+    let workspaces: Vec<(String, f64)> =
+        site.workspaces().iter().map(|(name, _)| (name.to_string(), 1.0)).collect();
+    let mut table = Table::new();
+    table.set_header([
+        "load %",
+        "way",
+        "sent",
+        "answered",
+        "not_run",
+        "other",
+        "p50 ms",
+        "p99 ms",
+        "answers/s",
+    ]);
+    let mut good = true;
+    for percent in [10.0, 50.0, 90.0, 120.0] {
+        let rate = capacity * percent / 100.0;
+        let plan = Plan {
+            rate,
+            count: (rate * MEASURED_SECONDS) as u64,
+            workspaces: workspaces.clone(),
+            work: MEASURED_WORK,
+            deadline: Duration::from_secs(3),
+            ..Plan::default()
+        };
+        let direct = Plan {
+            targets: site.upstreams.iter().map(|upstream| upstream.addr).collect(),
+            direct: true,
+            prefix: format!("direct-{percent}"),
+            ..plan.clone()
+        };
+        let through =
+            Plan { targets: site.callers(), prefix: format!("through-{percent}"), ..plan };
+        for (way, plan) in [("straight", direct), ("through", through)] {
+            let report = run(&plan, |_| {}).await;
+            let (answered, not_run) = (report.outcome("answered"), report.outcome("not_run"));
+            let starts = site.starts();
+            good &= report.wrong_answers == 0;
+            good &= report.not_run.iter().all(|id| !starts.contains_key(id));
+            table.add_row([
+                format!("{percent}"),
+                way.to_owned(),
+                report.sent.to_string(),
+                answered.to_string(),
+                not_run.to_string(),
+                (report.sent - answered - not_run).to_string(),
+                format!("{:.2}", report.all.p50_ms),
+                format!("{:.2}", report.all.p99_ms),
+                format!("{:.0}", report.answers_per_second),
+            ]);
+        }
+    }
+    println!("capacity {capacity:.0} requests/s: {} slots, 100 ms of work each", site.slots());
+    println!("{table}");
+    good
+}
+
 /// Shows what the planner left free.
 async fn fragmentation(site: &RunningSite) {
     let Some(entry) = site.entries.iter().flatten().next() else {
