--- a/crates/rampbay-capacity/src/measure.rs
+++ b/crates/rampbay-capacity/src/measure.rs
@@ -73,13 +73,14 @@
 /// Returns an error if a site can't start.
 pub async fn all() -> Result<Figures, String> {
     let base_memory = memory() as f64;
+    let planner_memory_by_workers = planner_memory();
     // First, while the allocator holds no memory of earlier measurements.
     let (memory_by_sides, processor_ms_by_sides) = sides().await?;
     let figures = Figures {
         processors: std::thread::available_parallelism().map_or(1, usize::from),
         base_memory,
         message_bytes: message_bytes(),
-        planner_memory_by_workers: planner_memory(),
+        planner_memory_by_workers,
         tick_us_by_tasks: tick_time(),
         idle_tick_us_by_jobs: idle_tick_time(),
         place_256_us_by_workers: place_256(),
@@ -153,7 +154,8 @@
         let before = memory();
         let planner = filled(workers, workers * 10 / 4 * 4);
         let used = memory().saturating_sub(before);
-        drop(planner);
+        // Kept, so that the next size can't use its memory again.
+        std::mem::forget(planner);
         (workers as f64, used as f64)
     });
     Line::fit(points.to_vec())
--- a/crates/rampbay-core/src/place.rs
+++ b/crates/rampbay-core/src/place.rs
@@ -66,6 +66,10 @@
 /// untidy fit, less than a broken worker cell.
 const OTHER_PLANNERS_DOMAIN: u32 = 128;
 
+/// A search ends after this many groups that have room and are no cheaper. Today's fleets have
+/// fewer groups than that.
+const GROUPS_WITHOUT_GAIN: u32 = 64;
+
 /// Returns the bit of a failure domain; with more than 64 of them several share one.
 pub(crate) const fn domain_bit(failure_domain: usize) -> u64 {
     1 << (failure_domain % 64)
@@ -153,6 +157,7 @@
     let count = groups.len().max(1);
     groups.rotate_left(preference.offset % count);
     let mut best_free = 0;
+    let mut without_gain = 0;
     let mut best: Option<(u32, Vec<IndexedPart>)> = None;
     let mut candidates: Vec<(WorkerIndex, DeviceMask)> = Vec::new();
     for group in groups {
@@ -167,6 +172,10 @@
         if free < devices {
             continue;
         }
+        // Leftover devices are part of the cost, so that such a group can't be cheaper.
+        if best.as_ref().is_some_and(|(lowest, _)| free - devices >= *lowest) {
+            continue;
+        }
         let parts = choose(&mut candidates, devices, preference.offset);
         let foreign = parts.iter().any(|(worker, _)| {
             preference.others & domain_bit(workers.rows[*worker].failure_domain) != 0
@@ -180,8 +189,11 @@
         }
         if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
             best = Some((cost, parts));
+            without_gain = 0;
+        } else {
+            without_gain += 1;
         }
-        if cost == 0 {
+        if cost == 0 || without_gain >= GROUPS_WITHOUT_GAIN {
             break;
         }
     }
