--- a/crates/rampbay-core/src/lib.rs
+++ b/crates/rampbay-core/src/lib.rs
@@ -32,6 +32,7 @@
 //! - [`plan`]: the tables and the systems that run over them each tick.
 //! - [`reason`]: why a job is in its state.
 
+mod fleet;
 pub mod guarantee;
 pub mod ids;
 pub mod job;
--- a/crates/rampbay-core/src/plan.rs
+++ b/crates/rampbay-core/src/plan.rs
@@ -14,6 +14,7 @@
 use thiserror::Error;
 
 use crate::{
+    fleet::{Claim, Fleet},
     ids::{FencingToken, JobId, ProcessId, WorkspaceId},
     job::{Class, JobSpec},
     knobs::Knobs,
@@ -21,7 +22,7 @@
     place::{IndexedPart, Preference, Stake, domain_bit, largest},
     reason::Reason,
     shape::{LEVELS, Shape},
-    tables::{Claim, Demand, Fleet, Gang, JobRow, JobState, QueueTable},
+    tables::{Demand, Gang, JobRow, JobState, QueueTable},
     topology::{Placement, WorkerSpec},
 };
 
--- a/crates/rampbay-core/src/plan/place_jobs.rs
+++ b/crates/rampbay-core/src/plan/place_jobs.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::{
+    fleet::Claim,
     guarantee::Binding,
     ids::{FencingToken, JobId},
     job::{Adjacency, Class},
@@ -15,7 +16,7 @@
     reason::Reason,
     reclaim,
     shape::Shape,
-    tables::{Claim, Demand, Gang, JobState, WorkerRow, WorkerTable},
+    tables::{Demand, Gang, JobState, WorkerRow, WorkerTable},
 };
 
 use super::{Command, Planner};
--- a/crates/rampbay-core/src/plan/yielding.rs
+++ b/crates/rampbay-core/src/plan/yielding.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
+    fleet::Claim,
     ids::{FencingToken, JobId},
     place::IndexedPart,
     reason::Reason,
     reclaim::Yield,
-    tables::{Claim, JobRow, JobState},
+    tables::{JobRow, JobState},
     topology::Placement,
 };
 
--- a/crates/rampbay-core/src/reclaim.rs
+++ b/crates/rampbay-core/src/reclaim.rs
@@ -3,12 +3,13 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
+    fleet::Fleet,
     guarantee::Binding,
     ids::{FencingToken, WorkerIndex},
     job::{Adjacency, Class},
     place::{Found, IndexedPart, Preference, find_among, pick},
     shape::DEVICES_PER_WORKER,
-    tables::{Demand, Fleet, Gang, WorkerRow},
+    tables::{Demand, Gang, WorkerRow},
     topology::DeviceMask,
 };
 
--- a/crates/rampbay-entry/src/lib.rs
+++ b/crates/rampbay-entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod claims;
 pub mod dispatching;
 pub mod entry;
+pub mod gang_calls;
 pub mod gangs;
 pub mod jobs;
 pub mod keys;
--- a/crates/rampbay-entry/src/main.rs
+++ b/crates/rampbay-entry/src/main.rs
@@ -23,17 +23,10 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let settings: EntrySettings = match settings::load(&args.settings) {
+    let settings = match settings::for_daemon(&args.settings, args.check) {
         Ok(settings) => settings,
-        Err(e) => {
-            eprintln!("{e}");
-            return ExitCode::from(2);
-        }
+        Err(code) => return code,
     };
-    if args.check {
-        println!("settings are good");
-        return ExitCode::SUCCESS;
-    }
     run(settings).await.unwrap_or_else(|e| {
         eprintln!("{e}");
         ExitCode::FAILURE
--- a/crates/rampbay-node/src/settings.rs
+++ b/crates/rampbay-node/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings in JSON, checked whole before a process starts.
 
-use std::{fmt, fs, path::Path};
+use std::{fmt, fs, path::Path, process::ExitCode};
 
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -105,6 +105,29 @@
     parse(&text)
 }
 
+/// Reads the settings of a daemon as its command line says.
+///
+/// # Errors
+///
+/// Returns the exit code with which the daemon ends at once: 0 after `--check` found nothing wrong,
+/// 2 for settings that can't be used, whose faults have been written to standard error.
+pub fn for_daemon<T: DeserializeOwned + Checked>(path: &Path, check: bool) -> Result<T, ExitCode> {
+    match load(path) {
+        Ok(_) if check => {
+            println!("settings are good");
+            Err(ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
+        Err(e) => {
+            eprintln!("{e}");
+            Err(ExitCode::from(BAD_SETTINGS))
+        }
+    }
+}
+
+/// Exit code of a daemon whose settings can't be used.
+const BAD_SETTINGS: u8 = 2;
+
 /// Parses and checks settings.
 ///
 /// # Errors
