refactor: drop a message that nobody sends

Cause: the kind table_version was read and ignored, and never sent. Change: removed. Ruled out that a stand-in or test uses it. Measured: build, lints and the tests of the crates that knew it pass as before.

--- a/crates/rampbay-entry/src/entry.rs
+++ b/crates/rampbay-entry/src/entry.rs
@@ -219,7 +219,7 @@
             Message::Events(events) => shared.timeline.absorb(events),
             Message::TableQuery { have } => table::answer_query(&shared, reply_to, have),
             Message::Table(record) => table::take_from_peer(&shared, &followers, &record),
-            Message::Hello | Message::TableVersion(_) => {}
+            Message::Hello => {}
             _ => followers.dispatching.tell(Input::Link(Box::new(envelope))),
         }
     }
--- a/crates/rampbay-wire/src/envelope.rs
+++ b/crates/rampbay-wire/src/envelope.rs
@@ -55,8 +55,6 @@
     },
     /// A table, as a snapshot record of the log.
     Table(Vec<u8>),
-    /// The version of the table in force at the sender.
-    TableVersion(u64),
 }
 
 impl Message {
@@ -74,7 +72,6 @@
             Message::Events(_) => "events",
             Message::TableQuery { .. } => "table_query",
             Message::Table(_) => "table",
-            Message::TableVersion(_) => "table_version",
         }
     }
 }
