test: wait for what is awaited, not for a time

Cause: two tests of the callers' interface slept a fixed time before they looked, so that a busy machine could give another verdict. Change: they look until the state is there. No assertion changed.

--- a/crates/rampbay-demo/tests/callers.rs
+++ b/crates/rampbay-demo/tests/callers.rs
@@ -134,14 +134,15 @@
         call(addr, Method::POST, "/v1/jobs?wait=false", &headers, "work_ms=60000 x").await;
     }
     let mut waiting = None;
-    for at in 0..4 {
-        let path = format!("/v1/jobs/forecasts/g{at}");
-        tokio::time::sleep(Duration::from_millis(200)).await;
+    for round in 0..400 {
+        let path = format!("/v1/jobs/forecasts/g{}", round % 4);
         let asked = call(addr, Method::GET, &path, &[], "").await;
         let status: StatusBody = serde_json::from_slice(&asked.body).expect("a status");
         if status.reason == "no_room" {
             waiting = Some(path);
+            break;
         }
+        tokio::time::sleep(Duration::from_millis(25)).await;
     }
     let path = waiting.expect("80 devices in racks of 24 hold three such gangs");
     call(addr, Method::DELETE, &path, &[], "").await;
@@ -164,12 +165,14 @@
     ]);
     let entry = Entry::start(settings).await.expect("entry starts");
     let addr = entry.callers();
-    while entry.parts().shared.table().version() == 0
-        || entry.parts().dispatching.view().await.is_empty()
-    {
+    // Until the entry has the table and has heard the side process.
+    loop {
+        let heard = entry.parts().dispatching.view().await.iter().any(|row| row.slots > 0);
+        if heard && entry.parts().shared.table().version() > 0 {
+            break;
+        }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
-    tokio::time::sleep(Duration::from_millis(300)).await;
     let own = ("authorization", "Bearer trials-secret-0001");
     let other = ("authorization", "Bearer forecasts-secret-1");
     let head = ("rampbay-job", r#"{"id":"mine","workspace":"trials"}"#);
