--- a/crates/rampbay-demo/tests/faults.rs
+++ b/crates/rampbay-demo/tests/faults.rs
@@ -74,7 +74,6 @@
 }
 
 async fn bring_about(site: &mut RunningSite, fault: Fault) {
-    let faults = |set: FaultSet| set;
     match fault {
         Fault::SideKilled => site.kill_side(0),
         Fault::SideRestarted => {
@@ -95,7 +94,7 @@
             }
         }
         Fault::LogDown => {
-            site.platform.log.faults.set(faults(FaultSet { down: true, ..FaultSet::default() }));
+            site.platform.log.faults.set(FaultSet { down: true, ..FaultSet::default() });
         }
         Fault::LogLosesAnswers => {
             let set = FaultSet { lose_answer_percent: 50, ..FaultSet::default() };
--- a/crates/rampbay-policy/src/policy.rs
+++ b/crates/rampbay-policy/src/policy.rs
@@ -55,8 +55,6 @@
     fn bring_back(&mut self, worker: WorkerSpec, now: Duration);
     /// Takes in an edit of the table.
     fn edit(&mut self, workspace: WorkspaceId, knobs: Knobs, now: Duration);
-    /// Takes in a lagging report of device-seconds.
-    fn usage(&mut self, _workspace: &str, _device_seconds: f64, _until: Duration) {}
     /// Decides.
     fn decide(&mut self, now: Duration) -> Vec<Decision>;
     /// Returns the free devices of each rack.
@@ -127,10 +125,6 @@
         self.planner.set_workspace(workspace, knobs);
     }
 
-    fn usage(&mut self, workspace: &str, device_seconds: f64, until: Duration) {
-        self.planner.report_usage(workspace, device_seconds, until);
-    }
-
     fn decide(&mut self, now: Duration) -> Vec<Decision> {
         let mut decisions = Vec::new();
         for command in self.planner.tick(now) {
--- a/crates/rampbay-policy/src/workload.rs
+++ b/crates/rampbay-policy/src/workload.rs
@@ -46,8 +46,6 @@
     pub losses: Vec<Loss>,
     /// A table edit in flight: when, and the new knobs of a workspace.
     pub edit: (Duration, WorkspaceId, Knobs),
-    /// Lag of usage reports.
-    pub usage_lag: Duration,
 }
 
 /// One of the two users' mixes.
@@ -185,7 +183,6 @@
             workspaces,
             arrivals,
             losses,
-            usage_lag: Duration::from_secs(120),
         }
     }
 
