--- /dev/null
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -0,0 +1,185 @@
+//! The agent beside a worker: carries out what the table says, renews leases, reports ends.
+//!
+//! A process may see several lives of its worker, one after the other or for a while side by
+//! side; each has a [`life::Life`] of its own. [`AgentHost`] makes them as heartbeats come and as
+//! the table tells of a life from before a restart.
+
+mod ends;
+pub mod life;
+mod orders;
+mod renewals;
+mod runs;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::follower::Freshness;
+use crate::job::{EpochMillis, InstanceId, NodeName};
+use crate::record::{KeyedRecord, PROGRESS_TOPIC, WorkerRecord, encode};
+use crate::store::Store;
+use crate::table::JobTable;
+use crate::worker::Worker;
+
+use life::Life;
+
+/// Times that an agent goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct AgentSettings {
+    /// Longest lease that a worker gives.
+    pub lease: Duration,
+    /// Time after the last renewal was sent from which all leases have surely ended.
+    pub lapse: Duration,
+    /// Oldest table under which leases are renewed.
+    pub guard: Duration,
+    /// Oldest table under which runs are started.
+    pub start_age: Duration,
+    /// Time without answer after which a worker's leases are no longer renewed.
+    pub silence: Duration,
+    /// How long a renewal waits at the worker for an end.
+    pub renewal_wait: Duration,
+    /// Time between two reports while runs are there.
+    pub report_interval: Duration,
+    /// Time between two reports of a worker without runs.
+    pub idle_report_interval: Duration,
+    /// How long a start without answer may take to show among the runs.
+    pub unanswered_start: Duration,
+}
+
+/// Makes a client for a life of the worker, given its address and its id.
+pub type Connect = Box<dyn Fn(&str, &str) -> Rc<dyn Worker>>;
+
+/// What all lives of one process share.
+pub struct AgentParts {
+    /// Name of this process.
+    pub node: NodeName,
+    /// The store.
+    pub store: Rc<dyn Store>,
+    /// The table, which a follower keeps current.
+    pub table: Rc<RefCell<JobTable>>,
+    /// Age of the table.
+    pub freshness: Rc<Freshness>,
+    /// Makes a client for a life of the worker.
+    pub connect: Connect,
+    /// Reads the clock.
+    pub wall_clock: fn() -> EpochMillis,
+    /// Times.
+    pub settings: AgentSettings,
+}
+
+/// A worker's account of itself.
+#[derive(Clone, Debug)]
+pub struct Heartbeat {
+    /// Its id.
+    pub instance: InstanceId,
+    /// Rises with every heartbeat of this life.
+    pub sequence: u64,
+    /// What it says; `node` and `leaves_at` are filled in by the host.
+    pub record: WorkerRecord,
+    /// Least time until it leaves, while it drains.
+    pub remaining: Option<Duration>,
+}
+
+/// All lives of one process's worker.
+pub struct AgentHost {
+    parts: Rc<AgentParts>,
+    lives: RefCell<BTreeMap<InstanceId, Rc<Life>>>,
+}
+
+/// Pause of loops that look for something to do without being told.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+impl AgentHost {
+    /// Makes a host without lives.
+    #[must_use]
+    pub fn new(parts: AgentParts) -> Rc<Self> {
+        Rc::new(Self { parts: Rc::new(parts), lives: RefCell::default() })
+    }
+
+    /// Takes in a heartbeat.
+    pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
+        let mut record = heartbeat.record;
+        record.node.clone_from(&self.parts.node);
+        if let Some(remaining) = heartbeat.remaining.filter(|_| record.draining) {
+            record.leaves_at = (self.parts.wall_clock)() + remaining.as_millis() as u64;
+        }
+        let life = self.life(&heartbeat.instance, &record);
+        life.hear(heartbeat.sequence, record);
+    }
+
+    /// Takes in that a life is about to end.
+    pub fn deregister(&self, instance: &str) {
+        let life = self.lives.borrow().get(instance).cloned();
+        if let Some(life) = life {
+            life.leave();
+        }
+    }
+
+    /// Adopts lives from before a restart, and reports progress, for ever.
+    pub async fn run(self: Rc<Self>) {
+        tokio::join!(self.adopt_for_ever(), self.report_for_ever());
+    }
+
+    fn life(self: &Rc<Self>, instance: &str, record: &WorkerRecord) -> Rc<Life> {
+        if let Some(life) = self.lives.borrow().get(instance) {
+            return Rc::clone(life);
+        }
+        let worker = (self.parts.connect)(&record.address, instance);
+        let life = Life::new(Rc::clone(&self.parts), instance.to_owned(), record.clone(), worker);
+        self.lives.borrow_mut().insert(instance.to_owned(), Rc::clone(&life));
+        log::info!("event=J160 worker life found worker={instance} address={}", record.address);
+        let host = Rc::clone(self);
+        let running = Rc::clone(&life);
+        tokio::task::spawn_local(async move {
+            running.run().await;
+            host.lives.borrow_mut().remove(&running.instance);
+        });
+        life
+    }
+
+    async fn adopt_for_ever(self: &Rc<Self>) {
+        loop {
+            for (instance, record) in self.unknown_lives() {
+                self.life(&instance, &record);
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    fn unknown_lives(&self) -> Vec<(InstanceId, WorkerRecord)> {
+        let table = self.parts.table.borrow();
+        let lives = self.lives.borrow();
+        let mine = table.workers.iter().filter(|(instance, worker)| {
+            worker.node == self.parts.node && !lives.contains_key(*instance)
+        });
+        mine.map(|(instance, worker)| (instance.clone(), worker.as_ref().clone())).collect()
+    }
+
+    async fn report_for_ever(&self) {
+        let settings = &self.parts.settings;
+        let mut since_report = settings.idle_report_interval;
+        loop {
+            let lives: Vec<Rc<Life>> = self.lives.borrow().values().cloned().collect();
+            let busy = lives.iter().any(|life| life.has_runs());
+            if busy || since_report >= settings.idle_report_interval {
+                self.report(&lives).await;
+                since_report = Duration::ZERO;
+            }
+            tokio::time::sleep(settings.report_interval).await;
+            since_report += settings.report_interval;
+        }
+    }
+
+    async fn report(&self, lives: &[Rc<Life>]) {
+        let records: Vec<KeyedRecord> = lives
+            .iter()
+            .map(|life| KeyedRecord { key: life.instance.clone(), value: encode(&life.report()) })
+            .collect();
+        if records.is_empty() {
+            return;
+        }
+        // A report that is lost is followed by the next one.
+        let _ = self.parts.store.append(PROGRESS_TOPIC, &records, None).await;
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -0,0 +1,247 @@
+//! One life of a worker, from the first heartbeat to its certain end.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::job::InstanceId;
+use crate::record::{
+    ProgressReport, Record, RunProgress, STATE_TOPIC, WorkerRecord, eviction_key, removal,
+    worker_key,
+};
+use crate::worker::{Worker, WorkerMillis};
+
+use super::runs::{Phase, Runs};
+use super::{AgentParts, LOOK_INTERVAL};
+
+/// How long a worker that has said good-bye may still be ending.
+const LEAVE_DELAY: Duration = Duration::from_millis(1000);
+/// Pause before the store is asked again to keep a registration.
+const REGISTER_RETRY: Duration = Duration::from_millis(300);
+
+/// One life of a worker.
+pub struct Life {
+    /// The worker's id.
+    pub instance: InstanceId,
+    pub(super) parts: Rc<AgentParts>,
+    pub(super) worker: Rc<dyn Worker>,
+    pub(super) runs: RefCell<Runs>,
+    pub(super) wake: Notify,
+    /// The worker's clock at a time of ours.
+    pub(super) clock: Cell<Option<(WorkerMillis, Instant)>>,
+    /// Whether the worker's runs have been listed once.
+    pub(super) listed: Cell<bool>,
+    /// Number of the last end that the store has kept.
+    pub(super) last_seen: Cell<u64>,
+    /// Whether ends are on their way to the store.
+    pub(super) storing: Cell<bool>,
+    /// When a call that renews was sent last.
+    pub(super) lease_sent: Cell<Instant>,
+    /// When the worker answered or was heard last.
+    pub(super) heard: Cell<Instant>,
+    record: RefCell<WorkerRecord>,
+    sequence: Cell<u64>,
+    left_at: Cell<Option<Instant>>,
+    over: Cell<bool>,
+}
+
+impl Life {
+    /// Makes a life whose runs aren't known yet.
+    pub(super) fn new(
+        parts: Rc<AgentParts>,
+        instance: InstanceId,
+        record: WorkerRecord,
+        worker: Rc<dyn Worker>,
+    ) -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Self {
+            instance,
+            parts,
+            worker,
+            runs: RefCell::default(),
+            wake: Notify::new(),
+            clock: Cell::new(None),
+            listed: Cell::new(false),
+            last_seen: Cell::new(0),
+            storing: Cell::new(false),
+            lease_sent: Cell::new(now),
+            heard: Cell::new(now),
+            record: RefCell::new(record),
+            sequence: Cell::new(0),
+            left_at: Cell::new(None),
+            over: Cell::new(false),
+        })
+    }
+
+    /// Takes in a heartbeat, unless a later one has come.
+    pub(super) fn hear(&self, sequence: u64, record: WorkerRecord) {
+        self.heard.set(Instant::now());
+        if sequence < self.sequence.get() {
+            return;
+        }
+        self.sequence.set(sequence);
+        let mut known = self.record.borrow_mut();
+        if !known.draining && record.draining {
+            log::info!(
+                "event=J161 worker drains worker={} leaves_at={}",
+                self.instance,
+                record.leaves_at
+            );
+        }
+        // A later heartbeat says the same departure in other words; the first one stands.
+        let leaves_at = if known.draining { known.leaves_at } else { record.leaves_at };
+        let changed = WorkerRecord { leaves_at, ..record };
+        if *known != changed {
+            *known = changed;
+            drop(known);
+            self.parts.freshness.notify();
+        }
+    }
+
+    /// Takes in that the worker ends now.
+    pub(super) fn leave(&self) {
+        log::info!("event=J162 worker leaves worker={}", self.instance);
+        self.left_at.set(Some(Instant::now()));
+    }
+
+    /// Takes in that the worker's life is certainly over.
+    pub(super) fn end(&self, why: &str) {
+        if self.over.replace(true) {
+            return;
+        }
+        let runs = self.runs.borrow().open.len();
+        log::warn!("event=J163 worker life over worker={} runs={runs} why={why}", self.instance);
+        self.wake.notify_waiters();
+        self.parts.freshness.notify();
+    }
+
+    /// Returns whether the life is over.
+    pub(super) fn is_over(&self) -> bool {
+        self.over.get()
+    }
+
+    /// Returns whether the worker drains or has said good-bye.
+    pub(super) fn is_draining(&self) -> bool {
+        self.record.borrow().draining || self.left_at.get().is_some()
+    }
+
+    /// Returns whether leases may be renewed.
+    pub(super) fn may_renew(&self) -> bool {
+        let table = self.parts.table.borrow();
+        !table.evicted.contains(&self.instance)
+            && self.left_at.get().is_none()
+            && self.parts.freshness.is_within(self.parts.settings.guard)
+            && self.heard.get().elapsed() < self.parts.settings.silence
+    }
+
+    /// Returns the time by the worker's clock until which a lease may last, if it is known.
+    pub(super) fn lease_until(&self) -> Option<WorkerMillis> {
+        let (clock, at) = self.clock.get()?;
+        let now = clock + at.elapsed().as_millis() as u64;
+        Some(now + self.parts.settings.lease.as_millis() as u64)
+    }
+
+    /// Returns the fencing token of orders.
+    pub(super) fn fencing_token(&self) -> u64 {
+        self.parts.table.borrow().leader.epoch
+    }
+
+    /// Returns whether runs may exist.
+    #[must_use]
+    pub fn has_runs(&self) -> bool {
+        !self.runs.borrow().open.is_empty()
+    }
+
+    /// Returns what the agent sees of its worker.
+    #[must_use]
+    pub fn report(&self) -> ProgressReport {
+        let runs = self.runs.borrow();
+        let running = runs.open.iter().filter(|(_, run)| run.phase == Phase::Running);
+        let runs = running.map(|((task, attempt), run)| RunProgress {
+            task: task.clone(),
+            attempt: *attempt,
+            percent: run.percent,
+            checkpoint: run.checkpoint.clone(),
+        });
+        let silent_ms = self.heard.get().elapsed().as_millis() as u64;
+        ProgressReport { silent_ms, runs: runs.collect() }
+    }
+
+    /// Serves the life until it is over and the store knows so.
+    pub(super) async fn run(self: &Rc<Self>) {
+        tokio::select! {
+            () = self.give_orders() => {}
+            () = self.renew_for_ever() => {}
+            () = self.register_for_ever() => {}
+            () = self.watch_leaving() => {}
+        }
+        self.unregister().await;
+    }
+
+    async fn watch_leaving(&self) {
+        loop {
+            let left = self.left_at.get().is_some_and(|at| at.elapsed() >= LEAVE_DELAY);
+            if left {
+                self.end("left");
+            }
+            if self.is_over() {
+                return;
+            }
+            tokio::time::sleep(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Keeps the store's record of the worker like the worker's own account.
+    async fn register_for_ever(&self) {
+        let mut changes = self.parts.freshness.subscribe();
+        loop {
+            changes.borrow_and_update();
+            if !self.needs_registration() {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let record = Box::new(self.record.borrow().clone());
+            let mut records = vec![Record::Worker(self.instance.clone(), record).encode()];
+            if self.is_evicted() {
+                log::info!("event=J164 worker returns after eviction worker={}", self.instance);
+                records.push(removal(eviction_key(&self.instance)));
+            }
+            match self.parts.store.append(STATE_TOPIC, &records, None).await {
+                Ok(end) => self.parts.freshness.reach(end).await,
+                Err(_) => tokio::time::sleep(REGISTER_RETRY).await,
+            }
+        }
+    }
+
+    fn is_evicted(&self) -> bool {
+        self.parts.table.borrow().evicted.contains(&self.instance)
+    }
+
+    fn needs_registration(&self) -> bool {
+        if self.is_over() || !self.listed.get() || self.parts.freshness.age().is_none() {
+            return false;
+        }
+        let is_empty = !self.has_runs() && !self.storing.get();
+        if self.is_evicted() {
+            return is_empty;
+        }
+        let table = self.parts.table.borrow();
+        match table.workers.get(&self.instance) {
+            Some(known) => **known != *self.record.borrow(),
+            // After its runs were given up, a worker comes back without any.
+            None => is_empty,
+        }
+    }
+
+    async fn unregister(&self) {
+        let records = [removal(worker_key(&self.instance)), removal(eviction_key(&self.instance))];
+        while self.parts.store.append(STATE_TOPIC, &records, None).await.is_err() {
+            tokio::time::sleep(REGISTER_RETRY).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -0,0 +1,211 @@
+//! Gives the worker the orders that make its runs what the table wants.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::record::{EndReason, TaskStatus};
+use crate::worker::{Refusal, StartOrder, Started, StopOrder, WorkerError};
+
+use super::ends::PendingEnd;
+use super::life::Life;
+use super::runs::{Phase, Run, RunKey};
+
+/// Longest time between two looks at what has to be done.
+const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause before a start that met a higher fencing token, or a wrong clock, is tried again.
+const START_RETRY: Duration = Duration::from_millis(100);
+/// Pause before a stop without answer is repeated.
+const STOP_RETRY: Duration = Duration::from_millis(300);
+
+/// A run that the table wants.
+struct Wanted {
+    key: RunKey,
+    payload: String,
+    checkpoint: String,
+}
+
+impl Life {
+    /// Gives orders until the life is over.
+    pub(super) async fn give_orders(self: &Rc<Self>) {
+        let mut changes = self.parts.freshness.subscribe();
+        while !self.is_over() {
+            changes.borrow_and_update();
+            if self.listed.get() && self.parts.freshness.age().is_some() {
+                self.start_wanted();
+                self.stop_unwanted();
+            }
+            let _ = tokio::time::timeout(LOOK_INTERVAL, changes.changed()).await;
+        }
+    }
+
+    fn start_wanted(self: &Rc<Self>) {
+        if !self.parts.freshness.is_within(self.parts.settings.start_age) {
+            return;
+        }
+        for wanted in self.wanted() {
+            if self.is_draining() {
+                self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
+                continue;
+            }
+            let run = Run::new(Phase::Starting);
+            self.runs.borrow_mut().open.insert(wanted.key.clone(), run);
+            self.wake.notify_waiters();
+            let life = Rc::clone(self);
+            tokio::task::spawn_local(async move { life.start(wanted).await });
+        }
+    }
+
+    /// Lists the runs that the table wants and that this life has never had.
+    fn wanted(&self) -> Vec<Wanted> {
+        let table = self.parts.table.borrow();
+        if table.evicted.contains(&self.instance) {
+            return Vec::new();
+        }
+        let runs = self.runs.borrow();
+        let mut wanted = Vec::new();
+        for id in &table.active {
+            let Some(job) = table.jobs.get(id).filter(|job| !job.cancelled) else { continue };
+            let Some(plan) = &job.plan else { continue };
+            for (task_id, task) in plan.tasks(id) {
+                let is_mine = task.status == TaskStatus::Running && task.instance == self.instance;
+                let key = (task_id, task.attempt);
+                if !is_mine || runs.open.contains_key(&key) || runs.over.contains(&key) {
+                    continue;
+                }
+                let (task_id, attempt) = &key;
+                if table.ends.contains_key(&format!("end/{task_id}/{attempt}")) {
+                    continue;
+                }
+                wanted.push(Wanted {
+                    key,
+                    payload: job.submission.payload.clone(),
+                    checkpoint: task.checkpoint.clone(),
+                });
+            }
+        }
+        wanted
+    }
+
+    async fn start(self: &Rc<Self>, wanted: Wanted) {
+        loop {
+            let Some(lease_until) = self.lease_until() else {
+                tokio::time::sleep(START_RETRY).await;
+                continue;
+            };
+            if !self.still_wants(&wanted.key) {
+                self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
+                return;
+            }
+            let order = StartOrder {
+                task: wanted.key.0.clone(),
+                attempt: wanted.key.1,
+                payload: wanted.payload.clone(),
+                lease_until,
+                fencing_token: self.fencing_token(),
+                checkpoint: wanted.checkpoint.clone(),
+            };
+            let sent = Instant::now();
+            self.lease_sent.set(sent);
+            let outcome = self.worker.start(&order).await;
+            log::info!(
+                "event=J166 run ordered task={} attempt={} worker={} outcome={outcome:?} took_ms={}",
+                order.task,
+                order.attempt,
+                self.instance,
+                sent.elapsed().as_millis()
+            );
+            match outcome {
+                Ok(Started::Yes) => {
+                    self.set_phase(&wanted.key, Phase::Running);
+                    self.wake.notify_waiters();
+                    return;
+                }
+                Ok(Started::No(Refusal::Fenced | Refusal::Late)) => {
+                    tokio::time::sleep(START_RETRY).await;
+                }
+                Ok(Started::No(_)) => {
+                    self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
+                    return;
+                }
+                Err(WorkerError::OtherLife) => {
+                    self.end("replaced");
+                    return;
+                }
+                Err(WorkerError::NoAnswer) => {
+                    self.set_phase(&wanted.key, Phase::Unanswered(Instant::now()));
+                    return;
+                }
+            }
+        }
+    }
+
+    fn still_wants(&self, key: &RunKey) -> bool {
+        let table = self.parts.table.borrow();
+        !self.is_draining()
+            && !table.evicted.contains(&self.instance)
+            && table.wants_run(&self.instance, &key.0, key.1)
+            && self.parts.freshness.is_within(self.parts.settings.start_age)
+    }
+
+    fn set_phase(&self, key: &RunKey, phase: Phase) {
+        if let Some(run) = self.runs.borrow_mut().open.get_mut(key) {
+            // A listing may have shown it running before the order's answer came, or didn't.
+            if run.phase != Phase::Running {
+                run.phase = phase;
+            }
+        }
+    }
+
+    fn stop_unwanted(self: &Rc<Self>) {
+        for key in self.unwanted() {
+            if let Some(run) = self.runs.borrow_mut().open.get_mut(&key) {
+                run.stop_in_flight = true;
+            }
+            let life = Rc::clone(self);
+            tokio::task::spawn_local(async move { life.stop(key).await });
+        }
+    }
+
+    /// Lists runs that the table doesn't want, and starts that got no answer for too long.
+    fn unwanted(&self) -> Vec<RunKey> {
+        let table = self.parts.table.borrow();
+        let evicted = table.evicted.contains(&self.instance);
+        let runs = self.runs.borrow();
+        let unwanted = runs.open.iter().filter(|((task, attempt), run)| {
+            if run.stop_in_flight || run.stop_answered.is_some() || run.phase == Phase::Starting {
+                return false;
+            }
+            let unanswered = matches!(run.phase, Phase::Unanswered(since)
+                if since.elapsed() > self.parts.settings.unanswered_start);
+            unanswered || evicted || !table.wants_run(&self.instance, task, *attempt)
+        });
+        unwanted.map(|(key, _)| key.clone()).collect()
+    }
+
+    async fn stop(self: &Rc<Self>, key: RunKey) {
+        let order =
+            StopOrder { task: key.0.clone(), attempt: key.1, fencing_token: self.fencing_token() };
+        while !self.is_over() {
+            let order = StopOrder { fencing_token: self.fencing_token(), ..order.clone() };
+            let outcome = self.worker.stop(&order).await;
+            log::info!(
+                "event=J167 stop ordered task={} attempt={} worker={} outcome={outcome:?}",
+                key.0,
+                key.1,
+                self.instance
+            );
+            match outcome {
+                Ok(()) => break,
+                Err(WorkerError::OtherLife) => self.end("replaced"),
+                Err(WorkerError::NoAnswer) => tokio::time::sleep(STOP_RETRY).await,
+            }
+        }
+        if let Some(run) = self.runs.borrow_mut().open.get_mut(&key) {
+            run.stop_answered = Some(Instant::now());
+            run.stop_in_flight = false;
+        }
+        self.wake.notify_waiters();
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -0,0 +1,58 @@
+//! The runs that an agent knows of at one life of its worker.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use tokio::time::Instant;
+
+use crate::job::{Checkpoint, TaskId};
+
+/// Names a run: the task and its attempt.
+pub type RunKey = (TaskId, u32);
+
+/// Where a run stands, as far as the agent knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// A start is on its way.
+    Starting,
+    /// A start got no answer at this time.
+    Unanswered(Instant),
+    /// It runs.
+    Running,
+}
+
+/// A run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Where it stands.
+    pub phase: Phase,
+    /// Whether a stop is on its way.
+    pub stop_in_flight: bool,
+    /// When a stop was answered first.
+    pub stop_answered: Option<Instant>,
+    /// How far it is, 0 to 100.
+    pub percent: u32,
+    /// What it saved last.
+    pub checkpoint: Checkpoint,
+}
+
+impl Run {
+    /// Makes a run in a phase.
+    pub fn new(phase: Phase) -> Self {
+        Self {
+            phase,
+            stop_in_flight: false,
+            stop_answered: None,
+            percent: 0,
+            checkpoint: String::new(),
+        }
+    }
+}
+
+/// All runs of a life.
+#[derive(Debug, Default)]
+pub struct Runs {
+    /// Runs that may exist.
+    pub open: BTreeMap<RunKey, Run>,
+    /// Runs whose end is in the store; never started again.
+    pub over: BTreeSet<RunKey>,
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/job.rs
@@ -0,0 +1,215 @@
+//! What a caller submits: a job of steps, each a number of equal tasks.
+
+use serde::{Deserialize, Serialize};
+
+/// Identifies a job; chosen by its caller, 16 hexadecimal digits.
+pub type JobId = String;
+/// Identifies one life of a worker process.
+pub type InstanceId = String;
+/// Name of a process of rampbay.
+pub type NodeName = String;
+/// Name of a workspace, the owner of a guarantee.
+pub type WorkspaceName = String;
+/// Name of a queue, the route through which jobs come.
+pub type QueueName = String;
+/// Name of a service, the pool of workers that runs a queue's tasks.
+pub type ServiceName = String;
+/// Milliseconds since the Unix epoch, by the clock of the process that read them.
+pub type EpochMillis = u64;
+/// What a task saved of its progress; opaque, empty if nothing.
+pub type Checkpoint = String;
+
+/// Resources that one task holds, or that a worker has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resources {
+    /// Thousandths of a processor core.
+    pub cpu_milli: u64,
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Accelerators.
+    pub devices: u64,
+}
+
+/// Processor cores that one accelerator is worth when lost work is compared.
+pub const CORES_PER_DEVICE: u64 = 8;
+
+impl Resources {
+    /// Returns whether `demand` fits into these resources.
+    #[must_use]
+    pub const fn fits(&self, demand: &Self) -> bool {
+        self.cpu_milli >= demand.cpu_milli
+            && self.memory_mb >= demand.memory_mb
+            && self.devices >= demand.devices
+    }
+
+    /// Takes `demand` away, stopping at zero.
+    pub const fn take(&mut self, demand: &Self) {
+        self.cpu_milli = self.cpu_milli.saturating_sub(demand.cpu_milli);
+        self.memory_mb = self.memory_mb.saturating_sub(demand.memory_mb);
+        self.devices = self.devices.saturating_sub(demand.devices);
+    }
+
+    /// Gives `demand` back.
+    pub const fn give(&mut self, demand: &Self) {
+        self.cpu_milli += demand.cpu_milli;
+        self.memory_mb += demand.memory_mb;
+        self.devices += demand.devices;
+    }
+
+    /// Returns a single weight in thousandths of a core, an accelerator counted as
+    /// [`CORES_PER_DEVICE`] cores.
+    #[must_use]
+    pub const fn weight(&self) -> u64 {
+        self.cpu_milli + self.devices * CORES_PER_DEVICE * 1000
+    }
+}
+
+/// One step of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// Number of its tasks.
+    pub count: u32,
+    /// What each task holds.
+    pub demand: Resources,
+    /// The caller's rough guess of a task's duration, in milliseconds.
+    pub estimate_ms: u64,
+    /// Earlier steps that must be done beforehand, counted from 0.
+    pub depends_on: Vec<u32>,
+    /// Whether its tasks save their progress.
+    pub checkpointing: bool,
+    /// Whether its tasks only work jointly.
+    pub gang: bool,
+    /// Whether its tasks slow each other down when spread over racks.
+    pub same_rack: bool,
+    /// Label that a worker must have; empty for none.
+    pub required_label: String,
+    /// Rack that holds its data; empty for none.
+    pub data_rack: String,
+    /// Most of its tasks on one worker; 0 for no limit.
+    pub max_per_worker: u32,
+    /// Whether its tasks run until the job is cancelled.
+    pub long_running: bool,
+    /// Whether its tasks use only processor time that others leave.
+    pub fills: bool,
+}
+
+/// A job as it was accepted, with the terms of its queue at that time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Submission {
+    /// The caller's id of the job.
+    pub id: JobId,
+    /// Workspace whose key the caller showed; empty on a public queue.
+    pub workspace: WorkspaceName,
+    /// Queue that took the job.
+    pub queue: QueueName,
+    /// Service whose workers run it.
+    pub service: ServiceName,
+    /// 0 goes first.
+    pub priority: u32,
+    /// Failed runs of a task, or of a gang, after which the job has failed.
+    pub attempts: u32,
+    /// Factor on the longest chain of work in the objective, in thousandths.
+    pub stretch_permille: u64,
+    /// Added to the objective, in milliseconds.
+    pub target_ms: u64,
+    /// Text handed to each task.
+    pub payload: String,
+    /// The steps.
+    pub steps: Vec<Step>,
+    /// When the first occurrence falls due; 0 if the job isn't timed.
+    pub first_run_ms: EpochMillis,
+    /// Time between occurrences, in milliseconds.
+    pub interval_ms: u64,
+    /// Number of occurrences; 0 if the job isn't timed.
+    pub occurrences: u32,
+    /// When it was accepted.
+    pub submitted_at: EpochMillis,
+}
+
+impl Submission {
+    /// Returns how often the steps are run.
+    #[must_use]
+    pub fn occurrence_count(&self) -> u32 {
+        self.occurrences.max(1)
+    }
+
+    /// Returns when occurrence `number` may start.
+    #[must_use]
+    pub fn due_at(&self, number: u32) -> EpochMillis {
+        if self.occurrences == 0 {
+            return self.submitted_at;
+        }
+        self.first_run_ms + self.interval_ms * u64::from(number)
+    }
+
+    /// Returns whether the job is run at times of its own.
+    #[must_use]
+    pub fn is_timed(&self) -> bool {
+        self.occurrences > 0
+    }
+
+    /// Returns the estimated longest chain of dependent steps, in milliseconds.
+    #[must_use]
+    pub fn chain_ms(&self) -> u64 {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for step in &self.steps {
+            let begin = step.depends_on.iter().filter_map(|&index| ends.get(index as usize));
+            let begin = begin.copied().max().unwrap_or(0);
+            ends.push(begin + step.estimate_ms);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns when occurrence `number` should have ended to be in time.
+    #[must_use]
+    pub fn objective_at(&self, number: u32) -> EpochMillis {
+        let stretched = self.chain_ms() * self.stretch_permille.max(1000) / 1000;
+        self.due_at(number) + stretched + self.target_ms
+    }
+
+    /// Returns the accelerators that the first step holds.
+    #[must_use]
+    pub fn first_step_devices(&self) -> u64 {
+        self.steps.first().map_or(0, |step| u64::from(step.count) * step.demand.devices)
+    }
+}
+
+/// Names one task of a job.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// Occurrence, from 0.
+    pub occurrence: u32,
+    /// Step, from 0.
+    pub step: u32,
+    /// Index in its step, from 0.
+    pub index: u32,
+}
+
+impl std::fmt::Display for TaskId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.occurrence, self.step, self.index)
+    }
+}
+
+/// A text that doesn't name a task.
+#[derive(Debug, thiserror::Error)]
+#[error("not the name of a task: {0}")]
+pub struct TaskIdError(String);
+
+impl std::str::FromStr for TaskId {
+    type Err = TaskIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let error = || TaskIdError(text.to_owned());
+        let mut parts = text.split('.');
+        let job = parts.next().filter(|job| !job.is_empty()).ok_or_else(error)?.to_owned();
+        let mut number = || parts.next().and_then(|part| part.parse().ok()).ok_or_else(error);
+        let (occurrence, step, index) = (number()?, number()?, number()?);
+        if parts.next().is_some() {
+            return Err(error());
+        }
+        Ok(Self { job, occurrence, step, index })
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -0,0 +1,180 @@
+//! The leader: elected through the store, it plans round after round and keeps each decision.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::follower::Freshness;
+use crate::intake::CurrentRouting;
+use crate::job::NodeName;
+use crate::planner::{Planner, ProgressTable, RoundInputs};
+use crate::record::{KeyedRecord, Leader, Record, STATE_TOPIC};
+use crate::store::{AppendError, Fence, Offset, Store};
+use crate::table::JobTable;
+
+/// Writer name that all leaders share, so that a newer one fences the older ones.
+const WRITER: &str = "planner";
+/// Bits of an epoch that tell apart processes which saw the same generation.
+const EPOCH_SALT_BITS: u32 = 12;
+/// Longest time between two rounds, for what is due by time alone.
+const IDLE_ROUND: Duration = Duration::from_millis(200);
+/// Least time between two rounds, so that records come in groups.
+const ROUND_GAP: Duration = Duration::from_millis(10);
+/// Pause before an append without answer is repeated.
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+/// Most records of one append.
+const RECORDS_PER_APPEND: usize = 64;
+
+/// What a leader works with.
+pub struct LeaderParts {
+    /// Name of this process.
+    pub node: NodeName,
+    /// The store.
+    pub store: Rc<dyn Store>,
+    /// The table, which a follower keeps current.
+    pub table: Rc<RefCell<JobTable>>,
+    /// Age and position of the table.
+    pub freshness: Rc<Freshness>,
+    /// The configuration.
+    pub routing: Rc<CurrentRouting>,
+    /// Progress of all runs, which a follower keeps current.
+    pub progress: Rc<RefCell<ProgressTable>>,
+    /// Reads the clock for due times.
+    pub wall_clock: fn() -> u64,
+    /// Time between two calls for leadership.
+    pub candidacy_interval: Duration,
+    /// A number that differs between processes and starts.
+    pub salt: u64,
+}
+
+/// A leader that has lost its place.
+#[derive(Debug)]
+struct Deposed;
+
+/// Stands for leadership for ever, and plans while it has it.
+pub async fn run(parts: LeaderParts, planner: impl Fn() -> Planner) {
+    let term = tokio::sync::watch::channel(None::<u64>).0;
+    let stand = stand_for_ever(&parts, &term);
+    let lead = async {
+        let mut terms = term.subscribe();
+        loop {
+            let generation = *terms.borrow_and_update();
+            let Some(generation) = generation else {
+                if terms.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            let term_end = async {
+                while terms.changed().await.is_ok() {
+                    if *terms.borrow() != Some(generation) {
+                        return;
+                    }
+                }
+            };
+            tokio::select! {
+                () = term_end => log::info!("event=J121 leadership lost generation={generation}"),
+                Deposed = lead_once(&parts, generation, planner()) => {
+                    log::info!("event=J122 leadership fenced generation={generation}");
+                    tokio::time::sleep(parts.candidacy_interval).await;
+                }
+            }
+        }
+    };
+    tokio::join!(stand, lead);
+}
+
+async fn stand_for_ever(parts: &LeaderParts, term: &tokio::sync::watch::Sender<Option<u64>>) {
+    let mut generation = 0;
+    loop {
+        if let Ok(answer) = parts.store.stand(&parts.node, generation).await {
+            let leads = answer.leads;
+            let held = *term.borrow();
+            // A leader keeps the generation under which it began.
+            let next = if leads { held.or(Some(answer.generation)) } else { None };
+            term.send_if_modified(|current| std::mem::replace(current, next) != next);
+            generation = answer.generation;
+        }
+        tokio::time::sleep(parts.candidacy_interval).await;
+    }
+}
+
+struct Writer<'a> {
+    store: &'a dyn Store,
+    fence: Fence,
+}
+
+impl Writer<'_> {
+    /// Appends until the store has answered.
+    async fn append(&mut self, records: &[KeyedRecord]) -> Result<Offset, Deposed> {
+        loop {
+            match self.store.append(STATE_TOPIC, records, Some(&self.fence)).await {
+                Ok(end) => {
+                    self.fence.sequence += 1;
+                    return Ok(end);
+                }
+                Err(AppendError::Fenced) => return Err(Deposed),
+                Err(AppendError::Refused | AppendError::Unknown) => {
+                    tokio::time::sleep(REPEAT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn lead_once(parts: &LeaderParts, generation: u64, planner: Planner) -> Deposed {
+    match try_lead(parts, generation, planner).await {
+        Err(deposed) => deposed,
+        Ok(never) => match never {},
+    }
+}
+
+async fn try_lead(
+    parts: &LeaderParts,
+    generation: u64,
+    mut planner: Planner,
+) -> Result<std::convert::Infallible, Deposed> {
+    let epoch = next_epoch(generation, parts.table.borrow().leader.epoch, parts.salt);
+    let fence = Fence { writer: WRITER.to_owned(), epoch, sequence: 0 };
+    let mut writer = Writer { store: parts.store.as_ref(), fence };
+    let leader = Record::Leader(Leader { node: parts.node.clone(), epoch });
+    let end = writer.append(&[leader.encode()]).await?;
+    parts.freshness.reach(end).await;
+    log::info!("event=J120 leadership gained generation={generation} epoch={epoch} position={end}");
+    let started = Instant::now();
+    loop {
+        let round_started = Instant::now();
+        let mut changes = parts.freshness.subscribe();
+        let records = decide(parts, &mut planner, started.elapsed());
+        let idle = records.is_empty();
+        for group in records.chunks(RECORDS_PER_APPEND) {
+            let end = writer.append(group).await?;
+            parts.freshness.reach(end).await;
+        }
+        if idle {
+            let _ = tokio::time::timeout(IDLE_ROUND, changes.changed()).await;
+        }
+        tokio::time::sleep_until(round_started + ROUND_GAP).await;
+    }
+}
+
+fn decide(parts: &LeaderParts, planner: &mut Planner, now: Duration) -> Vec<KeyedRecord> {
+    let table = parts.table.borrow();
+    let progress = parts.progress.borrow();
+    let routing = parts.routing.get().unwrap_or_default();
+    planner.round(&RoundInputs {
+        table: &table,
+        routing: &routing,
+        progress: &progress,
+        now,
+        wall: (parts.wall_clock)(),
+    })
+}
+
+/// Returns an epoch above all that were seen, which no other process takes.
+fn next_epoch(generation: u64, seen: u64, salt: u64) -> u64 {
+    let term = generation.max((seen >> EPOCH_SALT_BITS) + 1);
+    (term << EPOCH_SALT_BITS) | (salt & ((1 << EPOCH_SALT_BITS) - 1))
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -0,0 +1,90 @@
+//! The planner: decides from the table what starts where and what is stopped, round by round.
+//!
+//! A round is a function of the table, the configuration, the runs' progress and the time. It
+//! returns the records that hold its decisions; nothing counts before the store has kept them.
+//! What a planner remembers between rounds ([`health`], waits for evictions) only sways choices
+//! and may be lost with it.
+
+mod draft;
+mod evict;
+mod fold;
+mod gang;
+pub mod health;
+mod place;
+mod preempt;
+mod progress;
+mod queue;
+mod room;
+mod watch;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::job::{EpochMillis, InstanceId};
+use crate::record::KeyedRecord;
+use crate::routing::Routing;
+use crate::table::JobTable;
+
+pub use progress::{ProgressTable, Seen};
+
+use draft::Draft;
+use health::HealthBook;
+
+/// Times that a planner goes by.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerSettings {
+    /// Age of a report after which its worker gets no new work.
+    pub doubt_after: Duration,
+    /// Age of a report after which its worker's runs are given up.
+    pub evict_after: Duration,
+    /// Time after an eviction from which no run of the worker can exist any more.
+    pub gone_after: Duration,
+    /// Time without progress after which a run is moved.
+    pub stall_after: Duration,
+    /// How much longer work takes away from its data or spread over racks.
+    pub remote_penalty: u64,
+}
+
+/// What one round goes by.
+pub struct RoundInputs<'a> {
+    /// Jobs and workers.
+    pub table: &'a JobTable,
+    /// The configuration.
+    pub routing: &'a Routing,
+    /// Progress of the runs.
+    pub progress: &'a ProgressTable,
+    /// Steady time since the planner began.
+    pub now: Duration,
+    /// Time of day.
+    pub wall: EpochMillis,
+}
+
+/// The planner.
+#[derive(Debug)]
+pub struct Planner {
+    settings: PlannerSettings,
+    health: HealthBook,
+    evicted_since: BTreeMap<InstanceId, Duration>,
+}
+
+impl Planner {
+    /// Makes a planner that remembers nothing.
+    #[must_use]
+    pub fn new(settings: PlannerSettings) -> Self {
+        Self { settings, health: HealthBook::default(), evicted_since: BTreeMap::new() }
+    }
+
+    /// Decides one round.
+    #[must_use]
+    pub fn round(&mut self, inputs: &RoundInputs<'_>) -> Vec<KeyedRecord> {
+        let mut draft = Draft::new(inputs.table);
+        fold::take_in_ends(&mut draft, inputs, &mut self.health);
+        fold::give_up_lost_runs(&mut draft, inputs);
+        fold::cancel(&mut draft);
+        fold::settle(&mut draft, inputs);
+        evict::evict(self, &mut draft, inputs);
+        watch::move_runs(self, &mut draft, inputs);
+        place::place(self, &mut draft, inputs);
+        draft.into_records()
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -0,0 +1,105 @@
+//! Changes of one round, over the table that they start from.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use crate::job::{JobId, Submission, TaskId};
+use crate::record::{JobPlan, KeyedRecord, Occurrence, Record, TaskPlan, TaskStatus, removal};
+use crate::table::JobTable;
+
+/// Changes of one round.
+pub struct Draft<'a> {
+    /// The table at the round's start.
+    pub table: &'a JobTable,
+    changed: BTreeMap<JobId, JobPlan>,
+    others: Vec<KeyedRecord>,
+}
+
+impl<'a> Draft<'a> {
+    /// Starts without changes.
+    pub fn new(table: &'a JobTable) -> Self {
+        Self { table, changed: BTreeMap::new(), others: Vec::new() }
+    }
+
+    /// Returns the names of all jobs with something left to do.
+    pub fn active(&self) -> Vec<JobId> {
+        self.table.active.iter().cloned().collect()
+    }
+
+    /// Returns the account of a job, with the changes so far.
+    pub fn plan(&self, id: &JobId) -> Option<&JobPlan> {
+        if let Some(plan) = self.changed.get(id) {
+            return Some(plan);
+        }
+        self.table.jobs.get(id)?.plan.as_deref()
+    }
+
+    /// Returns the account of a job, to change it.
+    pub fn edit(&mut self, id: &JobId) -> &mut JobPlan {
+        let kept = self.table.jobs.get(id).and_then(|job| job.plan.as_deref());
+        self.changed.entry(id.clone()).or_insert_with(|| kept.cloned().unwrap_or_default())
+    }
+
+    /// Returns what was submitted as a job.
+    pub fn submission(&self, id: &JobId) -> Option<Rc<Submission>> {
+        self.table.jobs.get(id).map(|job| Rc::clone(&job.submission))
+    }
+
+    /// Marks a task, if it runs, to be stopped.
+    pub fn stop(&mut self, id: &TaskId) {
+        let Some(task) = self.edit(&id.job).task_mut(id) else { return };
+        if task.status == TaskStatus::Running {
+            task.status = TaskStatus::Stopping;
+        }
+    }
+
+    /// Marks a task, and all members of its gang, to be stopped.
+    pub fn stop_unit(&mut self, id: &TaskId) {
+        for member in self.unit_of(id) {
+            self.stop(&member);
+        }
+    }
+
+    /// Returns all tasks that end together with this one.
+    pub fn unit_of(&self, id: &TaskId) -> Vec<TaskId> {
+        let is_gang = self.submission(&id.job).is_some_and(|submission| {
+            submission.steps.get(id.step as usize).is_some_and(|s| s.gang)
+        });
+        if !is_gang {
+            return vec![id.clone()];
+        }
+        let occurrence = self
+            .plan(&id.job)
+            .and_then(|plan| plan.open.iter().find(|o| o.number == id.occurrence));
+        let count = occurrence.map_or(0, |o| o.steps[id.step as usize].len());
+        (0..count as u32).map(|index| TaskId { index, ..id.clone() }).collect()
+    }
+
+    /// Adds a record that isn't a job's account.
+    pub fn add(&mut self, record: KeyedRecord) {
+        self.others.push(record);
+    }
+
+    /// Removes a key.
+    pub fn remove(&mut self, key: String) {
+        self.others.push(removal(key));
+    }
+
+    /// Returns the records of all changes: accounts before the removals of ends that they hold.
+    pub fn into_records(self) -> Vec<KeyedRecord> {
+        let table = self.table;
+        let is_new = |id: &JobId, plan: &JobPlan| {
+            table.jobs.get(id).and_then(|job| job.plan.as_deref()) != Some(plan)
+        };
+        let plans = self.changed.into_iter().filter(|(id, plan)| is_new(id, plan));
+        let plans = plans.map(|(id, plan)| Record::Plan(id, Box::new(plan)).encode());
+        plans.chain(self.others).collect()
+    }
+}
+
+/// Returns an occurrence none of whose tasks has begun.
+pub fn unbegun(submission: &Submission, number: u32) -> Occurrence {
+    let tasks = |count: u32| vec![TaskPlan::default(); count as usize];
+    let steps = submission.steps.iter().map(|step| tasks(step.count)).collect();
+    Occurrence { number, steps }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -0,0 +1,41 @@
+//! Gives up the runs of workers whose agents are silent, once none of them can exist any more.
+
+use crate::record::{Record, eviction_key, worker_key};
+
+use super::draft::Draft;
+use super::{Planner, RoundInputs};
+
+/// Evicts workers without reports, and removes those whose eviction is old enough.
+pub fn evict(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    start_evictions(planner, draft, inputs);
+    planner.evicted_since.retain(|instance, _| inputs.table.evicted.contains(instance));
+    for instance in &inputs.table.evicted {
+        // A planner that takes over counts from its own start: later, never earlier.
+        let since = *planner.evicted_since.entry(instance.clone()).or_insert(inputs.now);
+        if inputs.now.saturating_sub(since) < planner.settings.gone_after {
+            continue;
+        }
+        log::warn!("event=J141 worker given up worker={instance}");
+        draft.remove(worker_key(instance));
+        draft.remove(eviction_key(instance));
+    }
+}
+
+fn start_evictions(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    let now = tokio::time::Instant::now();
+    for (instance, worker) in &inputs.table.workers {
+        if inputs.table.evicted.contains(instance) {
+            continue;
+        }
+        let age = inputs.progress.report_age(instance, now);
+        if age < planner.settings.evict_after {
+            continue;
+        }
+        log::warn!(
+            "event=J140 worker evicted worker={instance} agent={} report_age_ms={}",
+            worker.node,
+            age.as_millis()
+        );
+        draft.add(Record::Evicted(instance.clone()).encode());
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -0,0 +1,217 @@
+//! Takes into the accounts what has happened: ends, lost workers, cancellations, done steps.
+
+use crate::job::{JobId, Step, Submission, TaskId};
+use crate::record::{EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus};
+
+use super::RoundInputs;
+use super::draft::Draft;
+use super::health::HealthBook;
+
+/// Takes in the ends that agents have reported.
+pub fn take_in_ends(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, health: &mut HealthBook) {
+    for (key, end) in &inputs.table.ends {
+        draft.remove(key.clone());
+        note_health(end, inputs, health);
+        take_in_end(draft, inputs, end);
+    }
+}
+
+fn note_health(end: &RunEnd, inputs: &RoundInputs<'_>, health: &mut HealthBook) {
+    match end.reason {
+        EndReason::Failed => health.failed(&end.instance, &end.task.job, inputs.now),
+        EndReason::Done => health.succeeded(&end.instance),
+        EndReason::NotStarted => health.refused(&end.instance, inputs.now),
+        _ => {}
+    }
+}
+
+fn take_in_end(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, end: &RunEnd) {
+    let Some(submission) = draft.submission(&end.task.job) else { return };
+    let Some(step) = submission.steps.get(end.task.step as usize) else { return };
+    let current = draft.plan(&end.task.job).and_then(|plan| plan.task(&end.task));
+    let Some(current) = current else { return };
+    let is_current = current.occupies() && current.attempt == end.attempt;
+    if !is_current {
+        log::info!(
+            "event=J131 stale end task={} attempt={} current={} reason={:?}",
+            end.task,
+            end.attempt,
+            current.attempt,
+            end.reason
+        );
+        return;
+    }
+    log::info!(
+        "event=J130 run ended task={} attempt={} reason={:?} worker={}",
+        end.task,
+        end.attempt,
+        end.reason,
+        end.instance
+    );
+    let checkpoint = newest_checkpoint(inputs, end);
+    let plan = draft.edit(&end.task.job);
+    if let Some(task) = plan.task_mut(&end.task) {
+        task.status = TaskStatus::Waiting;
+        if !checkpoint.is_empty() {
+            task.checkpoint = checkpoint;
+        }
+        if end.reason == EndReason::Done && !step.long_running {
+            task.status = TaskStatus::Done;
+        }
+    }
+    if end.reason == EndReason::Failed && !step.long_running {
+        count_failure(plan, &submission, step, end);
+    }
+}
+
+fn newest_checkpoint(inputs: &RoundInputs<'_>, end: &RunEnd) -> String {
+    if !end.checkpoint.is_empty() {
+        return end.checkpoint.clone();
+    }
+    let seen = inputs.progress.run(&end.task, end.attempt);
+    seen.map(|seen| seen.checkpoint.clone()).unwrap_or_default()
+}
+
+/// Counts a failed run: for a gang once for each of its runs, at all members.
+fn count_failure(plan: &mut JobPlan, submission: &Submission, step: &Step, end: &RunEnd) {
+    let members = if step.gang { 0..step.count } else { end.task.index..end.task.index + 1 };
+    for index in members {
+        let id = TaskId { index, ..end.task.clone() };
+        let Some(task) = plan.task_mut(&id) else { continue };
+        if task.failed_attempt == end.attempt {
+            continue;
+        }
+        task.failed_attempt = end.attempt;
+        task.failures += 1;
+        if task.failures >= submission.attempts.max(1) && !task.occupies() {
+            task.status = TaskStatus::Failed;
+        }
+    }
+}
+
+/// Takes runs on workers that are gone as lapsed.
+pub fn give_up_lost_runs(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    for id in draft.active() {
+        for task in lost_runs(draft, &id) {
+            let Some(current) = draft.plan(&id).and_then(|plan| plan.task(&task)) else { continue };
+            let end = RunEnd {
+                attempt: current.attempt,
+                reason: EndReason::Lapsed,
+                checkpoint: String::new(),
+                instance: current.instance.clone(),
+                task,
+            };
+            take_in_end(draft, inputs, &end);
+        }
+    }
+}
+
+fn lost_runs(draft: &Draft<'_>, id: &JobId) -> Vec<TaskId> {
+    let Some(plan) = draft.plan(id) else { return Vec::new() };
+    let is_lost =
+        |task: &TaskPlan| task.occupies() && !draft.table.workers.contains_key(&task.instance);
+    plan.tasks(id).filter(|(_, task)| is_lost(task)).map(|(id, _)| id).collect()
+}
+
+/// Ends jobs that their callers have cancelled, and stops what runs of jobs that have ended.
+pub fn cancel(draft: &mut Draft<'_>) {
+    for id in draft.active() {
+        let cancelled = draft.table.jobs.get(&id).is_some_and(|job| job.cancelled);
+        let is_final = draft.plan(&id).is_some_and(|plan| plan.status.is_final());
+        if cancelled && !is_final {
+            draft.edit(&id).status = JobStatus::Cancelled;
+            log::info!("event=J132 job cancelled job={id}");
+        }
+        if cancelled || is_final {
+            stop_all(draft, &id);
+        }
+    }
+}
+
+fn stop_all(draft: &mut Draft<'_>, id: &JobId) {
+    let Some(plan) = draft.plan(id) else { return };
+    let running = plan.tasks(id).filter(|(_, task)| task.status == TaskStatus::Running);
+    let running: Vec<TaskId> = running.map(|(id, _)| id).collect();
+    for task in running {
+        draft.stop(&task);
+    }
+}
+
+/// Settles gangs, closes occurrences that are done, and ends jobs.
+pub fn settle(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    for id in draft.active() {
+        let Some(submission) = draft.submission(&id) else { continue };
+        let Some(plan) = draft.plan(&id) else { continue };
+        if plan.status.is_final() {
+            continue;
+        }
+        let mut settled = plan.clone();
+        settle_gangs(&mut settled, &submission);
+        settle_job(&mut settled, &submission);
+        if settled != *plan {
+            log_settled(&id, plan.status, settled.status, inputs);
+            *draft.edit(&id) = settled;
+        }
+    }
+}
+
+fn log_settled(id: &JobId, before: JobStatus, after: JobStatus, inputs: &RoundInputs<'_>) {
+    if before != after {
+        log::info!("event=J133 job settled job={id} status={after:?} wall={}", inputs.wall);
+    }
+}
+
+/// A gang's end is joint: one member done counts for all; one member over ends the others.
+fn settle_gangs(plan: &mut JobPlan, submission: &Submission) {
+    for occurrence in &mut plan.open {
+        for (tasks, step) in occurrence.steps.iter_mut().zip(&submission.steps) {
+            if step.gang && !step.long_running {
+                settle_gang(tasks, submission.attempts.max(1));
+            } else if step.gang {
+                stop_rest(tasks);
+            }
+        }
+    }
+}
+
+fn settle_gang(tasks: &mut [TaskPlan], attempts: u32) {
+    let any_done = tasks.iter().any(|task| task.status == TaskStatus::Done);
+    for task in tasks.iter_mut().filter(|task| !task.occupies()) {
+        if any_done {
+            task.status = TaskStatus::Done;
+        } else if task.failures >= attempts {
+            task.status = TaskStatus::Failed;
+        }
+    }
+    if !any_done {
+        stop_rest(tasks);
+    }
+}
+
+fn stop_rest(tasks: &mut [TaskPlan]) {
+    let some_over = tasks.iter().any(|task| task.status != TaskStatus::Running);
+    if !some_over {
+        return;
+    }
+    for task in tasks.iter_mut().filter(|task| task.status == TaskStatus::Running) {
+        task.status = TaskStatus::Stopping;
+    }
+}
+
+fn settle_job(plan: &mut JobPlan, submission: &Submission) {
+    let mut tasks = plan.open.iter().flat_map(|open| open.steps.iter().flatten());
+    if tasks.any(|task| task.status == TaskStatus::Failed) {
+        plan.status = JobStatus::Failed;
+        for task in plan.open.iter_mut().flat_map(|open| open.steps.iter_mut().flatten()) {
+            if task.status == TaskStatus::Running {
+                task.status = TaskStatus::Stopping;
+            }
+        }
+        return;
+    }
+    plan.open
+        .retain(|open| open.steps.iter().flatten().any(|task| task.status != TaskStatus::Done));
+    if plan.open.is_empty() && plan.next_occurrence >= submission.occurrence_count() {
+        plan.status = JobStatus::Succeeded;
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -0,0 +1,117 @@
+//! Finds places for tasks in the rooms of the workers.
+
+use crate::job::{Resources, Step};
+
+use super::queue::WaitingStep;
+use super::room::{Room, StepKey, charge};
+
+/// What a place must offer.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    /// The step.
+    pub step: &'a Step,
+    /// Service whose workers count.
+    pub service: &'a str,
+    /// What one task takes.
+    pub demand: Resources,
+    /// Names the step's tasks.
+    pub key: StepKey,
+    /// Worker of an earlier run that failed, to be avoided if others will do.
+    pub failed_at: Vec<String>,
+}
+
+impl<'a> Need<'a> {
+    /// Returns what a waiting step needs of each place.
+    pub fn of(waiting: &'a WaitingStep, failed_at: Vec<String>) -> Self {
+        let step = &waiting.submission.steps[waiting.step as usize];
+        Self {
+            step,
+            service: &waiting.submission.service,
+            demand: charge(step),
+            key: (waiting.job.clone(), waiting.occurrence, waiting.step),
+            failed_at,
+        }
+    }
+
+    /// Returns whether a worker may run the step at all.
+    pub fn allows(&self, room: &Room) -> bool {
+        let label = &self.step.required_label;
+        room.usable
+            && room.worker.service == self.service
+            && (label.is_empty() || room.worker.labels.contains(label))
+    }
+
+    /// Returns whether a worker may take one more task of the step.
+    pub fn allows_more(&self, room: &Room) -> bool {
+        let most = self.step.max_per_worker;
+        let there = room.members.get(&self.key).copied().unwrap_or(0);
+        self.allows(room) && (most == 0 || there < most)
+    }
+
+    /// Returns whether one more task fits there now.
+    pub fn fits(&self, room: &Room) -> bool {
+        self.allows_more(room) && room.free.fits(&self.demand)
+    }
+
+    /// Returns how badly a worker suits, the least first: away from the data, failed or refused
+    /// before, then whatever leaves least room behind.
+    fn unfitness(&self, room: &Room) -> (bool, bool, bool, u64, u64) {
+        let rack = &self.step.data_rack;
+        let remote = !rack.is_empty() && !room.worker.labels.contains(rack);
+        let failed = self.failed_at.contains(&room.instance);
+        (room.avoided, remote, failed, room.free.devices, room.free.cpu_milli)
+    }
+}
+
+/// Takes one task's room at a worker.
+pub fn occupy(room: &mut Room, need: &Need<'_>) {
+    room.free.take(&need.demand);
+    *room.members.entry(need.key.clone()).or_default() += 1;
+}
+
+/// Finds the best place for one task and takes it.
+pub fn place_one(rooms: &mut [Room], need: &Need<'_>) -> Option<usize> {
+    let fitting = rooms.iter().enumerate().filter(|(_, room)| need.fits(room));
+    let (index, _) = fitting.min_by_key(|(_, room)| need.unfitness(room))?;
+    occupy(&mut rooms[index], need);
+    Some(index)
+}
+
+/// Finds places for `count` tasks at once, or for none.
+pub fn place_all(rooms: &[Room], need: &Need<'_>, count: usize) -> Option<Vec<usize>> {
+    let mut trial = rooms.to_vec();
+    (0..count).map(|_| place_one(&mut trial, need)).collect()
+}
+
+/// Lists the racks of the service, sorted.
+pub fn racks(rooms: &[Room], need: &Need<'_>) -> Vec<String> {
+    let allowed = rooms.iter().filter(|room| need.allows(room));
+    let mut racks: Vec<String> = allowed.map(|room| room.worker.rack().to_owned()).collect();
+    racks.sort();
+    racks.dedup();
+    racks
+}
+
+/// Keeps only the workers of one rack usable.
+pub fn within_rack(rooms: &[Room], rack: &str) -> Vec<Room> {
+    let mut trial = rooms.to_vec();
+    for room in &mut trial {
+        room.usable &= room.worker.rack() == rack;
+    }
+    trial
+}
+
+/// Finds places for `count` tasks in one rack: the one that is left with least room.
+pub fn place_in_rack(rooms: &[Room], need: &Need<'_>, count: usize) -> Option<Vec<usize>> {
+    let mut best: Option<(bool, u64, Vec<usize>)> = None;
+    for rack in racks(rooms, need) {
+        let trial = within_rack(rooms, &rack);
+        let Some(places) = place_all(&trial, need, count) else { continue };
+        let remote = !need.step.data_rack.is_empty() && need.step.data_rack != rack;
+        let free = trial.iter().filter(|room| room.usable).map(|room| room.free.devices).sum();
+        if best.as_ref().is_none_or(|(r, f, _)| (remote, free) < (*r, *f)) {
+            best = Some((remote, free, places));
+        }
+    }
+    best.map(|(_, _, places)| places)
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -0,0 +1,209 @@
+//! Starts what waits where it fits, and makes room for guaranteed work.
+
+use crate::job::{Checkpoint, InstanceId, TaskId};
+use crate::record::{JobPlan, JobStatus, TaskStatus};
+
+use super::draft::{Draft, unbegun};
+use super::gang::{Need, occupy, place_all, place_in_rack, place_one};
+use super::preempt::preempt;
+use super::queue::{WaitingStep, waiting_steps};
+use super::room::Rooms;
+use super::{Planner, RoundInputs};
+
+/// How long a gang that wants one rack waits for it before it is spread over several.
+const WAIT_FOR_RACK_MS: u64 = 4000;
+/// The same for guaranteed work, which has to start in time.
+const WAIT_FOR_RACK_URGENT_MS: u64 = 700;
+/// How long a task waits for a worker near its data.
+const WAIT_FOR_DATA_MS: u64 = 3000;
+
+/// Places all that waits.
+pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    let waiting = waiting_steps(draft, inputs);
+    if waiting.is_empty() {
+        return;
+    }
+    let mut rooms = Rooms::survey(planner, draft, inputs);
+    for step in &waiting {
+        let need = Need::of(step, failed_workers(draft, step));
+        if need.step.gang {
+            place_gang(draft, &mut rooms, step, &need, inputs);
+        } else {
+            place_tasks(draft, &mut rooms, step, &need, inputs);
+        }
+    }
+}
+
+fn failed_workers(draft: &Draft<'_>, waiting: &WaitingStep) -> Vec<InstanceId> {
+    let Some(plan) = draft.plan(&waiting.job) else { return Vec::new() };
+    let tasks = waiting.tasks.iter().filter_map(|&index| plan.task(&task_id(waiting, index)));
+    tasks.filter(|task| task.failures > 0).map(|task| task.instance.clone()).collect()
+}
+
+fn task_id(waiting: &WaitingStep, index: u32) -> TaskId {
+    TaskId { job: waiting.job.clone(), occurrence: waiting.occurrence, step: waiting.step, index }
+}
+
+fn place_gang(
+    draft: &mut Draft<'_>,
+    rooms: &mut Rooms,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    inputs: &RoundInputs<'_>,
+) {
+    let count = waiting.tasks.len();
+    let wants_rack = need.step.same_rack && count > 1;
+    let waited = inputs.wall.saturating_sub(waiting.waits_since);
+    let patience = if waiting.guaranteed { WAIT_FOR_RACK_URGENT_MS } else { WAIT_FOR_RACK_MS };
+    let places = if wants_rack {
+        place_in_rack(&rooms.rooms, need, count)
+            .or_else(|| (waited > patience).then(|| place_all(&rooms.rooms, need, count)).flatten())
+    } else {
+        place_all(&rooms.rooms, need, count)
+    };
+    if let Some(places) = places {
+        start_gang(draft, rooms, waiting, need, &places);
+        return;
+    }
+    if waiting.guaranteed {
+        make_room(draft, rooms, waiting, need, count);
+    }
+}
+
+fn place_tasks(
+    draft: &mut Draft<'_>,
+    rooms: &mut Rooms,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    inputs: &RoundInputs<'_>,
+) {
+    let waited = inputs.wall.saturating_sub(waiting.waits_since);
+    let mut left = waiting.tasks.clone();
+    while let Some(&index) = left.first() {
+        let Some(place) = place_near_data(rooms, need, waited) else { break };
+        start_task(draft, waiting, index, &rooms.rooms[place].instance, None);
+        left.remove(0);
+    }
+    if waiting.guaranteed && !left.is_empty() {
+        make_room(draft, rooms, waiting, need, left.len());
+    }
+}
+
+fn place_near_data(rooms: &mut Rooms, need: &Need<'_>, waited: u64) -> Option<usize> {
+    let rack = &need.step.data_rack;
+    if rack.is_empty() || waited > WAIT_FOR_DATA_MS {
+        return place_one(&mut rooms.rooms, need);
+    }
+    let mut near = super::gang::within_rack(&rooms.rooms, rack);
+    if !near.iter().any(|room| need.allows(room)) {
+        return place_one(&mut rooms.rooms, need);
+    }
+    let place = place_one(&mut near, need)?;
+    occupy(&mut rooms.rooms[place], need);
+    Some(place)
+}
+
+/// Stops what has to go for guaranteed work, and keeps the room for it until then.
+fn make_room(
+    draft: &mut Draft<'_>,
+    rooms: &mut Rooms,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    count: usize,
+) {
+    let Some(preemption) = preempt(rooms, need, count) else {
+        return;
+    };
+    for victim in &preemption.victims {
+        log::info!(
+            "event=J151 run stopped for guaranteed work task={victim} for_job={} workspace={}",
+            waiting.job,
+            waiting.submission.workspace
+        );
+        let unit = draft.unit_of(victim);
+        draft.stop_unit(victim);
+        let is_stopped = |id: &TaskId| unit.contains(id);
+        let stopped: Vec<_> =
+            rooms.running.iter().filter(|task| is_stopped(&task.id)).cloned().collect();
+        rooms.running.retain(|task| !is_stopped(&task.id));
+        for task in stopped {
+            if let Some(index) = rooms.position(&task.instance) {
+                rooms.rooms[index].freed_soon.give(&task.held);
+            }
+        }
+    }
+    for place in preemption.places {
+        reserve(rooms, place, need);
+    }
+}
+
+/// Keeps one task's room at a worker, first out of what becomes free soon.
+fn reserve(rooms: &mut Rooms, place: usize, need: &Need<'_>) {
+    let room = &mut rooms.rooms[place];
+    let mut total = room.free;
+    total.give(&room.freed_soon);
+    total.take(&need.demand);
+    // What is free now and still left belongs to others; the rest comes with the stops.
+    let free = crate::job::Resources {
+        cpu_milli: room.free.cpu_milli.min(total.cpu_milli),
+        memory_mb: room.free.memory_mb.min(total.memory_mb),
+        devices: room.free.devices.min(total.devices),
+    };
+    total.take(&free);
+    room.free = free;
+    room.freed_soon = total;
+}
+
+fn start_gang(
+    draft: &mut Draft<'_>,
+    rooms: &mut Rooms,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    places: &[usize],
+) {
+    let plan = draft.plan(&waiting.job);
+    let members = waiting.tasks.iter().filter_map(|&index| plan?.task(&task_id(waiting, index)));
+    let members: Vec<_> = members.collect();
+    let attempt = members.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
+    let checkpoint = members.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
+    for (&index, &place) in waiting.tasks.iter().zip(places) {
+        occupy(&mut rooms.rooms[place], need);
+        let joint = Some((attempt, checkpoint.clone()));
+        start_task(draft, waiting, index, &rooms.rooms[place].instance, joint);
+    }
+}
+
+fn start_task(
+    draft: &mut Draft<'_>,
+    waiting: &WaitingStep,
+    index: u32,
+    instance: &str,
+    joint: Option<(u32, Checkpoint)>,
+) {
+    let id = task_id(waiting, index);
+    let plan = draft.edit(&waiting.job);
+    open_until(plan, waiting);
+    plan.status = JobStatus::Running;
+    let Some(task) = plan.task_mut(&id) else { return };
+    task.status = TaskStatus::Running;
+    task.attempt += 1;
+    if let Some((attempt, checkpoint)) = joint {
+        task.attempt = attempt;
+        task.checkpoint = checkpoint;
+    }
+    instance.clone_into(&mut task.instance);
+    log::info!(
+        "event=J150 run assigned task={id} attempt={} worker={instance} priority={} guaranteed={}",
+        task.attempt,
+        waiting.submission.priority,
+        waiting.guaranteed
+    );
+}
+
+/// Opens occurrences up to the one that starts.
+fn open_until(plan: &mut JobPlan, waiting: &WaitingStep) {
+    while plan.next_occurrence <= waiting.occurrence {
+        plan.open.push(unbegun(&waiting.submission, plan.next_occurrence));
+        plan.next_occurrence += 1;
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -0,0 +1,133 @@
+//! Chooses what is stopped for guaranteed work: whatever loses the least.
+
+use std::collections::BTreeSet;
+
+use crate::job::TaskId;
+
+use super::gang::{Need, occupy, racks, within_rack};
+use super::room::{Room, Rooms, RunningTask};
+
+/// Tasks that end together, and what their stop costs.
+struct Unit<'a> {
+    members: Vec<&'a RunningTask>,
+    lost_work: u64,
+}
+
+/// What to stop, and where the tasks will then fit.
+pub struct Preemption {
+    /// A member of each unit to stop.
+    pub victims: Vec<TaskId>,
+    /// Workers, one for each task.
+    pub places: Vec<usize>,
+    lost_work: u64,
+}
+
+/// Finds the cheapest stops after which `count` tasks fit, in one rack if the step wants that.
+pub fn preempt(rooms: &Rooms, need: &Need<'_>, count: usize) -> Option<Preemption> {
+    let units = units_below_urgent(rooms);
+    if need.step.same_rack && count > 1 {
+        let in_racks = racks(&rooms.rooms, need)
+            .into_iter()
+            .filter_map(|rack| free_places(within_rack(&rooms.rooms, &rack), &units, need, count));
+        if let Some(best) = in_racks.min_by_key(|preemption| preemption.lost_work) {
+            return Some(best);
+        }
+    }
+    free_places(rooms.rooms.clone(), &units, need, count)
+}
+
+fn units_below_urgent(rooms: &Rooms) -> Vec<Unit<'_>> {
+    let mut units: Vec<Unit<'_>> = Vec::new();
+    for task in rooms.running.iter().filter(|task| task.priority > 0) {
+        let same = |unit: &&mut Unit<'_>| task.gang && is_same_gang(&unit.members[0].id, &task.id);
+        match units.iter_mut().find(same) {
+            Some(unit) => {
+                unit.members.push(task);
+                unit.lost_work += task.lost_work;
+            }
+            None => units.push(Unit { members: vec![task], lost_work: task.lost_work }),
+        }
+    }
+    units.sort_by_key(|unit| unit.lost_work);
+    units
+}
+
+fn is_same_gang(one: &TaskId, other: &TaskId) -> bool {
+    one.job == other.job && one.occurrence == other.occurrence && one.step == other.step
+}
+
+/// Places task after task, each where the stops that it needs cost least.
+fn free_places(
+    mut rooms: Vec<Room>,
+    units: &[Unit<'_>],
+    need: &Need<'_>,
+    count: usize,
+) -> Option<Preemption> {
+    for room in &mut rooms {
+        let soon = room.freed_soon;
+        room.free.give(&soon);
+    }
+    let mut chosen: BTreeSet<usize> = BTreeSet::new();
+    let mut places = Vec::with_capacity(count);
+    for _ in 0..count {
+        let options = (0..rooms.len()).filter_map(|index| {
+            let stops = stops_for(&rooms[index], units, &chosen, need)?;
+            let cost: u64 = stops.iter().map(|&unit| units[unit].lost_work).sum();
+            Some((cost, rooms[index].avoided, rooms[index].free.devices, index, stops))
+        });
+        let (_, _, _, index, stops) =
+            options.min_by_key(|(cost, avoided, devices, ..)| (*avoided, *cost, *devices))?;
+        for unit in stops {
+            chosen.insert(unit);
+            release(&mut rooms, &units[unit]);
+        }
+        occupy(&mut rooms[index], need);
+        places.push(index);
+    }
+    let lost_work = chosen.iter().map(|&unit| units[unit].lost_work).sum();
+    let victims = chosen.iter().map(|&unit| units[unit].members[0].id.clone()).collect();
+    Some(Preemption { victims, places, lost_work })
+}
+
+fn release(rooms: &mut [Room], unit: &Unit<'_>) {
+    for member in &unit.members {
+        if let Some(room) = rooms.iter_mut().find(|room| room.instance == member.instance) {
+            room.free.give(&member.held);
+        }
+    }
+}
+
+/// Returns the cheapest units to stop so that one task fits at this worker.
+fn stops_for(
+    room: &Room,
+    units: &[Unit<'_>],
+    chosen: &BTreeSet<usize>,
+    need: &Need<'_>,
+) -> Option<Vec<usize>> {
+    if !need.allows_more(room) {
+        return None;
+    }
+    let mut free = room.free;
+    let mut stops = Vec::new();
+    for (index, unit) in units.iter().enumerate() {
+        if free.fits(&need.demand) {
+            break;
+        }
+        if chosen.contains(&index) {
+            continue;
+        }
+        let here: Vec<_> =
+            unit.members.iter().filter(|member| member.instance == room.instance).collect();
+        let helps = here.iter().any(|member| {
+            (free.devices < need.demand.devices && member.held.devices > 0)
+                || (free.cpu_milli < need.demand.cpu_milli && member.held.cpu_milli > 0)
+                || (free.memory_mb < need.demand.memory_mb && member.held.memory_mb > 0)
+        });
+        if !helps {
+            continue;
+        }
+        here.iter().for_each(|member| free.give(&member.held));
+        stops.push(index);
+    }
+    free.fits(&need.demand).then_some(stops)
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -0,0 +1,119 @@
+//! Progress of all runs, as the agents report it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::follower::Sink;
+use crate::job::{Checkpoint, InstanceId, TaskId};
+use crate::record::{KeyedRecord, ProgressReport};
+
+/// A run's latest progress.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// How far it is, 0 to 100.
+    pub percent: u32,
+    /// When it came there.
+    pub since: Instant,
+    /// What it saved last.
+    pub checkpoint: Checkpoint,
+    /// Where it runs.
+    pub instance: InstanceId,
+}
+
+/// An agent's latest report.
+#[derive(Clone, Debug)]
+struct Report {
+    received_at: Instant,
+    silent: Duration,
+}
+
+/// Progress of all runs.
+#[derive(Debug, Default)]
+pub struct ProgressTable {
+    runs: BTreeMap<(TaskId, u32), Seen>,
+    reports: BTreeMap<InstanceId, Report>,
+    /// Reports older than this time may be missing only because none could be read.
+    readable_since: Option<Instant>,
+    last_read: Option<Instant>,
+}
+
+/// Time between reads beyond which the reports' ages say nothing about the agents.
+const READ_GAP: Duration = Duration::from_millis(1500);
+
+impl ProgressTable {
+    /// Takes note that the reports could be read at this time.
+    pub fn note_read(&mut self, now: Instant) {
+        let gap = self.last_read.is_none_or(|last| now - last > READ_GAP);
+        if gap {
+            self.readable_since = Some(now);
+        }
+        self.last_read = Some(now);
+    }
+
+    /// Returns how long an agent hasn't reported, while reports could be read.
+    pub fn report_age(&self, instance: &str, now: Instant) -> Duration {
+        let Some(readable) = self.readable_since else { return Duration::ZERO };
+        if self.last_read.is_none_or(|last| now - last > READ_GAP) {
+            return Duration::ZERO;
+        }
+        let received = self.reports.get(instance).map_or(readable, |report| report.received_at);
+        now.saturating_duration_since(received.max(readable))
+    }
+
+    /// Returns how long a worker hadn't answered its agent at the last report.
+    pub fn silent(&self, instance: &str) -> Duration {
+        self.reports.get(instance).map_or(Duration::ZERO, |report| report.silent)
+    }
+
+    /// Returns a run's progress.
+    pub fn run(&self, task: &TaskId, attempt: u32) -> Option<&Seen> {
+        self.runs.get(&(task.clone(), attempt))
+    }
+
+    /// Takes in a report.
+    pub fn insert(&mut self, instance: &str, report: ProgressReport, now: Instant) {
+        let silent = Duration::from_millis(report.silent_ms);
+        self.reports.insert(instance.to_owned(), Report { received_at: now, silent });
+        self.runs.retain(|(task, attempt), seen| {
+            seen.instance != instance
+                || report.runs.iter().any(|run| run.task == *task && run.attempt == *attempt)
+                || now.saturating_duration_since(seen.since) < KEEP_ENDED
+        });
+        for run in report.runs {
+            let key = (run.task, run.attempt);
+            let before = self.runs.get(&key).filter(|seen| seen.percent == run.percent);
+            let since = before.map_or(now, |seen| seen.since);
+            let seen = Seen {
+                percent: run.percent,
+                since,
+                checkpoint: run.checkpoint,
+                instance: instance.to_owned(),
+            };
+            self.runs.insert(key, seen);
+        }
+    }
+
+    fn forget(&mut self, instance: &str) {
+        self.reports.remove(instance);
+    }
+}
+
+/// How long the progress of a run that is no longer listed is kept, for its checkpoint.
+const KEEP_ENDED: Duration = Duration::from_secs(30);
+
+impl Sink for ProgressTable {
+    fn reset(&mut self) {}
+
+    fn apply(&mut self, record: &KeyedRecord) {
+        if record.value.is_empty() {
+            self.forget(&record.key);
+            return;
+        }
+        match postcard::from_bytes(&record.value) {
+            Ok(report) => self.insert(&record.key, report, Instant::now()),
+            Err(error) => log::warn!("event=J104 report unreadable key={} {error}", record.key),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -0,0 +1,135 @@
+//! What waits for a place, in the order in which it is looked at.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use crate::job::{EpochMillis, JobId, Submission, WorkspaceName};
+use crate::record::{JobStatus, Occurrence, TaskPlan, TaskStatus};
+
+use super::RoundInputs;
+use super::draft::{Draft, unbegun};
+
+/// A step some of whose tasks wait and may start.
+#[derive(Clone, Debug)]
+pub struct WaitingStep {
+    /// Its job.
+    pub job: JobId,
+    /// What was submitted.
+    pub submission: Rc<Submission>,
+    /// Its occurrence.
+    pub occurrence: u32,
+    /// Its number.
+    pub step: u32,
+    /// Indices of the tasks that wait.
+    pub tasks: Vec<u32>,
+    /// Whether it lies within its workspace's guarantee.
+    pub guaranteed: bool,
+    /// When its job should have ended.
+    pub objective: EpochMillis,
+    /// Since when it might have started, as far as is known.
+    pub waits_since: EpochMillis,
+}
+
+/// Lists what waits: guaranteed work first, then by priority and objective.
+pub fn waiting_steps(draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<WaitingStep> {
+    let guaranteed = guaranteed_jobs(draft, inputs);
+    let mut waiting = Vec::new();
+    for id in draft.active() {
+        let Some(submission) = draft.submission(&id) else { continue };
+        let is_final = draft.plan(&id).is_some_and(|plan| plan.status.is_final());
+        let cancelled = draft.table.jobs.get(&id).is_some_and(|job| job.cancelled);
+        if is_final || cancelled {
+            continue;
+        }
+        for occurrence in open_occurrences(draft, &id, &submission, inputs.wall) {
+            let is_guaranteed = guaranteed.contains(&id);
+            collect_steps(&mut waiting, &id, &submission, &occurrence, is_guaranteed);
+        }
+    }
+    waiting.sort_by_key(|step| {
+        (!step.guaranteed, step.submission.priority, step.objective, step.job.clone())
+    });
+    waiting
+}
+
+fn open_occurrences(
+    draft: &Draft<'_>,
+    id: &JobId,
+    submission: &Submission,
+    wall: EpochMillis,
+) -> Vec<Occurrence> {
+    let plan = draft.plan(id);
+    let mut open = plan.map(|plan| plan.open.clone()).unwrap_or_default();
+    let mut next = plan.map_or(0, |plan| plan.next_occurrence);
+    while next < submission.occurrence_count() && is_due(submission, next, wall) {
+        open.push(unbegun(submission, next));
+        next += 1;
+    }
+    open
+}
+
+fn is_due(submission: &Submission, number: u32, wall: EpochMillis) -> bool {
+    !submission.is_timed() || submission.due_at(number) <= wall
+}
+
+fn collect_steps(
+    waiting: &mut Vec<WaitingStep>,
+    id: &JobId,
+    submission: &Rc<Submission>,
+    occurrence: &Occurrence,
+    guaranteed: bool,
+) {
+    for (number, step) in submission.steps.iter().enumerate() {
+        let tasks = &occurrence.steps[number];
+        let is_done = |&index: &u32| {
+            occurrence.steps.get(index as usize).is_some_and(|tasks| all_done(tasks))
+        };
+        if !step.depends_on.iter().all(is_done) {
+            continue;
+        }
+        let waits = |task: &&TaskPlan| task.status == TaskStatus::Waiting;
+        let count = tasks.iter().filter(waits).count();
+        if count == 0 || (step.gang && count < tasks.len()) {
+            continue;
+        }
+        let indices = tasks.iter().enumerate().filter(|(_, task)| waits(task));
+        waiting.push(WaitingStep {
+            job: id.clone(),
+            submission: Rc::clone(submission),
+            occurrence: occurrence.number,
+            step: number as u32,
+            tasks: indices.map(|(index, _)| index as u32).collect(),
+            guaranteed,
+            objective: submission.objective_at(occurrence.number),
+            waits_since: submission.due_at(occurrence.number),
+        });
+    }
+}
+
+fn all_done(tasks: &[TaskPlan]) -> bool {
+    tasks.iter().all(|task| task.status == TaskStatus::Done)
+}
+
+/// Lists the urgent jobs that their workspaces' guarantees cover, the oldest first.
+fn guaranteed_jobs(draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<JobId> {
+    let mut urgent: Vec<(EpochMillis, JobId, Rc<Submission>)> = Vec::new();
+    for id in draft.active() {
+        let Some(submission) = draft.submission(&id) else { continue };
+        let status = draft.plan(&id).map_or(JobStatus::Queued, |plan| plan.status);
+        if submission.priority == 0 && !status.is_final() {
+            urgent.push((submission.submitted_at, id, submission));
+        }
+    }
+    urgent.sort_by_key(|(at, id, _)| (*at, id.clone()));
+    let mut used: BTreeMap<WorkspaceName, u64> = BTreeMap::new();
+    let mut covered = Vec::new();
+    for (_, id, submission) in urgent {
+        let used = used.entry(submission.workspace.clone()).or_default();
+        let guarantee = inputs.routing.guaranteed_devices(&submission.workspace);
+        *used += submission.first_step_devices();
+        if *used <= guarantee {
+            covered.push(id);
+        }
+    }
+    covered
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -0,0 +1,145 @@
+//! Free room of all workers during a round.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::job::{InstanceId, Resources, Step, Submission, TaskId};
+use crate::record::{TaskStatus, WorkerRecord};
+
+use super::draft::Draft;
+use super::{Planner, RoundInputs};
+
+/// Names the tasks of one step of one occurrence.
+pub type StepKey = (String, u32, u32);
+
+/// A worker during a round.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// The worker's id.
+    pub instance: InstanceId,
+    /// The worker.
+    pub worker: Rc<WorkerRecord>,
+    /// What is free now.
+    pub free: Resources,
+    /// What becomes free by stops under way.
+    pub freed_soon: Resources,
+    /// Whether it may get work.
+    pub usable: bool,
+    /// Whether it failed or refused lately.
+    pub avoided: bool,
+    /// Number of its tasks of each step.
+    pub members: BTreeMap<StepKey, u32>,
+}
+
+/// A run that may be stopped for other work.
+#[derive(Clone, Debug)]
+pub struct RunningTask {
+    /// The task.
+    pub id: TaskId,
+    /// What it holds.
+    pub held: Resources,
+    /// Its worker.
+    pub instance: InstanceId,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// Work that a stop would throw away, in thousandths of core-seconds.
+    pub lost_work: u64,
+    /// Whether it is a member of a gang.
+    pub gang: bool,
+}
+
+/// What a task takes from a worker's room.
+pub fn charge(step: &Step) -> Resources {
+    let cpu_milli = if step.fills { 0 } else { step.demand.cpu_milli };
+    Resources { cpu_milli, ..step.demand }
+}
+
+/// All workers and what runs there.
+#[derive(Clone, Debug, Default)]
+pub struct Rooms {
+    /// The workers.
+    pub rooms: Vec<Room>,
+    /// What runs.
+    pub running: Vec<RunningTask>,
+}
+
+impl Rooms {
+    /// Works out the room of all workers.
+    pub fn survey(planner: &Planner, draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Self {
+        let now = Instant::now();
+        let workers = inputs.table.workers.iter();
+        let rooms = workers.map(|(instance, worker)| Room {
+            instance: instance.clone(),
+            free: worker.capacity,
+            freed_soon: Resources::default(),
+            usable: !worker.draining
+                && !inputs.table.evicted.contains(instance)
+                && inputs.progress.report_age(instance, now) < planner.settings.doubt_after
+                && inputs.progress.silent(instance) < planner.settings.doubt_after,
+            avoided: planner.health.is_avoided(instance, inputs.now),
+            members: BTreeMap::new(),
+            worker: Rc::clone(worker),
+        });
+        let mut survey = Self { rooms: rooms.collect(), running: Vec::new() };
+        for id in draft.active() {
+            let Some(submission) = draft.submission(&id) else { continue };
+            survey.charge_job(draft, &id, &submission, inputs);
+        }
+        survey
+    }
+
+    fn charge_job(
+        &mut self,
+        draft: &Draft<'_>,
+        id: &String,
+        submission: &Submission,
+        inputs: &RoundInputs<'_>,
+    ) {
+        let Some(plan) = draft.plan(id) else { return };
+        for (task_id, task) in plan.tasks(id).filter(|(_, task)| task.occupies()) {
+            let Some(step) = submission.steps.get(task_id.step as usize) else { continue };
+            let Some(index) = self.position(&task.instance) else { continue };
+            let held = charge(step);
+            let room = &mut self.rooms[index];
+            room.free.take(&held);
+            let key = (id.clone(), task_id.occurrence, task_id.step);
+            *room.members.entry(key).or_default() += 1;
+            if task.status == TaskStatus::Stopping {
+                room.freed_soon.give(&held);
+                continue;
+            }
+            let lost_work = lost_work(&task_id, task.attempt, step, inputs);
+            self.running.push(RunningTask {
+                id: task_id,
+                held,
+                instance: task.instance.clone(),
+                priority: submission.priority,
+                lost_work,
+                gang: step.gang,
+            });
+        }
+    }
+
+    /// Returns the place of a worker in the list.
+    pub fn position(&self, instance: &str) -> Option<usize> {
+        self.rooms.iter().position(|room| room.instance == instance)
+    }
+}
+
+/// Work since the last checkpoint of a run that saves its progress, at most.
+const CHECKPOINT_WORK: Duration = Duration::from_millis(800);
+/// Work that every stop throws away, for the start that has to come again.
+const RESTART_WORK: Duration = Duration::from_millis(300);
+
+fn lost_work(id: &TaskId, attempt: u32, step: &Step, inputs: &RoundInputs<'_>) -> u64 {
+    let percent = inputs.progress.run(id, attempt).map_or(0, |seen| u64::from(seen.percent));
+    let mut lost_ms = step.estimate_ms * percent / 100;
+    if step.checkpointing {
+        lost_ms = lost_ms.min(CHECKPOINT_WORK.as_millis() as u64);
+    }
+    lost_ms += RESTART_WORK.as_millis() as u64;
+    step.demand.weight().max(1) * lost_ms / 1000
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -0,0 +1,74 @@
+//! Moves runs off workers that leave, and runs that stand still.
+
+use tokio::time::Instant;
+
+use crate::job::{Step, TaskId};
+use crate::record::{TaskPlan, TaskStatus, WorkerRecord};
+
+use super::draft::Draft;
+use super::{Planner, RoundInputs};
+
+/// Share of the remaining time on a leaving worker that a run may be estimated to need.
+const LEAVING_MARGIN_PERMILLE: u64 = 800;
+
+/// Stops runs that are better off elsewhere.
+pub fn move_runs(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    for id in draft.active() {
+        let Some(submission) = draft.submission(&id) else { continue };
+        let Some(plan) = draft.plan(&id) else { continue };
+        let mut moved: Vec<TaskId> = Vec::new();
+        for (task_id, task) in plan.tasks(&id) {
+            let Some(step) = submission.steps.get(task_id.step as usize) else { continue };
+            if task.status != TaskStatus::Running {
+                continue;
+            }
+            if leaves_too_early(&task_id, task, step, inputs) {
+                log::info!(
+                    "event=J142 run leaves a draining worker task={task_id} worker={}",
+                    task.instance
+                );
+                moved.push(task_id);
+            } else if stands_still(planner, &task_id, task, step, inputs) {
+                log::warn!("event=J143 run stands still task={task_id} worker={}", task.instance);
+                planner.health.stalled(&task.instance, inputs.now);
+                moved.push(task_id);
+            }
+        }
+        for task in moved {
+            draft.stop_unit(&task);
+        }
+    }
+}
+
+/// Returns the estimated time that a run still needs, in milliseconds.
+fn remaining_ms(id: &TaskId, task: &TaskPlan, step: &Step, inputs: &RoundInputs<'_>) -> u64 {
+    let percent = inputs.progress.run(id, task.attempt).map_or(0, |seen| seen.percent);
+    step.estimate_ms * u64::from(100 - percent.min(100)) / 100
+}
+
+fn leaves_too_early(id: &TaskId, task: &TaskPlan, step: &Step, inputs: &RoundInputs<'_>) -> bool {
+    let worker: Option<&WorkerRecord> = inputs.table.workers.get(&task.instance).map(AsRef::as_ref);
+    let Some(worker) = worker.filter(|worker| worker.draining) else { return false };
+    if step.long_running {
+        return true;
+    }
+    let left = worker.leaves_at.saturating_sub(inputs.wall) * LEAVING_MARGIN_PERMILLE / 1000;
+    remaining_ms(id, task, step, inputs) > left
+}
+
+fn stands_still(
+    planner: &Planner,
+    id: &TaskId,
+    task: &TaskPlan,
+    step: &Step,
+    inputs: &RoundInputs<'_>,
+) -> bool {
+    if step.long_running {
+        return false;
+    }
+    let now = Instant::now();
+    let Some(seen) = inputs.progress.run(id, task.attempt) else { return false };
+    let is_heard = inputs.progress.report_age(&task.instance, now) < planner.settings.doubt_after
+        && inputs.progress.silent(&task.instance) < planner.settings.doubt_after;
+    is_heard && now.saturating_duration_since(seen.since) > planner.settings.stall_after
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/process.rs
@@ -0,0 +1,89 @@
+//! What every process keeps current: the table, and its own address for peers.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::follower::{Freshness, Pace, Sink, follow};
+use crate::planner::ProgressTable;
+use crate::record::{KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC};
+use crate::store::Store;
+use crate::table::JobTable;
+
+/// Pause before the store is asked again to keep a process's address.
+const REGISTER_RETRY: Duration = Duration::from_millis(500);
+
+/// A table that a follower keeps current.
+#[derive(Clone, Default)]
+pub struct LiveTable {
+    /// The table.
+    pub table: Rc<RefCell<JobTable>>,
+    /// How current it is.
+    pub freshness: Rc<Freshness>,
+}
+
+struct TableSink(Rc<RefCell<JobTable>>);
+
+impl Sink for TableSink {
+    fn reset(&mut self) {
+        *self.0.borrow_mut() = JobTable::default();
+    }
+
+    fn apply(&mut self, record: &KeyedRecord) {
+        self.0.borrow_mut().apply(record);
+    }
+}
+
+impl LiveTable {
+    /// Keeps the table current for ever.
+    pub async fn follow(self, store: Rc<dyn Store>, pace: Pace) {
+        let sink = TableSink(Rc::clone(&self.table));
+        follow(store, STATE_TOPIC, pace, self.freshness, sink).await;
+    }
+
+    /// Keeps the store's record of this process's address.
+    pub async fn announce(self, store: Rc<dyn Store>, node: String, address: String) {
+        let mut changes = self.freshness.subscribe();
+        loop {
+            changes.borrow_and_update();
+            let known = self.table.borrow().members.get(&node) == Some(&address);
+            if self.freshness.age().is_none() || known {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let member = Record::Member(node.clone(), address.clone());
+            match store.append(STATE_TOPIC, &[member.encode()], None).await {
+                Ok(end) => self.freshness.reach(end).await,
+                Err(_) => tokio::time::sleep(REGISTER_RETRY).await,
+            }
+        }
+    }
+}
+
+struct ProgressSink(Rc<RefCell<ProgressTable>>);
+
+impl Sink for ProgressSink {
+    fn reset(&mut self) {
+        self.0.borrow_mut().reset();
+    }
+
+    fn apply(&mut self, record: &KeyedRecord) {
+        self.0.borrow_mut().apply(record);
+    }
+
+    fn read(&mut self) {
+        self.0.borrow_mut().note_read(tokio::time::Instant::now());
+    }
+}
+
+/// Keeps the progress of all runs current for ever.
+pub async fn follow_progress(
+    store: Rc<dyn Store>,
+    progress: Rc<RefCell<ProgressTable>>,
+    pace: Pace,
+) {
+    let freshness = Rc::new(Freshness::default());
+    follow(store, PROGRESS_TOPIC, pace, freshness, ProgressSink(progress)).await;
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/record.rs
@@ -0,0 +1,341 @@
+//! What is kept in the store: one record a key, the newest counts.
+
+use serde::{Deserialize, Serialize};
+
+use crate::job::{
+    Checkpoint, EpochMillis, InstanceId, JobId, NodeName, Resources, ServiceName, Submission,
+    TaskId,
+};
+
+/// Topic of everything that must last.
+pub const STATE_TOPIC: &str = "keyed.rampbay";
+/// Topic of the workers' progress, which only planners read.
+pub const PROGRESS_TOPIC: &str = "keyed.progress";
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum TaskStatus {
+    /// Waits for its turn, its dependencies or a place.
+    #[default]
+    Waiting,
+    /// Assigned to a worker; may be running there.
+    Running,
+    /// Assigned, and to be stopped.
+    Stopping,
+    /// Has ended well.
+    Done,
+    /// Has failed for good.
+    Failed,
+}
+
+/// The planner's account of a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskPlan {
+    /// Where it stands.
+    pub status: TaskStatus,
+    /// Number of its latest run, from 1; 0 before the first.
+    pub attempt: u32,
+    /// Runs that have ended failed.
+    pub failures: u32,
+    /// Latest run that was counted in `failures`.
+    pub failed_attempt: u32,
+    /// Worker of the latest run.
+    pub instance: InstanceId,
+    /// What the next run continues from.
+    pub checkpoint: Checkpoint,
+}
+
+impl TaskPlan {
+    /// Returns whether a run of it may exist at its worker.
+    #[must_use]
+    pub const fn occupies(&self) -> bool {
+        matches!(self.status, TaskStatus::Running | TaskStatus::Stopping)
+    }
+}
+
+/// One occurrence of a job's steps.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Occurrence {
+    /// Its number, from 0.
+    pub number: u32,
+    /// A list of tasks for each step.
+    pub steps: Vec<Vec<TaskPlan>>,
+}
+
+/// What callers see of a job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobStatus {
+    /// No task has begun.
+    #[default]
+    Queued,
+    /// A task has begun.
+    Running,
+    /// Every task has ended well.
+    Succeeded,
+    /// A task or gang has failed too often.
+    Failed,
+    /// Its caller has cancelled it.
+    Cancelled,
+}
+
+impl JobStatus {
+    /// Returns whether it never changes again.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Succeeded | Self::Failed | Self::Cancelled)
+    }
+}
+
+/// The planner's account of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobPlan {
+    /// What callers see.
+    pub status: JobStatus,
+    /// Occurrences that have begun and not ended.
+    pub open: Vec<Occurrence>,
+    /// Number of the next occurrence to begin.
+    pub next_occurrence: u32,
+}
+
+impl JobPlan {
+    /// Iterates over all tasks with their names.
+    pub fn tasks<'a>(
+        &'a self,
+        job: &'a JobId,
+    ) -> impl Iterator<Item = (TaskId, &'a TaskPlan)> + 'a {
+        self.open.iter().flat_map(move |occurrence| {
+            occurrence.steps.iter().enumerate().flat_map(move |(step, tasks)| {
+                tasks.iter().enumerate().map(move |(index, task)| {
+                    let id = TaskId {
+                        job: job.clone(),
+                        occurrence: occurrence.number,
+                        step: step as u32,
+                        index: index as u32,
+                    };
+                    (id, task)
+                })
+            })
+        })
+    }
+
+    /// Returns the account of a task.
+    #[must_use]
+    pub fn task(&self, id: &TaskId) -> Option<&TaskPlan> {
+        let occurrence = self.open.iter().find(|open| open.number == id.occurrence)?;
+        occurrence.steps.get(id.step as usize)?.get(id.index as usize)
+    }
+
+    /// Returns the account of a task, to change it.
+    pub fn task_mut(&mut self, id: &TaskId) -> Option<&mut TaskPlan> {
+        let occurrence = self.open.iter_mut().find(|open| open.number == id.occurrence)?;
+        occurrence.steps.get_mut(id.step as usize)?.get_mut(id.index as usize)
+    }
+
+    /// Returns whether a run of one of its tasks may exist.
+    #[must_use]
+    pub fn occupies(&self) -> bool {
+        let mut tasks = self.open.iter().flat_map(|open| open.steps.iter().flatten());
+        tasks.any(TaskPlan::occupies)
+    }
+}
+
+/// Why a run is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EndReason {
+    /// It has done its work.
+    Done,
+    /// It failed, by its own fault or its worker's.
+    Failed,
+    /// It was stopped.
+    Stopped,
+    /// Its lease lapsed, or its worker is gone.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited too long for the others of its gang.
+    Alone,
+    /// It never started.
+    NotStarted,
+}
+
+/// The end of a run, as the agent beside its worker reports it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunEnd {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub attempt: u32,
+    /// Why it is over.
+    pub reason: EndReason,
+    /// What it saved.
+    pub checkpoint: Checkpoint,
+    /// The worker.
+    pub instance: InstanceId,
+}
+
+/// A worker as the agent beside it knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// Its agent.
+    pub node: NodeName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where its agent calls it, `IP:PORT`.
+    pub address: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// What it has in all.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// When a draining worker leaves at the earliest; 0 if it isn't draining.
+    pub leaves_at: EpochMillis,
+}
+
+impl WorkerRecord {
+    /// Returns the rack, the second label.
+    #[must_use]
+    pub fn rack(&self) -> &str {
+        self.labels.get(1).map_or("", String::as_str)
+    }
+}
+
+/// A record of [`STATE_TOPIC`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A job was accepted.
+    Submitted(Box<Submission>),
+    /// A job was cancelled.
+    Cancelled(JobId),
+    /// The planner's account of a job.
+    Plan(JobId, Box<JobPlan>),
+    /// A run has ended; the planner removes it once the account holds it.
+    Ended(Box<RunEnd>),
+    /// A worker is there.
+    Worker(InstanceId, Box<WorkerRecord>),
+    /// A worker's runs are given up; its agent may not renew their leases.
+    Evicted(InstanceId),
+    /// Who plans, under which epoch.
+    Leader(Leader),
+    /// A process and the address at which peers reach it.
+    Member(NodeName, String),
+}
+
+/// The planner in charge.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leader {
+    /// Its process.
+    pub node: NodeName,
+    /// Its epoch, which is the fencing token of its orders.
+    pub epoch: u64,
+}
+
+/// Progress of one run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunProgress {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub attempt: u32,
+    /// How far it is, 0 to 100.
+    pub percent: u32,
+    /// What it saved last.
+    pub checkpoint: Checkpoint,
+}
+
+/// A record of [`PROGRESS_TOPIC`], under the worker's id: what an agent sees of its worker.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgressReport {
+    /// How long the worker hasn't answered, in milliseconds.
+    pub silent_ms: u64,
+    /// All runs there.
+    pub runs: Vec<RunProgress>,
+}
+
+/// A key and the bytes under it; no bytes removes the key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// The key.
+    pub key: String,
+    /// The value; empty to remove the key.
+    pub value: Vec<u8>,
+}
+
+/// Errors of decoding a record.
+#[derive(Debug, thiserror::Error)]
+#[error("a record under the key {key} can't be read: {source}")]
+pub struct RecordError {
+    key: String,
+    source: postcard::Error,
+}
+
+/// Returns the key of a run's end. A start that failed has a key of its own, so that it can't
+/// hide an end that was reported before.
+#[must_use]
+pub fn end_key(end: &RunEnd) -> String {
+    let kind = if end.reason == EndReason::NotStarted { "refusal" } else { "end" };
+    format!("{kind}/{}/{}", end.task, end.attempt)
+}
+
+/// Returns the key of a worker.
+#[must_use]
+pub fn worker_key(instance: &str) -> String {
+    format!("worker/{instance}")
+}
+
+/// Returns the key of an eviction.
+#[must_use]
+pub fn eviction_key(instance: &str) -> String {
+    format!("evicted/{instance}")
+}
+
+impl Record {
+    /// Returns the key under which it is kept.
+    #[must_use]
+    pub fn key(&self) -> String {
+        match self {
+            Self::Submitted(submission) => format!("job/{}", submission.id),
+            Self::Cancelled(job) => format!("cancel/{job}"),
+            Self::Plan(job, _) => format!("plan/{job}"),
+            Self::Ended(end) => end_key(end),
+            Self::Worker(instance, _) => worker_key(instance),
+            Self::Evicted(instance) => eviction_key(instance),
+            Self::Leader(_) => "leader".to_owned(),
+            Self::Member(node, _) => format!("member/{node}"),
+        }
+    }
+
+    /// Encodes it with its key.
+    #[must_use]
+    pub fn encode(&self) -> KeyedRecord {
+        KeyedRecord { key: self.key(), value: encode(self) }
+    }
+
+    /// Decodes the value under a key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the bytes aren't a record.
+    pub fn decode(record: &KeyedRecord) -> Result<Self, RecordError> {
+        postcard::from_bytes(&record.value)
+            .map_err(|source| RecordError { key: record.key.clone(), source })
+    }
+}
+
+/// Returns a record that removes `key`.
+#[must_use]
+pub const fn removal(key: String) -> KeyedRecord {
+    KeyedRecord { key, value: Vec::new() }
+}
+
+/// Encodes a value of this module.
+///
+/// # Panics
+///
+/// Doesn't panic: these types have no part that can't be encoded.
+#[must_use]
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_allocvec(value).expect("records can be encoded")
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -0,0 +1,140 @@
+//! Settings of a process, as JSON.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use serde::Deserialize;
+
+use crate::agent::AgentSettings;
+use crate::job::NodeName;
+use crate::planner::PlannerSettings;
+
+/// Slowest rate of a worker's clock against ours, in thousandths.
+const CLOCK_DRIFT_PERMILLE: u64 = 1020;
+/// Added to the end of a lease before a run is taken to be gone.
+const LAPSE_SLACK: Duration = Duration::from_millis(300);
+/// Part of the time allowed for the removal of a key after which an entry stops answering.
+const REVOCATION_MARGIN_PERMILLE: u64 = 550;
+
+/// Settings of a process. Unknown fields are passed over, so that a newer platform may add some.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// Name of the process.
+    pub node: NodeName,
+    /// Address of its machine.
+    pub ip: IpAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Port at which peers reach it.
+    pub peer_port: u16,
+    /// Port of its metrics.
+    pub metrics_port: u16,
+    /// Where callers come in; entries only.
+    pub callers: Option<SocketAddr>,
+    /// Where readiness is asked for; entries only.
+    pub readiness: Option<SocketAddr>,
+    /// Where the worker registers; agents only.
+    pub registration: Option<SocketAddr>,
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// Longest lease that a worker gives.
+    pub lease_ms: u64,
+    /// Time that a stop takes at a worker.
+    pub stop_ms: u64,
+    /// Time after which a removed key may no longer be taken.
+    pub revocation_ms: u64,
+    /// Age up to which the count of pending jobs may be given.
+    pub visible_ms: u64,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace_s: f64,
+    /// How much longer work takes away from its data.
+    pub remote_penalty: u64,
+    /// Least time that a candidate for leadership may be silent.
+    pub leader_ttl_ms: u64,
+    /// Lowest level of log lines.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+/// Settings that can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("the settings file can't be read: {0}")]
+    Unreadable(#[from] std::io::Error),
+    /// The text isn't valid.
+    #[error("the settings aren't valid: {0}")]
+    Invalid(String),
+}
+
+impl Settings {
+    /// Checks that the values can be worked with.
+    ///
+    /// # Errors
+    ///
+    /// Says which value is wrong.
+    pub fn check(self) -> Result<Self, SettingsError> {
+        let invalid = |text: &str| Err(SettingsError::Invalid(text.to_owned()));
+        if self.node.is_empty() {
+            return invalid("node is empty");
+        }
+        if self.lease_ms < 1000 {
+            return invalid("lease_ms is below 1000");
+        }
+        if self.revocation_ms < 1000 {
+            return invalid("revocation_ms is below 1000");
+        }
+        if self.peer_port == self.metrics_port {
+            return invalid("peer_port and metrics_port are the same");
+        }
+        Ok(self)
+    }
+
+    /// Returns the time after the last renewal was sent from which no lease is left.
+    #[must_use]
+    pub fn lapse(&self) -> Duration {
+        Duration::from_millis(self.lease_ms * CLOCK_DRIFT_PERMILLE / 1000) + LAPSE_SLACK
+    }
+
+    /// Returns the oldest configuration under which calls are answered.
+    #[must_use]
+    pub fn configuration_age(&self) -> Duration {
+        Duration::from_millis(self.revocation_ms * REVOCATION_MARGIN_PERMILLE / 1000)
+    }
+
+    /// Returns the times of an agent.
+    #[must_use]
+    pub fn agent(&self) -> AgentSettings {
+        AgentSettings {
+            lease: Duration::from_millis(self.lease_ms),
+            lapse: self.lapse(),
+            guard: GUARD,
+            start_age: Duration::from_millis(2000),
+            silence: Duration::from_millis(2500),
+            renewal_wait: Duration::from_millis(1000),
+            report_interval: Duration::from_millis(1000),
+            idle_report_interval: Duration::from_millis(2000),
+            unanswered_start: Duration::from_millis(400),
+        }
+    }
+
+    /// Returns the times of a planner.
+    #[must_use]
+    pub fn planner(&self) -> PlannerSettings {
+        PlannerSettings {
+            doubt_after: Duration::from_millis(3500),
+            evict_after: Duration::from_millis(7000),
+            gone_after: GUARD + self.lapse() + LAPSE_SLACK,
+            stall_after: Duration::from_millis(3500),
+            remote_penalty: self.remote_penalty.max(1),
+        }
+    }
+}
+
+/// Longest time that an agent renews leases without news from the store: outages up to this long
+/// cost no work.
+const GUARD: Duration = Duration::from_millis(9000);
--- /dev/null
+++ b/crates/rampbay-jobs/src/store.rs
@@ -0,0 +1,116 @@
+//! Border to the store: an append-only log whose newest record of each key is kept for good.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::record::KeyedRecord;
+
+/// Offset of a record in its topic.
+pub type Offset = u64;
+
+/// Marks the appends of one writer, so that the store refuses older writers and answers a
+/// repeated append again without doing it twice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fence {
+    /// Name that all writers of one kind share.
+    pub writer: String,
+    /// Epoch of this writer.
+    pub epoch: u64,
+    /// Number of the append in its epoch, from 0.
+    pub sequence: u64,
+}
+
+/// Why an append did not succeed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AppendError {
+    /// Nothing was done; try again later.
+    #[error("the store turned the append away")]
+    Refused,
+    /// Nothing was done: a writer with a higher epoch has taken over.
+    #[error("a newer writer has taken over")]
+    Fenced,
+    /// The append may have been done, or may still be.
+    #[error("no answer to the append")]
+    Unknown,
+}
+
+/// Why a read did not succeed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// The records from this offset on are gone; read the newest of each key instead.
+    #[error("the store has dropped these records")]
+    Trimmed,
+    /// The store can't be reached or turned the call away.
+    #[error("the store can't be read")]
+    Unavailable,
+}
+
+/// An answer to a read.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// The offset after the last record that the topic holds.
+    pub end: Offset,
+    /// Records from the asked offset on, without gaps.
+    pub records: Vec<KeyedRecord>,
+}
+
+/// The newest record of each key.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The records; not all of one moment.
+    pub records: Vec<KeyedRecord>,
+    /// From where to read on, so that nothing is missed.
+    pub read_from: Offset,
+    /// The end when the last part was read.
+    pub end: Offset,
+}
+
+/// An answer to a call for leadership.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Candidacy {
+    /// Number of the group's composition; rises with each change.
+    pub generation: u64,
+    /// Whether this member leads.
+    pub leads: bool,
+}
+
+/// The store.
+#[async_trait(?Send)]
+pub trait Store {
+    /// Appends records, all or none, and returns the offset after them.
+    ///
+    /// # Errors
+    ///
+    /// Says whether the records may have been kept.
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError>;
+
+    /// Reads from an offset on; waits up to `wait` for a record.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the records are gone or the store can't be read.
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError>;
+
+    /// Reads the newest record of each key.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store can't be read.
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError>;
+
+    /// Stands, or remains, a candidate for leadership.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store can't be reached.
+    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError>;
+
+    /// Gives leadership up.
+    async fn resign(&self, member: &str);
+}
--- /dev/null
+++ b/crates/rampbay-jobs/src/table.rs
@@ -0,0 +1,180 @@
+//! The table of jobs and workers: a pure function of the store's records, in their order.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use crate::job::{InstanceId, JobId, NodeName, Submission};
+use crate::record::{
+    JobPlan, JobStatus, KeyedRecord, Leader, Record, RunEnd, TaskStatus, WorkerRecord,
+};
+
+/// One job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// What was submitted.
+    pub submission: Rc<Submission>,
+    /// The planner's account, once there is one.
+    pub plan: Option<Rc<JobPlan>>,
+    /// Whether its caller has cancelled it.
+    pub cancelled: bool,
+}
+
+impl Job {
+    /// Returns what callers see of it.
+    #[must_use]
+    pub fn status(&self) -> JobStatus {
+        let planned = self.plan.as_ref().map_or(JobStatus::Queued, |plan| plan.status);
+        if self.cancelled && !planned.is_final() {
+            return JobStatus::Cancelled;
+        }
+        planned
+    }
+
+    /// Returns whether a planner still has something to do for it.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        let Some(plan) = &self.plan else { return true };
+        !plan.status.is_final() || plan.occupies()
+    }
+}
+
+/// Everything that the store's records say.
+#[derive(Clone, Debug, Default)]
+pub struct JobTable {
+    /// All known jobs.
+    pub jobs: BTreeMap<JobId, Job>,
+    /// Jobs with something left to do.
+    pub active: BTreeSet<JobId>,
+    /// Workers that are there.
+    pub workers: BTreeMap<InstanceId, Rc<WorkerRecord>>,
+    /// Workers whose runs are given up.
+    pub evicted: BTreeSet<InstanceId>,
+    /// Ends that no account holds yet, by their keys.
+    pub ends: BTreeMap<String, Rc<RunEnd>>,
+    /// The planner in charge.
+    pub leader: Leader,
+    /// Addresses of the processes, by their names.
+    pub members: BTreeMap<NodeName, String>,
+    /// Cancellations of jobs that aren't known.
+    early_cancels: BTreeSet<JobId>,
+}
+
+impl JobTable {
+    /// Takes in one record. Records that can't be read are passed over: a newer release may
+    /// have written them.
+    pub fn apply(&mut self, record: &KeyedRecord) {
+        if record.value.is_empty() {
+            self.remove(&record.key);
+            return;
+        }
+        match Record::decode(record) {
+            Ok(record) => self.insert(record),
+            Err(error) => log::warn!("event=unreadable_record {error}"),
+        }
+    }
+
+    fn insert(&mut self, record: Record) {
+        match record {
+            Record::Submitted(submission) => self.insert_submission(*submission),
+            Record::Cancelled(id) => self.insert_cancel(id),
+            Record::Plan(id, plan) => self.insert_plan(&id, *plan),
+            Record::Ended(end) => {
+                self.ends.insert(crate::record::end_key(&end), Rc::new(*end));
+            }
+            Record::Worker(instance, worker) => {
+                self.workers.insert(instance, Rc::new(*worker));
+            }
+            Record::Evicted(instance) => {
+                self.evicted.insert(instance);
+            }
+            Record::Leader(leader) => {
+                if leader.epoch >= self.leader.epoch {
+                    self.leader = leader;
+                }
+            }
+            Record::Member(node, address) => {
+                self.members.insert(node, address);
+            }
+        }
+    }
+
+    fn insert_submission(&mut self, submission: Submission) {
+        let id = submission.id.clone();
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let cancelled = self.early_cancels.remove(&id);
+        let job = Job { submission: Rc::new(submission), plan: None, cancelled };
+        self.jobs.insert(id.clone(), job);
+        self.active.insert(id);
+    }
+
+    fn insert_cancel(&mut self, id: JobId) {
+        match self.jobs.get_mut(&id) {
+            Some(job) => job.cancelled = true,
+            None => {
+                self.early_cancels.insert(id);
+            }
+        }
+    }
+
+    fn insert_plan(&mut self, id: &JobId, plan: JobPlan) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.plan = Some(Rc::new(plan));
+        if job.is_active() {
+            self.active.insert(id.clone());
+        } else {
+            self.active.remove(id);
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        let Some((kind, name)) = key.split_once('/') else { return };
+        match kind {
+            "job" => {
+                self.jobs.remove(name);
+                self.active.remove(name);
+            }
+            "cancel" => {
+                self.early_cancels.remove(name);
+            }
+            "end" | "refusal" => {
+                self.ends.remove(key);
+            }
+            "worker" => {
+                self.workers.remove(name);
+            }
+            "evicted" => {
+                self.evicted.remove(name);
+            }
+            "member" => {
+                self.members.remove(name);
+            }
+            _ => {}
+        }
+    }
+
+    /// Counts the accepted jobs of a queue that aren't timed and none of whose tasks has begun.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        let waiting = self.active.iter().filter_map(|id| self.jobs.get(id));
+        waiting
+            .filter(|job| job.submission.queue == queue && job.status() == JobStatus::Queued)
+            .count()
+    }
+
+    /// Returns whether a run is to go on: assigned to this worker, and not cancelled.
+    #[must_use]
+    pub fn wants_run(&self, instance: &str, task: &crate::job::TaskId, attempt: u32) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        if job.cancelled {
+            return false;
+        }
+        let Some(planned) = job.plan.as_ref().and_then(|plan| plan.task(task)) else {
+            return false;
+        };
+        planned.status == TaskStatus::Running
+            && planned.attempt == attempt
+            && planned.instance == instance
+    }
+}
--- /dev/null
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -0,0 +1,1 @@
+//! Calls between peers.
--- /dev/null
+++ b/crates/rampbay-peer/src/relay.rs
@@ -0,0 +1,1 @@
+//! Access to the store through peers.
