fix: a run that has ended is never ordered again, and its end is noted at once

Second, an idle worker was told to forget an end only at its next run.

Ruled out: a second leader (one epoch in the log), a lapsed lease (the worker ran on).

Change: listed ends count as over at once; an order refused as superseded is settled by the next listing; the agent calls until the worker has heard of the last end.

Measured: restart_ended_run_not_started_again and last_end_noted_soon fail before, pass after.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -121,6 +121,13 @@
         tokio::join!(self.adopt_for_ever(), self.report_for_ever());
     }
 
+    /// Drops all lives at once, as the end of the process would.
+    pub fn abandon(&self) {
+        for life in self.lives.borrow().values() {
+            life.abandon();
+        }
+    }
+
     fn life(self: &Rc<Self>, instance: &str, record: &WorkerRecord) -> Rc<Life> {
         if let Some(life) = self.lives.borrow().get(instance) {
             return Rc::clone(life);
@@ -132,7 +139,10 @@
         let host = Rc::clone(self);
         let running = Rc::clone(&life);
         tokio::task::spawn_local(async move {
-            running.run().await;
+            tokio::select! {
+                () = running.run() => {}
+                () = running.abandoned() => {}
+            }
             host.lives.borrow_mut().remove(&running.instance);
         });
         life
--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -41,6 +41,9 @@
                 number: end.number,
             })
             .collect();
+        // Known to have ended from now on, though the store doesn't know it yet: never started again.
+        let keys = ends.iter().map(|end| end.key.clone());
+        self.runs.borrow_mut().over.extend(keys);
         if ends.is_empty() || self.storing.replace(true) {
             return;
         }
--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -36,6 +36,8 @@
     pub(super) listed: Cell<bool>,
     /// Number of the last end that the store has kept.
     pub(super) last_seen: Cell<u64>,
+    /// Number of the last end that the worker was told to forget.
+    pub(super) noted: Cell<u64>,
     /// Whether ends are on their way to the store.
     pub(super) storing: Cell<bool>,
     /// When a call that renews was sent last.
@@ -46,6 +48,7 @@
     sequence: Cell<u64>,
     left_at: Cell<Option<Instant>>,
     over: Cell<bool>,
+    abandoned: Notify,
 }
 
 impl Life {
@@ -66,6 +69,7 @@
             clock: Cell::new(None),
             listed: Cell::new(false),
             last_seen: Cell::new(0),
+            noted: Cell::new(0),
             storing: Cell::new(false),
             lease_sent: Cell::new(now),
             heard: Cell::new(now),
@@ -73,6 +77,7 @@
             sequence: Cell::new(0),
             left_at: Cell::new(None),
             over: Cell::new(false),
+            abandoned: Notify::new(),
         })
     }
 
@@ -118,6 +123,17 @@
         self.parts.freshness.notify();
     }
 
+    /// Ends all work for the life without telling the store.
+    pub(super) fn abandon(&self) {
+        self.over.set(true);
+        self.abandoned.notify_one();
+    }
+
+    /// Waits until the life is abandoned.
+    pub(super) async fn abandoned(&self) {
+        self.abandoned.notified().await;
+    }
+
     /// Returns whether the life is over.
     pub(super) fn is_over(&self) -> bool {
         self.over.get()
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -125,6 +125,11 @@
                 Ok(Started::No(Refusal::Fenced | Refusal::Late)) => {
                     tokio::time::sleep(START_RETRY).await;
                 }
+                Ok(Started::No(Refusal::Superseded)) => {
+                    // It has ended there: the list of ends says how, unless the store knows it.
+                    self.settle_as_stopped(&wanted.key);
+                    return;
+                }
                 Ok(Started::No(_)) => {
                     self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
                     return;
@@ -173,7 +178,11 @@
         let table = self.parts.table.borrow();
         let evicted = table.evicted.contains(&self.instance);
         let runs = self.runs.borrow();
-        let unwanted = runs.open.iter().filter(|((task, attempt), run)| {
+        let unwanted = runs.open.iter().filter(|(key, run)| {
+            let (task, attempt) = key;
+            if runs.over.contains(*key) {
+                return false;
+            }
             if run.stop_in_flight || run.stop_answered.is_some() || run.phase == Phase::Starting {
                 return false;
             }
@@ -202,7 +211,12 @@
                 Err(WorkerError::NoAnswer) => tokio::time::sleep(STOP_RETRY).await,
             }
         }
-        if let Some(run) = self.runs.borrow_mut().open.get_mut(&key) {
+        self.settle_as_stopped(&key);
+    }
+
+    /// Leaves a run to the next listing: it has ended by now, or never starts.
+    fn settle_as_stopped(&self, key: &RunKey) {
+        if let Some(run) = self.runs.borrow_mut().open.get_mut(key) {
             run.stop_answered = Some(Instant::now());
             run.stop_in_flight = false;
         }
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -35,6 +35,7 @@
             }
             match self.worker.renew(&order).await {
                 Ok(listing) => {
+                    self.noted.set(order.last_seen);
                     self.take_in(&listing, sent);
                     if self.storing.get() {
                         tokio::time::sleep(STORING_PAUSE).await;
@@ -50,12 +51,15 @@
     }
 
     fn needs_look(&self) -> bool {
-        !self.listed.get() || self.has_runs() || self.heard.get().elapsed() > IDLE_LOOK
+        !self.listed.get()
+            || self.has_runs()
+            || self.noted.get() < self.last_seen.get()
+            || self.heard.get().elapsed() > IDLE_LOOK
     }
 
     fn renew_order(&self) -> RenewOrder {
         let lease_until = if self.may_renew() { self.lease_until() } else { None };
-        let waits = self.listed.get() && !self.storing.get();
+        let waits = self.listed.get() && self.has_runs() && !self.storing.get();
         let wait = if waits { self.parts.settings.renewal_wait } else { Duration::ZERO };
         RenewOrder {
             lease_until,
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -53,6 +53,6 @@
 pub struct Runs {
     /// Runs that may exist.
     pub open: BTreeMap<RunKey, Run>,
-    /// Runs whose end is in the store; never started again.
+    /// Runs that have ended, or will never start; never started again.
     pub over: BTreeSet<RunKey>,
 }
--- /dev/null
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -0,0 +1,233 @@
+//! The agent beside a worker, against fakes of the store and of the worker.
+
+mod support;
+
+use std::time::Duration;
+
+use rampbay_jobs::record::{EndReason, Record, TaskStatus};
+use rstest::rstest;
+use support::store::{MemoryStore, Trouble};
+use support::worker::{FakeWorker, StartTrouble};
+use support::{AgentRig, on_virtual_time, running_plan, seed_running_job, table_of, task};
+use tokio::time::sleep;
+
+const JOB: &str = "00000000000000aa";
+
+fn reasons(store: &MemoryStore) -> Vec<EndReason> {
+    let records = store.all(rampbay_jobs::record::STATE_TOPIC);
+    let records = records.iter().filter(|record| !record.value.is_empty());
+    let ends = records.filter_map(|record| match Record::decode(record) {
+        Ok(Record::Ended(end)) => Some(end.reason),
+        _ => None,
+    });
+    ends.collect()
+}
+
+#[test]
+fn start_assigned_run() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 2, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1), (task(JOB, 1), 1)]);
+    });
+}
+
+#[test]
+fn end_kept_before_noted() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.store.trouble.set(Trouble::Refuses);
+        rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(rig.worker.seen(), 0, "the store hasn't kept the end");
+        rig.store.trouble.set(Trouble::None);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(reasons(&rig.store), vec![EndReason::Done]);
+    });
+}
+
+/// Seen on the bench: the agent started again while the end was on its way to the store; the
+/// worker refused the old attempt, and the refusal reached the store before the end did.
+#[test]
+fn restart_ended_run_not_started_again() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        let (store, worker) = (rig.store.clone(), rig.worker.clone());
+        rig.kill();
+        worker.end(&task(JOB, 0), 1, EndReason::Done);
+        store.append_delay.set(Duration::from_millis(240));
+        let rig = AgentRig::start(store, worker);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(reasons(&rig.store), vec![EndReason::Done]);
+    });
+}
+
+/// An idle worker is told to forget an end as soon as the store has kept it.
+#[test]
+fn last_end_noted_soon() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(rig.worker.seen(), 1);
+    });
+}
+
+#[rstest]
+#[case::answer_lost(StartTrouble::AnswerLost, true)]
+#[case::order_lost(StartTrouble::OrderLost, false)]
+fn unanswered_start_settled(#[case] trouble: StartTrouble, #[case] runs: bool) {
+    on_virtual_time(async move {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        worker.start_trouble.set(trouble);
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(!rig.worker.running().is_empty(), runs);
+        let expected = if runs { vec![] } else { vec![EndReason::NotStarted] };
+        assert_eq!(reasons(&rig.store), expected);
+    });
+}
+
+#[test]
+fn unhealthy_worker_refusal_reported_once() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        worker.start_trouble.set(StartTrouble::Unhealthy);
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(reasons(&rig.store), vec![EndReason::NotStarted]);
+    });
+}
+
+#[test]
+fn cancelled_job_stopped_without_planner() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 2, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.store.put(&Record::Cancelled(JOB.to_owned()));
+        sleep(Duration::from_millis(600)).await;
+        assert!(rig.worker.running().is_empty());
+        assert_eq!(reasons(&rig.store), vec![EndReason::Stopped, EndReason::Stopped]);
+    });
+}
+
+/// Leases are renewed through an outage of the store shorter than the guard, and end after it.
+#[rstest]
+#[case::short(Duration::from_secs(8), true)]
+#[case::long(Duration::from_secs(17), false)]
+fn outage_leases(#[case] outage: Duration, #[case] runs: bool) {
+    on_virtual_time(async move {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.store.trouble.set(Trouble::Refuses);
+        sleep(outage).await;
+        assert_eq!(!rig.worker.running().is_empty(), runs);
+    });
+}
+
+#[test]
+fn new_life_ends_old_one() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.worker.replace("i-2");
+        rig.heartbeat("i-2", 1);
+        sleep(Duration::from_millis(2500)).await;
+        let table = table_of(&rig.store);
+        assert!(!table.workers.contains_key("i-1"));
+        assert!(table.workers.contains_key("i-2"));
+    });
+}
+
+/// A worker that answers nothing is given up only when all its leases are over.
+#[test]
+fn silent_worker_given_up_after_leases() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.worker.silent.set(true);
+        for _ in 0..200 {
+            sleep(Duration::from_millis(50)).await;
+            let given_up = !table_of(&rig.store).workers.contains_key("i-1");
+            assert!(!given_up || rig.worker.running().is_empty(), "given up while it runs");
+        }
+        assert!(!table_of(&rig.store).workers.contains_key("i-1"));
+    });
+}
+
+/// An evicted worker stops all its runs before it is registered again.
+#[test]
+fn evicted_worker_returns_empty() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.store.put(&Record::Evicted("i-1".to_owned()));
+        sleep(Duration::from_secs(3)).await;
+        assert!(rig.worker.running().is_empty());
+        assert!(table_of(&rig.store).evicted.is_empty());
+        assert!(table_of(&rig.store).workers.contains_key("i-1"));
+    });
+}
+
+#[test]
+fn superseded_attempt_stopped() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        let mut plan = running_plan(1, "i-1", 1);
+        plan.open[0].steps[0][0].status = TaskStatus::Stopping;
+        rig.store.put(&Record::Plan(JOB.to_owned(), Box::new(plan)));
+        sleep(Duration::from_secs(1)).await;
+        assert!(rig.worker.running().is_empty());
+        assert_eq!(rig.worker.starts().len(), 1);
+    });
+}
--- /dev/null
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -0,0 +1,182 @@
+//! In-memory fakes of the store and of a worker, on virtual time.
+#![allow(dead_code, reason = "each test file uses some of the fakes")]
+
+pub mod store;
+pub mod worker;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rampbay_jobs::agent::{AgentHost, AgentParts, Heartbeat};
+use rampbay_jobs::follower::Pace;
+use rampbay_jobs::job::{Resources, Step, Submission, TaskId};
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::record::{
+    JobPlan, JobStatus, Leader, Occurrence, Record, TaskPlan, TaskStatus, WorkerRecord,
+};
+use rampbay_jobs::settings::Settings;
+use rampbay_jobs::store::Store;
+use rampbay_jobs::table::JobTable;
+use rampbay_jobs::worker::Worker;
+
+use store::MemoryStore;
+use worker::FakeWorker;
+
+/// Runs a test on virtual time, on one thread.
+pub fn on_virtual_time<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// Settings like those of the first deployments.
+pub fn settings() -> Settings {
+    let text = serde_json::json!({
+        "node": "side-1", "ip": "127.0.0.1", "failure_domain": "domain-1",
+        "peer_port": 7000, "metrics_port": 7001, "store": "127.0.0.1:1",
+        "lease_ms": 6000, "stop_ms": 400, "revocation_ms": 5000, "visible_ms": 3000,
+        "grace_s": 6.0, "remote_penalty": 3, "leader_ttl_ms": 1000
+    });
+    serde_json::from_value(text).expect("settings")
+}
+
+/// A worker's record.
+pub fn worker_record(node: &str, rack: &str, devices: u64) -> WorkerRecord {
+    WorkerRecord {
+        node: node.to_owned(),
+        service: "service".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        failure_domain: "domain-1".to_owned(),
+        capacity: Resources { cpu_milli: 128_000, memory_mb: 262_144, devices },
+        labels: vec!["a".to_owned(), rack.to_owned()],
+        draining: false,
+        leaves_at: 0,
+    }
+}
+
+/// A job of one step.
+pub fn job(id: &str, priority: u32, step: Step) -> Submission {
+    Submission {
+        id: id.to_owned(),
+        workspace: "workspace".to_owned(),
+        queue: format!("queue-{priority}"),
+        service: "service".to_owned(),
+        priority,
+        attempts: 3,
+        stretch_permille: 2000,
+        target_ms: 500,
+        payload: "payload".to_owned(),
+        steps: vec![step],
+        submitted_at: 1_000,
+        ..Submission::default()
+    }
+}
+
+/// A step of `count` tasks that hold `devices` accelerators each.
+pub fn step(count: u32, devices: u64) -> Step {
+    Step {
+        count,
+        demand: Resources { cpu_milli: 10_000, memory_mb: 1_000, devices },
+        estimate_ms: 5_000,
+        ..Step::default()
+    }
+}
+
+/// Names a task of the first occurrence's first step.
+pub fn task(job: &str, index: u32) -> TaskId {
+    TaskId { job: job.to_owned(), occurrence: 0, step: 0, index }
+}
+
+/// An account in which all tasks of a one-step job run at one worker.
+pub fn running_plan(count: u32, instance: &str, attempt: u32) -> JobPlan {
+    let running = TaskPlan {
+        status: TaskStatus::Running,
+        attempt,
+        instance: instance.to_owned(),
+        ..TaskPlan::default()
+    };
+    JobPlan {
+        status: JobStatus::Running,
+        open: vec![Occurrence { number: 0, steps: vec![vec![running; count as usize]] }],
+        next_occurrence: 1,
+    }
+}
+
+/// An agent over fakes, with its follower.
+pub struct AgentRig {
+    pub store: Rc<MemoryStore>,
+    pub worker: Rc<FakeWorker>,
+    pub host: Rc<AgentHost>,
+    pub live: LiveTable,
+    tasks: Vec<tokio::task::JoinHandle<()>>,
+}
+
+impl AgentRig {
+    /// Starts an agent process on a store and a worker that may exist already.
+    pub fn start(store: Rc<MemoryStore>, worker: Rc<FakeWorker>) -> Self {
+        let live = LiveTable::default();
+        let shared: Rc<dyn Store> = store.clone();
+        let connected = Rc::clone(&worker);
+        let host = AgentHost::new(AgentParts {
+            node: "side-1".to_owned(),
+            store: Rc::clone(&shared),
+            table: Rc::clone(&live.table),
+            freshness: Rc::clone(&live.freshness),
+            connect: Box::new(move |_, instance| -> Rc<dyn Worker> {
+                Rc::new(worker::Client::new(Rc::clone(&connected), instance))
+            }),
+            wall_clock: || 1_000_000,
+            settings: settings().agent(),
+        });
+        let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(25) };
+        let follower = tokio::task::spawn_local(live.clone().follow(shared, pace));
+        let agent = tokio::task::spawn_local(Rc::clone(&host).run());
+        Self { store, worker, host, live, tasks: vec![follower, agent] }
+    }
+
+    /// Lets the worker send a heartbeat.
+    pub fn heartbeat(&self, instance: &str, sequence: u64) {
+        self.host.heartbeat(Heartbeat {
+            instance: instance.to_owned(),
+            sequence,
+            record: worker_record("", "r1", 8),
+            remaining: None,
+        });
+    }
+
+    /// Kills the process. Calls that are under way are never heard of again.
+    pub fn kill(self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.host.abandon();
+    }
+}
+
+/// Returns the table that the records of a store make.
+pub fn table_of(store: &MemoryStore) -> JobTable {
+    let mut table = JobTable::default();
+    for record in store.all(rampbay_jobs::record::STATE_TOPIC) {
+        table.apply(&record);
+    }
+    table
+}
+
+/// Puts a leader, a worker and a job whose tasks run there into a store.
+pub fn seed_running_job(store: &MemoryStore, id: &str, count: u32, instance: &str) {
+    let leader = Leader { node: "entry-1".to_owned(), epoch: 7 };
+    store.put(&Record::Leader(leader));
+    let record = Box::new(worker_record("side-1", "r1", 8));
+    store.put(&Record::Worker(instance.to_owned(), record));
+    store.put(&Record::Submitted(Box::new(job(id, 1, step(count, 1)))));
+    store.put(&Record::Plan(id.to_owned(), Box::new(running_plan(count, instance, 1))));
+}
+
+/// Shares a value among fakes.
+pub fn shared<T>(value: T) -> Rc<RefCell<T>> {
+    Rc::new(RefCell::new(value))
+}
--- /dev/null
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -0,0 +1,162 @@
+//! A store in memory, with faults.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC};
+use rampbay_jobs::store::{
+    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
+};
+use tokio::sync::Notify;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// Every call is turned away.
+    Refuses,
+    /// Appends are done, and their answers are lost.
+    LosesAnswers,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct MemoryStore {
+    topics: RefCell<BTreeMap<String, Vec<KeyedRecord>>>,
+    first_kept: RefCell<BTreeMap<String, usize>>,
+    epochs: RefCell<BTreeMap<String, (u64, u64)>>,
+    appended: Notify,
+    /// What is wrong.
+    pub trouble: Cell<Trouble>,
+    /// How long every append takes.
+    pub append_delay: Cell<Duration>,
+    /// Who leads.
+    pub leader: RefCell<Option<(String, u64)>>,
+}
+
+impl MemoryStore {
+    /// Makes an empty store.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self::default())
+    }
+
+    /// Appends a record of the state.
+    pub fn put(&self, record: &Record) {
+        self.push(STATE_TOPIC, &[record.encode()]);
+    }
+
+    /// Returns all records of a topic.
+    pub fn all(&self, topic: &str) -> Vec<KeyedRecord> {
+        self.topics.borrow().get(topic).cloned().unwrap_or_default()
+    }
+
+    /// Drops the history of a topic; the newest record of each key stays.
+    pub fn forget_history(&self, topic: &str) {
+        let end = self.all(topic).len();
+        self.first_kept.borrow_mut().insert(topic.to_owned(), end);
+    }
+
+    fn push(&self, topic: &str, records: &[KeyedRecord]) -> Offset {
+        let mut topics = self.topics.borrow_mut();
+        let kept = topics.entry(topic.to_owned()).or_default();
+        kept.extend_from_slice(records);
+        self.appended.notify_waiters();
+        kept.len() as u64
+    }
+
+    fn fenced_push(&self, topic: &str, records: &[KeyedRecord], fence: &Fence) -> Option<Offset> {
+        let key = format!("{topic}/{}", fence.writer);
+        let mut epochs = self.epochs.borrow_mut();
+        let (epoch, next) = epochs.get(&key).copied().unwrap_or_default();
+        if fence.epoch < epoch {
+            return None;
+        }
+        if fence.epoch == epoch && fence.sequence + 1 == next {
+            return Some(self.all(topic).len() as u64);
+        }
+        epochs.insert(key, (fence.epoch, fence.sequence + 1));
+        Some(self.push(topic, records))
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for MemoryStore {
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        tokio::time::sleep(self.append_delay.get() + Duration::from_millis(4)).await;
+        if self.trouble.get() == Trouble::Refuses {
+            return Err(AppendError::Refused);
+        }
+        let end = match fence {
+            Some(fence) => self.fenced_push(topic, records, fence).ok_or(AppendError::Fenced)?,
+            None => self.push(topic, records),
+        };
+        if self.trouble.get() == Trouble::LosesAnswers {
+            tokio::time::sleep(Duration::from_millis(600)).await;
+            return Err(AppendError::Unknown);
+        }
+        Ok(end)
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        let deadline = tokio::time::Instant::now() + wait;
+        loop {
+            if self.trouble.get() == Trouble::Refuses {
+                return Err(ReadError::Unavailable);
+            }
+            let first = self.first_kept.borrow().get(topic).copied().unwrap_or(0);
+            if (from as usize) < first {
+                return Err(ReadError::Trimmed);
+            }
+            let records = self.all(topic);
+            let appended = self.appended.notified();
+            if records.len() as u64 > from || tokio::time::Instant::now() >= deadline {
+                let end = records.len() as u64;
+                return Ok(Batch {
+                    end,
+                    records: records.into_iter().skip(from as usize).collect(),
+                });
+            }
+            let _ = tokio::time::timeout_at(deadline, appended).await;
+        }
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        if self.trouble.get() == Trouble::Refuses {
+            return Err(ReadError::Unavailable);
+        }
+        let records = self.all(topic);
+        let end = records.len() as u64;
+        let newest: BTreeMap<String, KeyedRecord> =
+            records.into_iter().map(|record| (record.key.clone(), record)).collect();
+        let records = newest.into_values().filter(|record| !record.value.is_empty()).collect();
+        Ok(Snapshot { records, read_from: end, end })
+    }
+
+    async fn stand(&self, member: &str, _: u64) -> Result<Candidacy, ReadError> {
+        if self.trouble.get() == Trouble::Refuses {
+            return Err(ReadError::Unavailable);
+        }
+        let mut leader = self.leader.borrow_mut();
+        let (name, generation) = leader.get_or_insert_with(|| (member.to_owned(), 1)).clone();
+        Ok(Candidacy { generation, leads: name == member })
+    }
+
+    async fn resign(&self, member: &str) {
+        let mut leader = self.leader.borrow_mut();
+        if leader.as_ref().is_some_and(|(name, _)| name == member) {
+            *leader = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -0,0 +1,237 @@
+//! A worker that keeps to its protocol, with faults.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rampbay_jobs::job::TaskId;
+use rampbay_jobs::record::{EndReason, RunProgress};
+use rampbay_jobs::worker::{
+    ListedEnd, Listing, Refusal, RenewOrder, StartOrder, Started, StopOrder, Worker, WorkerError,
+};
+use tokio::time::Instant;
+
+/// How a worker treats starts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StartTrouble {
+    /// It carries them out and answers.
+    #[default]
+    None,
+    /// It carries them out and doesn't answer.
+    AnswerLost,
+    /// It doesn't answer and never carries them out.
+    OrderLost,
+    /// It turns them away.
+    Unhealthy,
+}
+
+#[derive(Default)]
+struct State {
+    running: BTreeMap<(TaskId, u32), Instant>,
+    ended: Vec<ListedEnd>,
+    next_number: u64,
+    highest_ended: BTreeMap<TaskId, u32>,
+    lease_until: Option<u64>,
+    starts: Vec<(TaskId, u32)>,
+    seen: u64,
+    fence: u64,
+}
+
+/// The worker; a client reaches only the life that it names.
+pub struct FakeWorker {
+    state: RefCell<State>,
+    born: Instant,
+    /// The id of the present life.
+    pub instance: RefCell<String>,
+    /// Whether calls get no answer and have no effect.
+    pub silent: Cell<bool>,
+    /// How it treats starts.
+    pub start_trouble: Cell<StartTrouble>,
+}
+
+impl FakeWorker {
+    /// Makes a worker with a first life.
+    pub fn new(instance: &str) -> Rc<Self> {
+        Rc::new(Self {
+            state: RefCell::default(),
+            born: Instant::now(),
+            instance: RefCell::new(instance.to_owned()),
+            silent: Cell::new(false),
+            start_trouble: Cell::default(),
+        })
+    }
+
+    /// Ends a run.
+    pub fn end(&self, task: &TaskId, attempt: u32, reason: EndReason) {
+        let mut state = self.state.borrow_mut();
+        state.end(task, attempt, reason);
+    }
+
+    /// Lists all starts that it has carried out.
+    pub fn starts(&self) -> Vec<(TaskId, u32)> {
+        self.state.borrow().starts.clone()
+    }
+
+    /// Lists what runs.
+    pub fn running(&self) -> Vec<(TaskId, u32)> {
+        self.lapse();
+        self.state.borrow().running.keys().cloned().collect()
+    }
+
+    /// Returns the number of the last end that was taken note of.
+    pub fn seen(&self) -> u64 {
+        self.state.borrow().seen
+    }
+
+    /// Begins a new life; nothing of the old one is left.
+    pub fn replace(&self, instance: &str) {
+        *self.state.borrow_mut() = State::default();
+        instance.clone_into(&mut self.instance.borrow_mut());
+    }
+
+    fn clock(&self) -> u64 {
+        self.born.elapsed().as_millis() as u64
+    }
+
+    /// Kills everything whose lease is over.
+    fn lapse(&self) {
+        let clock = self.clock();
+        let mut state = self.state.borrow_mut();
+        if state.lease_until.is_none_or(|until| clock <= until) {
+            return;
+        }
+        let lapsed: Vec<(TaskId, u32)> = state.running.keys().cloned().collect();
+        for (task, attempt) in lapsed {
+            state.end(&task, attempt, EndReason::Lapsed);
+        }
+    }
+
+    fn take_lease(&self, until: u64) {
+        let most = self.clock() + 6000;
+        let mut state = self.state.borrow_mut();
+        state.lease_until = state.lease_until.max(Some(until.min(most)));
+    }
+}
+
+impl State {
+    fn end(&mut self, task: &TaskId, attempt: u32, reason: EndReason) {
+        self.running.remove(&(task.clone(), attempt));
+        self.next_number += 1;
+        self.highest_ended.insert(task.clone(), attempt);
+        self.ended.push(ListedEnd {
+            number: self.next_number,
+            task: task.clone(),
+            attempt,
+            reason,
+            checkpoint: String::new(),
+        });
+    }
+}
+
+/// A client of one life.
+pub struct Client {
+    worker: Rc<FakeWorker>,
+    instance: String,
+}
+
+impl Client {
+    /// Makes a client.
+    pub fn new(worker: Rc<FakeWorker>, instance: &str) -> Self {
+        Self { worker, instance: instance.to_owned() }
+    }
+
+    async fn reach(&self) -> Result<(), WorkerError> {
+        if self.worker.silent.get() {
+            tokio::time::sleep(Duration::from_millis(700)).await;
+            return Err(WorkerError::NoAnswer);
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        if *self.worker.instance.borrow() != self.instance {
+            return Err(WorkerError::OtherLife);
+        }
+        self.worker.lapse();
+        Ok(())
+    }
+}
+
+#[async_trait(?Send)]
+impl Worker for Client {
+    async fn start(&self, order: &StartOrder) -> Result<Started, WorkerError> {
+        self.reach().await?;
+        let trouble = self.worker.start_trouble.get();
+        if trouble == StartTrouble::Unhealthy {
+            return Ok(Started::No(Refusal::Unhealthy));
+        }
+        if trouble != StartTrouble::OrderLost {
+            self.worker.take_lease(order.lease_until);
+            let clock = self.worker.clock();
+            let mut state = self.worker.state.borrow_mut();
+            if order.fencing_token < state.fence {
+                return Ok(Started::No(Refusal::Fenced));
+            }
+            if clock > order.lease_until {
+                return Ok(Started::No(Refusal::Late));
+            }
+            if state.highest_ended.get(&order.task).is_some_and(|&ended| order.attempt <= ended) {
+                return Ok(Started::No(Refusal::Superseded));
+            }
+            state.fence = order.fencing_token;
+            let key = (order.task.clone(), order.attempt);
+            if !state.running.contains_key(&key) {
+                state.running.insert(key.clone(), Instant::now());
+                state.starts.push(key);
+            }
+        }
+        if trouble == StartTrouble::None {
+            return Ok(Started::Yes);
+        }
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        Err(WorkerError::NoAnswer)
+    }
+
+    async fn stop(&self, order: &StopOrder) -> Result<(), WorkerError> {
+        self.reach().await?;
+        let mut state = self.worker.state.borrow_mut();
+        if state.running.contains_key(&(order.task.clone(), order.attempt)) {
+            state.end(&order.task, order.attempt, EndReason::Stopped);
+        } else {
+            let ended = state.highest_ended.entry(order.task.clone()).or_default();
+            *ended = (*ended).max(order.attempt);
+        }
+        Ok(())
+    }
+
+    async fn renew(&self, order: &RenewOrder) -> Result<Listing, WorkerError> {
+        self.reach().await?;
+        if let Some(until) = order.lease_until {
+            self.worker.take_lease(until);
+        }
+        self.worker.state.borrow_mut().seen = order.last_seen;
+        let deadline = Instant::now() + order.wait;
+        loop {
+            self.worker.lapse();
+            let new =
+                self.worker.state.borrow().ended.iter().any(|end| end.number > order.last_seen);
+            if new || Instant::now() >= deadline || self.worker.silent.get() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        self.reach().await?;
+        let state = self.worker.state.borrow();
+        let running = state.running.keys().map(|(task, attempt)| RunProgress {
+            task: task.clone(),
+            attempt: *attempt,
+            percent: 10,
+            checkpoint: String::new(),
+        });
+        let ended = state.ended.iter().filter(|end| end.number > order.last_seen).cloned();
+        Ok(Listing {
+            clock: self.worker.clock(),
+            running: running.collect(),
+            ended: ended.collect(),
+        })
+    }
+}
