--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -42,6 +42,10 @@
 pub struct IntakeLimits {
     /// Oldest configuration under which calls are answered.
     pub configuration_age: Duration,
+    /// Oldest table under which the store is taken to be reachable.
+    pub store_age: Duration,
+    /// Longest time that the store may take to keep a job.
+    pub keep_time: Duration,
     /// Oldest table out of which a job is said to be unknown, or pending jobs are counted.
     pub table_age: Duration,
 }
@@ -198,10 +202,15 @@
     }
 
     async fn keep(&self, record: &Record) -> Result<(), Refusal> {
-        match self.store.append(STATE_TOPIC, &[record.encode()], None).await {
-            Ok(_) => Ok(()),
-            Err(AppendError::Unknown) => Err(Refusal::Unknown),
-            Err(AppendError::Refused | AppendError::Fenced) => Err(Refusal::Unavailable),
+        if !self.table_freshness.is_within(self.limits.store_age) {
+            return Err(Refusal::Unavailable);
+        }
+        let records = [record.encode()];
+        let append = self.store.append(STATE_TOPIC, &records, None);
+        match tokio::time::timeout(self.limits.keep_time, append).await {
+            Ok(Ok(_)) => Ok(()),
+            Ok(Err(AppendError::Unknown)) | Err(_) => Err(Refusal::Unknown),
+            Ok(Err(AppendError::Refused | AppendError::Fenced)) => Err(Refusal::Unavailable),
         }
     }
 }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -255,7 +255,7 @@
 }
 
 /// A key and the bytes under it; no bytes removes the key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyedRecord {
     /// The key.
     pub key: String,
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -35,6 +35,9 @@
     pub readiness: Option<SocketAddr>,
     /// Where the worker registers; agents only.
     pub registration: Option<SocketAddr>,
+    /// Addresses of some entries, before the store has told of all processes.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Where the store is.
     pub store: SocketAddr,
     /// Longest lease that a worker gives.
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 
 use crate::record::KeyedRecord;
 
@@ -11,7 +12,7 @@
 
 /// Marks the appends of one writer, so that the store refuses older writers and answers a
 /// repeated append again without doing it twice.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Fence {
     /// Name that all writers of one kind share.
     pub writer: String,
@@ -22,7 +23,7 @@
 }
 
 /// Why an append did not succeed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum AppendError {
     /// Nothing was done; try again later.
     #[error("the store turned the append away")]
@@ -36,7 +37,7 @@
 }
 
 /// Why a read did not succeed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum ReadError {
     /// The records from this offset on are gone; read the newest of each key instead.
     #[error("the store has dropped these records")]
@@ -47,7 +48,7 @@
 }
 
 /// An answer to a read.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
     /// The offset after the last record that the topic holds.
     pub end: Offset,
@@ -56,7 +57,7 @@
 }
 
 /// The newest record of each key.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
     /// The records; not all of one moment.
     pub records: Vec<KeyedRecord>,
@@ -67,7 +68,7 @@
 }
 
 /// An answer to a call for leadership.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Candidacy {
     /// Number of the group's composition; rises with each change.
     pub generation: u64,
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -1,1 +1,198 @@
-//! Calls between peers.
+//! Calls between peers: the store's operations, encoded with postcard over HTTP.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use rampbay_jobs::record::KeyedRecord;
+use rampbay_jobs::store::{
+    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::client::{Call, CallError, HttpClient};
+use crate::server::{Answer, Handler};
+
+/// Path of the only call.
+const PATH: &str = "/peer/store";
+/// Longest time for an answer that needn't wait at the store: a peer's own call, and the way there.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2300);
+/// Added to a read's wait at the store.
+const READ_SLACK: Duration = Duration::from_millis(950);
+
+/// An operation on the store that a peer is asked for.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum StoreRequest {
+    /// See [`Store::append`].
+    Append {
+        /// Topic.
+        topic: String,
+        /// Records.
+        records: Vec<KeyedRecord>,
+        /// Fence, if the writer has one.
+        fence: Option<Fence>,
+    },
+    /// See [`Store::read`].
+    Read {
+        /// Topic.
+        topic: String,
+        /// Offset.
+        from: Offset,
+        /// Longest wait, in milliseconds.
+        wait_ms: u64,
+    },
+    /// See [`Store::newest`].
+    Newest {
+        /// Topic.
+        topic: String,
+    },
+    /// See [`Store::stand`].
+    Stand {
+        /// Candidate.
+        member: String,
+        /// Generation heard last.
+        generation: u64,
+    },
+    /// See [`Store::resign`].
+    Resign {
+        /// Candidate.
+        member: String,
+    },
+}
+
+/// What came of an operation.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum StoreReply {
+    /// Of an append.
+    Append(Result<Offset, AppendError>),
+    /// Of a read.
+    Read(Result<Batch, ReadError>),
+    /// Of a read of the newest records.
+    Newest(Result<Snapshot, ReadError>),
+    /// Of a candidacy.
+    Stand(Result<Candidacy, ReadError>),
+    /// Of a resignation.
+    Resigned,
+}
+
+/// Makes the handler that serves peers out of this process's own way to the store.
+#[must_use]
+pub fn handler(store: Rc<dyn Store>) -> Handler {
+    Rc::new(move |received| {
+        let store = Rc::clone(&store);
+        Box::pin(async move {
+            let request: Result<StoreRequest, _> = postcard::from_bytes(&received.body);
+            let Ok(request) = request else { return Answer::status(StatusCode::BAD_REQUEST) };
+            let reply = perform(store.as_ref(), request).await;
+            match postcard::to_allocvec(&reply) {
+                Ok(body) => Answer::with_body(StatusCode::OK, "application/octet-stream", body),
+                Err(_) => Answer::status(StatusCode::INTERNAL_SERVER_ERROR),
+            }
+        })
+    })
+}
+
+async fn perform(store: &dyn Store, request: StoreRequest) -> StoreReply {
+    match request {
+        StoreRequest::Append { topic, records, fence } => {
+            StoreReply::Append(store.append(&topic, &records, fence.as_ref()).await)
+        }
+        StoreRequest::Read { topic, from, wait_ms } => {
+            StoreReply::Read(store.read(&topic, from, Duration::from_millis(wait_ms)).await)
+        }
+        StoreRequest::Newest { topic } => StoreReply::Newest(store.newest(&topic).await),
+        StoreRequest::Stand { member, generation } => {
+            StoreReply::Stand(store.stand(&member, generation).await)
+        }
+        StoreRequest::Resign { member } => {
+            store.resign(&member).await;
+            StoreReply::Resigned
+        }
+    }
+}
+
+/// The store as one peer reaches it.
+pub struct PeerStore {
+    client: HttpClient,
+    address: String,
+}
+
+impl PeerStore {
+    /// Makes a client of the peer at an address.
+    #[must_use]
+    pub fn new(client: HttpClient, address: String) -> Self {
+        Self { client, address }
+    }
+
+    async fn call(
+        &self,
+        request: &StoreRequest,
+        timeout: Duration,
+    ) -> Result<StoreReply, CallError> {
+        let body = postcard::to_allocvec(request).map_err(|_| CallError::NotSent)?;
+        let call = Call {
+            method: Method::POST,
+            address: self.address.clone(),
+            path: PATH.to_owned(),
+            headers: Vec::new(),
+            content_type: Some("application/octet-stream"),
+            body: Bytes::from(body),
+            timeout,
+        };
+        let reply = self.client.call(call).await?;
+        postcard::from_bytes(&reply.body).map_err(|_| CallError::NoAnswer)
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for PeerStore {
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        let request = StoreRequest::Append {
+            topic: topic.to_owned(),
+            records: records.to_vec(),
+            fence: fence.cloned(),
+        };
+        match self.call(&request, CALL_TIMEOUT).await {
+            Ok(StoreReply::Append(outcome)) => outcome,
+            Err(CallError::NotSent) => Err(AppendError::Refused),
+            Ok(_) | Err(CallError::NoAnswer) => Err(AppendError::Unknown),
+        }
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let wait_ms = wait.as_millis() as u64;
+        let request = StoreRequest::Read { topic: topic.to_owned(), from, wait_ms };
+        match self.call(&request, wait + READ_SLACK).await {
+            Ok(StoreReply::Read(outcome)) => outcome,
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        let request = StoreRequest::Newest { topic: topic.to_owned() };
+        match self.call(&request, CALL_TIMEOUT + READ_SLACK).await {
+            Ok(StoreReply::Newest(outcome)) => outcome,
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
+        let request = StoreRequest::Stand { member: member.to_owned(), generation };
+        match self.call(&request, CALL_TIMEOUT).await {
+            Ok(StoreReply::Stand(outcome)) => outcome,
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    async fn resign(&self, member: &str) {
+        let request = StoreRequest::Resign { member: member.to_owned() };
+        let _ = self.call(&request, CALL_TIMEOUT).await;
+    }
+}
