fix: a worker that has just registered isn't evicted; failing workers get nothing for a while

Second, a worker that fails all it starts was always free and drew job after job; the retry of a failed run went back to it.

Ruled out: panics (none in the logs), a planner that stands still (its rounds go on in the logs).

--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -17,7 +17,7 @@
 /// Pause while ends are on their way to the store, during which the worker would answer at once.
 const STORING_PAUSE: Duration = Duration::from_millis(100);
 /// Time after which an idle worker that isn't heard is looked at.
-const IDLE_LOOK: Duration = Duration::from_millis(4000);
+const IDLE_LOOK: Duration = Duration::from_millis(2000);
 
 impl Life {
     /// Renews and lists until the life is over.
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -20,6 +20,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::job::{EpochMillis, InstanceId};
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
@@ -65,18 +67,25 @@
     settings: PlannerSettings,
     health: HealthBook,
     evicted_since: BTreeMap<InstanceId, Duration>,
+    known_since: BTreeMap<InstanceId, Duration>,
 }
 
 impl Planner {
     /// Makes a planner that remembers nothing.
     #[must_use]
     pub fn new(settings: PlannerSettings) -> Self {
-        Self { settings, health: HealthBook::default(), evicted_since: BTreeMap::new() }
+        Self {
+            settings,
+            health: HealthBook::default(),
+            evicted_since: BTreeMap::new(),
+            known_since: BTreeMap::new(),
+        }
     }
 
     /// Decides one round.
     #[must_use]
     pub fn round(&mut self, inputs: &RoundInputs<'_>) -> Vec<KeyedRecord> {
+        self.note_workers(inputs);
         let mut draft = Draft::new(inputs.table);
         fold::take_in_ends(&mut draft, inputs, &mut self.health);
         fold::give_up_lost_runs(&mut draft, inputs);
@@ -87,4 +96,18 @@
         place::place(self, &mut draft, inputs);
         draft.into_records()
     }
+
+    fn note_workers(&mut self, inputs: &RoundInputs<'_>) {
+        self.known_since.retain(|instance, _| inputs.table.workers.contains_key(instance));
+        for instance in inputs.table.workers.keys() {
+            self.known_since.entry(instance.clone()).or_insert(inputs.now);
+        }
+    }
+
+    /// Returns how long a worker's agent hasn't reported, since this planner knows the worker.
+    fn report_age(&self, instance: &str, inputs: &RoundInputs<'_>) -> Duration {
+        let age = inputs.progress.report_age(instance, Instant::now());
+        let known = self.known_since.get(instance).copied().unwrap_or(inputs.now);
+        age.min(inputs.now.saturating_sub(known))
+    }
 }
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -22,12 +22,11 @@
 }
 
 fn start_evictions(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    let now = tokio::time::Instant::now();
     for (instance, worker) in &inputs.table.workers {
         if inputs.table.evicted.contains(instance) {
             continue;
         }
-        let age = inputs.progress.report_age(instance, now);
+        let age = planner.report_age(instance, inputs);
         if age < planner.settings.evict_after {
             continue;
         }
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -55,6 +55,9 @@
         if !checkpoint.is_empty() {
             task.checkpoint = checkpoint;
         }
+        if end.reason == EndReason::Failed {
+            task.failed_at.clone_from(&end.instance);
+        }
         if end.reason == EndReason::Done && !step.long_running {
             task.status = TaskStatus::Done;
         }
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -16,8 +16,10 @@
     pub demand: Resources,
     /// Names the step's tasks.
     pub key: StepKey,
-    /// Worker of an earlier run that failed, to be avoided if others will do.
+    /// Workers of earlier runs that failed.
     pub failed_at: Vec<String>,
+    /// Whether other workers than those will do.
+    pub others_will_do: bool,
 }
 
 impl<'a> Need<'a> {
@@ -30,13 +32,24 @@
             demand: charge(step),
             key: (waiting.job.clone(), waiting.occurrence, waiting.step),
             failed_at,
+            others_will_do: false,
         }
     }
 
+    /// Leaves out the workers of earlier failures, unless no other may run the step.
+    #[must_use]
+    pub fn avoiding_failures(mut self, rooms: &[Room]) -> Self {
+        let other = |room: &Room| self.allows(room) && !self.failed_at.contains(&room.instance);
+        self.others_will_do = rooms.iter().any(other);
+        self
+    }
+
     /// Returns whether a worker may run the step at all.
     pub fn allows(&self, room: &Room) -> bool {
         let label = &self.step.required_label;
+        let failed_there = self.others_will_do && self.failed_at.contains(&room.instance);
         room.usable
+            && !failed_there
             && room.worker.service == self.service
             && (label.is_empty() || room.worker.labels.contains(label))
     }
--- a/crates/rampbay-jobs/src/planner/health.rs
+++ b/crates/rampbay-jobs/src/planner/health.rs
@@ -1,24 +1,37 @@
 //! What a planner remembers of workers that fail or refuse what they are given.
+//!
+//! A worker that fails all it starts is always free, and draws work like no other. So a worker where
+//! runs of two jobs have failed, with no run ending well in between, gets nothing for a while; after
+//! that one more failure is enough. A job that fails at several workers is at fault itself, and
+//! counts against none of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::job::{InstanceId, JobId};
 
-/// Failures without a success between after which a worker is avoided.
-const FAILURES_TO_AVOID: usize = 2;
+/// Jobs that failed without a success between, after which a worker gets nothing for a while.
+const FAILED_JOBS_TO_BLOCK: usize = 2;
 /// How long a failure counts.
-const FAILURE_COUNTS_FOR: Duration = Duration::from_secs(12);
-/// How long a worker is avoided after it failed too often or a run stood still there.
-const AVOID_FAILING: Duration = Duration::from_secs(5);
-/// How long a worker is avoided after it refused a start.
-const AVOID_REFUSING: Duration = Duration::from_millis(600);
+const FAILURE_COUNTS_FOR: Duration = Duration::from_secs(15);
+/// How long a worker gets nothing after it failed too often, or a run stood still there.
+const BLOCK: Duration = Duration::from_secs(5);
+/// How long others are preferred after a failure, or after a start was refused.
+const AVOID: Duration = Duration::from_millis(1500);
+
+/// A job's latest failure at a worker.
+#[derive(Debug)]
+struct Failure {
+    job: JobId,
+    at: Duration,
+}
 
 /// Failures of one worker.
 #[derive(Debug, Default)]
 struct WorkerHealth {
-    failures: Vec<(JobId, Duration)>,
+    failures: Vec<Failure>,
     avoid_until: Duration,
+    block_until: Duration,
 }
 
 /// Failures of all workers.
@@ -28,13 +41,35 @@
 }
 
 impl HealthBook {
-    /// Takes note of a run that failed. Failures of one job count once: its own fault is likely.
+    /// Takes note of a run that failed.
     pub fn failed(&mut self, instance: &str, job: &JobId, now: Duration) {
         let health = self.workers.entry(instance.to_owned()).or_default();
-        health.failures.retain(|(other, at)| other != job && now - *at < FAILURE_COUNTS_FOR);
-        health.failures.push((job.clone(), now));
-        if health.failures.len() >= FAILURES_TO_AVOID {
-            health.avoid_until = health.avoid_until.max(now + AVOID_FAILING);
+        health
+            .failures
+            .retain(|failure| failure.job != *job && now - failure.at < FAILURE_COUNTS_FOR);
+        health.failures.push(Failure { job: job.clone(), at: now });
+        health.avoid_until = health.avoid_until.max(now + AVOID);
+        if self.failed_workers(job).len() > 1 {
+            self.blame_job(job);
+            return;
+        }
+        let Some(health) = self.workers.get_mut(instance) else { return };
+        if health.failures.len() >= FAILED_JOBS_TO_BLOCK {
+            health.block_until = now + BLOCK;
+        }
+    }
+
+    fn failed_workers(&self, job: &JobId) -> BTreeSet<&InstanceId> {
+        let failed = self
+            .workers
+            .iter()
+            .filter(|(_, health)| health.failures.iter().any(|failure| failure.job == *job));
+        failed.map(|(instance, _)| instance).collect()
+    }
+
+    fn blame_job(&mut self, job: &JobId) {
+        for health in self.workers.values_mut() {
+            health.failures.retain(|failure| failure.job != *job);
         }
     }
 
@@ -42,24 +77,31 @@
     pub fn succeeded(&mut self, instance: &str) {
         if let Some(health) = self.workers.get_mut(instance) {
             health.failures.clear();
+            health.block_until = Duration::ZERO;
         }
     }
 
     /// Takes note of a run that stood still.
     pub fn stalled(&mut self, instance: &str, now: Duration) {
         let health = self.workers.entry(instance.to_owned()).or_default();
-        health.avoid_until = health.avoid_until.max(now + AVOID_FAILING);
+        health.block_until = health.block_until.max(now + BLOCK);
     }
 
     /// Takes note of a start that was refused.
     pub fn refused(&mut self, instance: &str, now: Duration) {
         let health = self.workers.entry(instance.to_owned()).or_default();
-        health.avoid_until = health.avoid_until.max(now + AVOID_REFUSING);
+        health.avoid_until = health.avoid_until.max(now + AVOID);
     }
 
-    /// Returns whether a worker is better left alone.
+    /// Returns whether others are preferred to a worker.
     #[must_use]
     pub fn is_avoided(&self, instance: &str, now: Duration) -> bool {
         self.workers.get(instance).is_some_and(|health| now < health.avoid_until)
     }
+
+    /// Returns whether a worker gets nothing.
+    #[must_use]
+    pub fn is_blocked(&self, instance: &str, now: Duration) -> bool {
+        self.workers.get(instance).is_some_and(|health| now < health.block_until)
+    }
 }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -17,6 +17,10 @@
 /// How long a task waits for a worker near its data.
 const WAIT_FOR_DATA_MS: u64 = 3000;
 
+/// Work that may be thrown away for urgent work beyond its workspace's guarantee, in thousandths
+/// of core-seconds.
+const MOST_LOST_WORK: u64 = 500_000;
+
 /// Places all that waits.
 pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
     let waiting = waiting_steps(draft, inputs);
@@ -25,7 +29,7 @@
     }
     let mut rooms = Rooms::survey(planner, draft, inputs);
     for step in &waiting {
-        let need = Need::of(step, failed_workers(draft, step));
+        let need = Need::of(step, failed_workers(draft, step)).avoiding_failures(&rooms.rooms);
         if need.step.gang {
             place_gang(draft, &mut rooms, step, &need, inputs);
         } else {
@@ -37,13 +41,19 @@
 fn failed_workers(draft: &Draft<'_>, waiting: &WaitingStep) -> Vec<InstanceId> {
     let Some(plan) = draft.plan(&waiting.job) else { return Vec::new() };
     let tasks = waiting.tasks.iter().filter_map(|&index| plan.task(&task_id(waiting, index)));
-    tasks.filter(|task| task.failures > 0).map(|task| task.instance.clone()).collect()
+    let failed = tasks.filter(|task| !task.failed_at.is_empty());
+    failed.map(|task| task.failed_at.clone()).collect()
 }
 
 fn task_id(waiting: &WaitingStep, index: u32) -> TaskId {
     TaskId { job: waiting.job.clone(), occurrence: waiting.occurrence, step: waiting.step, index }
 }
 
+/// Returns whether other work is stopped for a step.
+fn is_urgent(waiting: &WaitingStep) -> bool {
+    waiting.guaranteed || waiting.submission.priority == 0
+}
+
 fn place_gang(
     draft: &mut Draft<'_>,
     rooms: &mut Rooms,
@@ -54,7 +64,7 @@
     let count = waiting.tasks.len();
     let wants_rack = need.step.same_rack && count > 1;
     let waited = inputs.wall.saturating_sub(waiting.waits_since);
-    let patience = if waiting.guaranteed { WAIT_FOR_RACK_URGENT_MS } else { WAIT_FOR_RACK_MS };
+    let patience = if is_urgent(waiting) { WAIT_FOR_RACK_URGENT_MS } else { WAIT_FOR_RACK_MS };
     let places = if wants_rack {
         place_in_rack(&rooms.rooms, need, count)
             .or_else(|| (waited > patience).then(|| place_all(&rooms.rooms, need, count)).flatten())
@@ -65,7 +75,7 @@
         start_gang(draft, rooms, waiting, need, &places);
         return;
     }
-    if waiting.guaranteed {
+    if is_urgent(waiting) {
         make_room(draft, rooms, waiting, need, count);
     }
 }
@@ -84,7 +94,7 @@
         start_task(draft, waiting, index, &rooms.rooms[place].instance, None);
         left.remove(0);
     }
-    if waiting.guaranteed && !left.is_empty() {
+    if is_urgent(waiting) && !left.is_empty() {
         make_room(draft, rooms, waiting, need, left.len());
     }
 }
@@ -111,14 +121,16 @@
     need: &Need<'_>,
     count: usize,
 ) {
-    let Some(preemption) = preempt(rooms, need, count) else {
+    let Some(preemption) = preempt(rooms, need, count) else { return };
+    if !waiting.guaranteed && preemption.lost_work > MOST_LOST_WORK {
         return;
-    };
+    }
     for victim in &preemption.victims {
         log::info!(
-            "event=J151 run stopped for guaranteed work task={victim} for_job={} workspace={}",
+            "event=J151 run stopped for urgent work task={victim} for_job={} workspace={} guaranteed={}",
             waiting.job,
-            waiting.submission.workspace
+            waiting.submission.workspace,
+            waiting.guaranteed
         );
         let unit = draft.unit_of(victim);
         draft.stop_unit(victim);
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -19,7 +19,8 @@
     pub victims: Vec<TaskId>,
     /// Workers, one for each task.
     pub places: Vec<usize>,
-    lost_work: u64,
+    /// Work that the stops throw away, in thousandths of core-seconds.
+    pub lost_work: u64,
 }
 
 /// Finds the cheapest stops after which `count` tasks fit, in one rack if the step wants that.
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -4,8 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use crate::job::{InstanceId, Resources, Step, Submission, TaskId};
 use crate::record::{TaskStatus, WorkerRecord};
 
@@ -69,15 +67,15 @@
 impl Rooms {
     /// Works out the room of all workers.
     pub fn survey(planner: &Planner, draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Self {
-        let now = Instant::now();
         let workers = inputs.table.workers.iter();
         let rooms = workers.map(|(instance, worker)| Room {
             instance: instance.clone(),
             free: worker.capacity,
             freed_soon: Resources::default(),
             usable: !worker.draining
+                && !planner.health.is_blocked(instance, inputs.now)
                 && !inputs.table.evicted.contains(instance)
-                && inputs.progress.report_age(instance, now) < planner.settings.doubt_after
+                && planner.report_age(instance, inputs) < planner.settings.doubt_after
                 && inputs.progress.silent(instance) < planner.settings.doubt_after,
             avoided: planner.health.is_avoided(instance, inputs.now),
             members: BTreeMap::new(),
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -68,7 +68,7 @@
     }
     let now = Instant::now();
     let Some(seen) = inputs.progress.run(id, task.attempt) else { return false };
-    let is_heard = inputs.progress.report_age(&task.instance, now) < planner.settings.doubt_after
+    let is_heard = planner.report_age(&task.instance, inputs) < planner.settings.doubt_after
         && inputs.progress.silent(&task.instance) < planner.settings.doubt_after;
     is_heard && now.saturating_duration_since(seen.since) > planner.settings.stall_after
 }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -41,6 +41,8 @@
     pub failed_attempt: u32,
     /// Worker of the latest run.
     pub instance: InstanceId,
+    /// Worker of the latest run that ended failed.
+    pub failed_at: InstanceId,
     /// What the next run continues from.
     pub checkpoint: Checkpoint,
 }
--- /dev/null
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -0,0 +1,439 @@
+//! The planner, round by round, on tables made of records.
+
+mod support;
+
+use std::time::Duration;
+
+use rampbay_jobs::job::{Step, Submission, TaskId};
+use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
+use rampbay_jobs::record::{
+    EndReason, JobStatus, ProgressReport, Record, RunEnd, RunProgress, TaskStatus, WorkerRecord,
+};
+use rampbay_jobs::routing::{Routing, Workspace};
+use rampbay_jobs::table::JobTable;
+use rstest::rstest;
+use support::{job, on_virtual_time, settings, step, task, worker_record};
+use tokio::time::Instant;
+
+const JOB: &str = "00000000000000aa";
+const OTHER: &str = "00000000000000bb";
+const URGENT: &str = "00000000000000cc";
+
+/// A planner with what it goes by.
+struct Rig {
+    planner: Planner,
+    table: JobTable,
+    progress: ProgressTable,
+    routing: Routing,
+    started: Instant,
+    wall: u64,
+}
+
+impl Rig {
+    fn new(workers: &[(&str, WorkerRecord)]) -> Self {
+        let mut rig = Self {
+            planner: Planner::new(settings().planner()),
+            table: JobTable::default(),
+            progress: ProgressTable::default(),
+            routing: Routing::default(),
+            started: Instant::now(),
+            wall: 2_000,
+        };
+        rig.progress.note_read(Instant::now());
+        for (instance, worker) in workers {
+            rig.put(&Record::Worker((*instance).to_owned(), Box::new(worker.clone())));
+        }
+        rig
+    }
+
+    /// A rig of workers with 8 accelerators each, three a rack.
+    fn of_workers(count: usize) -> Self {
+        let name = |index: usize| format!("i-{index}");
+        let names: Vec<String> = (0..count).map(name).collect();
+        let record = |index: usize| worker_record("side", &format!("r{}", index / 3), 8);
+        let workers: Vec<(&str, WorkerRecord)> =
+            names.iter().enumerate().map(|(index, name)| (name.as_str(), record(index))).collect();
+        Self::new(&workers)
+    }
+
+    fn put(&mut self, record: &Record) {
+        self.table.apply(&record.encode());
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        self.put(&Record::Submitted(Box::new(submission)));
+    }
+
+    /// Guarantees accelerators to the workspace of the test jobs.
+    fn guarantee(&mut self, devices: u64) {
+        self.routing.workspaces = vec![Workspace {
+            name: "workspace".to_owned(),
+            keys: Vec::new(),
+            guaranteed_devices: devices,
+        }];
+    }
+
+    /// Plans until nothing changes.
+    fn plan(&mut self) {
+        for _ in 0..20 {
+            let records = self.planner.round(&RoundInputs {
+                table: &self.table,
+                routing: &self.routing,
+                progress: &self.progress,
+                now: self.started.elapsed(),
+                wall: self.wall,
+            });
+            if records.is_empty() {
+                return;
+            }
+            records.iter().for_each(|record| self.table.apply(record));
+        }
+        panic!("the planner doesn't come to rest");
+    }
+
+    /// Lets time pass in which all agents report.
+    async fn pass(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            self.wall += 500;
+            self.progress.note_read(Instant::now());
+            let instances: Vec<String> = self.table.workers.keys().cloned().collect();
+            for instance in instances {
+                let runs = self.runs_at(&instance);
+                let runs = runs.into_iter().map(|(task, attempt)| RunProgress {
+                    task,
+                    attempt,
+                    percent: u32::try_from(self.wall / 500 % 100).unwrap_or(0),
+                    checkpoint: String::new(),
+                });
+                let report = ProgressReport { silent_ms: 0, runs: runs.collect() };
+                self.progress.insert(&instance, report, Instant::now());
+            }
+        }
+    }
+
+    fn runs_at(&self, instance: &str) -> Vec<(TaskId, u32)> {
+        let mut runs = Vec::new();
+        for (id, job) in &self.table.jobs {
+            let Some(plan) = &job.plan else { continue };
+            let here =
+                plan.tasks(id).filter(|(_, task)| task.instance == instance && task.occupies());
+            runs.extend(here.map(|(id, task)| (id, task.attempt)));
+        }
+        runs
+    }
+
+    fn end(&mut self, id: &TaskId, reason: EndReason) {
+        let (attempt, instance) = self.placed(id);
+        self.put(&Record::Ended(Box::new(RunEnd {
+            task: id.clone(),
+            attempt,
+            reason,
+            checkpoint: String::new(),
+            instance,
+        })));
+    }
+
+    fn placed(&self, id: &TaskId) -> (u32, String) {
+        let plan = self.table.jobs[&id.job].plan.as_ref().expect("a plan");
+        let task = plan.task(id).expect("a task");
+        (task.attempt, task.instance.clone())
+    }
+
+    fn status_of(&self, id: &TaskId) -> TaskStatus {
+        let plan = self.table.jobs[&id.job].plan.as_ref();
+        plan.and_then(|plan| plan.task(id)).map_or(TaskStatus::Waiting, |task| task.status)
+    }
+
+    fn statuses(&self, job: &str) -> Vec<TaskStatus> {
+        let Some(plan) = &self.table.jobs[job].plan else { return Vec::new() };
+        plan.tasks(&job.to_owned()).map(|(_, task)| task.status).collect()
+    }
+
+    fn job_status(&self, job: &str) -> JobStatus {
+        self.table.jobs[job].status()
+    }
+}
+
+fn gang(count: u32, devices: u64) -> Step {
+    Step { gang: true, ..step(count, devices) }
+}
+
+#[test]
+fn gang_placed_whole() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(2);
+        rig.submit(job(JOB, 1, gang(2, 8)));
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running; 2]);
+        assert_ne!(rig.placed(&task(JOB, 0)).1, rig.placed(&task(JOB, 1)).1);
+    });
+}
+
+#[test]
+fn gang_without_room_not_placed_in_part() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(2);
+        rig.submit(job(JOB, 1, gang(3, 8)));
+        rig.plan();
+        assert!(rig.statuses(JOB).iter().all(|status| *status == TaskStatus::Waiting));
+    });
+}
+
+#[test]
+fn gang_wanting_rack_placed_in_one() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(6);
+        rig.submit(job(JOB, 1, Step { same_rack: true, ..gang(3, 8) }));
+        rig.plan();
+        let racks: Vec<String> = (0..3)
+            .map(|index| rig.table.workers[&rig.placed(&task(JOB, index)).1].rack().to_owned())
+            .collect();
+        assert!(racks.iter().all(|rack| *rack == racks[0]), "{racks:?}");
+    });
+}
+
+/// Seen on the bench: a worker that had just registered was evicted at once, since it had never
+/// reported, and again after each return.
+#[test]
+fn new_worker_without_report_not_evicted() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.pass(Duration::from_secs(20)).await;
+        rig.put(&Record::Worker("i-new".to_owned(), Box::new(worker_record("side", "r1", 8))));
+        rig.plan();
+        assert!(rig.table.evicted.is_empty());
+        rig.submit(job(JOB, 1, gang(2, 8)));
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running; 2]);
+    });
+}
+
+#[test]
+fn silent_worker_evicted_then_given_up() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        rig.pass(Duration::from_secs(1)).await;
+        for _ in 0..80 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            rig.progress.note_read(Instant::now());
+        }
+        rig.plan();
+        assert!(rig.table.evicted.contains("i-0"));
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Running, "it may still run");
+        for _ in 0..200 {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            rig.progress.note_read(Instant::now());
+        }
+        rig.plan();
+        assert!(rig.table.workers.is_empty());
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Waiting);
+    });
+}
+
+/// While no reports can be read, no agent is taken to be silent.
+#[test]
+fn unreadable_reports_nobody_evicted() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.pass(Duration::from_secs(1)).await;
+        tokio::time::sleep(Duration::from_secs(30)).await;
+        rig.plan();
+        assert!(rig.table.evicted.is_empty());
+    });
+}
+
+/// Seen on the bench: a worker that fails all it starts was always free, and drew job after job.
+#[test]
+fn failing_worker_blocked() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(2);
+        for (number, id) in [JOB, OTHER].iter().enumerate() {
+            rig.submit(job(id, 1, step(1, 8)));
+            rig.plan();
+            let (_, instance) = rig.placed(&task(id, 0));
+            assert_eq!(instance, "i-0", "job {number} starts at the first worker");
+            rig.end(&task(id, 0), EndReason::Failed);
+            rig.plan();
+            assert_eq!(rig.placed(&task(id, 0)).1, "i-1", "the retry goes elsewhere");
+            rig.end(&task(id, 0), EndReason::Done);
+            rig.plan();
+            rig.pass(Duration::from_secs(2)).await;
+        }
+        rig.submit(job(URGENT, 1, step(2, 8)));
+        rig.plan();
+        assert_eq!(rig.placed(&task(URGENT, 0)).1, "i-1");
+        assert_eq!(rig.status_of(&task(URGENT, 1)), TaskStatus::Waiting);
+    });
+}
+
+/// A job that fails wherever it runs blocks no worker.
+#[test]
+fn hopeless_job_blocks_nobody() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(3);
+        for id in [JOB, OTHER] {
+            rig.submit(job(id, 1, step(1, 8)));
+            for _ in 0..3 {
+                rig.plan();
+                rig.end(&task(id, 0), EndReason::Failed);
+            }
+            rig.plan();
+            assert_eq!(rig.job_status(id), JobStatus::Failed);
+        }
+        rig.submit(job(URGENT, 1, step(3, 8)));
+        rig.plan();
+        assert_eq!(rig.statuses(URGENT), vec![TaskStatus::Running; 3]);
+    });
+}
+
+#[test]
+fn guaranteed_job_stops_borrower() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.guarantee(8);
+        rig.submit(job(JOB, 1, step(1, 8)));
+        rig.plan();
+        rig.submit(job(URGENT, 0, step(1, 8)));
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Stopping);
+        assert_eq!(rig.status_of(&task(URGENT, 0)), TaskStatus::Waiting, "the room isn't free yet");
+        rig.end(&task(JOB, 0), EndReason::Stopped);
+        rig.plan();
+        assert_eq!(rig.status_of(&task(URGENT, 0)), TaskStatus::Running);
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Waiting);
+    });
+}
+
+#[test]
+fn room_being_freed_kept_for_guaranteed_job() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.guarantee(8);
+        rig.submit(job(JOB, 1, step(2, 4)));
+        rig.plan();
+        rig.submit(job(URGENT, 0, step(1, 8)));
+        rig.plan();
+        rig.submit(job(OTHER, 1, step(1, 4)));
+        rig.end(&task(JOB, 0), EndReason::Stopped);
+        rig.plan();
+        assert_eq!(rig.status_of(&task(OTHER, 0)), TaskStatus::Waiting);
+    });
+}
+
+#[rstest]
+#[case::once(1, JobStatus::Running)]
+#[case::too_often(3, JobStatus::Failed)]
+fn gang_failures_counted_once_a_run(#[case] failures: u32, #[case] status: JobStatus) {
+    on_virtual_time(async move {
+        let mut rig = Rig::of_workers(6);
+        rig.submit(job(JOB, 1, gang(2, 8)));
+        for _ in 0..failures {
+            rig.plan();
+            rig.end(&task(JOB, 0), EndReason::Failed);
+            rig.end(&task(JOB, 1), EndReason::Broken);
+            rig.plan();
+        }
+        assert_eq!(rig.job_status(JOB), status);
+    });
+}
+
+#[test]
+fn gang_members_share_attempt() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(4);
+        rig.submit(job(JOB, 1, gang(2, 8)));
+        rig.plan();
+        rig.end(&task(JOB, 0), EndReason::NotStarted);
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 1)), TaskStatus::Stopping);
+        rig.end(&task(JOB, 1), EndReason::Stopped);
+        rig.plan();
+        assert_eq!(rig.placed(&task(JOB, 0)).0, 2);
+        assert_eq!(rig.placed(&task(JOB, 1)).0, 2);
+    });
+}
+
+#[test]
+fn dependent_step_waits() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        let mut submission = job(JOB, 1, step(2, 1));
+        submission.steps.push(Step { depends_on: vec![0], ..step(1, 1) });
+        rig.submit(submission);
+        rig.plan();
+        let second = TaskId { step: 1, ..task(JOB, 0) };
+        rig.end(&task(JOB, 0), EndReason::Done);
+        rig.plan();
+        assert_eq!(rig.status_of(&second), TaskStatus::Waiting);
+        rig.end(&task(JOB, 1), EndReason::Done);
+        rig.plan();
+        assert_eq!(rig.status_of(&second), TaskStatus::Running);
+        rig.end(&second, EndReason::Done);
+        rig.plan();
+        assert_eq!(rig.job_status(JOB), JobStatus::Succeeded);
+    });
+}
+
+#[test]
+fn cancelled_job_stopped() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        rig.put(&Record::Cancelled(JOB.to_owned()));
+        rig.plan();
+        assert_eq!(rig.job_status(JOB), JobStatus::Cancelled);
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Stopping);
+    });
+}
+
+#[test]
+fn stale_end_removed_without_effect() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        rig.put(&Record::Ended(Box::new(RunEnd {
+            task: task(JOB, 0),
+            attempt: 7,
+            reason: EndReason::Done,
+            checkpoint: String::new(),
+            instance: "i-0".to_owned(),
+        })));
+        rig.plan();
+        assert!(rig.table.ends.is_empty());
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Running);
+    });
+}
+
+#[test]
+fn timed_job_starts_when_due() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        let timed = Submission {
+            first_run_ms: 5_000,
+            interval_ms: 4_000,
+            occurrences: 2,
+            ..job(JOB, 1, step(1, 1))
+        };
+        rig.submit(timed);
+        rig.plan();
+        assert_eq!(rig.job_status(JOB), JobStatus::Queued);
+        rig.pass(Duration::from_secs(3)).await;
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Running);
+        rig.end(&task(JOB, 0), EndReason::Done);
+        rig.plan();
+        assert_eq!(rig.job_status(JOB), JobStatus::Running);
+        rig.pass(Duration::from_secs(4)).await;
+        rig.plan();
+        let second = TaskId { occurrence: 1, ..task(JOB, 0) };
+        rig.end(&second, EndReason::Done);
+        rig.plan();
+        assert_eq!(rig.job_status(JOB), JobStatus::Succeeded);
+    });
+}
