fix: a stop of a run that its agent never heard of is carried out and reported

Change: the agent takes up stops of unknown runs and carries them through like any other stop; it looks at once after a stop whose run it doesn't know; a step that isn't a gang reserves task by task.

--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -14,6 +14,8 @@
 
 /// Longest time between two looks at what has to be done.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
+/// Pause between a stop's answer and the look that shows whether a run was there at all.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
 /// Pause before a start that met a higher fencing token, or a wrong clock, is tried again.
 const START_RETRY: Duration = Duration::from_millis(100);
 /// Pause before a stop without answer is repeated.
@@ -34,6 +36,7 @@
             changes.borrow_and_update();
             if self.listed.get() && self.parts.freshness.age().is_some() {
                 self.start_wanted();
+                self.take_up_unknown_stops();
                 self.stop_unwanted();
             }
             let _ = tokio::time::timeout(LOOK_INTERVAL, changes.changed()).await;
@@ -88,6 +91,24 @@
         wanted
     }
 
+    /// Takes up runs that the planner wants stopped and this process never heard of. A start by an
+    /// earlier process may still be on its way, so each goes through a stop like any other.
+    fn take_up_unknown_stops(&self) {
+        let table = self.parts.table.borrow();
+        let mut runs = self.runs.borrow_mut();
+        for id in &table.active {
+            let Some(plan) = table.jobs.get(id).and_then(|job| job.plan.as_ref()) else { continue };
+            for (task_id, task) in plan.tasks(id) {
+                let is_mine = task.status == TaskStatus::Stopping && task.instance == self.instance;
+                let key = (task_id, task.attempt);
+                if is_mine && !runs.over.contains(&key) {
+                    let unheard = || Run::new(Phase::Unanswered(Instant::now()));
+                    runs.open.entry(key).or_insert_with(unheard);
+                }
+            }
+        }
+    }
+
     async fn start(self: &Rc<Self>, wanted: Wanted) {
         loop {
             let Some(lease_until) = self.lease_until() else {
@@ -212,6 +233,12 @@
             }
         }
         self.settle_as_stopped(&key);
+        let runs = |run: &Run| run.phase == Phase::Running;
+        if !self.runs.borrow().open.get(&key).is_some_and(runs) {
+            // It may never have started: no end will tell.
+            tokio::time::sleep(LOOK_PAUSE).await;
+            self.look().await;
+        }
     }
 
     /// Leaves a run to the next listing: it has ended by now, or never starts.
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Looks once, beside the call that waits for an end.
+    pub(super) async fn look(self: &Rc<Self>) {
+        let sent = Instant::now();
+        let order = RenewOrder { lease_until: None, wait: Duration::ZERO, ..self.renew_order() };
+        if let Ok(listing) = self.worker.renew(&order).await {
+            self.take_in(&listing, sent);
+        }
+    }
+
     /// Ends the life once all its leases have surely lapsed without a sign of the worker.
     fn judge_silence(&self) {
         let settings = &self.parts.settings;
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -76,7 +76,7 @@
         return;
     }
     if is_urgent(waiting) {
-        make_room(draft, rooms, waiting, need, count);
+        let _ = make_room(draft, rooms, waiting, need, count);
     }
 }
 
@@ -94,8 +94,9 @@
         start_task(draft, waiting, index, &rooms.rooms[place].instance, None);
         left.remove(0);
     }
-    if is_urgent(waiting) && !left.is_empty() {
-        make_room(draft, rooms, waiting, need, left.len());
+    if is_urgent(waiting) {
+        // As many as possible: what doesn't fit yet must not keep the others from starting.
+        let _ = left.iter().all(|_| make_room(draft, rooms, waiting, need, 1));
     }
 }
 
@@ -113,17 +114,18 @@
     Some(place)
 }
 
-/// Stops what has to go for guaranteed work, and keeps the room for it until then.
+/// Stops what has to go for urgent work, and keeps the room for it until then. Returns whether
+/// there will be room.
 fn make_room(
     draft: &mut Draft<'_>,
     rooms: &mut Rooms,
     waiting: &WaitingStep,
     need: &Need<'_>,
     count: usize,
-) {
-    let Some(preemption) = preempt(rooms, need, count) else { return };
+) -> bool {
+    let Some(preemption) = preempt(rooms, need, count) else { return false };
     if !waiting.guaranteed && preemption.lost_work > MOST_LOST_WORK {
-        return;
+        return false;
     }
     for victim in &preemption.victims {
         log::info!(
@@ -147,6 +149,7 @@
     for place in preemption.places {
         reserve(rooms, place, need);
     }
+    true
 }
 
 /// Keeps one task's room at a worker, first out of what becomes free soon.
@@ -164,6 +167,7 @@
     total.take(&free);
     room.free = free;
     room.freed_soon = total;
+    *room.members.entry(need.key.clone()).or_default() += 1;
 }
 
 fn start_gang(
--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -231,3 +231,26 @@
         assert_eq!(rig.worker.starts().len(), 1);
     });
 }
+
+/// Seen on the bench: a run that was to be stopped before its agent had read of it was never
+/// reported, and its task stood for ever.
+#[rstest]
+#[case::never_started(StartTrouble::None, vec![EndReason::NotStarted])]
+#[case::started_unheard(StartTrouble::AnswerLost, vec![EndReason::Stopped])]
+fn stop_of_unknown_run_reported(#[case] before: StartTrouble, #[case] expected: Vec<EndReason>) {
+    on_virtual_time(async move {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        if before == StartTrouble::AnswerLost {
+            worker.start_unheard(&task(JOB, 0), 1);
+        }
+        let mut plan = running_plan(1, "i-1", 1);
+        plan.open[0].steps[0][0].status = TaskStatus::Stopping;
+        store.put(&Record::Plan(JOB.to_owned(), Box::new(plan)));
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(reasons(&rig.store), expected);
+    });
+}
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -437,3 +437,24 @@
         assert_eq!(rig.job_status(JOB), JobStatus::Succeeded);
     });
 }
+
+/// Seen on the bench: an urgent step wider than all workers reserved nothing, lower work took each
+/// place that was freed for it, and was stopped again at once.
+#[test]
+fn wide_urgent_step_keeps_freed_room() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(2);
+        rig.submit(job(JOB, 1, step(4, 4)));
+        rig.plan();
+        rig.submit(job(URGENT, 0, step(5, 8)));
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Stopping; 4]);
+        for index in 0..4 {
+            rig.end(&task(JOB, index), EndReason::Stopped);
+            rig.plan();
+        }
+        let running = |status: &&TaskStatus| **status == TaskStatus::Running;
+        assert_eq!(rig.statuses(URGENT).iter().filter(running).count(), 2);
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Waiting; 4]);
+    });
+}
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -69,6 +69,12 @@
         state.end(task, attempt, reason);
     }
 
+    /// Carries out a start whose answer an earlier agent didn't hear.
+    pub fn start_unheard(&self, task: &TaskId, attempt: u32) {
+        self.take_lease(self.clock() + 6000);
+        self.state.borrow_mut().running.insert((task.clone(), attempt), Instant::now());
+    }
+
     /// Lists all starts that it has carried out.
     pub fn starts(&self) -> Vec<(TaskId, u32)> {
         self.state.borrow().starts.clone()
