feat: agents read the state through entries, with the age of their view

Ruled out: longer gaps between reads (later starts for every job).

Change: entries keep the records they follow and pass them on with the age of their view; an agent goes to the next entry, and then to the store, when an entry is silent or its view is over 1.5 s old.

--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -1,6 +1,7 @@
 //! Follows a topic of the store and knows how old its view is.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::record::KeyedRecord;
-use crate::store::{Offset, ReadError, Store};
+use crate::store::{Batch, Offset, ReadError, Store};
 
 /// Pause after a read that failed, so that a store that is down isn't pressed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -40,14 +41,31 @@
     proven_at: Cell<Option<Instant>>,
     position: Cell<Offset>,
     changed: watch::Sender<u64>,
+    recent: RefCell<Recent>,
 }
 
 impl Default for Freshness {
     fn default() -> Self {
-        Self { proven_at: Cell::new(None), position: Cell::new(0), changed: watch::channel(0).0 }
+        Self {
+            proven_at: Cell::new(None),
+            position: Cell::new(0),
+            changed: watch::channel(0).0,
+            recent: RefCell::default(),
+        }
     }
 }
 
+/// Most records that are kept to be passed on.
+const MOST_RECENT: usize = 2048;
+
+/// The latest records, to be passed on.
+#[derive(Debug, Default)]
+struct Recent {
+    first: Offset,
+    records: VecDeque<KeyedRecord>,
+    kept: bool,
+}
+
 impl Freshness {
     /// Returns the age of the view: all that the store had acknowledged so long ago is in it.
     /// `None` before the first read of the whole topic.
@@ -89,6 +107,54 @@
         }
     }
 
+    /// Begins to keep the latest records, so that they can be passed on.
+    pub fn keep_recent(&self) {
+        self.recent.borrow_mut().kept = true;
+    }
+
+    /// Passes on records from an offset on; waits up to `wait` for one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if nothing is known yet, or these records aren't kept.
+    pub async fn pass_on(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let deadline = Instant::now() + wait;
+        let mut changes = self.subscribe();
+        while self.position.get() <= from && Instant::now() < deadline {
+            let _ = tokio::time::timeout_at(deadline, changes.changed()).await;
+        }
+        let age = self.age().ok_or(ReadError::Unavailable)?;
+        let recent = self.recent.borrow();
+        let end = self.position.get();
+        if !recent.kept || from < recent.first || from > end {
+            return Err(ReadError::Unavailable);
+        }
+        let skipped = (from - recent.first) as usize;
+        let records = recent.records.iter().skip(skipped).cloned().collect();
+        Ok(Batch { end, records, age })
+    }
+
+    fn keep(&self, at: Offset, records: &[KeyedRecord]) {
+        let mut recent = self.recent.borrow_mut();
+        if !recent.kept {
+            return;
+        }
+        if recent.records.is_empty() {
+            recent.first = at;
+        }
+        recent.records.extend(records.iter().cloned());
+        while recent.records.len() > MOST_RECENT {
+            recent.records.pop_front();
+            recent.first += 1;
+        }
+    }
+
+    fn restart(&self, position: Offset) {
+        let mut recent = self.recent.borrow_mut();
+        recent.records.clear();
+        recent.first = position;
+    }
+
     fn prove(&self, at: Instant) {
         if self.proven_at.get().is_none_or(|before| before < at) {
             self.proven_at.set(Some(at));
@@ -174,6 +240,7 @@
         later.extend(batch.records);
     }
     sink.reset();
+    freshness.restart(position);
     snapshot.records.iter().chain(&later).for_each(|record| sink.apply(record));
     freshness.prove(started);
     freshness.move_to(position);
@@ -189,13 +256,15 @@
 ) -> Result<(), ReadError> {
     let started = Instant::now();
     let batch = store.read(topic, freshness.position(), pace.wait).await?;
+    freshness.keep(freshness.position(), &batch.records);
     let count = batch.records.len() as u64;
     batch.records.iter().for_each(|record| sink.apply(record));
     let position = freshness.position() + count;
     if position >= batch.end {
         // An empty answer comes only after the whole wait, and speaks for its end.
         let waited = count == 0 && started.elapsed() >= pace.wait;
-        freshness.prove(if waited { started + pace.wait } else { started });
+        let answered = if waited { started + pace.wait } else { started };
+        freshness.prove(answered.checked_sub(batch.age).unwrap_or(answered));
     }
     if count > 0 {
         freshness.move_to(position);
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -6,7 +6,7 @@
 
 use crate::follower::{Freshness, Pace, Sink, follow};
 use crate::planner::ProgressTable;
-use crate::record::{KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC};
+use crate::record::{KeyedRecord, Member, PROGRESS_TOPIC, Record, STATE_TOPIC};
 use crate::store::Store;
 use crate::table::JobTable;
 
@@ -42,19 +42,19 @@
     }
 
     /// Keeps the store's record of this process's address.
-    pub async fn announce(self, store: Rc<dyn Store>, node: String, address: String) {
+    pub async fn announce(self, store: Rc<dyn Store>, member: Member) {
         let mut changes = self.freshness.subscribe();
         loop {
             changes.borrow_and_update();
-            let known = self.table.borrow().members.get(&node) == Some(&address);
+            let known = self.table.borrow().members.get(&member.node) == Some(&member);
             if self.freshness.age().is_none() || known {
                 if changes.changed().await.is_err() {
                     return;
                 }
                 continue;
             }
-            let member = Record::Member(node.clone(), address.clone());
-            match store.append(STATE_TOPIC, &[member.encode()], None).await {
+            let record = Record::Member(member.clone()).encode();
+            match store.append(STATE_TOPIC, &[record], None).await {
                 Ok(end) => self.freshness.reach(end).await,
                 Err(_) => tokio::time::sleep(REGISTER_RETRY).await,
             }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -221,8 +221,8 @@
     Evicted(InstanceId),
     /// Who plans, under which epoch.
     Leader(Leader),
-    /// A process and the address at which peers reach it.
-    Member(NodeName, String),
+    /// A process that peers can reach.
+    Member(Member),
 }
 
 /// The planner in charge.
@@ -234,6 +234,19 @@
     pub epoch: u64,
 }
 
+/// A process that peers can reach.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub node: NodeName,
+    /// Where peers reach it, `IP:PORT`.
+    pub address: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Whether it passes on the records that it follows.
+    pub passes_on: bool,
+}
+
 /// Progress of one run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunProgress {
@@ -305,7 +318,7 @@
             Self::Worker(instance, _) => worker_key(instance),
             Self::Evicted(instance) => eviction_key(instance),
             Self::Leader(_) => "leader".to_owned(),
-            Self::Member(node, _) => format!("member/{node}"),
+            Self::Member(member) => format!("member/{}", member.node),
         }
     }
 
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -54,6 +54,8 @@
     pub end: Offset,
     /// Records from the asked offset on, without gaps.
     pub records: Vec<KeyedRecord>,
+    /// How old the answer's view of the store was when it was given; zero from the store itself.
+    pub age: Duration,
 }
 
 /// The newest record of each key.
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -5,7 +5,7 @@
 
 use crate::job::{InstanceId, JobId, NodeName, Submission};
 use crate::record::{
-    JobPlan, JobStatus, KeyedRecord, Leader, Record, RunEnd, TaskStatus, WorkerRecord,
+    JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskStatus, WorkerRecord,
 };
 
 /// One job.
@@ -53,8 +53,8 @@
     pub ends: BTreeMap<String, Rc<RunEnd>>,
     /// The planner in charge.
     pub leader: Leader,
-    /// Addresses of the processes, by their names.
-    pub members: BTreeMap<NodeName, String>,
+    /// The processes, by their names.
+    pub members: BTreeMap<NodeName, Member>,
     /// Cancellations of jobs that aren't known.
     early_cancels: BTreeSet<JobId>,
 }
@@ -92,8 +92,8 @@
                     self.leader = leader;
                 }
             }
-            Record::Member(node, address) => {
-                self.members.insert(node, address);
+            Record::Member(member) => {
+                self.members.insert(member.node.clone(), member);
             }
         }
     }
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -123,6 +123,7 @@
             if records.len() as u64 > from || tokio::time::Instant::now() >= deadline {
                 let end = records.len() as u64;
                 return Ok(Batch {
+                    age: Duration::ZERO,
                     end,
                     records: records.into_iter().skip(from as usize).collect(),
                 });
--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod protocol;
 pub mod relay;
 pub mod server;
+pub mod tail;
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
+use rampbay_jobs::follower::Freshness;
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
@@ -21,6 +22,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(2300);
 /// Added to a read's wait at the store.
 const READ_SLACK: Duration = Duration::from_millis(950);
+/// Added to the wait for records that a peer follows itself.
+const TAIL_SLACK: Duration = Duration::from_millis(400);
 
 /// An operation on the store that a peer is asked for.
 #[derive(Debug, Serialize, Deserialize)]
@@ -43,6 +46,13 @@
         /// Longest wait, in milliseconds.
         wait_ms: u64,
     },
+    /// See [`Freshness::pass_on`].
+    Tail {
+        /// Offset.
+        from: Offset,
+        /// Longest wait, in milliseconds.
+        wait_ms: u64,
+    },
     /// See [`Store::newest`].
     Newest {
         /// Topic.
@@ -77,15 +87,17 @@
     Resigned,
 }
 
-/// Makes the handler that serves peers out of this process's own way to the store.
+/// Makes the handler that serves peers out of this process's own way to the store, and passes on
+/// the records of the state that it follows.
 #[must_use]
-pub fn handler(store: Rc<dyn Store>) -> Handler {
+pub fn handler(store: Rc<dyn Store>, followed: Rc<Freshness>) -> Handler {
     Rc::new(move |received| {
         let store = Rc::clone(&store);
+        let followed = Rc::clone(&followed);
         Box::pin(async move {
             let request: Result<StoreRequest, _> = postcard::from_bytes(&received.body);
             let Ok(request) = request else { return Answer::status(StatusCode::BAD_REQUEST) };
-            let reply = perform(store.as_ref(), request).await;
+            let reply = perform(store.as_ref(), &followed, request).await;
             match postcard::to_allocvec(&reply) {
                 Ok(body) => Answer::with_body(StatusCode::OK, "application/octet-stream", body),
                 Err(_) => Answer::status(StatusCode::INTERNAL_SERVER_ERROR),
@@ -94,8 +106,11 @@
     })
 }
 
-async fn perform(store: &dyn Store, request: StoreRequest) -> StoreReply {
+async fn perform(store: &dyn Store, followed: &Freshness, request: StoreRequest) -> StoreReply {
     match request {
+        StoreRequest::Tail { from, wait_ms } => {
+            StoreReply::Read(followed.pass_on(from, Duration::from_millis(wait_ms)).await)
+        }
         StoreRequest::Append { topic, records, fence } => {
             StoreReply::Append(store.append(&topic, &records, fence.as_ref()).await)
         }
@@ -126,6 +141,19 @@
         Self { client, address }
     }
 
+    /// Reads records that the peer follows itself.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer can't be reached or doesn't keep them.
+    pub async fn tail(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let request = StoreRequest::Tail { from, wait_ms: wait.as_millis() as u64 };
+        match self.call(&request, wait + TAIL_SLACK).await {
+            Ok(StoreReply::Read(outcome)) => outcome,
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
     async fn call(
         &self,
         request: &StoreRequest,
--- /dev/null
+++ b/crates/rampbay-peer/src/tail.rs
@@ -0,0 +1,94 @@
+//! Reads of the state through a process that follows it anyway, to spare the store's calls.
+//!
+//! Every agent needs every record of the state soon. A read of its own for each costs a call to the
+//! store; entries follow the state themselves and pass the records on, with the age of their view.
+//! A view that is too old, or an entry that doesn't answer, sends the agent to the next entry, and
+//! then to the store.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rampbay_jobs::record::{KeyedRecord, STATE_TOPIC};
+use rampbay_jobs::store::{
+    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
+};
+use tokio::time::Instant;
+
+use crate::protocol::PeerStore;
+
+/// Oldest view that is taken from a peer; more than the time that its own reads take.
+const OLDEST_VIEW: Duration = Duration::from_millis(1500);
+/// How long peers are left alone after none of them could pass records on.
+const PEERS_PAUSE: Duration = Duration::from_millis(1000);
+/// Peers that are asked for one read, at most.
+const PEERS_PER_READ: usize = 2;
+
+/// Lists the peers that pass records on, the nearest first.
+pub type TailPeers = Box<dyn Fn() -> Vec<PeerStore>>;
+
+/// A store whose reads of the state go through peers where they can.
+pub struct TailStore {
+    store: Rc<dyn Store>,
+    peers: TailPeers,
+    preferred: Cell<usize>,
+    paused_until: Cell<Option<Instant>>,
+}
+
+impl TailStore {
+    /// Makes a store over peers and the ways to the store itself.
+    #[must_use]
+    pub fn new(store: Rc<dyn Store>, peers: TailPeers) -> Self {
+        Self { store, peers, preferred: Cell::new(0), paused_until: Cell::new(None) }
+    }
+
+    async fn read_from_peers(&self, from: Offset, wait: Duration) -> Option<Batch> {
+        if self.paused_until.get().is_some_and(|until| Instant::now() < until) {
+            return None;
+        }
+        let peers = (self.peers)();
+        for _ in 0..PEERS_PER_READ.min(peers.len()) {
+            let peer = &peers[self.preferred.get() % peers.len()];
+            match peer.tail(from, wait).await {
+                Ok(batch) if batch.age <= OLDEST_VIEW => return Some(batch),
+                _ => self.preferred.set(self.preferred.get() + 1),
+            }
+        }
+        self.paused_until.set(Some(Instant::now() + PEERS_PAUSE));
+        None
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for TailStore {
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        self.store.append(topic, records, fence).await
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        if topic == STATE_TOPIC
+            && let Some(batch) = self.read_from_peers(from, wait).await
+        {
+            return Ok(batch);
+        }
+        self.store.read(topic, from, wait).await
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        self.store.newest(topic).await
+    }
+
+    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
+        self.store.stand(member, generation).await
+    }
+
+    async fn resign(&self, member: &str) {
+        self.store.resign(member).await;
+    }
+}
