--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -19,7 +19,7 @@
 
 /// Work that may be thrown away for urgent work beyond its workspace's guarantee, in thousandths
 /// of core-seconds.
-const MOST_LOST_WORK: u64 = 500_000;
+const MOST_LOST_WORK: u64 = 200_000;
 
 /// Places all that waits.
 pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -16,6 +16,8 @@
     pub percent: u32,
     /// When it came there.
     pub since: Instant,
+    /// When it was seen first.
+    pub first_seen: Instant,
     /// What it saved last.
     pub checkpoint: Checkpoint,
     /// Where it runs.
@@ -83,11 +85,14 @@
         });
         for run in report.runs {
             let key = (run.task, run.attempt);
-            let before = self.runs.get(&key).filter(|seen| seen.percent == run.percent);
-            let since = before.map_or(now, |seen| seen.since);
+            let before = self.runs.get(&key);
+            let first_seen = before.map_or(now, |seen| seen.first_seen);
+            let same = before.filter(|seen| seen.percent == run.percent);
+            let since = same.map_or(now, |seen| seen.since);
             let seen = Seen {
                 percent: run.percent,
                 since,
+                first_seen,
                 checkpoint: run.checkpoint,
                 instance: instance.to_owned(),
             };
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -132,12 +132,14 @@
 /// Work that every stop throws away, for the start that has to come again.
 const RESTART_WORK: Duration = Duration::from_millis(300);
 
+/// Returns the work that a stop throws away. Estimates are rough, so the time since the run was
+/// seen first counts.
 fn lost_work(id: &TaskId, attempt: u32, step: &Step, inputs: &RoundInputs<'_>) -> u64 {
-    let percent = inputs.progress.run(id, attempt).map_or(0, |seen| u64::from(seen.percent));
-    let mut lost_ms = step.estimate_ms * percent / 100;
+    let seen = inputs.progress.run(id, attempt);
+    let mut lost = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
     if step.checkpointing {
-        lost_ms = lost_ms.min(CHECKPOINT_WORK.as_millis() as u64);
+        lost = lost.min(CHECKPOINT_WORK);
     }
-    lost_ms += RESTART_WORK.as_millis() as u64;
+    let lost_ms = (lost + RESTART_WORK).as_millis() as u64;
     step.demand.weight().max(1) * lost_ms / 1000
 }
