feat: metrics; fix: the first read after an outage doesn't wait

Cause: a follower that had lost the store went on with a read that waits a second for a record, so its view counted as old for that second more, and an entry refused calls that it could have taken.

Measured: old_configuration_nobody_admitted fails before, passes after; the other tests of intake.rs were written after what they hold.

--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::job::Checkpoint;
+use crate::metrics::metrics;
 use crate::record::{EndReason, KeyedRecord, Record, RunEnd, STATE_TOPIC};
 use crate::worker::Listing;
 
@@ -85,6 +86,7 @@
 
     fn record_of(&self, end: &PendingEnd) -> KeyedRecord {
         let (task, attempt) = end.key.clone();
+        metrics().ended(end.reason.word());
         log::info!(
             "event=J165 run over task={task} attempt={attempt} reason={:?} worker={} number={}",
             end.reason,
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::metrics::metrics;
 use crate::record::{EndReason, TaskStatus};
 use crate::worker::{Refusal, StartOrder, Started, StopOrder, WorkerError};
 
@@ -130,6 +131,7 @@
             let sent = Instant::now();
             self.lease_sent.set(sent);
             let outcome = self.worker.start(&order).await;
+            metrics().ordered("start");
             log::info!(
                 "event=J166 run ordered task={} attempt={} worker={} outcome={outcome:?} took_ms={}",
                 order.task,
@@ -220,6 +222,7 @@
         while !self.is_over() {
             let order = StopOrder { fencing_token: self.fencing_token(), ..order.clone() };
             let outcome = self.worker.stop(&order).await;
+            metrics().ordered("stop");
             log::info!(
                 "event=J167 stop ordered task={} attempt={} worker={} outcome={outcome:?}",
                 key.0,
--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -183,7 +183,9 @@
         let result = if reloads {
             reload(store.as_ref(), topic, &freshness, &mut sink).await
         } else {
-            advance(store.as_ref(), topic, pace, &freshness, &mut sink).await
+            // The first read after a failure doesn't wait: it shows how current the view is.
+            let wait = if reachable { pace.wait } else { Duration::ZERO };
+            advance(store.as_ref(), topic, wait, &freshness, &mut sink).await
         };
         match result {
             Ok(()) => {
@@ -250,20 +252,20 @@
 async fn advance(
     store: &dyn Store,
     topic: &str,
-    pace: Pace,
+    wait: Duration,
     freshness: &Freshness,
     sink: &mut impl Sink,
 ) -> Result<(), ReadError> {
     let started = Instant::now();
-    let batch = store.read(topic, freshness.position(), pace.wait).await?;
+    let batch = store.read(topic, freshness.position(), wait).await?;
     freshness.keep(freshness.position(), &batch.records);
     let count = batch.records.len() as u64;
     batch.records.iter().for_each(|record| sink.apply(record));
     let position = freshness.position() + count;
     if position >= batch.end {
         // An empty answer comes only after the whole wait, and speaks for its end.
-        let waited = count == 0 && started.elapsed() >= pace.wait;
-        let answered = if waited { started + pace.wait } else { started };
+        let waited = count == 0 && started.elapsed() >= wait;
+        let answered = if waited { started + wait } else { started };
         freshness.prove(answered.checked_sub(batch.age).unwrap_or(answered));
     }
     if count > 0 {
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -9,6 +9,7 @@
 use crate::follower::Freshness;
 use crate::intake::CurrentRouting;
 use crate::job::NodeName;
+use crate::metrics::metrics;
 use crate::planner::{Planner, ProgressTable, RoundInputs};
 use crate::record::{KeyedRecord, Leader, Record, STATE_TOPIC};
 use crate::store::{AppendError, Fence, Offset, Store};
@@ -162,6 +163,7 @@
 
 fn decide(parts: &LeaderParts, planner: &mut Planner, now: Duration) -> Vec<KeyedRecord> {
     let table = parts.table.borrow();
+    metrics().active_jobs.set(table.active.len() as i64);
     let progress = parts.progress.borrow();
     let routing = parts.routing.get().unwrap_or_default();
     planner.round(&RoundInputs {
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod intake;
 pub mod job;
 pub mod leader;
+pub mod metrics;
 pub mod planner;
 pub mod process;
 pub mod record;
--- /dev/null
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -0,0 +1,148 @@
+//! Counters and latency histograms of a process.
+
+use std::sync::OnceLock;
+use std::time::Duration;
+
+use prometheus_client::encoding::{EncodeLabelSet, text::encode};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Bounds of the latency histograms, in seconds.
+const BUCKETS: [f64; 11] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
+
+/// Labels of a caller's call.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CallLabels {
+    /// Method of the call.
+    pub method: String,
+    /// Status of the answer.
+    pub status: u16,
+}
+
+/// Labels of a call to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StoreLabels {
+    /// The operation.
+    pub operation: &'static str,
+    /// What came of it.
+    pub outcome: &'static str,
+}
+
+/// A label that says what happened.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// What happened.
+    pub kind: &'static str,
+}
+
+/// The metrics of a process.
+pub struct Metrics {
+    registry: Registry,
+    /// Callers' calls by method and status.
+    pub calls: Family<CallLabels, Counter>,
+    /// Time to answer a caller.
+    pub call_seconds: Histogram,
+    /// Calls to the store by operation and outcome.
+    pub store_calls: Family<StoreLabels, Counter>,
+    /// Time of an append, whichever way it took.
+    pub append_seconds: Histogram,
+    /// The planner's decisions.
+    pub decisions: Family<KindLabel, Counter>,
+    /// Orders to the worker.
+    pub orders: Family<KindLabel, Counter>,
+    /// Ends of runs that the agent reported.
+    pub ends: Family<KindLabel, Counter>,
+    /// Jobs with something left to do.
+    pub active_jobs: Gauge,
+    /// Lines of the log that were dropped since nobody read them in time.
+    pub dropped_lines: Counter,
+}
+
+impl Metrics {
+    fn new() -> Self {
+        let histogram = || Histogram::new(BUCKETS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("rampbay"),
+            calls: Family::default(),
+            call_seconds: histogram(),
+            store_calls: Family::default(),
+            append_seconds: histogram(),
+            decisions: Family::default(),
+            orders: Family::default(),
+            ends: Family::default(),
+            active_jobs: Gauge::default(),
+            dropped_lines: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("calls", "Callers' calls", self.calls.clone());
+        let seconds = Unit::Seconds;
+        registry.register_with_unit(
+            "call",
+            "Time to answer a caller",
+            seconds.clone(),
+            self.call_seconds.clone(),
+        );
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        registry.register_with_unit(
+            "append",
+            "Time of an append",
+            seconds,
+            self.append_seconds.clone(),
+        );
+        registry.register("decisions", "Decisions of the planner", self.decisions.clone());
+        registry.register("orders", "Orders to the worker", self.orders.clone());
+        registry.register("ends", "Ends of runs reported", self.ends.clone());
+        registry.register("active_jobs", "Jobs with something to do", self.active_jobs.clone());
+        registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
+    }
+
+    /// Counts a decision.
+    pub fn decided(&self, kind: &'static str) {
+        self.decisions.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts an order.
+    pub fn ordered(&self, kind: &'static str) {
+        self.orders.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts an end.
+    pub fn ended(&self, kind: &'static str) {
+        self.ends.get_or_create(&KindLabel { kind }).inc();
+    }
+
+    /// Counts a caller's call.
+    pub fn called(&self, method: &str, status: u16, took: Duration) {
+        let labels = CallLabels { method: method.to_owned(), status };
+        self.calls.get_or_create(&labels).inc();
+        self.call_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts a call to the store.
+    pub fn stored(&self, operation: &'static str, outcome: &'static str) {
+        self.store_calls.get_or_create(&StoreLabels { operation, outcome }).inc();
+    }
+
+    /// Writes all metrics in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        // Writing into a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Returns the metrics of this process.
+pub fn metrics() -> &'static Metrics {
+    static METRICS: OnceLock<Metrics> = OnceLock::new();
+    METRICS.get_or_init(Metrics::new)
+}
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -1,5 +1,6 @@
 //! Gives up the runs of workers whose agents are silent, once none of them can exist any more.
 
+use crate::metrics::metrics;
 use crate::record::{Record, eviction_key, worker_key};
 
 use super::draft::Draft;
@@ -35,6 +36,7 @@
             worker.node,
             age.as_millis()
         );
+        metrics().decided("evict");
         draft.add(Record::Evicted(instance.clone()).encode());
     }
 }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -1,6 +1,7 @@
 //! Starts what waits where it fits, and makes room for guaranteed work.
 
 use crate::job::{Checkpoint, InstanceId, TaskId};
+use crate::metrics::metrics;
 use crate::record::{JobPlan, JobStatus, TaskStatus};
 
 use super::draft::{Draft, unbegun};
@@ -128,6 +129,7 @@
         return false;
     }
     for victim in &preemption.victims {
+        metrics().decided("stop_for_urgent");
         log::info!(
             "event=J151 run stopped for urgent work task={victim} for_job={} workspace={} guaranteed={}",
             waiting.job,
@@ -208,6 +210,7 @@
         task.checkpoint = checkpoint;
     }
     instance.clone_into(&mut task.instance);
+    metrics().decided("start");
     log::info!(
         "event=J150 run assigned task={id} attempt={} worker={instance} priority={} guaranteed={}",
         task.attempt,
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -3,6 +3,7 @@
 use tokio::time::Instant;
 
 use crate::job::{Step, TaskId};
+use crate::metrics::metrics;
 use crate::record::{TaskPlan, TaskStatus, WorkerRecord};
 
 use super::draft::Draft;
@@ -35,6 +36,7 @@
             }
         }
         for task in moved {
+            metrics().decided("move");
             draft.stop_unit(&task);
         }
     }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -160,6 +160,22 @@
     NotStarted,
 }
 
+impl EndReason {
+    /// Returns its name in logs and metrics.
+    #[must_use]
+    pub const fn word(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+            Self::NotStarted => "not_started",
+        }
+    }
+}
+
 /// The end of a run, as the agent beside its worker reports it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunEnd {
--- /dev/null
+++ b/crates/rampbay-jobs/tests/intake.rs
@@ -0,0 +1,298 @@
+//! Intake and leadership, over the in-memory store.
+
+mod support;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rampbay_jobs::follower::Pace;
+use rampbay_jobs::intake::{CallTarget, CurrentRouting, Intake, IntakeLimits, Refusal};
+use rampbay_jobs::leader::{self, LeaderParts};
+use rampbay_jobs::planner::{Planner, ProgressTable};
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::record::{JobStatus, Record, STATE_TOPIC};
+use rampbay_jobs::routing::{Queue, Routing, Workspace};
+use rampbay_jobs::store::Store;
+use rstest::rstest;
+use support::store::{MemoryStore, Trouble};
+use support::{job, on_virtual_time, settings, step, table_of, worker_record};
+use tokio::time::{Instant, sleep};
+
+const JOB: &str = "00000000000000aa";
+
+struct Rig {
+    store: Rc<MemoryStore>,
+    live: LiveTable,
+    routing: Rc<CurrentRouting>,
+    intake: Intake,
+}
+
+impl Rig {
+    /// Starts an entry's intake; the configuration is known, and stays as old as the table.
+    fn start() -> Self {
+        let store = MemoryStore::new();
+        let live = LiveTable::default();
+        let routing = Rc::new(CurrentRouting {
+            freshness: Rc::clone(&live.freshness),
+            ..CurrentRouting::default()
+        });
+        routing.set(Routing {
+            version: 1,
+            queues: vec![
+                queue("open", "/open/", true),
+                queue("keyed", "/keyed/", false),
+                queue("deeper", "/keyed/deeper/", false),
+            ],
+            workspaces: vec![Workspace {
+                name: "workspace".to_owned(),
+                keys: vec!["key".to_owned()],
+                guaranteed_devices: 8,
+            }],
+            body_limit: 0,
+        });
+        let shared: Rc<dyn Store> = store.clone();
+        let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
+        tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
+        let limits = IntakeLimits {
+            configuration_age: Duration::from_millis(2750),
+            store_age: Duration::from_millis(2200),
+            keep_time: Duration::from_millis(1300),
+            table_age: Duration::from_millis(3000),
+        };
+        let intake = Intake::new(
+            shared,
+            Rc::clone(&live.table),
+            Rc::clone(&live.freshness),
+            Rc::clone(&routing),
+            limits,
+        );
+        Self { store, live, routing, intake }
+    }
+}
+
+fn queue(name: &str, path_prefix: &str, public: bool) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        service: "service".to_owned(),
+        public,
+        ..Queue::default()
+    }
+}
+
+#[rstest]
+#[case::public("host", "/open/x", None, Ok("open"))]
+#[case::keyed("host", "/keyed/x", Some("key"), Ok("keyed"))]
+#[case::longest_prefix("HOST", "/keyed/deeper/x", Some("key"), Ok("deeper"))]
+#[case::without_key("host", "/keyed/x", None, Err(Refusal::Unauthorized))]
+#[case::unknown_key("host", "/keyed/x", Some("other"), Err(Refusal::Unauthorized))]
+#[case::unknown_path("host", "/none/x", Some("key"), Err(Refusal::NoQueue))]
+#[case::unknown_host("other", "/open/x", None, Err(Refusal::NoQueue))]
+fn admission(
+    #[case] host: &'static str,
+    #[case] path: &'static str,
+    #[case] key: Option<&'static str>,
+    #[case] expected: Result<&'static str, Refusal>,
+) {
+    on_virtual_time(async move {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        let admitted = rig.intake.admit(CallTarget { host, path, key });
+        assert_eq!(admitted.map(|admission| admission.queue.name), expected.map(str::to_owned));
+    });
+}
+
+/// A removed key may be in use as long as the configuration isn't known to be current.
+#[test]
+fn old_configuration_nobody_admitted() {
+    on_virtual_time(async {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        rig.store.trouble.set(Trouble::Refuses);
+        sleep(Duration::from_millis(4000)).await;
+        let target = CallTarget { host: "host", path: "/keyed/x", key: Some("key") };
+        assert_eq!(rig.intake.admit(target).err(), Some(Refusal::NotCurrent));
+        rig.store.trouble.set(Trouble::None);
+        sleep(Duration::from_millis(1000)).await;
+        assert!(rig.intake.admit(target).is_ok());
+    });
+}
+
+#[test]
+fn older_configuration_ignored() {
+    on_virtual_time(async {
+        let rig = Rig::start();
+        rig.routing.set(Routing { version: 0, ..Routing::default() });
+        assert_eq!(rig.routing.get().map(|routing| routing.version), Some(1));
+    });
+}
+
+#[rstest]
+#[case::sound(Trouble::None, Ok(()))]
+#[case::turned_away(Trouble::Refuses, Err(Refusal::Unavailable))]
+#[case::answer_lost(Trouble::LosesAnswers, Err(Refusal::Unknown))]
+fn submission(#[case] trouble: Trouble, #[case] expected: Result<(), Refusal>) {
+    on_virtual_time(async move {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        rig.store.trouble.set(trouble);
+        assert_eq!(rig.intake.submit(job(JOB, 1, step(1, 1))).await, expected);
+        let kept = table_of(&rig.store).jobs.contains_key(JOB);
+        assert_eq!(kept, trouble != Trouble::Refuses, "a refusal says that nothing was kept");
+    });
+}
+
+/// A store that doesn't answer isn't waited for longer than the limit.
+#[test]
+fn silent_store_answered_in_time() {
+    on_virtual_time(async {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        rig.store.append_delay.set(Duration::from_secs(60));
+        let started = Instant::now();
+        let outcome = rig.intake.submit(job(JOB, 1, step(1, 1))).await;
+        assert_eq!(outcome, Err(Refusal::Unknown));
+        assert!(started.elapsed() <= Duration::from_millis(1310));
+    });
+}
+
+#[test]
+fn submission_again_stays_one_job() {
+    on_virtual_time(async {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        for count in 1..3 {
+            rig.intake.submit(job(JOB, 1, step(count, 1))).await.expect("accepted");
+            sleep(Duration::from_millis(50)).await;
+        }
+        let table = rig.live.table.borrow();
+        assert_eq!(table.jobs[JOB].submission.steps[0].count, 1);
+        assert_eq!(rig.store.all(STATE_TOPIC).len(), 1);
+    });
+}
+
+#[test]
+fn status_of_unknown_job() {
+    on_virtual_time(async {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(rig.intake.known_status(&JOB.to_owned()), Err(Refusal::NoJob));
+        rig.store.trouble.set(Trouble::Refuses);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(rig.intake.known_status(&JOB.to_owned()), Err(Refusal::NotCurrent));
+    });
+}
+
+#[test]
+fn cancelled_job_shown_at_once() {
+    on_virtual_time(async {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        rig.intake.submit(job(JOB, 1, step(1, 1))).await.expect("accepted");
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(rig.intake.pending("queue-1"), Ok(1));
+        rig.intake.cancel(&JOB.to_owned()).await.expect("cancelled");
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(rig.intake.known_status(&JOB.to_owned()), Ok(JobStatus::Cancelled));
+        assert_eq!(rig.intake.pending("queue-1"), Ok(0));
+    });
+}
+
+/// Starts an entry's leader.
+fn start_leader(store: &Rc<MemoryStore>, node: &str, salt: u64) -> tokio::task::JoinHandle<()> {
+    let shared: Rc<dyn Store> = store.clone();
+    let live = LiveTable::default();
+    let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
+    tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
+    let parts = LeaderParts {
+        node: node.to_owned(),
+        store: shared,
+        table: live.table,
+        freshness: live.freshness,
+        routing: Rc::default(),
+        progress: Rc::new(RefCell::new(ProgressTable::default())),
+        wall_clock: || 2_000,
+        candidacy_interval: Duration::from_millis(333),
+        salt,
+    };
+    tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
+}
+
+#[test]
+fn leader_plans_submitted_job() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        store.put(&Record::Worker("i-1".to_owned(), Box::new(worker_record("side-1", "r1", 8))));
+        start_leader(&store, "entry-1", 1);
+        sleep(Duration::from_millis(500)).await;
+        store.put(&Record::Submitted(Box::new(job(JOB, 1, step(2, 1)))));
+        sleep(Duration::from_millis(200)).await;
+        assert_eq!(table_of(&store).jobs[JOB].status(), JobStatus::Running);
+    });
+}
+
+/// A leader that was replaced without hearing of it writes nothing more.
+#[test]
+fn replaced_leader_fenced() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        start_leader(&store, "entry-1", 1);
+        sleep(Duration::from_millis(500)).await;
+        *store.leader.borrow_mut() = Some(("entry-2".to_owned(), 2));
+        start_leader(&store, "entry-2", 2);
+        sleep(Duration::from_millis(1000)).await;
+        let first = table_of(&store).leader;
+        assert_eq!(first.node, "entry-2");
+        store.put(&Record::Worker("i-1".to_owned(), Box::new(worker_record("side-1", "r1", 8))));
+        store.put(&Record::Submitted(Box::new(job(JOB, 1, step(2, 1)))));
+        sleep(Duration::from_millis(500)).await;
+        let table = table_of(&store);
+        assert_eq!(table.leader, first);
+        let attempts: Vec<u32> = table.jobs[JOB]
+            .plan
+            .as_ref()
+            .expect("a plan")
+            .tasks(&JOB.to_owned())
+            .map(|(_, task)| task.attempt)
+            .collect();
+        assert_eq!(attempts, vec![1, 1]);
+    });
+}
+
+/// What a leader decides while the store loses answers is kept once.
+#[test]
+fn lost_answers_decision_kept_once() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        store.put(&Record::Worker("i-1".to_owned(), Box::new(worker_record("side-1", "r1", 8))));
+        start_leader(&store, "entry-1", 1);
+        sleep(Duration::from_millis(500)).await;
+        store.trouble.set(Trouble::LosesAnswers);
+        store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
+        sleep(Duration::from_secs(3)).await;
+        store.trouble.set(Trouble::None);
+        sleep(Duration::from_secs(2)).await;
+        let plans = store.all(STATE_TOPIC).iter().filter(|r| r.key.starts_with("plan/")).count();
+        assert_eq!(plans, 1);
+    });
+}
+
+/// A follower whose history was dropped reads the newest records and goes on.
+#[test]
+fn history_dropped_table_whole() {
+    on_virtual_time(async {
+        let rig = Rig::start();
+        sleep(Duration::from_millis(50)).await;
+        rig.store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
+        sleep(Duration::from_millis(50)).await;
+        rig.store.trouble.set(Trouble::Refuses);
+        sleep(Duration::from_millis(1500)).await;
+        rig.store.put(&Record::Cancelled(JOB.to_owned()));
+        rig.store.forget_history(STATE_TOPIC);
+        rig.store.trouble.set(Trouble::None);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(rig.live.table.borrow().jobs[JOB].status(), JobStatus::Cancelled);
+    });
+}
