feat: within a priority the least work goes first, aged by waiting

Cause: jobs were taken by their objectives, which come from estimates that are off by up to 90%; under overload one large job kept several small ones late.

Aging is kept so that nothing waits for ever.

--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -9,6 +9,9 @@
 use super::RoundInputs;
 use super::draft::{Draft, unbegun};
 
+/// Time of waiting that counts as half the work.
+const AGING_MS: u64 = 10_000;
+
 /// A step some of whose tasks wait and may start.
 #[derive(Clone, Debug)]
 pub struct WaitingStep {
@@ -30,7 +33,18 @@
     pub waits_since: EpochMillis,
 }
 
-/// Lists what waits: guaranteed work first, then by priority and objective.
+impl WaitingStep {
+    /// Returns the estimated work of the tasks that wait, in thousandths of core-seconds, less for
+    /// those that have waited long: little work goes first, and nothing waits for ever.
+    fn aged_work(&self, wall: EpochMillis) -> u64 {
+        let step = &self.submission.steps[self.step as usize];
+        let work = step.demand.weight() * step.estimate_ms / 1000 * self.tasks.len() as u64;
+        let waited_ms = wall.saturating_sub(self.waits_since);
+        work * AGING_MS / (AGING_MS + waited_ms)
+    }
+}
+
+/// Lists what waits: guaranteed work first, then by priority and by work.
 pub fn waiting_steps(draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<WaitingStep> {
     let guaranteed = guaranteed_jobs(draft, inputs);
     let mut waiting = Vec::new();
@@ -47,7 +61,7 @@
         }
     }
     waiting.sort_by_key(|step| {
-        (!step.guaranteed, step.submission.priority, step.objective, step.job.clone())
+        (!step.guaranteed, step.submission.priority, step.aged_work(inputs.wall), step.job.clone())
     });
     waiting
 }
