--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -27,8 +27,6 @@
     pub tasks: Vec<u32>,
     /// Whether it lies within its workspace's guarantee.
     pub guaranteed: bool,
-    /// When its job should have ended.
-    pub objective: EpochMillis,
     /// Since when it might have started, as far as is known.
     pub waits_since: EpochMillis,
 }
@@ -114,7 +112,6 @@
             step: number as u32,
             tasks: indices.map(|(index, _)| index as u32).collect(),
             guaranteed,
-            objective: submission.objective_at(occurrence.number),
             waits_since: submission.due_at(occurrence.number),
         });
     }
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -109,6 +109,12 @@
         Duration::from_millis(self.revocation_ms * REVOCATION_MARGIN_PERMILLE / 1000)
     }
 
+    /// Returns the oldest table out of which a job is said to be unknown.
+    #[must_use]
+    pub const fn table_age(&self) -> Duration {
+        Duration::from_millis(self.visible_ms / 2)
+    }
+
     /// Returns the times of an agent.
     #[must_use]
     pub fn agent(&self) -> AgentSettings {
--- a/crates/rampbay-peer/src/server.rs
+++ b/crates/rampbay-peer/src/server.rs
@@ -28,10 +28,14 @@
     pub method: Method,
     /// Path without query.
     pub path: String,
+    /// Query, without the question mark.
+    pub query: String,
     /// Host that the caller named, without port.
     pub host: String,
     /// Value of the header `Authorization`.
     pub authorization: Option<String>,
+    /// All headers.
+    pub headers: hyper::HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -205,5 +209,14 @@
         .map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?
         .to_bytes();
     let path = parts.uri.path().to_owned();
-    Ok(Received { method: parts.method, path, host, authorization, body })
+    let query = parts.uri.query().unwrap_or_default().to_owned();
+    Ok(Received {
+        method: parts.method,
+        path,
+        query,
+        host,
+        authorization,
+        headers: parts.headers,
+        body,
+    })
 }
