--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -69,7 +69,7 @@
         }
         match Record::decode(record) {
             Ok(record) => self.insert(record),
-            Err(error) => log::warn!("event=unreadable_record {error}"),
+            Err(error) => log::warn!("event=J104 record unreadable {error}"),
         }
     }
 
