--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -256,7 +256,12 @@
 
     async fn unregister(&self) {
         let records = [removal(worker_key(&self.instance)), removal(eviction_key(&self.instance))];
-        while self.parts.store.append(STATE_TOPIC, &records, None).await.is_err() {
+        loop {
+            if let Ok(end) = self.parts.store.append(STATE_TOPIC, &records, None).await {
+                // Until the table shows it, the life would be taken up again.
+                self.parts.freshness.reach(end).await;
+                return;
+            }
             tokio::time::sleep(REGISTER_RETRY).await;
         }
     }
--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -254,3 +254,23 @@
         assert_eq!(reasons(&rig.store), expected);
     });
 }
+
+/// Seen in the soak: while the agent's view lagged, a life that was over was taken up again four
+/// times a second, and its end written each time.
+#[test]
+fn over_life_not_taken_up_again() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_millis(300)).await;
+        rig.store.read_delay.set(Duration::from_secs(3));
+        rig.worker.replace("i-2");
+        sleep(Duration::from_secs(8)).await;
+        let records = rig.store.all(rampbay_jobs::record::STATE_TOPIC);
+        let removals = records.iter().filter(|r| r.key == "worker/i-1" && r.value.is_empty());
+        assert_eq!(removals.count(), 1);
+    });
+}
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -35,6 +35,8 @@
     pub trouble: Cell<Trouble>,
     /// How long every append takes.
     pub append_delay: Cell<Duration>,
+    /// How long every answer to a read takes.
+    pub read_delay: Cell<Duration>,
     /// Who leads.
     pub leader: RefCell<Option<(String, u64)>>,
 }
@@ -122,6 +124,7 @@
             let appended = self.appended.notified();
             if records.len() as u64 > from || tokio::time::Instant::now() >= deadline {
                 let end = records.len() as u64;
+                tokio::time::sleep(self.read_delay.get()).await;
                 return Ok(Batch {
                     age: Duration::ZERO,
                     end,
