feat: ended jobs are removed from the store

Cause: accounts of ended jobs were kept for good; every start reads them all.

Measured: ended_job_removed_later (written with the change).

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -7,6 +7,7 @@
 
 mod draft;
 mod evict;
+mod expire;
 mod fold;
 mod gang;
 pub mod health;
@@ -22,7 +23,7 @@
 
 use tokio::time::Instant;
 
-use crate::job::{EpochMillis, InstanceId};
+use crate::job::{EpochMillis, InstanceId, JobId};
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
 use crate::table::JobTable;
@@ -43,6 +44,8 @@
     pub gone_after: Duration,
     /// Time without progress after which a run is moved.
     pub stall_after: Duration,
+    /// How long a job is kept after its end.
+    pub keep_ended: Duration,
     /// How much longer work takes away from its data or spread over racks.
     pub remote_penalty: u64,
 }
@@ -68,6 +71,7 @@
     health: HealthBook,
     evicted_since: BTreeMap<InstanceId, Duration>,
     known_since: BTreeMap<InstanceId, Duration>,
+    ended_since: BTreeMap<JobId, Duration>,
 }
 
 impl Planner {
@@ -79,6 +83,7 @@
             health: HealthBook::default(),
             evicted_since: BTreeMap::new(),
             known_since: BTreeMap::new(),
+            ended_since: BTreeMap::new(),
         }
     }
 
@@ -94,6 +99,7 @@
         evict::evict(self, &mut draft, inputs);
         watch::move_runs(self, &mut draft, inputs);
         place::place(self, &mut draft, inputs);
+        expire::expire(self, &mut draft, inputs);
         draft.into_records()
     }
 
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -48,6 +48,9 @@
     pub revocation_ms: u64,
     /// Age up to which the count of pending jobs may be given.
     pub visible_ms: u64,
+    /// How long callers may ask for a job after its end.
+    #[serde(default = "default_status_s")]
+    pub status_s: u64,
     /// Time between SIGTERM and SIGKILL.
     pub grace_s: f64,
     /// How much longer work takes away from its data.
@@ -59,6 +62,10 @@
     pub log_level: String,
 }
 
+const fn default_status_s() -> u64 {
+    120
+}
+
 fn default_log_level() -> String {
     "info".to_owned()
 }
@@ -139,11 +146,15 @@
             evict_after: Duration::from_millis(7000),
             gone_after: GUARD + self.lapse() + LAPSE_SLACK,
             stall_after: Duration::from_millis(3500),
+            keep_ended: Duration::from_secs(self.status_s * KEEP_FACTOR),
             remote_penalty: self.remote_penalty.max(1),
         }
     }
 }
 
+/// Jobs are kept so many times as long as callers may ask for them, since an append without answer
+/// may still come.
+const KEEP_FACTOR: u64 = 2;
 /// Longest time that an agent renews leases without news from the store: outages up to this long
 /// cost no work.
 const GUARD: Duration = Duration::from_millis(9000);
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -458,3 +458,20 @@
         assert_eq!(rig.statuses(JOB), vec![TaskStatus::Waiting; 4]);
     });
 }
+
+#[test]
+fn ended_job_removed_later() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        rig.end(&task(JOB, 0), EndReason::Done);
+        rig.plan();
+        rig.pass(Duration::from_secs(200)).await;
+        rig.plan();
+        assert!(rig.table.jobs.contains_key(JOB), "callers may still ask");
+        rig.pass(Duration::from_secs(50)).await;
+        rig.plan();
+        assert!(rig.table.jobs.is_empty());
+    });
+}
