refactor: what the planner takes and gives stands in a module of its own

Cause: crates/rampbay-core/src/plan.rs had grown to 681 lines, a quarter of them types that callers read.

Change: commands, errors, settings and views move to plan/contract.rs; names and paths stay.

Measured: the crate's tests pass unchanged; plan.rs 522 lines.

--- a/crates/rampbay-core/src/plan.rs
+++ b/crates/rampbay-core/src/plan.rs
@@ -1,5 +1,6 @@
 //! The planner: tables of workers, workspaces, jobs and gangs, and the systems that run each tick.
 
+mod contract;
 mod place_jobs;
 mod reserve;
 mod views;
@@ -10,9 +11,6 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
-use thiserror::Error;
-
 use crate::{
     fleet::{Claim, Fleet},
     ids::{FencingToken, JobId, ProcessId, WorkspaceId},
@@ -23,139 +21,14 @@
     reason::Reason,
     shape::{LEVELS, Shape},
     tables::{Demand, Gang, JobRow, JobState, QueueTable},
-    topology::{Placement, WorkerSpec},
+    topology::WorkerSpec,
 };
 
 use reserve::Reservation;
 
-/// What the planner wants done. Whoever drives it reports back how it went.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Command {
-    /// Hold and commit every part, then report [`Planner::started`] or
-    /// [`Planner::start_refused`].
-    Start {
-        /// The job.
-        job: JobId,
-        /// What the leases are for, with the fencing token.
-        meta: LeaseMeta,
-        /// Where the gang goes.
-        placement: Placement,
-    },
-    /// Have a running gang give way, then report [`Planner::shrunk`] or [`Planner::stopped`].
-    Yield {
-        /// The gang's fencing token.
-        token: FencingToken,
-        /// Its job.
-        job: JobId,
-        /// The process that renews its leases.
-        holder: ProcessId,
-        /// How it gives way.
-        how: YieldKind,
-        /// Every part that it has now.
-        parts: Placement,
-        /// The job that it gives way to.
-        for_job: JobId,
-    },
-    /// The job's deadline has passed while it waited; it isn't in the tables any more.
-    Expire {
-        /// The job.
-        job: JobId,
-    },
-}
-
-/// How a gang gives way.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum YieldKind {
-    /// It runs on with these parts.
-    Shrink {
-        /// Parts that it keeps.
-        keep: Placement,
-    },
-    /// It is checkpointed and goes on later.
-    Checkpoint,
-    /// It is stopped and starts anew later.
-    Stop,
-}
-
-/// Why a job isn't taken into the queue. None of it has run.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum SubmitError {
-    /// The table has no such workspace.
-    #[error("workspace `{0}` is not in the table")]
-    UnknownWorkspace(WorkspaceId),
-    /// The job asks for no gang, for zero devices, or for a minimum above its size.
-    #[error("gang.devices must be at least 1, and gang.min_devices between 1 and gang.devices")]
-    BadGang,
-    /// No place of this fleet could ever hold the gang.
-    #[error("needs {need} devices, but the largest such place has {largest}")]
-    Impossible {
-        /// Devices that it needs at least.
-        need: u32,
-        /// Devices of the largest place.
-        largest: u32,
-    },
-    /// Work that can't be stopped may run on its workspace's own devices only, and they don't do.
-    #[error("can't be stopped, so it must fit into the guarantee of {guarantee}")]
-    BeyondGuarantee {
-        /// The workspace's guarantee.
-        guarantee: Shape,
-    },
-    /// The workspace's queue is full.
-    #[error("workspace has reached its queued_limit of {limit} jobs")]
-    QueueFull {
-        /// The limit in jobs.
-        limit: u32,
-    },
-    /// The workspace has too much urgent work.
-    #[error("workspace has reached its urgent_limit of {limit} jobs")]
-    UrgentFull {
-        /// The limit in jobs.
-        limit: u32,
-    },
-    /// A job of this id is in the tables.
-    #[error("a job with this id is already waiting or running")]
-    Duplicate,
-}
-
-/// Why an edit of the table can't be accepted.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-pub enum GuaranteeError {
-    /// The guarantees together don't fit into the fleet.
-    #[error("the fleet can't hold all guarantees at once: short of {short}")]
-    Infeasible {
-        /// Cells that are missing.
-        short: Shape,
-    },
-}
-
-/// Times and bounds of the planner's systems.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct PlanSettings {
-    /// Time after which a gang that finds no room gets a reservation, in milliseconds.
-    pub reserve_after_ms: u64,
-    /// Most gangs moved in a minute to open a reserved place.
-    pub moves_per_minute: u32,
-    /// Time after which a yield that had no effect is asked for again, in milliseconds.
-    pub yield_again_ms: u64,
-    /// Longest pause after a refused start, in milliseconds.
-    pub refusal_backoff_ms: u64,
-    /// Starts tried in one tick at most.
-    pub starts_per_tick: u32,
-}
-
-impl Default for PlanSettings {
-    fn default() -> Self {
-        Self {
-            reserve_after_ms: 30_000,
-            moves_per_minute: 6,
-            yield_again_ms: 2_000,
-            refusal_backoff_ms: 800,
-            starts_per_tick: 256,
-        }
-    }
-}
+pub use contract::{
+    Command, Explanation, GuaranteeError, PlanSettings, SubmitError, WorkspaceView, YieldKind,
+};
 
 /// The planner. See the [crate page](crate) for an example.
 #[derive(Debug, Clone)]
@@ -185,38 +58,6 @@
     others: u64,
 }
 
-/// What `explain` tells of one job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Explanation {
-    /// The job.
-    pub job: JobId,
-    /// Why it is in its state.
-    pub reason: Reason,
-    /// Time since it arrived.
-    pub age: Duration,
-    /// Time since it last began to wait.
-    pub waiting: Duration,
-    /// Jobs of the same demand that go first.
-    pub ahead: u32,
-}
-
-/// Counts of one workspace.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct WorkspaceView {
-    /// The workspace.
-    pub workspace: WorkspaceId,
-    /// Devices held.
-    pub held: u32,
-    /// Devices held beyond the guarantee.
-    pub borrowed: u32,
-    /// Gangs running.
-    pub running: u32,
-    /// Gangs waiting here.
-    pub waiting: u32,
-    /// Part of the guarantee that is not in use.
-    pub unused: Shape,
-}
-
 /// Bits of a fencing token below its time.
 const TOKEN_SEED_BITS: u32 = 20;
 
