--- a/crates/rampbay-jobs/src/planner/expire.rs
+++ b/crates/rampbay-jobs/src/planner/expire.rs
@@ -1,7 +1,7 @@
 //! Removes jobs from the store that ended long ago.
 
 use crate::job::JobId;
-use crate::record::{Record, removal};
+use crate::record::Record;
 
 use super::draft::Draft;
 use super::{Planner, RoundInputs};
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -74,6 +74,12 @@
         self.runs.get(&(task.clone(), attempt))
     }
 
+    /// Returns how long a run's reports have said the same. Time without reports doesn't count.
+    pub fn same_for(&self, seen: &Seen) -> Duration {
+        let report = self.reports.get(&seen.instance);
+        report.map_or(Duration::ZERO, |r| r.received_at.saturating_duration_since(seen.since))
+    }
+
     /// Takes in a report.
     pub fn insert(&mut self, instance: &str, report: ProgressReport, now: Instant) {
         let silent = Duration::from_millis(report.silent_ms);
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -1,6 +1,6 @@
 //! Moves runs off workers that leave, and runs that stand still.
 
-use tokio::time::Instant;
+use std::time::Duration;
 
 use crate::job::{Step, TaskId};
 use crate::metrics::metrics;
@@ -9,6 +9,8 @@
 use super::draft::Draft;
 use super::{Planner, RoundInputs};
 
+/// Progress that no run exceeds.
+const FULL_PERCENT: u32 = 100;
 /// Share of the remaining time on a leaving worker that a run may be estimated to need.
 const LEAVING_MARGIN_PERMILLE: u64 = 800;
 
@@ -30,7 +32,12 @@
                 );
                 moved.push(task_id);
             } else if stands_still(planner, &task_id, task, step, inputs) {
-                log::warn!("event=J143 run stands still task={task_id} worker={}", task.instance);
+                let percent =
+                    inputs.progress.run(&task_id, task.attempt).map_or(0, |seen| seen.percent);
+                log::warn!(
+                    "event=J143 run stands still task={task_id} worker={} percent={percent}",
+                    task.instance
+                );
                 planner.health.stalled(&task.instance, inputs.now);
                 moved.push(task_id);
             }
@@ -68,9 +75,13 @@
     if step.long_running {
         return false;
     }
-    let now = Instant::now();
     let Some(seen) = inputs.progress.run(id, task.attempt) else { return false };
+    // Past its estimate a run shows no progress, and may take long, away from its data.
+    let past_estimate = seen.percent >= FULL_PERCENT;
+    let longest = Duration::from_millis(step.estimate_ms * planner.settings.remote_penalty);
+    let patience =
+        planner.settings.stall_after + if past_estimate { longest } else { Duration::ZERO };
     let is_heard = planner.report_age(&task.instance, inputs) < planner.settings.doubt_after
         && inputs.progress.silent(&task.instance) < planner.settings.doubt_after;
-    is_heard && now.saturating_duration_since(seen.since) > planner.settings.stall_after
+    is_heard && inputs.progress.same_for(seen) > patience
 }
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -475,3 +475,41 @@
         assert!(rig.table.jobs.is_empty());
     });
 }
+
+/// Seen on the bench: after an outage of the store every run counted as standing still, since no
+/// report had come, and all were stopped.
+#[test]
+fn unreadable_reports_no_run_moved() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(1);
+        rig.submit(job(JOB, 1, step(2, 1)));
+        rig.plan();
+        rig.pass(Duration::from_secs(2)).await;
+        tokio::time::sleep(Duration::from_secs(8)).await;
+        rig.progress.note_read(Instant::now());
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running; 2]);
+    });
+}
+
+/// A run reports the same progress for a while; at the end of its estimate it may do so for long.
+#[rstest]
+#[case::standing(40, TaskStatus::Stopping)]
+#[case::past_its_estimate(100, TaskStatus::Running)]
+fn same_progress_reported(#[case] percent: u32, #[case] expected: TaskStatus) {
+    on_virtual_time(async move {
+        let mut rig = Rig::of_workers(1);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        for _ in 0..6 {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            rig.progress.note_read(Instant::now());
+            let run =
+                RunProgress { task: task(JOB, 0), attempt: 1, percent, checkpoint: String::new() };
+            let report = ProgressReport { silent_ms: 0, runs: vec![run] };
+            rig.progress.insert("i-0", report, Instant::now());
+        }
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), expected);
+    });
+}
