--- a/crates/rampbay-core/src/plan/contract.rs
+++ b/crates/rampbay-core/src/plan/contract.rs
@@ -16,8 +16,8 @@
 /// What the planner wants done. Whoever drives it reports back how it went.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
-    /// Hold and commit every part, then report [`Planner::started`] or
-    /// [`Planner::start_refused`].
+    /// Hold and commit every part, then report [`Planner::started`](super::Planner::started) or
+    /// [`Planner::start_refused`](super::Planner::start_refused).
     Start {
         /// The job.
         job: JobId,
@@ -26,7 +26,7 @@
         /// Where the gang goes.
         placement: Placement,
     },
-    /// Have a running gang give way, then report [`Planner::shrunk`] or [`Planner::stopped`].
+    /// Have a running gang give way, then report [`Planner::shrunk`](super::Planner::shrunk) or [`Planner::stopped`](super::Planner::stopped).
     Yield {
         /// The gang's fencing token.
         token: FencingToken,
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -82,6 +82,23 @@
     }
 }
 
+/// Ages of what an intake answers by; `None` before the first read.
+#[derive(Clone, Copy, Debug)]
+pub struct Ages {
+    /// Of the configuration.
+    pub configuration: Option<Duration>,
+    /// Of the table.
+    pub table: Option<Duration>,
+}
+
+impl std::fmt::Display for Ages {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let millis = |age: Option<Duration>| age.map_or(-1, |age| age.as_millis() as i128);
+        let (configuration, table) = (millis(self.configuration), millis(self.table));
+        write!(f, "config_age_ms={configuration} table_age_ms={table}")
+    }
+}
+
 /// Who calls, and where.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTarget<'a> {
@@ -126,6 +143,12 @@
         Self { store, table, table_freshness, routing, limits }
     }
 
+    /// Returns the ages of the configuration and of the table, by which calls are answered.
+    #[must_use]
+    pub fn ages(&self) -> Ages {
+        Ages { configuration: self.routing.freshness.age(), table: self.table_freshness.age() }
+    }
+
     /// Checks queue and key of a call.
     ///
     /// # Errors
