--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::follower::Freshness;
+use crate::freshness::Freshness;
 use crate::job::{EpochMillis, InstanceId, NodeName};
 use crate::record::{KeyedRecord, PROGRESS_TOPIC, WorkerRecord, encode};
 use crate::store::Store;
--- /dev/null
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -0,0 +1,147 @@
+//! How old a view of the store is, and the latest records of it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::record::KeyedRecord;
+use crate::store::{Batch, Offset, ReadError};
+
+/// How current the view is.
+#[derive(Debug)]
+pub struct Freshness {
+    proven_at: Cell<Option<Instant>>,
+    position: Cell<Offset>,
+    changed: watch::Sender<u64>,
+    recent: RefCell<Recent>,
+}
+
+impl Default for Freshness {
+    fn default() -> Self {
+        Self {
+            proven_at: Cell::new(None),
+            position: Cell::new(0),
+            changed: watch::channel(0).0,
+            recent: RefCell::default(),
+        }
+    }
+}
+
+/// Most records that are kept to be passed on.
+const MOST_RECENT: usize = 2048;
+
+/// The latest records, to be passed on.
+#[derive(Debug, Default)]
+struct Recent {
+    first: Offset,
+    records: VecDeque<KeyedRecord>,
+    kept: bool,
+}
+
+impl Freshness {
+    /// Returns the age of the view: all that the store had acknowledged so long ago is in it.
+    /// `None` before the first read of the whole topic.
+    #[must_use]
+    pub fn age(&self) -> Option<Duration> {
+        self.proven_at.get().map(|at| at.elapsed())
+    }
+
+    /// Returns whether the view is at most so old.
+    #[must_use]
+    pub fn is_within(&self, limit: Duration) -> bool {
+        self.age().is_some_and(|age| age <= limit)
+    }
+
+    /// Returns the offset up to which records are taken in.
+    #[must_use]
+    pub fn position(&self) -> Offset {
+        self.position.get()
+    }
+
+    /// Returns a receiver that is told of each change.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Tells all who subscribed to look again.
+    pub fn notify(&self) {
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Waits until records up to `offset` are taken in.
+    pub async fn reach(&self, offset: Offset) {
+        let mut changes = self.subscribe();
+        while self.position.get() < offset {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Begins to keep the latest records, so that they can be passed on.
+    pub fn keep_recent(&self) {
+        self.recent.borrow_mut().kept = true;
+    }
+
+    /// Passes on records from an offset on; waits up to `wait` for one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if nothing is known yet, or these records aren't kept.
+    pub async fn pass_on(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let deadline = Instant::now() + wait;
+        let mut changes = self.subscribe();
+        while self.position.get() <= from && Instant::now() < deadline {
+            let _ = tokio::time::timeout_at(deadline, changes.changed()).await;
+        }
+        let age = self.age().ok_or(ReadError::Unavailable)?;
+        let recent = self.recent.borrow();
+        let end = self.position.get();
+        if !recent.kept || from < recent.first || from > end {
+            return Err(ReadError::Unavailable);
+        }
+        let skipped = (from - recent.first) as usize;
+        let records = recent.records.iter().skip(skipped).cloned().collect();
+        Ok(Batch { end, records, age })
+    }
+
+    /// Keeps records that begin at an offset, to pass them on.
+    pub(crate) fn keep(&self, at: Offset, records: &[KeyedRecord]) {
+        let mut recent = self.recent.borrow_mut();
+        if !recent.kept {
+            return;
+        }
+        if recent.records.is_empty() {
+            recent.first = at;
+        }
+        recent.records.extend(records.iter().cloned());
+        while recent.records.len() > MOST_RECENT {
+            recent.records.pop_front();
+            recent.first += 1;
+        }
+    }
+
+    /// Forgets the kept records; the next ones begin at `position`.
+    pub(crate) fn restart(&self, position: Offset) {
+        let mut recent = self.recent.borrow_mut();
+        recent.records.clear();
+        recent.first = position;
+    }
+
+    /// Takes note that the view holds all that the store had acknowledged at this time.
+    pub(crate) fn prove(&self, at: Instant) {
+        if self.proven_at.get().is_none_or(|before| before < at) {
+            self.proven_at.set(Some(at));
+        }
+    }
+
+    /// Takes note that records up to `position` are taken in.
+    pub(crate) fn move_to(&self, position: Offset) {
+        self.position.set(position);
+        self.notify();
+    }
+}
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::follower::Freshness;
+use crate::freshness::Freshness;
 use crate::job::{JobId, Submission, WorkspaceName};
 use crate::record::{JobStatus, Record, STATE_TOPIC};
 use crate::routing::{Queue, Routing};
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use crate::follower::Freshness;
+use crate::freshness::Freshness;
 use crate::intake::CurrentRouting;
 use crate::job::NodeName;
 use crate::metrics::metrics;
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod agent;
 pub mod follower;
+pub mod freshness;
 pub mod intake;
 pub mod job;
 pub mod leader;
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -4,7 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::follower::{Freshness, Pace, Sink, follow};
+use crate::follower::{Pace, Sink, follow};
+use crate::freshness::Freshness;
 use crate::planner::ProgressTable;
 use crate::record::{KeyedRecord, Member, PROGRESS_TOPIC, Record, STATE_TOPIC};
 use crate::store::Store;
--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -23,15 +23,21 @@
     ends.collect()
 }
 
+/// Starts an agent whose worker runs the tasks of a job.
+async fn running_rig(tasks: u32) -> AgentRig {
+    let store = MemoryStore::new();
+    let worker = FakeWorker::new("i-1");
+    seed_running_job(&store, JOB, tasks, "i-1");
+    let rig = AgentRig::start(store, worker);
+    rig.heartbeat("i-1", 1);
+    sleep(Duration::from_millis(300)).await;
+    rig
+}
+
 #[test]
 fn start_assigned_run() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 2, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(2).await;
         assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1), (task(JOB, 1), 1)]);
     });
 }
@@ -39,12 +45,7 @@
 #[test]
 fn end_kept_before_noted() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.store.trouble.set(Trouble::Refuses);
         rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
         sleep(Duration::from_secs(3)).await;
@@ -60,12 +61,7 @@
 #[test]
 fn restart_ended_run_not_started_again() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         let (store, worker) = (rig.store.clone(), rig.worker.clone());
         rig.kill();
         worker.end(&task(JOB, 0), 1, EndReason::Done);
@@ -80,12 +76,7 @@
 #[test]
 fn last_end_noted_soon() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
         sleep(Duration::from_millis(300)).await;
         assert_eq!(rig.worker.seen(), 1);
@@ -127,12 +118,7 @@
 #[test]
 fn cancelled_job_stopped_without_planner() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 2, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(2).await;
         rig.store.put(&Record::Cancelled(JOB.to_owned()));
         sleep(Duration::from_millis(600)).await;
         assert!(rig.worker.running().is_empty());
@@ -146,12 +132,7 @@
 #[case::long(Duration::from_secs(17), false)]
 fn outage_leases(#[case] outage: Duration, #[case] runs: bool) {
     on_virtual_time(async move {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.store.trouble.set(Trouble::Refuses);
         sleep(outage).await;
         assert_eq!(!rig.worker.running().is_empty(), runs);
@@ -161,12 +142,7 @@
 #[test]
 fn new_life_ends_old_one() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.worker.replace("i-2");
         rig.heartbeat("i-2", 1);
         sleep(Duration::from_millis(2500)).await;
@@ -180,12 +156,7 @@
 #[test]
 fn silent_worker_given_up_after_leases() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.worker.silent.set(true);
         for _ in 0..200 {
             sleep(Duration::from_millis(50)).await;
@@ -200,12 +171,7 @@
 #[test]
 fn evicted_worker_returns_empty() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.store.put(&Record::Evicted("i-1".to_owned()));
         sleep(Duration::from_secs(3)).await;
         assert!(rig.worker.running().is_empty());
@@ -217,12 +183,7 @@
 #[test]
 fn superseded_attempt_stopped() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         let mut plan = running_plan(1, "i-1", 1);
         plan.open[0].steps[0][0].status = TaskStatus::Stopping;
         rig.store.put(&Record::Plan(JOB.to_owned(), Box::new(plan)));
@@ -260,12 +221,7 @@
 #[test]
 fn over_life_not_taken_up_again() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.store.read_delay.set(Duration::from_secs(3));
         rig.worker.replace("i-2");
         sleep(Duration::from_secs(8)).await;
@@ -338,12 +294,7 @@
 #[test]
 fn ends_of_removed_job_forgotten() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let worker = FakeWorker::new("i-1");
-        seed_running_job(&store, JOB, 1, "i-1");
-        let rig = AgentRig::start(store, worker);
-        rig.heartbeat("i-1", 1);
-        sleep(Duration::from_millis(300)).await;
+        let rig = running_rig(1).await;
         rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
         sleep(Duration::from_millis(300)).await;
         assert_eq!(rig.host.remembered_ends(), 1);
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
-use rampbay_jobs::follower::Freshness;
+use rampbay_jobs::freshness::Freshness;
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
