fix: a worker's good-bye is in the store before its agent goes

An agent waited a second after its worker's good-bye before it told the store, and its machine was stopped just then. The planner went on counting on the worker, and gave its runs up 25 s later. During an outage of the store not even the drain was known, so urgent work was given to a worker that was gone.

The tests of departures don't build without the change; worker_unheard_since_outage_avoided and departed_worker_given_up_after_leases fail without the planner's part.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -18,7 +18,7 @@
 use crate::freshness::Freshness;
 use crate::job::{EpochMillis, InstanceId, NodeName};
 use crate::record::{KeyedRecord, PROGRESS_TOPIC, WorkerRecord, encode};
-use crate::store::Store;
+use crate::store::{AppendError, Store};
 use crate::table::JobTable;
 use crate::worker::Worker;
 
@@ -121,6 +121,13 @@
         tokio::join!(self.adopt_for_ever(), self.report_for_ever());
     }
 
+    /// Returns whether nothing is lost if this process ends now: no end and no departure of a
+    /// worker is still on its way to the store.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.lives.borrow().values().all(|life| life.is_settled())
+    }
+
     /// Counts the ends that all lives remember, so that none is ordered again.
     #[must_use]
     pub fn remembered_ends(&self) -> usize {
@@ -180,23 +187,25 @@
             lives.iter().for_each(|life| life.forget_removed_jobs());
             let busy = lives.iter().any(|life| life.has_runs());
             if busy || since_report >= settings.idle_report_interval {
-                self.report(&lives).await;
-                since_report = Duration::ZERO;
+                // One that the store didn't take is followed by another without delay.
+                since_report = match self.report(&lives).await {
+                    Ok(()) => Duration::ZERO,
+                    Err(_) => settings.idle_report_interval,
+                };
             }
             tokio::time::sleep(settings.report_interval).await;
             since_report += settings.report_interval;
         }
     }
 
-    async fn report(&self, lives: &[Rc<Life>]) {
+    async fn report(&self, lives: &[Rc<Life>]) -> Result<(), AppendError> {
         let records: Vec<KeyedRecord> = lives
             .iter()
             .map(|life| KeyedRecord { key: life.instance.clone(), value: encode(&life.report()) })
             .collect();
-        if records.is_empty() {
-            return;
+        if !records.is_empty() {
+            self.parts.store.append(PROGRESS_TOPIC, &records, None).await?;
         }
-        // A report that is lost is followed by the next one.
-        let _ = self.parts.store.append(PROGRESS_TOPIC, &records, None).await;
+        Ok(())
     }
 }
--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -69,6 +69,12 @@
     }
 
     async fn store_ends(&self, ends: Vec<PendingEnd>) {
+        self.storing_ends.set(self.storing_ends.get() + 1);
+        self.keep_ends(ends).await;
+        self.storing_ends.set(self.storing_ends.get() - 1);
+    }
+
+    async fn keep_ends(&self, ends: Vec<PendingEnd>) {
         let records: Vec<KeyedRecord> = ends.iter().map(|end| self.record_of(end)).collect();
         while self.parts.store.append(STATE_TOPIC, &records, None).await.is_err() {
             if self.is_over() {
--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -17,8 +17,8 @@
 use super::runs::{Phase, Runs};
 use super::{AgentParts, LOOK_INTERVAL};
 
-/// How long a worker that has said good-bye may still be ending.
-const LEAVE_DELAY: Duration = Duration::from_millis(1000);
+/// Time between two calls that show whether a worker that has said good-bye is gone.
+const DEPARTURE_LOOK: Duration = Duration::from_millis(100);
 /// Pause before the store is asked again to keep a registration.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 
@@ -38,8 +38,10 @@
     pub(super) last_seen: Cell<u64>,
     /// Number of the last end that the worker was told to forget.
     pub(super) noted: Cell<u64>,
-    /// Whether ends are on their way to the store.
+    /// Whether listed ends are on their way to the store.
     pub(super) storing: Cell<bool>,
+    /// Number of appends of ends that the store hasn't answered.
+    pub(super) storing_ends: Cell<usize>,
     /// When a call that renews was sent last.
     pub(super) lease_sent: Cell<Instant>,
     /// When the worker answered or was heard last.
@@ -60,6 +62,7 @@
         worker: Rc<dyn Worker>,
     ) -> Rc<Self> {
         let now = Instant::now();
+        let left_at = record.departed.then_some(now);
         Rc::new(Self {
             instance,
             parts,
@@ -71,11 +74,12 @@
             last_seen: Cell::new(0),
             noted: Cell::new(0),
             storing: Cell::new(false),
+            storing_ends: Cell::new(0),
             lease_sent: Cell::new(now),
             heard: Cell::new(now),
             record: RefCell::new(record),
             sequence: Cell::new(0),
-            left_at: Cell::new(None),
+            left_at: Cell::new(left_at),
             over: Cell::new(false),
             abandoned: Notify::new(),
         })
@@ -98,7 +102,9 @@
         }
         // A later heartbeat says the same departure in other words; the first one stands.
         let leaves_at = if known.draining { known.leaves_at } else { record.leaves_at };
-        let changed = WorkerRecord { leaves_at, ..record };
+        let departed = known.departed;
+        let draining = departed || record.draining;
+        let changed = WorkerRecord { leaves_at, departed, draining, ..record };
         if *known != changed {
             *known = changed;
             drop(known);
@@ -110,6 +116,12 @@
     pub(super) fn leave(&self) {
         log::info!("event=J162 worker leaves worker={}", self.instance);
         self.left_at.set(Some(Instant::now()));
+        {
+            let mut record = self.record.borrow_mut();
+            record.draining = true;
+            record.departed = true;
+        }
+        self.parts.freshness.notify();
     }
 
     /// Takes in that the worker's life is certainly over.
@@ -139,6 +151,12 @@
         self.over.get()
     }
 
+    /// Returns whether nothing is lost if this process ends now: all ends, and a departure, are in
+    /// the store.
+    pub(super) fn is_settled(&self) -> bool {
+        self.left_at.get().is_none() && !self.is_over() && self.storing_ends.get() == 0
+    }
+
     /// Returns whether the worker drains or has said good-bye.
     pub(super) fn is_draining(&self) -> bool {
         self.record.borrow().draining || self.left_at.get().is_some()
@@ -209,16 +227,20 @@
         self.unregister().await;
     }
 
-    async fn watch_leaving(&self) {
-        loop {
-            let left = self.left_at.get().is_some_and(|at| at.elapsed() >= LEAVE_DELAY);
-            if left {
-                self.end("left");
+    /// Ends the life of a worker that has said good-bye once nobody listens at its address, or its
+    /// leases have surely lapsed.
+    async fn watch_leaving(self: &Rc<Self>) {
+        while !self.is_over() {
+            if self.left_at.get().is_none() {
+                tokio::time::sleep(LOOK_INTERVAL).await;
+                continue;
             }
-            if self.is_over() {
+            let lapsed = self.lease_sent.get().elapsed() > self.parts.settings.lapse;
+            if lapsed || self.nobody_listens().await {
+                self.end("left");
                 return;
             }
-            tokio::time::sleep(LOOK_INTERVAL).await;
+            tokio::time::sleep(DEPARTURE_LOOK).await;
         }
     }
 
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -165,8 +165,8 @@
                     return;
                 }
                 // The same run is started once, however often it is ordered.
-                Err(WorkerError::NoAnswer) if unanswered < START_REPEATS => unanswered += 1,
-                Err(WorkerError::NoAnswer) => {
+                Err(_) if unanswered < START_REPEATS => unanswered += 1,
+                Err(_) => {
                     self.give_up_start(wanted.key, unanswered + 1);
                     return;
                 }
@@ -247,7 +247,7 @@
             match outcome {
                 Ok(()) => break,
                 Err(WorkerError::OtherLife) => self.end("replaced"),
-                Err(WorkerError::NoAnswer) => tokio::time::sleep(STOP_RETRY).await,
+                Err(_) => tokio::time::sleep(STOP_RETRY).await,
             }
         }
         self.settle_as_stopped(&key);
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -42,7 +42,7 @@
                     }
                 }
                 Err(WorkerError::OtherLife) => self.end("replaced"),
-                Err(WorkerError::NoAnswer) => {
+                Err(WorkerError::NoAnswer | WorkerError::Refused) => {
                     self.judge_silence();
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Returns whether calls to the worker are turned away for want of a listener.
+    pub(super) async fn nobody_listens(self: &Rc<Self>) -> bool {
+        let order = RenewOrder { lease_until: None, wait: Duration::ZERO, ..self.renew_order() };
+        self.worker.renew(&order).await.is_err_and(|error| error == WorkerError::Refused)
+    }
+
     /// Ends the life once all its leases have surely lapsed without a sign of the worker.
     fn judge_silence(&self) {
         let settings = &self.parts.settings;
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -42,6 +42,8 @@
     pub evict_after: Duration,
     /// Time after an eviction from which no run of the worker can exist any more.
     pub gone_after: Duration,
+    /// Time after a worker's good-bye from which none of its runs can exist any more.
+    pub departed_after: Duration,
     /// Time without progress after which a run is moved.
     pub stall_after: Duration,
     /// How long a job is kept after its end.
@@ -70,6 +72,7 @@
     settings: PlannerSettings,
     health: HealthBook,
     evicted_since: BTreeMap<InstanceId, Duration>,
+    departed_since: BTreeMap<InstanceId, Duration>,
     known_since: BTreeMap<InstanceId, Duration>,
     ended_since: BTreeMap<JobId, Duration>,
 }
@@ -82,6 +85,7 @@
             settings,
             health: HealthBook::default(),
             evicted_since: BTreeMap::new(),
+            departed_since: BTreeMap::new(),
             known_since: BTreeMap::new(),
             ended_since: BTreeMap::new(),
         }
@@ -97,6 +101,7 @@
         fold::cancel(&mut draft);
         fold::settle(&mut draft, inputs);
         evict::evict(self, &mut draft, inputs);
+        evict::give_up_departed(self, &mut draft, inputs);
         watch::move_runs(self, &mut draft, inputs);
         place::place(self, &mut draft, inputs);
         expire::expire(self, &mut draft, inputs);
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -22,9 +22,31 @@
     }
 }
 
+/// Removes workers that have said good-bye and whose agents went before they could say that it is
+/// over. Their leases are never renewed again.
+pub fn give_up_departed(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    let workers = &inputs.table.workers;
+    let has_departed = |instance: &str| workers.get(instance).is_some_and(|known| known.departed);
+    planner.departed_since.retain(|instance, _| has_departed(instance));
+    for instance in workers.keys().filter(|instance| has_departed(instance)) {
+        // A planner that takes over counts from its own start: later, never earlier.
+        let since = *planner.departed_since.entry(instance.clone()).or_insert(inputs.now);
+        let waited = inputs.now.saturating_sub(since);
+        if waited < planner.settings.departed_after {
+            continue;
+        }
+        log::warn!(
+            "event=J144 departed worker given up worker={instance} waited_ms={}",
+            waited.as_millis()
+        );
+        draft.remove(worker_key(instance));
+        draft.remove(eviction_key(instance));
+    }
+}
+
 fn start_evictions(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
     for (instance, worker) in &inputs.table.workers {
-        if inputs.table.evicted.contains(instance) {
+        if worker.departed || inputs.table.evicted.contains(instance) {
             continue;
         }
         let age = planner.report_age(instance, inputs);
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -66,13 +66,13 @@
         self.allows_more(room) && room.free.fits(&self.demand)
     }
 
-    /// Returns how badly a worker suits, the least first: away from the data, failed or refused
-    /// before, then whatever leaves least room behind.
-    fn unfitness(&self, room: &Room) -> (bool, bool, bool, u64, u64) {
+    /// Returns how badly a worker suits, the least first: failed or refused lately, not heard of,
+    /// away from the data, failed this before, then whatever leaves least room behind.
+    fn unfitness(&self, room: &Room) -> (bool, bool, bool, bool, u64, u64) {
         let rack = &self.step.data_rack;
         let remote = !rack.is_empty() && !room.worker.labels.contains(rack);
         let failed = self.failed_at.contains(&room.instance);
-        (room.avoided, remote, failed, room.free.devices, room.free.cpu_milli)
+        (room.avoided, room.unheard, remote, failed, room.free.devices, room.free.cpu_milli)
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -74,10 +74,10 @@
         let options = (0..rooms.len()).filter_map(|index| {
             let stops = stops_for(&rooms[index], units, &chosen, need)?;
             let cost: u64 = stops.iter().map(|&unit| units[unit].lost_work).sum();
-            Some((cost, rooms[index].avoided, rooms[index].free.devices, index, stops))
+            let room = &rooms[index];
+            Some(((room.avoided, room.unheard, cost, room.free.devices), index, stops))
         });
-        let (_, _, _, index, stops) =
-            options.min_by_key(|(cost, avoided, devices, ..)| (*avoided, *cost, *devices))?;
+        let (_, index, stops) = options.min_by_key(|(rank, ..)| *rank)?;
         for unit in stops {
             chosen.insert(unit);
             release(&mut rooms, &units[unit]);
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -64,6 +64,12 @@
         now.saturating_duration_since(received.max(readable))
     }
 
+    /// Returns whether an agent has reported since reports could last be read again.
+    pub fn is_heard(&self, instance: &str) -> bool {
+        let Some(readable) = self.readable_since else { return false };
+        self.reports.get(instance).is_some_and(|report| report.received_at > readable)
+    }
+
     /// Returns how long a worker hadn't answered its agent at the last report.
     pub fn silent(&self, instance: &str) -> Duration {
         self.reports.get(instance).map_or(Duration::ZERO, |report| report.silent)
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -28,6 +28,8 @@
     pub usable: bool,
     /// Whether it failed or refused lately.
     pub avoided: bool,
+    /// Whether its agent hasn't reported since the last outage of the reports: it may be gone.
+    pub unheard: bool,
     /// Number of its tasks of each step.
     pub members: BTreeMap<StepKey, u32>,
 }
@@ -78,6 +80,7 @@
                 && planner.report_age(instance, inputs) < planner.settings.doubt_after
                 && inputs.progress.silent(instance) < planner.settings.doubt_after,
             avoided: planner.health.is_avoided(instance, inputs.now),
+            unheard: !inputs.progress.is_heard(instance),
             members: BTreeMap::new(),
             worker: Rc::clone(worker),
         });
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -210,6 +210,8 @@
     pub draining: bool,
     /// When a draining worker leaves at the earliest; 0 if it isn't draining.
     pub leaves_at: EpochMillis,
+    /// Whether it has said that it ends now. Its leases are never renewed again.
+    pub departed: bool,
 }
 
 impl WorkerRecord {
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -145,6 +145,7 @@
             doubt_after: Duration::from_millis(3500),
             evict_after: Duration::from_millis(7000),
             gone_after: GUARD + self.lapse() + LAPSE_SLACK,
+            departed_after: self.lapse() + LAPSE_SLACK,
             stall_after: Duration::from_millis(3500),
             keep_ended: Duration::from_secs(self.status_s * KEEP_FACTOR),
             remote_penalty: self.remote_penalty.max(1),
--- a/crates/rampbay-jobs/src/worker.rs
+++ b/crates/rampbay-jobs/src/worker.rs
@@ -75,6 +75,9 @@
     /// No answer; the order may still be carried out.
     #[error("no answer from the worker")]
     NoAnswer,
+    /// Nobody listens at the worker's address.
+    #[error("nobody listens at the worker's address")]
+    Refused,
 }
 
 /// Outcome of a start.
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -93,13 +93,18 @@
 
     /// Lets time pass in which all agents report.
     async fn pass(&mut self, time: Duration) {
+        self.pass_without(time, "").await;
+    }
+
+    /// Lets time pass in which all agents but one report.
+    async fn pass_without(&mut self, time: Duration, silent: &str) {
         let end = Instant::now() + time;
         while Instant::now() < end {
             tokio::time::sleep(Duration::from_millis(500)).await;
             self.wall += 500;
             self.progress.note_read(Instant::now());
             let instances: Vec<String> = self.table.workers.keys().cloned().collect();
-            for instance in instances {
+            for instance in instances.into_iter().filter(|instance| instance != silent) {
                 let runs = self.runs_at(&instance);
                 let runs = runs.into_iter().map(|(task, attempt)| RunProgress {
                     task,
@@ -141,6 +146,10 @@
         (task.attempt, task.instance.clone())
     }
 
+    fn instance_of(&self, id: &TaskId) -> String {
+        self.placed(id).1
+    }
+
     fn status_of(&self, id: &TaskId) -> TaskStatus {
         let plan = self.table.jobs[&id.job].plan.as_ref();
         plan.and_then(|plan| plan.task(id)).map_or(TaskStatus::Waiting, |task| task.status)
@@ -235,6 +244,47 @@
 }
 
 /// While no reports can be read, no agent is taken to be silent.
+/// The agent's machine is taken away soon after its worker's good-bye, and says nothing more.
+#[test]
+fn departed_worker_given_up_after_leases() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(2);
+        rig.submit(job(JOB, 1, step(1, 8)));
+        rig.pass(Duration::from_secs(1)).await;
+        rig.plan();
+        let first = rig.instance_of(&task(JOB, 0));
+        let record = WorkerRecord {
+            draining: true,
+            departed: true,
+            ..rig.table.workers[&first].as_ref().clone()
+        };
+        rig.put(&Record::Worker(first.clone(), Box::new(record)));
+        rig.plan();
+        rig.pass_without(Duration::from_secs(6), &first).await;
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(JOB, 0)), first, "its last lease may still hold");
+        rig.pass_without(Duration::from_millis(1500), &first).await;
+        rig.plan();
+        assert_ne!(rig.instance_of(&task(JOB, 0)), first);
+        assert!(!rig.table.workers.contains_key(&first));
+    });
+}
+
+/// Seen on the bench: urgent work was given to a worker that had gone during an outage.
+#[test]
+fn worker_unheard_since_outage_avoided() {
+    on_virtual_time(async {
+        let mut rig = Rig::of_workers(2);
+        rig.pass(Duration::from_secs(1)).await;
+        // Nothing can be read for a while; then only one agent reports.
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        rig.pass_without(Duration::from_millis(1000), "i-0").await;
+        rig.submit(job(URGENT, 0, step(1, 1)));
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(URGENT, 0)), "i-1");
+    });
+}
+
 #[test]
 fn unreadable_reports_nobody_evicted() {
     on_virtual_time(async {
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -55,6 +55,7 @@
         labels: vec!["a".to_owned(), rack.to_owned()],
         draining: false,
         leaves_at: 0,
+        departed: false,
     }
 }
 
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -51,6 +51,8 @@
     pub instance: RefCell<String>,
     /// Whether calls get no answer and have no effect.
     pub silent: Cell<bool>,
+    /// Whether nobody listens at its address any more.
+    pub gone: Cell<bool>,
     /// How it treats starts.
     pub start_trouble: Cell<StartTrouble>,
 }
@@ -63,6 +65,7 @@
             born: Instant::now(),
             instance: RefCell::new(instance.to_owned()),
             silent: Cell::new(false),
+            gone: Cell::new(false),
             start_trouble: Cell::default(),
         })
     }
@@ -153,6 +156,9 @@
     }
 
     async fn reach(&self) -> Result<(), WorkerError> {
+        if self.worker.gone.get() {
+            return Err(WorkerError::Refused);
+        }
         if self.worker.silent.get() {
             tokio::time::sleep(Duration::from_millis(700)).await;
             return Err(WorkerError::NoAnswer);
--- a/crates/rampbay-peer/src/client.rs
+++ b/crates/rampbay-peer/src/client.rs
@@ -44,6 +44,9 @@
 /// Why a call has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
+    /// Nobody listens at the address: the server has not seen the call.
+    #[error("nobody listens")]
+    Refused,
     /// No connection could be opened: the server has not seen the call.
     #[error("no connection")]
     NotSent,
@@ -71,6 +74,22 @@
     }
 }
 
+/// Returns why a request came to nothing.
+fn reason_of(error: &hyper_util::client::legacy::Error) -> CallError {
+    if !error.is_connect() {
+        return CallError::NoAnswer;
+    }
+    let mut source: Option<&(dyn std::error::Error + 'static)> = Some(error);
+    while let Some(cause) = source {
+        let io_error = cause.downcast_ref::<std::io::Error>();
+        if io_error.is_some_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return CallError::Refused;
+        }
+        source = cause.source();
+    }
+    CallError::NotSent
+}
+
 impl HttpClient {
     /// Makes a call. A connection whose answer doesn't come in time is closed.
     ///
@@ -89,9 +108,7 @@
         }
         let request = request.body(Full::new(call.body)).map_err(|_| CallError::NotSent)?;
         let exchange = async {
-            let response = self.inner.request(request).await.map_err(|error| {
-                if error.is_connect() { CallError::NotSent } else { CallError::NoAnswer }
-            })?;
+            let response = self.inner.request(request).await.map_err(|error| reason_of(&error))?;
             let status = response.status();
             let body = response.into_body().collect().await.map_err(|_| CallError::NoAnswer)?;
             Ok(Reply { status, body: body.to_bytes() })
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -189,7 +189,7 @@
         };
         match self.call(&request, CALL_TIMEOUT).await {
             Ok(StoreReply::Append(outcome)) => outcome,
-            Err(CallError::NotSent) => Err(AppendError::Refused),
+            Err(CallError::NotSent | CallError::Refused) => Err(AppendError::Refused),
             Ok(_) | Err(CallError::NoAnswer) => Err(AppendError::Unknown),
         }
     }
