trial: stops weighed against the step's own work, holds for gangs, late work after work in time

Cause: on the grown sites single tasks of priority 2 always ended in time, while gangs of priority 1 starved behind them and urgent gangs were late: a fixed 200 core-seconds was all that could be stopped for them.

--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -160,6 +160,20 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the estimated longest chain of steps that begins with `step`, in milliseconds.
+    #[must_use]
+    pub fn chain_from_ms(&self, step: u32) -> u64 {
+        let mut chains = vec![0; self.steps.len()];
+        for (index, candidate) in self.steps.iter().enumerate().rev() {
+            let depends = |later: &&(usize, &Step)| later.1.depends_on.contains(&(index as u32));
+            let later = self.steps.iter().enumerate().skip(index + 1);
+            let after = later.filter(|later| depends(&later)).map(|(later, _)| chains[later]);
+            let after: u64 = after.max().unwrap_or(0);
+            chains[index] = candidate.estimate_ms + after;
+        }
+        chains.get(step as usize).copied().unwrap_or(0)
+    }
+
     /// Returns when occurrence `number` should have ended to be in time.
     #[must_use]
     pub fn objective_at(&self, number: u32) -> EpochMillis {
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -5,6 +5,7 @@
 //! What a planner remembers between rounds ([`health`], waits for evictions) only sways choices
 //! and may be lost with it.
 
+mod allowance;
 mod draft;
 mod evict;
 mod expire;
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -18,6 +18,8 @@
     pub key: StepKey,
     /// Workers of earlier runs that failed.
     pub failed_at: Vec<String>,
+    /// Priority of the step's queue.
+    pub priority: u32,
     /// Whether other workers than those will do.
     pub others_will_do: bool,
 }
@@ -32,6 +34,7 @@
             demand: charge(step),
             key: (waiting.job.clone(), waiting.occurrence, waiting.step),
             failed_at,
+            priority: waiting.submission.priority,
             others_will_do: false,
         }
     }
@@ -48,7 +51,9 @@
     pub fn allows(&self, room: &Room) -> bool {
         let label = &self.step.required_label;
         let failed_there = self.others_will_do && self.failed_at.contains(&room.instance);
+        let held = room.held_for.is_some_and(|priority| priority < self.priority);
         room.usable
+            && !held
             && !failed_there
             && room.worker.service == self.service
             && (label.is_empty() || room.worker.labels.contains(label))
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -4,6 +4,7 @@
 use crate::metrics::metrics;
 use crate::record::{JobPlan, JobStatus, TaskStatus};
 
+use super::allowance::lost_work_allowed;
 use super::draft::{Draft, unbegun};
 use super::gang::{Need, occupy, place_all, place_in_rack, place_one};
 use super::preempt::preempt;
@@ -14,13 +15,13 @@
 /// How long a gang that wants one rack waits for it before it is spread over several.
 const WAIT_FOR_RACK_MS: u64 = 4000;
 /// The same for guaranteed work, which has to start in time.
-const WAIT_FOR_RACK_URGENT_MS: u64 = 700;
+const WAIT_FOR_RACK_GUARANTEED_MS: u64 = 700;
+/// The same for urgent work, which ends late anyway if it is spread.
+const WAIT_FOR_RACK_URGENT_MS: u64 = 3000;
 /// How long a task waits for a worker near its data.
 const WAIT_FOR_DATA_MS: u64 = 3000;
-
-/// Work that may be thrown away for urgent work beyond its workspace's guarantee, in thousandths
-/// of core-seconds.
-const MOST_LOST_WORK: u64 = 200_000;
+/// Share of all workers that gangs without room may keep less urgent work away from, in percent.
+const MOST_HELD_PERCENT: usize = 34;
 
 /// Places all that waits.
 pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
@@ -50,11 +51,22 @@
     TaskId { job: waiting.job.clone(), occurrence: waiting.occurrence, step: waiting.step, index }
 }
 
-/// Returns whether other work is stopped for a step.
+/// Returns whether a step goes before all that isn't urgent.
 fn is_urgent(waiting: &WaitingStep) -> bool {
     waiting.guaranteed || waiting.submission.priority == 0
 }
 
+/// Returns how long a gang that wants one rack waits for it before it is spread over several.
+fn patience_ms(waiting: &WaitingStep) -> u64 {
+    if waiting.guaranteed {
+        WAIT_FOR_RACK_GUARANTEED_MS
+    } else if is_urgent(waiting) {
+        WAIT_FOR_RACK_URGENT_MS
+    } else {
+        WAIT_FOR_RACK_MS
+    }
+}
+
 fn place_gang(
     draft: &mut Draft<'_>,
     rooms: &mut Rooms,
@@ -64,8 +76,8 @@
 ) {
     let count = waiting.tasks.len();
     let wants_rack = need.step.same_rack && count > 1;
-    let waited = inputs.wall.saturating_sub(waiting.waits_since);
-    let patience = if is_urgent(waiting) { WAIT_FOR_RACK_URGENT_MS } else { WAIT_FOR_RACK_MS };
+    let waited = waiting.waited_ms(inputs.wall);
+    let patience = patience_ms(waiting);
     let places = if wants_rack {
         place_in_rack(&rooms.rooms, need, count)
             .or_else(|| (waited > patience).then(|| place_all(&rooms.rooms, need, count)).flatten())
@@ -76,8 +88,26 @@
         start_gang(draft, rooms, waiting, need, &places);
         return;
     }
-    if is_urgent(waiting) {
-        let _ = make_room(draft, rooms, waiting, need, count);
+    if !make_room(draft, rooms, waiting, need, count, inputs) {
+        hold_room(rooms, waiting, need, count);
+    }
+}
+
+/// Keeps less urgent work away from the workers where a gang will fit once that work has ended.
+fn hold_room(rooms: &mut Rooms, waiting: &WaitingStep, need: &Need<'_>, count: usize) {
+    let held = rooms.rooms.iter().filter(|room| room.held_for.is_some()).count();
+    let most = rooms.rooms.len() * MOST_HELD_PERCENT / 100;
+    let Some(preemption) = preempt(rooms, need, count, waiting.submission.priority) else { return };
+    let mut places = preemption.places;
+    places.sort_unstable();
+    places.dedup();
+    if held + places.len() > most {
+        return;
+    }
+    for place in places {
+        let room = &mut rooms.rooms[place];
+        let priority = waiting.submission.priority;
+        room.held_for = Some(room.held_for.map_or(priority, |held| held.min(priority)));
     }
 }
 
@@ -97,7 +127,7 @@
     }
     if is_urgent(waiting) {
         // As many as possible: what doesn't fit yet must not keep the others from starting.
-        let _ = left.iter().all(|_| make_room(draft, rooms, waiting, need, 1));
+        let _ = left.iter().all(|_| make_room(draft, rooms, waiting, need, 1, inputs));
     }
 }
 
@@ -115,26 +145,34 @@
     Some(place)
 }
 
-/// Stops what has to go for urgent work, and keeps the room for it until then. Returns whether
-/// there will be room.
+/// Stops what has to go for a step, if that isn't too much, and keeps the room for it until then.
+/// Returns whether there will be room.
 fn make_room(
     draft: &mut Draft<'_>,
     rooms: &mut Rooms,
     waiting: &WaitingStep,
     need: &Need<'_>,
     count: usize,
+    inputs: &RoundInputs<'_>,
 ) -> bool {
-    let Some(preemption) = preempt(rooms, need, count) else { return false };
-    if !waiting.guaranteed && preemption.lost_work > MOST_LOST_WORK {
+    let all = lost_work_allowed(waiting, inputs.wall);
+    let allowed = all / waiting.tasks.len().max(1) as u64 * count as u64;
+    if allowed == 0 {
+        return false;
+    }
+    let priority = waiting.submission.priority;
+    let Some(preemption) = preempt(rooms, need, count, priority) else { return false };
+    if preemption.lost_work > allowed {
         return false;
     }
     for victim in &preemption.victims {
         metrics().decided("stop_for_urgent");
         log::info!(
-            "event=J151 run stopped for urgent work task={victim} for_job={} workspace={} guaranteed={}",
+            "event=J151 run stopped for urgent work task={victim} for_job={} priority={priority} workspace={} guaranteed={} lost_work={} allowed={allowed}",
             waiting.job,
             waiting.submission.workspace,
-            waiting.guaranteed
+            waiting.guaranteed,
+            preemption.lost_work
         );
         let unit = draft.unit_of(victim);
         draft.stop_unit(victim);
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -1,4 +1,4 @@
-//! Chooses what is stopped for guaranteed work: whatever loses the least.
+//! Chooses what is stopped for more urgent work: whatever loses the least.
 
 use std::collections::BTreeSet;
 
@@ -11,6 +11,8 @@
 struct Unit<'a> {
     members: Vec<&'a RunningTask>,
     lost_work: u64,
+    /// The lost work, more for more urgent work.
+    cost: u64,
 }
 
 /// What to stop, and where the tasks will then fit.
@@ -23,9 +25,15 @@
     pub lost_work: u64,
 }
 
-/// Finds the cheapest stops after which `count` tasks fit, in one rack if the step wants that.
-pub fn preempt(rooms: &Rooms, need: &Need<'_>, count: usize) -> Option<Preemption> {
-    let units = units_below_urgent(rooms);
+/// Finds the cheapest stops of less urgent work after which `count` tasks fit, in one rack if the
+/// step wants that.
+pub fn preempt(
+    rooms: &Rooms,
+    need: &Need<'_>,
+    count: usize,
+    priority: u32,
+) -> Option<Preemption> {
+    let units = units_below(rooms, priority);
     if need.step.same_rack && count > 1 {
         let in_racks = racks(&rooms.rooms, need)
             .into_iter()
@@ -37,22 +45,32 @@
     free_places(rooms.rooms.clone(), &units, need, count)
 }
 
-fn units_below_urgent(rooms: &Rooms) -> Vec<Unit<'_>> {
+fn units_below(rooms: &Rooms, priority: u32) -> Vec<Unit<'_>> {
     let mut units: Vec<Unit<'_>> = Vec::new();
-    for task in rooms.running.iter().filter(|task| task.priority > 0) {
+    for task in rooms.running.iter().filter(|task| task.priority > priority) {
+        let cost = task.lost_work * weight(task.priority);
         let same = |unit: &&mut Unit<'_>| task.gang && is_same_gang(&unit.members[0].id, &task.id);
         match units.iter_mut().find(same) {
             Some(unit) => {
                 unit.members.push(task);
                 unit.lost_work += task.lost_work;
+                unit.cost += cost;
             }
-            None => units.push(Unit { members: vec![task], lost_work: task.lost_work }),
+            None => units.push(Unit { members: vec![task], lost_work: task.lost_work, cost }),
         }
     }
-    units.sort_by_key(|unit| unit.lost_work);
+    units.sort_by_key(|unit| unit.cost);
     units
 }
 
+/// Priority from which on all work weighs the same.
+const LEAST_PRIORITY: u32 = 3;
+
+/// Returns how much a stop weighs: twice as much for each step of priority.
+fn weight(priority: u32) -> u64 {
+    1 << LEAST_PRIORITY.saturating_sub(priority)
+}
+
 fn is_same_gang(one: &TaskId, other: &TaskId) -> bool {
     one.job == other.job && one.occurrence == other.occurrence && one.step == other.step
 }
@@ -73,7 +91,7 @@
     for _ in 0..count {
         let options = (0..rooms.len()).filter_map(|index| {
             let stops = stops_for(&rooms[index], units, &chosen, need)?;
-            let cost: u64 = stops.iter().map(|&unit| units[unit].lost_work).sum();
+            let cost: u64 = stops.iter().map(|&unit| units[unit].cost).sum();
             let room = &rooms[index];
             Some(((room.avoided, room.unheard, cost, room.free.devices), index, stops))
         });
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use crate::job::{EpochMillis, JobId, Submission, WorkspaceName};
+use crate::job::{EpochMillis, JobId, Step, Submission, WorkspaceName};
 use crate::record::{JobStatus, Occurrence, TaskPlan, TaskStatus};
 
 use super::RoundInputs;
@@ -32,17 +32,36 @@
 }
 
 impl WaitingStep {
-    /// Returns the estimated work of the tasks that wait, in thousandths of core-seconds, less for
-    /// those that have waited long: little work goes first, and nothing waits for ever.
+    /// Returns what was submitted as the step.
+    pub fn definition(&self) -> &Step {
+        &self.submission.steps[self.step as usize]
+    }
+
+    /// Returns the estimated work of the tasks that wait, in thousandths of core-seconds.
+    pub fn work(&self) -> u64 {
+        let step = self.definition();
+        step.demand.weight() * step.estimate_ms / 1000 * self.tasks.len() as u64
+    }
+
+    /// Returns how long it has waited, in milliseconds.
+    pub fn waited_ms(&self, wall: EpochMillis) -> u64 {
+        wall.saturating_sub(self.waits_since)
+    }
+
+    /// Returns whether the job can't end in time any more, by its caller's estimates.
+    pub fn is_late(&self, wall: EpochMillis) -> bool {
+        let end = wall + self.submission.chain_from_ms(self.step);
+        end > self.submission.objective_at(self.occurrence)
+    }
+
+    /// Returns the work, less for what has waited long: little work goes first, and nothing waits
+    /// for ever.
     fn aged_work(&self, wall: EpochMillis) -> u64 {
-        let step = &self.submission.steps[self.step as usize];
-        let work = step.demand.weight() * step.estimate_ms / 1000 * self.tasks.len() as u64;
-        let waited_ms = wall.saturating_sub(self.waits_since);
-        work * AGING_MS / (AGING_MS + waited_ms)
+        self.work() * AGING_MS / (AGING_MS + self.waited_ms(wall))
     }
 }
 
-/// Lists what waits: guaranteed work first, then by priority and by work.
+/// Lists what waits: guaranteed work first, then by priority, what can still end in time, and work.
 pub fn waiting_steps(draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<WaitingStep> {
     let guaranteed = guaranteed_jobs(draft, inputs);
     let mut waiting = Vec::new();
@@ -59,7 +78,9 @@
         }
     }
     waiting.sort_by_key(|step| {
-        (!step.guaranteed, step.submission.priority, step.aged_work(inputs.wall), step.job.clone())
+        let late = step.is_late(inputs.wall);
+        let work = step.aged_work(inputs.wall);
+        (!step.guaranteed, step.submission.priority, late, work, step.job.clone())
     });
     waiting
 }
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -30,6 +30,8 @@
     pub avoided: bool,
     /// Whether its agent hasn't reported since the last outage of the reports: it may be gone.
     pub unheard: bool,
+    /// Priority of a gang that waits for room here; less urgent work is kept away.
+    pub held_for: Option<u32>,
     /// Number of its tasks of each step.
     pub members: BTreeMap<StepKey, u32>,
 }
@@ -81,6 +83,7 @@
                 && inputs.progress.silent(instance) < planner.settings.doubt_after,
             avoided: planner.health.is_avoided(instance, inputs.now),
             unheard: !inputs.progress.is_heard(instance),
+            held_for: None,
             members: BTreeMap::new(),
             worker: Rc::clone(worker),
         });
