feat: durations are expected from all estimates of a queue

Cause: some queues' estimates are off by a factor of ten; ranks, allowances and lateness went by them.

Change: estimates that scatter widely are drawn to their queue's mean (from the store's jobs alone); stops of urgent work and of runs started often cost more.

--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -148,37 +148,38 @@
         self.occurrences > 0
     }
 
-    /// Returns the estimated longest chain of dependent steps, in milliseconds.
+    /// Returns the longest chain of dependent steps by the caller's estimates, in milliseconds.
     #[must_use]
     pub fn chain_ms(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let begin = step.depends_on.iter().filter_map(|&index| ends.get(index as usize));
-            let begin = begin.copied().max().unwrap_or(0);
-            ends.push(begin + step.estimate_ms);
-        }
-        ends.into_iter().max().unwrap_or(0)
+        let estimates: Vec<u64> = self.steps.iter().map(|step| step.estimate_ms).collect();
+        self.chains_ms(&estimates).into_iter().max().unwrap_or(0)
     }
 
-    /// Returns the estimated longest chain of steps that begins with `step`, in milliseconds.
+    /// Returns the longest chain of dependent steps that begins with each step, in milliseconds,
+    /// given how long each step takes.
     #[must_use]
-    pub fn chain_from_ms(&self, step: u32) -> u64 {
-        let mut chains = vec![0; self.steps.len()];
-        for (index, candidate) in self.steps.iter().enumerate().rev() {
-            let depends = |later: &&(usize, &Step)| later.1.depends_on.contains(&(index as u32));
-            let later = self.steps.iter().enumerate().skip(index + 1);
-            let after = later.filter(|later| depends(&later)).map(|(later, _)| chains[later]);
-            let after: u64 = after.max().unwrap_or(0);
-            chains[index] = candidate.estimate_ms + after;
+    pub fn chains_ms(&self, durations: &[u64]) -> Vec<u64> {
+        let mut chains = durations.to_vec();
+        for index in (0..chains.len()).rev() {
+            let dependents = self.steps.iter().enumerate().skip(index + 1);
+            let dependents = dependents.filter(|(_, step)| step.depends_on.contains(&(index as u32)));
+            let after = dependents.map(|(dependent, _)| chains[dependent]).max();
+            chains[index] += after.unwrap_or(0);
         }
-        chains.get(step as usize).copied().unwrap_or(0)
+        chains
+    }
+
+    /// Returns the time in which an occurrence should end, given its longest chain of steps, both in
+    /// milliseconds.
+    #[must_use]
+    pub fn objective_ms(&self, longest_chain_ms: u64) -> u64 {
+        longest_chain_ms * self.stretch_permille.max(1000) / 1000 + self.target_ms
     }
 
-    /// Returns when occurrence `number` should have ended to be in time.
+    /// Returns when occurrence `number` should have ended to be in time, by the caller's estimates.
     #[must_use]
     pub fn objective_at(&self, number: u32) -> EpochMillis {
-        let stretched = self.chain_ms() * self.stretch_permille.max(1000) / 1000;
-        self.due_at(number) + stretched + self.target_ms
+        self.due_at(number) + self.objective_ms(self.chain_ms())
     }
 
     /// Returns the accelerators that the first step holds.
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -10,6 +10,7 @@
 mod evict;
 mod expire;
 mod fold;
+mod forecast;
 mod gang;
 pub mod health;
 mod place;
@@ -32,6 +33,7 @@
 pub use progress::{ProgressTable, Seen};
 
 use draft::Draft;
+use forecast::Forecasts;
 use health::HealthBook;
 
 /// Times that a planner goes by.
@@ -72,6 +74,7 @@
 pub struct Planner {
     settings: PlannerSettings,
     health: HealthBook,
+    forecasts: Forecasts,
     evicted_since: BTreeMap<InstanceId, Duration>,
     departed_since: BTreeMap<InstanceId, Duration>,
     known_since: BTreeMap<InstanceId, Duration>,
@@ -85,6 +88,7 @@
         Self {
             settings,
             health: HealthBook::default(),
+            forecasts: Forecasts::default(),
             evicted_since: BTreeMap::new(),
             departed_since: BTreeMap::new(),
             known_since: BTreeMap::new(),
@@ -96,6 +100,7 @@
     #[must_use]
     pub fn round(&mut self, inputs: &RoundInputs<'_>) -> Vec<KeyedRecord> {
         self.note_workers(inputs);
+        self.forecasts.update(inputs.table);
         let mut draft = Draft::new(inputs.table);
         fold::take_in_ends(&mut draft, inputs, &mut self.health);
         fold::give_up_lost_runs(&mut draft, inputs);
--- a/crates/rampbay-jobs/src/planner/allowance.rs
+++ b/crates/rampbay-jobs/src/planner/allowance.rs
@@ -8,13 +8,13 @@
 use super::queue::WaitingStep;
 
 /// Thrown away for any urgent step that can still end in time, in thousandths of core-seconds.
-const URGENT_BASE: u64 = 300_000;
+const URGENT_BASE: u64 = 200_000;
 /// The same in addition, as a share of the step's own work, in thousandths.
-const URGENT_SHARE_PERMILLE: u64 = 1_500;
+const URGENT_SHARE_PERMILLE: u64 = 1_000;
 /// Thrown away for a gang that isn't urgent, as a share of its own work, in thousandths.
-const GANG_SHARE_PERMILLE: u64 = 250;
+const GANG_SHARE_PERMILLE: u64 = 150;
 /// How long a gang that isn't urgent waits for room before others are stopped for it.
-const GANG_PATIENCE_MS: u64 = 1_000;
+const GANG_PATIENCE_MS: u64 = 2_500;
 
 /// Returns the work that may be thrown away for a step, in thousandths of core-seconds. Nothing may
 /// be for steps that can't end in time any more, unless they are guaranteed.
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/forecast.rs
@@ -0,0 +1,70 @@
+//! How long tasks are expected to take.
+//!
+//! A caller's estimate of one task may be far off, while the tasks of a queue are alike. So a queue
+//! whose estimates scatter widely is taken to guess badly, and its estimates are drawn towards their
+//! geometric mean. That needs only what the store keeps: a planner that takes over expects the same.
+
+use std::collections::BTreeMap;
+
+use crate::job::{QueueName, Step, Submission};
+use crate::table::JobTable;
+
+/// Estimates that a queue needs before its mean says anything.
+const FEWEST_ESTIMATES: usize = 5;
+/// Variance of the logarithm of real durations within a queue: what scatters more is bad guessing.
+const REAL_VARIANCE: f64 = 0.16;
+
+/// What the estimates of one queue say.
+#[derive(Clone, Copy, Debug)]
+struct QueueForecast {
+    mean_log: f64,
+    /// How far a single estimate is believed, 0 to 1.
+    belief: f64,
+}
+
+/// Expected durations by queue.
+#[derive(Debug, Default)]
+pub struct Forecasts {
+    queues: BTreeMap<QueueName, QueueForecast>,
+    known_jobs: usize,
+}
+
+impl Forecasts {
+    /// Takes in the jobs that have come since the last round.
+    pub fn update(&mut self, table: &JobTable) {
+        if self.known_jobs == table.jobs.len() {
+            return;
+        }
+        self.known_jobs = table.jobs.len();
+        let mut logs: BTreeMap<&QueueName, Vec<f64>> = BTreeMap::new();
+        for job in table.jobs.values() {
+            let estimates = job.submission.steps.iter().map(|step| step.estimate_ms);
+            let logs = logs.entry(&job.submission.queue).or_default();
+            logs.extend(estimates.filter(|&estimate| estimate > 0).map(|e| (e as f64).ln()));
+        }
+        let enough = logs.into_iter().filter(|(_, logs)| logs.len() >= FEWEST_ESTIMATES);
+        self.queues = enough.map(|(queue, logs)| (queue.clone(), forecast(&logs))).collect();
+    }
+
+    /// Returns how long a task of a step is expected to take, in milliseconds.
+    pub fn duration_ms(&self, submission: &Submission, step: &Step) -> u64 {
+        let Some(queue) = self.queues.get(&submission.queue) else { return step.estimate_ms };
+        if step.estimate_ms == 0 {
+            return queue.mean_log.exp() as u64;
+        }
+        let own = (step.estimate_ms as f64).ln();
+        (queue.belief * own + (1.0 - queue.belief) * queue.mean_log).exp() as u64
+    }
+
+    /// Returns how long each step of a job is expected to take, in milliseconds.
+    pub fn durations_ms(&self, submission: &Submission) -> Vec<u64> {
+        submission.steps.iter().map(|step| self.duration_ms(submission, step)).collect()
+    }
+}
+
+fn forecast(logs: &[f64]) -> QueueForecast {
+    let count = logs.len() as f64;
+    let mean_log = logs.iter().sum::<f64>() / count;
+    let variance = logs.iter().map(|log| (log - mean_log).powi(2)).sum::<f64>() / count;
+    QueueForecast { mean_log, belief: (REAL_VARIANCE / variance).min(1.0) }
+}
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -25,7 +25,7 @@
 
 /// Places all that waits.
 pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    let waiting = waiting_steps(draft, inputs);
+    let waiting = waiting_steps(draft, inputs, &planner.forecasts);
     if waiting.is_empty() {
         return;
     }
@@ -162,17 +162,18 @@
     }
     let priority = waiting.submission.priority;
     let Some(preemption) = preempt(rooms, need, count, priority) else { return false };
-    if preemption.lost_work > allowed {
+    if preemption.cost > allowed {
         return false;
     }
     for victim in &preemption.victims {
         metrics().decided("stop_for_urgent");
         log::info!(
-            "event=J151 run stopped for urgent work task={victim} for_job={} priority={priority} workspace={} guaranteed={} lost_work={} allowed={allowed}",
+            "event=J151 run stopped for urgent work task={victim} for_job={} priority={priority} workspace={} guaranteed={} lost_work={} cost={} allowed={allowed}",
             waiting.job,
             waiting.submission.workspace,
             waiting.guaranteed,
-            preemption.lost_work
+            preemption.lost_work,
+            preemption.cost
         );
         let unit = draft.unit_of(victim);
         draft.stop_unit(victim);
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -11,7 +11,7 @@
 struct Unit<'a> {
     members: Vec<&'a RunningTask>,
     lost_work: u64,
-    /// The lost work, more for more urgent work.
+    /// The lost work, more for more urgent work and for what was started often.
     cost: u64,
 }
 
@@ -23,6 +23,8 @@
     pub places: Vec<usize>,
     /// Work that the stops throw away, in thousandths of core-seconds.
     pub lost_work: u64,
+    /// The same, more for more urgent work and for what was started often.
+    pub cost: u64,
 }
 
 /// Finds the cheapest stops of less urgent work after which `count` tasks fit, in one rack if the
@@ -38,7 +40,7 @@
         let in_racks = racks(&rooms.rooms, need)
             .into_iter()
             .filter_map(|rack| free_places(within_rack(&rooms.rooms, &rack), &units, need, count));
-        if let Some(best) = in_racks.min_by_key(|preemption| preemption.lost_work) {
+        if let Some(best) = in_racks.min_by_key(|preemption| preemption.cost) {
             return Some(best);
         }
     }
@@ -48,7 +50,7 @@
 fn units_below(rooms: &Rooms, priority: u32) -> Vec<Unit<'_>> {
     let mut units: Vec<Unit<'_>> = Vec::new();
     for task in rooms.running.iter().filter(|task| task.priority > priority) {
-        let cost = task.lost_work * weight(task.priority);
+        let cost = task.lost_work * weight(task.priority) * u64::from(task.attempt);
         let same = |unit: &&mut Unit<'_>| task.gang && is_same_gang(&unit.members[0].id, &task.id);
         match units.iter_mut().find(same) {
             Some(unit) => {
@@ -64,7 +66,7 @@
 }
 
 /// Priority from which on all work weighs the same.
-const LEAST_PRIORITY: u32 = 3;
+const LEAST_PRIORITY: u32 = 2;
 
 /// Returns how much a stop weighs: twice as much for each step of priority.
 fn weight(priority: u32) -> u64 {
@@ -104,8 +106,9 @@
         places.push(index);
     }
     let lost_work = chosen.iter().map(|&unit| units[unit].lost_work).sum();
+    let cost = chosen.iter().map(|&unit| units[unit].cost).sum();
     let victims = chosen.iter().map(|&unit| units[unit].members[0].id.clone()).collect();
-    Some(Preemption { victims, places, lost_work })
+    Some(Preemption { victims, places, lost_work, cost })
 }
 
 fn release(rooms: &mut [Room], unit: &Unit<'_>) {
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -8,6 +8,7 @@
 
 use super::RoundInputs;
 use super::draft::{Draft, unbegun};
+use super::forecast::Forecasts;
 
 /// Time of waiting that counts as half the work.
 const AGING_MS: u64 = 10_000;
@@ -29,6 +30,10 @@
     pub guaranteed: bool,
     /// Since when it might have started, as far as is known.
     pub waits_since: EpochMillis,
+    /// How long one of its tasks is expected to take.
+    pub duration_ms: u64,
+    /// When it has to start so that the job ends in time.
+    pub latest_start: EpochMillis,
 }
 
 impl WaitingStep {
@@ -37,10 +42,10 @@
         &self.submission.steps[self.step as usize]
     }
 
-    /// Returns the estimated work of the tasks that wait, in thousandths of core-seconds.
+    /// Returns the expected work of the tasks that wait, in thousandths of core-seconds.
     pub fn work(&self) -> u64 {
-        let step = self.definition();
-        step.demand.weight() * step.estimate_ms / 1000 * self.tasks.len() as u64
+        let weight = self.definition().demand.weight();
+        weight * self.duration_ms / 1000 * self.tasks.len() as u64
     }
 
     /// Returns how long it has waited, in milliseconds.
@@ -48,10 +53,9 @@
         wall.saturating_sub(self.waits_since)
     }
 
-    /// Returns whether the job can't end in time any more, by its caller's estimates.
+    /// Returns whether the job is expected not to end in time any more.
     pub fn is_late(&self, wall: EpochMillis) -> bool {
-        let end = wall + self.submission.chain_from_ms(self.step);
-        end > self.submission.objective_at(self.occurrence)
+        wall > self.latest_start
     }
 
     /// Returns the work, less for what has waited long: little work goes first, and nothing waits
@@ -62,7 +66,11 @@
 }
 
 /// Lists what waits: guaranteed work first, then by priority, what can still end in time, and work.
-pub fn waiting_steps(draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<WaitingStep> {
+pub fn waiting_steps(
+    draft: &Draft<'_>,
+    inputs: &RoundInputs<'_>,
+    forecasts: &Forecasts,
+) -> Vec<WaitingStep> {
     let guaranteed = guaranteed_jobs(draft, inputs);
     let mut waiting = Vec::new();
     for id in draft.active() {
@@ -74,7 +82,8 @@
         }
         for occurrence in open_occurrences(draft, &id, &submission, inputs.wall) {
             let is_guaranteed = guaranteed.contains(&id);
-            collect_steps(&mut waiting, &id, &submission, &occurrence, is_guaranteed);
+            let steps = ready_steps(&id, &submission, &occurrence, is_guaranteed, forecasts);
+            waiting.extend(steps);
         }
     }
     waiting.sort_by_key(|step| {
@@ -105,37 +114,51 @@
     !submission.is_timed() || submission.due_at(number) <= wall
 }
 
-fn collect_steps(
-    waiting: &mut Vec<WaitingStep>,
+/// Lists the steps of an occurrence that may start.
+fn ready_steps(
     id: &JobId,
     submission: &Rc<Submission>,
     occurrence: &Occurrence,
     guaranteed: bool,
-) {
+    forecasts: &Forecasts,
+) -> Vec<WaitingStep> {
+    let durations = forecasts.durations_ms(submission);
+    let chains = submission.chains_ms(&durations);
+    let waits_since = submission.due_at(occurrence.number);
+    let longest = chains.iter().copied().max().unwrap_or(0);
+    let objective_at = waits_since + submission.objective_ms(longest);
+    let mut ready = Vec::new();
     for (number, step) in submission.steps.iter().enumerate() {
-        let tasks = &occurrence.steps[number];
-        let is_done = |&index: &u32| {
-            occurrence.steps.get(index as usize).is_some_and(|tasks| all_done(tasks))
-        };
-        if !step.depends_on.iter().all(is_done) {
-            continue;
-        }
-        let waits = |task: &&TaskPlan| task.status == TaskStatus::Waiting;
-        let count = tasks.iter().filter(waits).count();
-        if count == 0 || (step.gang && count < tasks.len()) {
+        let tasks = waiting_tasks(occurrence, number);
+        let is_broken = step.gang && tasks.len() < occurrence.steps[number].len();
+        if tasks.is_empty() || is_broken || !are_done(&step.depends_on, occurrence) {
             continue;
         }
-        let indices = tasks.iter().enumerate().filter(|(_, task)| waits(task));
-        waiting.push(WaitingStep {
+        ready.push(WaitingStep {
             job: id.clone(),
             submission: Rc::clone(submission),
             occurrence: occurrence.number,
             step: number as u32,
-            tasks: indices.map(|(index, _)| index as u32).collect(),
+            tasks,
             guaranteed,
-            waits_since: submission.due_at(occurrence.number),
+            waits_since,
+            duration_ms: durations[number],
+            latest_start: objective_at.saturating_sub(chains[number]),
         });
     }
+    ready
+}
+
+fn waiting_tasks(occurrence: &Occurrence, step: usize) -> Vec<u32> {
+    let tasks = occurrence.steps[step].iter().enumerate();
+    let waiting = tasks.filter(|(_, task)| task.status == TaskStatus::Waiting);
+    waiting.map(|(index, _)| index as u32).collect()
+}
+
+fn are_done(steps: &[u32], occurrence: &Occurrence) -> bool {
+    let is_done =
+        |&step: &u32| occurrence.steps.get(step as usize).is_some_and(|tasks| all_done(tasks));
+    steps.iter().all(is_done)
 }
 
 fn all_done(tasks: &[TaskPlan]) -> bool {
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -47,6 +47,8 @@
     pub instance: InstanceId,
     /// Priority of its queue.
     pub priority: u32,
+    /// Number of its run, from 1.
+    pub attempt: u32,
     /// Work that a stop would throw away, in thousandths of core-seconds.
     pub lost_work: u64,
     /// Whether it is a member of a gang.
@@ -121,6 +123,7 @@
                 held,
                 instance: task.instance.clone(),
                 priority: submission.priority,
+                attempt: task.attempt,
                 lost_work,
                 gang: step.gang,
             });
@@ -137,6 +140,8 @@
 const CHECKPOINT_WORK: Duration = Duration::from_millis(800);
 /// Work that every stop throws away, for the start that has to come again.
 const RESTART_WORK: Duration = Duration::from_millis(300);
+/// The same for a member of a gang, which has to find room for all members again.
+const GANG_RESTART_WORK: Duration = Duration::from_millis(1000);
 
 /// Returns the work that a stop throws away. Estimates are rough, so the time since the run was
 /// seen first counts.
@@ -146,6 +151,7 @@
     if step.checkpointing {
         lost = lost.min(CHECKPOINT_WORK);
     }
-    let lost_ms = (lost + RESTART_WORK).as_millis() as u64;
+    let restart = if step.gang { GANG_RESTART_WORK } else { RESTART_WORK };
+    let lost_ms = (lost + restart).as_millis() as u64;
     step.demand.weight().max(1) * lost_ms / 1000
 }
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -25,7 +25,8 @@
             if task.status != TaskStatus::Running {
                 continue;
             }
-            if leaves_too_early(&task_id, task, step, inputs) {
+            let duration = planner.forecasts.duration_ms(&submission, step);
+            if leaves_too_early(&task_id, task, step, duration, inputs) {
                 log::info!(
                     "event=J142 run leaves a draining worker task={task_id} worker={}",
                     task.instance
@@ -49,20 +50,27 @@
     }
 }
 
-/// Returns the estimated time that a run still needs, in milliseconds.
-fn remaining_ms(id: &TaskId, task: &TaskPlan, step: &Step, inputs: &RoundInputs<'_>) -> u64 {
-    let percent = inputs.progress.run(id, task.attempt).map_or(0, |seen| seen.percent);
-    step.estimate_ms * u64::from(100 - percent.min(100)) / 100
+/// Returns the time that a run is expected to need still, in milliseconds.
+fn remaining_ms(id: &TaskId, task: &TaskPlan, duration_ms: u64, inputs: &RoundInputs<'_>) -> u64 {
+    let seen = inputs.progress.run(id, task.attempt);
+    let elapsed = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
+    duration_ms.saturating_sub(elapsed.as_millis() as u64)
 }
 
-fn leaves_too_early(id: &TaskId, task: &TaskPlan, step: &Step, inputs: &RoundInputs<'_>) -> bool {
+fn leaves_too_early(
+    id: &TaskId,
+    task: &TaskPlan,
+    step: &Step,
+    duration_ms: u64,
+    inputs: &RoundInputs<'_>,
+) -> bool {
     let worker: Option<&WorkerRecord> = inputs.table.workers.get(&task.instance).map(AsRef::as_ref);
     let Some(worker) = worker.filter(|worker| worker.draining) else { return false };
     if step.long_running {
         return true;
     }
     let left = worker.leaves_at.saturating_sub(inputs.wall) * LEAVING_MARGIN_PERMILLE / 1000;
-    remaining_ms(id, task, step, inputs) > left
+    remaining_ms(id, task, duration_ms, inputs) > left
 }
 
 fn stands_still(
