trial: one rack or none while the fleet is busy; refused starts are ordered again

Cause: gangs that want one rack were spread after 0.7 to 4 s, ran three times as long on three times the room, and were late anyway; one start turned away by an unwell worker broke its gang.

--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -21,6 +21,10 @@
 const START_RETRY: Duration = Duration::from_millis(100);
 /// How often a start without answer is ordered again before it is given up.
 const START_REPEATS: u32 = 2;
+/// How often a start that an unwell worker turned away is ordered again before it is given up.
+const REFUSED_REPEATS: u32 = 3;
+/// Pause before such a start is ordered again.
+const REFUSED_RETRY: Duration = Duration::from_millis(60);
 /// Pause before a stop without answer is repeated.
 const STOP_RETRY: Duration = Duration::from_millis(50);
 
@@ -114,6 +118,7 @@
 
     async fn start(self: &Rc<Self>, wanted: Wanted) {
         let mut unanswered = 0;
+        let mut refused = 0;
         loop {
             let Some(lease_until) = self.lease_until() else {
                 tokio::time::sleep(START_RETRY).await;
@@ -156,6 +161,10 @@
                     self.settle_as_stopped(&wanted.key);
                     return;
                 }
+                Ok(Started::No(Refusal::Unhealthy)) if refused < REFUSED_REPEATS => {
+                    refused += 1;
+                    tokio::time::sleep(REFUSED_RETRY).await;
+                }
                 Ok(Started::No(_)) => {
                     self.give_up_start(wanted.key, unanswered);
                     return;
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -20,6 +20,8 @@
     pub failed_at: Vec<String>,
     /// Priority of the step's queue.
     pub priority: u32,
+    /// Whether the tasks go into one rack or nowhere.
+    pub insists_on_rack: bool,
     /// Whether other workers than those will do.
     pub others_will_do: bool,
 }
@@ -35,6 +37,7 @@
             key: (waiting.job.clone(), waiting.occurrence, waiting.step),
             failed_at,
             priority: waiting.submission.priority,
+            insists_on_rack: false,
             others_will_do: false,
         }
     }
@@ -119,6 +122,18 @@
     trial
 }
 
+/// Returns whether `count` tasks would fit into one rack if nothing else ran there.
+pub fn rack_could_hold(rooms: &[Room], need: &Need<'_>, count: usize) -> bool {
+    let mut empty = rooms.to_vec();
+    for room in &mut empty {
+        room.free = room.worker.capacity;
+        room.members.clear();
+    }
+    racks(&empty, need)
+        .into_iter()
+        .any(|rack| place_all(&within_rack(&empty, &rack), need, count).is_some())
+}
+
 /// Finds places for `count` tasks in one rack: the one that is left with least room.
 pub fn place_in_rack(rooms: &[Room], need: &Need<'_>, count: usize) -> Option<Vec<usize>> {
     let mut best: Option<(bool, u64, Vec<usize>)> = None;
--- a/crates/rampbay-jobs/src/planner/health.rs
+++ b/crates/rampbay-jobs/src/planner/health.rs
@@ -16,8 +16,10 @@
 const FAILURE_COUNTS_FOR: Duration = Duration::from_secs(15);
 /// How long a worker gets nothing after it failed too often, or a run stood still there.
 const BLOCK: Duration = Duration::from_secs(5);
-/// How long others are preferred after a failure, or after a start was refused.
+/// How long others are preferred after a failure.
 const AVOID: Duration = Duration::from_millis(1500);
+/// How long others are preferred after a start was refused, which is never the job's fault.
+const AVOID_AFTER_REFUSAL: Duration = Duration::from_millis(4000);
 
 /// A job's latest failure at a worker.
 #[derive(Debug)]
@@ -95,7 +97,7 @@
     /// Takes note of a start that was refused.
     pub fn refused(&mut self, instance: &str, now: Duration) {
         let health = self.workers.entry(instance.to_owned()).or_default();
-        health.avoid_until = health.avoid_until.max(now + AVOID);
+        health.avoid_until = health.avoid_until.max(now + AVOID_AFTER_REFUSAL);
     }
 
     /// Returns whether others are preferred to a worker.
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -6,18 +6,23 @@
 
 use super::allowance::lost_work_allowed;
 use super::draft::{Draft, unbegun};
-use super::gang::{Need, occupy, place_all, place_in_rack, place_one};
+use super::gang::{Need, occupy, place_all, place_in_rack, place_one, rack_could_hold};
 use super::preempt::preempt;
 use super::queue::{WaitingStep, waiting_steps};
 use super::room::Rooms;
 use super::{Planner, RoundInputs};
 
-/// How long a gang that wants one rack waits for it before it is spread over several.
-const WAIT_FOR_RACK_MS: u64 = 4000;
+/// How long a gang that wants one rack waits for it before it is spread over several. Spread, it
+/// holds its room several times as long, so on a busy fleet the wait is long.
+const WAIT_FOR_RACK_MS: u64 = 12_000;
+/// The same for urgent work, which ends late anyway if it is spread.
+const WAIT_FOR_RACK_URGENT_MS: u64 = 8000;
 /// The same for guaranteed work, which has to start in time.
 const WAIT_FOR_RACK_GUARANTEED_MS: u64 = 700;
-/// The same for urgent work, which ends late anyway if it is spread.
-const WAIT_FOR_RACK_URGENT_MS: u64 = 3000;
+/// The same while much of the fleet is free.
+const WAIT_FOR_RACK_IDLE_MS: u64 = 1500;
+/// Share of the accelerators in use below which much of the fleet is free, in percent.
+const IDLE_BELOW_PERCENT: u64 = 60;
 /// How long a task waits for a worker near its data.
 const WAIT_FOR_DATA_MS: u64 = 3000;
 /// Share of all workers that gangs without room may keep less urgent work away from, in percent.
@@ -57,14 +62,28 @@
 }
 
 /// Returns how long a gang that wants one rack waits for it before it is spread over several.
-fn patience_ms(waiting: &WaitingStep) -> u64 {
+fn patience_ms(waiting: &WaitingStep, rooms: &Rooms) -> u64 {
     if waiting.guaranteed {
-        WAIT_FOR_RACK_GUARANTEED_MS
-    } else if is_urgent(waiting) {
-        WAIT_FOR_RACK_URGENT_MS
-    } else {
-        WAIT_FOR_RACK_MS
+        return WAIT_FOR_RACK_GUARANTEED_MS;
+    }
+    if rooms.percent_used() < IDLE_BELOW_PERCENT {
+        return WAIT_FOR_RACK_IDLE_MS;
     }
+    if is_urgent(waiting) { WAIT_FOR_RACK_URGENT_MS } else { WAIT_FOR_RACK_MS }
+}
+
+/// Returns whether a gang goes into one rack or waits: it wants that, has not waited too long, and
+/// there is a rack that could hold it.
+fn insists_on_rack(
+    waiting: &WaitingStep,
+    rooms: &Rooms,
+    need: &Need<'_>,
+    inputs: &RoundInputs<'_>,
+) -> bool {
+    need.step.same_rack
+        && waiting.tasks.len() > 1
+        && waiting.waited_ms(inputs.wall) <= patience_ms(waiting, rooms)
+        && rack_could_hold(&rooms.rooms, need, waiting.tasks.len())
 }
 
 fn place_gang(
@@ -75,14 +94,14 @@
     inputs: &RoundInputs<'_>,
 ) {
     let count = waiting.tasks.len();
-    let wants_rack = need.step.same_rack && count > 1;
-    let waited = waiting.waited_ms(inputs.wall);
-    let patience = patience_ms(waiting);
-    let places = if wants_rack {
-        place_in_rack(&rooms.rooms, need, count)
-            .or_else(|| (waited > patience).then(|| place_all(&rooms.rooms, need, count)).flatten())
-    } else {
-        place_all(&rooms.rooms, need, count)
+    let insists = insists_on_rack(waiting, rooms, need, inputs);
+    let need = &Need { insists_on_rack: insists, ..need.clone() };
+    let in_rack = (need.step.same_rack && count > 1)
+        .then(|| place_in_rack(&rooms.rooms, need, count))
+        .flatten();
+    let places = match in_rack {
+        None if !insists => place_all(&rooms.rooms, need, count),
+        in_rack => in_rack,
     };
     if let Some(places) = places {
         start_gang(draft, rooms, waiting, need, &places);
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -43,6 +43,9 @@
         if let Some(best) = in_racks.min_by_key(|preemption| preemption.cost) {
             return Some(best);
         }
+        if need.insists_on_rack {
+            return None;
+        }
     }
     free_places(rooms.rooms.clone(), &units, need, count)
 }
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -130,6 +130,15 @@
         }
     }
 
+    /// Returns the share of the accelerators of usable workers that is in use, in percent.
+    pub fn percent_used(&self) -> u64 {
+        let usable = self.rooms.iter().filter(|room| room.usable);
+        let (free, all) = usable.fold((0, 0), |(free, all), room| {
+            (free + room.free.devices, all + room.worker.capacity.devices)
+        });
+        if all == 0 { 0 } else { (all - free) * 100 / all }
+    }
+
     /// Returns the place of a worker in the list.
     pub fn position(&self, instance: &str) -> Option<usize> {
         self.rooms.iter().position(|room| room.instance == instance)
