--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -210,6 +210,7 @@
             task: task.clone(),
             attempt: *attempt,
             percent: run.percent,
+            ran_ms: (run.listed_at - run.known_since).as_millis() as u64,
             checkpoint: run.checkpoint.clone(),
         });
         let silent_ms = self.heard.get().elapsed().as_millis() as u64;
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -113,6 +113,7 @@
             let run = runs.open.entry(key).or_insert_with(|| Run::new(Phase::Running));
             run.phase = Phase::Running;
             run.percent = progress.percent;
+            run.listed_at = Instant::now();
             run.checkpoint.clone_from(&progress.checkpoint);
         }
     }
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -29,8 +29,12 @@
     pub stop_in_flight: bool,
     /// When a stop was answered first.
     pub stop_answered: Option<Instant>,
-    /// How far it is, 0 to 100.
+    /// How far it was when it was listed last, 0 to 100.
     pub percent: u32,
+    /// When it was heard of first.
+    pub known_since: Instant,
+    /// When it was listed last.
+    pub listed_at: Instant,
     /// What it saved last.
     pub checkpoint: Checkpoint,
 }
@@ -38,8 +42,11 @@
 impl Run {
     /// Makes a run in a phase.
     pub fn new(phase: Phase) -> Self {
+        let now = Instant::now();
         Self {
             phase,
+            known_since: now,
+            listed_at: now,
             stop_in_flight: false,
             stop_answered: None,
             percent: 0,
--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -162,7 +162,8 @@
         let mut chains = durations.to_vec();
         for index in (0..chains.len()).rev() {
             let dependents = self.steps.iter().enumerate().skip(index + 1);
-            let dependents = dependents.filter(|(_, step)| step.depends_on.contains(&(index as u32)));
+            let dependents =
+                dependents.filter(|(_, step)| step.depends_on.contains(&(index as u32)));
             let after = dependents.map(|(dependent, _)| chains[dependent]).max();
             chains[index] += after.unwrap_or(0);
         }
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -13,6 +13,7 @@
 mod forecast;
 mod gang;
 pub mod health;
+mod pace;
 mod place;
 mod preempt;
 mod progress;
@@ -35,6 +36,7 @@
 use draft::Draft;
 use forecast::Forecasts;
 use health::HealthBook;
+use pace::PaceBook;
 
 /// Times that a planner goes by.
 #[derive(Clone, Copy, Debug)]
@@ -75,6 +77,7 @@
     settings: PlannerSettings,
     health: HealthBook,
     forecasts: Forecasts,
+    pace: PaceBook,
     evicted_since: BTreeMap<InstanceId, Duration>,
     departed_since: BTreeMap<InstanceId, Duration>,
     known_since: BTreeMap<InstanceId, Duration>,
@@ -89,6 +92,7 @@
             settings,
             health: HealthBook::default(),
             forecasts: Forecasts::default(),
+            pace: PaceBook::default(),
             evicted_since: BTreeMap::new(),
             departed_since: BTreeMap::new(),
             known_since: BTreeMap::new(),
@@ -108,6 +112,7 @@
         fold::settle(&mut draft, inputs);
         evict::evict(self, &mut draft, inputs);
         evict::give_up_departed(self, &mut draft, inputs);
+        self.pace.update(&draft, inputs, &self.forecasts);
         watch::move_runs(self, &mut draft, inputs);
         place::place(self, &mut draft, inputs);
         expire::expire(self, &mut draft, inputs);
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -75,12 +75,14 @@
     }
 
     /// Returns how badly a worker suits, the least first: failed or refused lately, not heard of,
-    /// away from the data, failed this before, then whatever leaves least room behind.
-    fn unfitness(&self, room: &Room) -> (bool, bool, bool, bool, u64, u64) {
+    /// away from the data, failed this before, a slower machine where time is short, then whatever
+    /// leaves least room behind.
+    fn unfitness(&self, room: &Room) -> (bool, bool, bool, bool, bool, u64, u64) {
         let rack = &self.step.data_rack;
         let remote = !rack.is_empty() && !room.worker.labels.contains(rack);
         let failed = self.failed_at.contains(&room.instance);
-        (room.avoided, room.unheard, remote, failed, room.free.devices, room.free.cpu_milli)
+        let slower = self.priority == 0 && room.slower_machine;
+        (room.avoided, room.unheard, remote, failed, slower, room.free.devices, room.free.cpu_milli)
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -29,12 +29,7 @@
 
 /// Finds the cheapest stops of less urgent work after which `count` tasks fit, in one rack if the
 /// step wants that.
-pub fn preempt(
-    rooms: &Rooms,
-    need: &Need<'_>,
-    count: usize,
-    priority: u32,
-) -> Option<Preemption> {
+pub fn preempt(rooms: &Rooms, need: &Need<'_>, count: usize, priority: u32) -> Option<Preemption> {
     let units = units_below(rooms, priority);
     if need.step.same_rack && count > 1 {
         let in_racks = racks(&rooms.rooms, need)
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -7,7 +7,7 @@
 
 use crate::follower::Sink;
 use crate::job::{Checkpoint, InstanceId, TaskId};
-use crate::record::{KeyedRecord, ProgressReport};
+use crate::record::{KeyedRecord, ProgressReport, RunProgress};
 
 /// A run's latest progress.
 #[derive(Clone, Debug)]
@@ -22,8 +22,51 @@
     pub checkpoint: Checkpoint,
     /// Where it runs.
     pub instance: InstanceId,
+    /// How fast it gets on.
+    pub rate: Rate,
 }
 
+/// How fast a run gets on, measured between two of its agent's listings.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Rate {
+    /// Percent a second over the last interval, if there was one.
+    pub percent_per_s: Option<f64>,
+    /// Number of intervals.
+    pub intervals: u32,
+    begin_percent: u32,
+    begin_ran_ms: u64,
+}
+
+/// Shortest interval over which a rate is measured.
+const SHORTEST_INTERVAL_MS: u64 = 900;
+
+impl Rate {
+    fn begin(run: &RunProgress) -> Self {
+        Self { begin_percent: run.percent, begin_ran_ms: run.ran_ms, ..Self::default() }
+    }
+
+    /// Takes in where the run is now.
+    fn advance(self, run: &RunProgress) -> Self {
+        let Some(interval) = run.ran_ms.checked_sub(self.begin_ran_ms) else {
+            // Its agent has started again.
+            return Self::begin(run);
+        };
+        if interval < SHORTEST_INTERVAL_MS || run.percent >= FULL_PERCENT {
+            return self;
+        }
+        let gained = run.percent.saturating_sub(self.begin_percent);
+        Self {
+            percent_per_s: Some(f64::from(gained) * 1000.0 / interval as f64),
+            intervals: self.intervals + 1,
+            begin_percent: run.percent,
+            begin_ran_ms: run.ran_ms,
+        }
+    }
+}
+
+/// Progress of a run that is done, or waits for the other members of its gang.
+pub const FULL_PERCENT: u32 = 100;
+
 /// An agent's latest report.
 #[derive(Clone, Debug)]
 struct Report {
@@ -80,6 +123,11 @@
         self.runs.get(&(task.clone(), attempt))
     }
 
+    /// Iterates over all runs that are known.
+    pub fn runs(&self) -> impl Iterator<Item = (&(TaskId, u32), &Seen)> {
+        self.runs.iter()
+    }
+
     /// Returns how long a run's reports have said the same. Time without reports doesn't count.
     pub fn same_for(&self, seen: &Seen) -> Duration {
         let report = self.reports.get(&seen.instance);
@@ -96,8 +144,9 @@
                 || now.saturating_duration_since(seen.since) < KEEP_ENDED
         });
         for run in report.runs {
-            let key = (run.task, run.attempt);
+            let key = (run.task.clone(), run.attempt);
             let before = self.runs.get(&key);
+            let rate = before.map_or_else(|| Rate::begin(&run), |seen| seen.rate.advance(&run));
             let first_seen = before.map_or(now, |seen| seen.first_seen);
             let same = before.filter(|seen| seen.percent == run.percent);
             let since = same.map_or(now, |seen| seen.since);
@@ -107,6 +156,7 @@
                 first_seen,
                 checkpoint: run.checkpoint,
                 instance: instance.to_owned(),
+                rate,
             };
             self.runs.insert(key, seen);
         }
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -26,7 +26,9 @@
     pub freed_soon: Resources,
     /// Whether it may get work.
     pub usable: bool,
-    /// Whether it failed or refused lately.
+    /// Whether its runs take longer than elsewhere.
+    pub slower_machine: bool,
+    /// Whether it failed or refused lately, or is slow now.
     pub avoided: bool,
     /// Whether its agent hasn't reported since the last outage of the reports: it may be gone.
     pub unheard: bool,
@@ -83,7 +85,9 @@
                 && !inputs.table.evicted.contains(instance)
                 && planner.report_age(instance, inputs) < planner.settings.doubt_after
                 && inputs.progress.silent(instance) < planner.settings.doubt_after,
-            avoided: planner.health.is_avoided(instance, inputs.now),
+            avoided: planner.health.is_avoided(instance, inputs.now)
+                || planner.pace.is_slow(instance),
+            slower_machine: planner.pace.is_slower_machine(instance),
             unheard: !inputs.progress.is_heard(instance),
             held_for: None,
             members: BTreeMap::new(),
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -1,4 +1,4 @@
-//! Moves runs off workers that leave, and runs that stand still.
+//! Moves runs off workers that leave or are slow, and runs that stand still.
 
 use std::time::Duration;
 
@@ -7,10 +7,9 @@
 use crate::record::{TaskPlan, TaskStatus, WorkerRecord};
 
 use super::draft::Draft;
+use super::progress::{FULL_PERCENT, Seen};
 use super::{Planner, RoundInputs};
 
-/// Progress that no run exceeds.
-const FULL_PERCENT: u32 = 100;
 /// Share of the remaining time on a leaving worker that a run may be estimated to need.
 const LEAVING_MARGIN_PERMILLE: u64 = 800;
 
@@ -41,6 +40,12 @@
                 );
                 planner.health.stalled(&task.instance, inputs.now);
                 moved.push(task_id);
+            } else if is_better_restarted(planner, &task_id, task, step, duration, inputs) {
+                log::warn!(
+                    "event=J145 run leaves a slow worker task={task_id} worker={} expected_ms={duration}",
+                    task.instance
+                );
+                moved.push(task_id);
             }
         }
         for task in moved {
@@ -50,11 +55,47 @@
     }
 }
 
-/// Returns the time that a run is expected to need still, in milliseconds.
+/// Returns the time that a run is expected to need still, in milliseconds, by its own rate if that
+/// is known.
 fn remaining_ms(id: &TaskId, task: &TaskPlan, duration_ms: u64, inputs: &RoundInputs<'_>) -> u64 {
+    let Some(seen) = inputs.progress.run(id, task.attempt) else { return duration_ms };
+    remaining_by_rate_ms(seen).unwrap_or_else(|| {
+        let elapsed = seen.first_seen.elapsed();
+        duration_ms.saturating_sub(elapsed.as_millis() as u64)
+    })
+}
+
+/// Returns the time that a run still needs at its present rate, in milliseconds.
+fn remaining_by_rate_ms(seen: &Seen) -> Option<u64> {
+    let rate = seen.rate.percent_per_s?;
+    let left = f64::from(FULL_PERCENT.saturating_sub(seen.percent));
+    // A run that doesn't get on is never done; a float that is too large becomes the largest time.
+    Some((left * 1000.0 / rate.max(f64::MIN_POSITIVE)) as u64)
+}
+
+/// Times of a whole run that the rest of it must take at a slow worker before it starts again
+/// elsewhere.
+const RESTART_FACTOR: u64 = 2;
+/// Added to that, for the stop and the start.
+const RESTART_MS: u64 = 1500;
+/// Attempt from which on a run stays where it is, however slow.
+const LAST_MOVED_ATTEMPT: u32 = 4;
+
+/// Returns whether a run at a slow worker would end sooner if it started again elsewhere.
+fn is_better_restarted(
+    planner: &Planner,
+    id: &TaskId,
+    task: &TaskPlan,
+    step: &Step,
+    duration_ms: u64,
+    inputs: &RoundInputs<'_>,
+) -> bool {
+    if step.long_running || task.attempt >= LAST_MOVED_ATTEMPT {
+        return false;
+    }
     let seen = inputs.progress.run(id, task.attempt);
-    let elapsed = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
-    duration_ms.saturating_sub(elapsed.as_millis() as u64)
+    let remaining = seen.and_then(remaining_by_rate_ms).unwrap_or(0);
+    planner.pace.is_slow(&task.instance) && remaining > duration_ms * RESTART_FACTOR + RESTART_MS
 }
 
 fn leaves_too_early(
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -274,6 +274,8 @@
     pub attempt: u32,
     /// How far it is, 0 to 100.
     pub percent: u32,
+    /// For how long its agent had seen it run when it was so far, in milliseconds.
+    pub ran_ms: u64,
     /// What it saved last.
     pub checkpoint: Checkpoint,
 }
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -110,6 +110,7 @@
                     task,
                     attempt,
                     percent: u32::try_from(self.wall / 500 % 100).unwrap_or(0),
+                    ran_ms: 0,
                     checkpoint: String::new(),
                 });
                 let report = ProgressReport { silent_ms: 0, runs: runs.collect() };
@@ -165,6 +166,11 @@
     }
 }
 
+/// What an agent reports of a task's first run.
+fn progress(job: &str, index: u32, percent: u32, ran_ms: u64) -> RunProgress {
+    RunProgress { task: task(job, index), attempt: 1, percent, ran_ms, checkpoint: String::new() }
+}
+
 fn gang(count: u32, devices: u64) -> Step {
     Step { gang: true, ..step(count, devices) }
 }
@@ -554,8 +560,7 @@
         for _ in 0..6 {
             tokio::time::sleep(Duration::from_secs(1)).await;
             rig.progress.note_read(Instant::now());
-            let run =
-                RunProgress { task: task(JOB, 0), attempt: 1, percent, checkpoint: String::new() };
+            let run = progress(JOB, 0, percent, 0);
             let report = ProgressReport { silent_ms: 0, runs: vec![run] };
             rig.progress.insert("i-0", report, Instant::now());
         }
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -248,6 +248,7 @@
             task: task.clone(),
             attempt: *attempt,
             percent: 10,
+            ran_ms: 0,
             checkpoint: String::new(),
         });
         let ended = state.ended.iter().filter(|end| end.number > order.last_seen).cloned();
