--- a/crates/rampbay-jobs/src/planner/pace.rs
+++ b/crates/rampbay-jobs/src/planner/pace.rs
@@ -4,9 +4,9 @@
 //! says little, since tasks differ; but a worker none of whose runs comes near its expected pace is
 //! slow now, and one whose runs lag on average is a slower machine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::job::{InstanceId, Step, TaskId};
+use crate::job::{InstanceId, JobId, Step, TaskId};
 use crate::record::JobPlan;
 
 use super::RoundInputs;
@@ -18,6 +18,8 @@
 const SLOW_PACE: f64 = 0.33;
 /// Mean pace below which a worker is a slower machine than others.
 const SLOWER_MACHINE_PACE: f64 = 0.88;
+/// Jobs that must run at a worker before it can be called slow: one may just be longer than expected.
+const FEWEST_JOBS: usize = 2;
 /// Intervals measured before the mean pace says anything.
 const FEWEST_INTERVALS: u32 = 4;
 /// Weight of one more interval in the mean pace.
@@ -26,10 +28,12 @@
 const LEAST_PACE: f64 = 0.1;
 
 /// What is known of one worker's pace.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct WorkerPace {
     /// The best pace of its runs at present.
-    best_now: Option<f64>,
+    best_now: f64,
+    /// Jobs that run there at present.
+    jobs_now: BTreeSet<JobId>,
     mean_log: f64,
     intervals: u32,
 }
@@ -45,7 +49,7 @@
     /// Takes in the progress since the last round.
     pub fn update(&mut self, draft: &Draft<'_>, inputs: &RoundInputs<'_>, forecasts: &Forecasts) {
         self.workers.retain(|instance, _| inputs.table.workers.contains_key(instance));
-        self.workers.values_mut().for_each(|worker| worker.best_now = None);
+        self.workers.values_mut().for_each(WorkerPace::begin_round);
         self.counted.retain(|(task, attempt), _| inputs.progress.run(task, *attempt).is_some());
         for (key, seen) in inputs.progress.runs() {
             let Some(percent_per_s) = seen.rate.percent_per_s else { continue };
@@ -55,7 +59,8 @@
             let pace = percent_per_s / expected;
             let worker = self.workers.entry(seen.instance.clone()).or_default();
             if seen.percent < FULL_PERCENT {
-                worker.best_now = Some(worker.best_now.map_or(pace, |best| best.max(pace)));
+                worker.best_now = worker.best_now.max(pace);
+                worker.jobs_now.insert(key.0.job.clone());
             }
             let counted = self.counted.entry(key.clone()).or_default();
             if *counted < seen.rate.intervals {
@@ -67,8 +72,9 @@
 
     /// Returns whether a worker is slow now.
     pub fn is_slow(&self, instance: &str) -> bool {
-        let worker = self.workers.get(instance);
-        worker.and_then(|worker| worker.best_now).is_some_and(|best| best < SLOW_PACE)
+        self.workers.get(instance).is_some_and(|worker| {
+            worker.jobs_now.len() >= FEWEST_JOBS && worker.best_now < SLOW_PACE
+        })
     }
 
     /// Returns whether a worker is a slower machine than others.
@@ -80,6 +86,11 @@
 }
 
 impl WorkerPace {
+    fn begin_round(&mut self) {
+        self.best_now = 0.0;
+        self.jobs_now.clear();
+    }
+
     fn count(&mut self, pace: f64) {
         let log = pace.max(LEAST_PACE).ln();
         self.intervals += 1;
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -1,4 +1,4 @@
-//! Moves runs off workers that leave or are slow, and runs that stand still.
+//! Moves runs off workers that leave, and runs that stand still.
 
 use std::time::Duration;
 
@@ -40,12 +40,6 @@
                 );
                 planner.health.stalled(&task.instance, inputs.now);
                 moved.push(task_id);
-            } else if is_better_restarted(planner, &task_id, task, step, duration, inputs) {
-                log::warn!(
-                    "event=J145 run leaves a slow worker task={task_id} worker={} expected_ms={duration}",
-                    task.instance
-                );
-                moved.push(task_id);
             }
         }
         for task in moved {
@@ -73,31 +67,6 @@
     Some((left * 1000.0 / rate.max(f64::MIN_POSITIVE)) as u64)
 }
 
-/// Times of a whole run that the rest of it must take at a slow worker before it starts again
-/// elsewhere.
-const RESTART_FACTOR: u64 = 2;
-/// Added to that, for the stop and the start.
-const RESTART_MS: u64 = 1500;
-/// Attempt from which on a run stays where it is, however slow.
-const LAST_MOVED_ATTEMPT: u32 = 4;
-
-/// Returns whether a run at a slow worker would end sooner if it started again elsewhere.
-fn is_better_restarted(
-    planner: &Planner,
-    id: &TaskId,
-    task: &TaskPlan,
-    step: &Step,
-    duration_ms: u64,
-    inputs: &RoundInputs<'_>,
-) -> bool {
-    if step.long_running || task.attempt >= LAST_MOVED_ATTEMPT {
-        return false;
-    }
-    let seen = inputs.progress.run(id, task.attempt);
-    let remaining = seen.and_then(remaining_by_rate_ms).unwrap_or(0);
-    planner.pace.is_slow(&task.instance) && remaining > duration_ms * RESTART_FACTOR + RESTART_MS
-}
-
 fn leaves_too_early(
     id: &TaskId,
     task: &TaskPlan,
