--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -101,6 +101,22 @@
     });
 }
 
+/// Seen on the bench: one start that an unwell worker turned away broke a whole gang.
+#[test]
+fn refused_start_ordered_again() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new("i-1");
+        worker.start_trouble.set(StartTrouble::FirstRefused);
+        seed_running_job(&store, JOB, 1, "i-1");
+        let rig = AgentRig::start(store, worker);
+        rig.heartbeat("i-1", 1);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1)]);
+        assert_eq!(reasons(&rig.store), vec![]);
+    });
+}
+
 #[test]
 fn unhealthy_worker_refusal_reported_once() {
     on_virtual_time(async {
--- /dev/null
+++ b/crates/rampbay-jobs/tests/decisions.rs
@@ -0,0 +1,175 @@
+//! What the planner starts first, what it stops for it, and what it keeps room for.
+
+mod support;
+
+use std::time::Duration;
+
+use rampbay_jobs::job::{Step, Submission};
+use rampbay_jobs::record::{EndReason, ProgressReport, TaskStatus};
+use rstest::rstest;
+use support::planner::{PlannerRig, gang, progress};
+use support::{job, on_virtual_time, step, task};
+use tokio::time::Instant;
+
+const JOB: &str = "00000000000000aa";
+const OTHER: &str = "00000000000000bb";
+const URGENT: &str = "00000000000000cc";
+
+/// Urgent work beyond its guarantee stops others as long as that throws away less than it is worth.
+#[rstest]
+#[case::young(Duration::from_secs(2), TaskStatus::Stopping)]
+#[case::old(Duration::from_secs(12), TaskStatus::Running)]
+fn urgent_work_stops_in_proportion(#[case] ran: Duration, #[case] expected: TaskStatus) {
+    on_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1);
+        rig.submit(job(JOB, 1, step(1, 8)));
+        rig.plan();
+        rig.pass(ran).await;
+        rig.submit(Submission { submitted_at: rig.wall, ..job(URGENT, 0, step(1, 8)) });
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), expected);
+    });
+}
+
+/// The worth of a job that can't end in time any more doesn't rise by haste.
+#[rstest]
+#[case::in_time(0, TaskStatus::Stopping)]
+#[case::late(20_000, TaskStatus::Running)]
+fn late_urgent_work_stops_nobody(#[case] late_ms: u64, #[case] expected: TaskStatus) {
+    on_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1);
+        rig.wall = 100_000;
+        rig.submit(Submission { submitted_at: rig.wall, ..job(JOB, 1, step(1, 8)) });
+        rig.plan();
+        rig.submit(Submission { submitted_at: rig.wall - late_ms, ..job(URGENT, 0, step(1, 8)) });
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), expected);
+    });
+}
+
+/// Seen on the bench: single tasks took each accelerator as it became free, and gangs that needed
+/// several workers at once never started.
+#[test]
+fn waiting_gang_keeps_room_from_less_urgent_work() {
+    on_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(6);
+        rig.submit(job(JOB, 2, step(6, 8)));
+        rig.plan();
+        rig.pass(Duration::from_secs(30)).await;
+        rig.submit(Submission { submitted_at: rig.wall, ..job(OTHER, 1, gang(2, 8)) });
+        rig.submit(Submission { submitted_at: rig.wall, ..job(URGENT, 2, step(2, 8)) });
+        rig.end(&task(JOB, 0), EndReason::Done);
+        rig.plan();
+        assert_eq!(rig.statuses(URGENT), vec![], "the free worker is kept for the gang");
+        rig.end(&task(JOB, 1), EndReason::Done);
+        rig.plan();
+        assert_eq!(rig.statuses(OTHER), vec![TaskStatus::Running; 2]);
+    });
+}
+
+/// Spread over racks, a gang holds its room several times as long: on a busy fleet it waits.
+#[rstest]
+#[case::busy(2, 2, 0)]
+#[case::idle(1, 3, 3)]
+fn gang_wanting_rack_waits_on_busy_fleet(
+    #[case] busy_a_rack: u32,
+    #[case] members: u32,
+    #[case] running_soon: usize,
+) {
+    on_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(6);
+        rig.submit(job(JOB, 0, Step { required_label: "r0".to_owned(), ..step(busy_a_rack, 8) }));
+        rig.submit(job(
+            URGENT,
+            0,
+            Step { required_label: "r1".to_owned(), ..step(busy_a_rack, 8) },
+        ));
+        rig.plan();
+        let submission = job(OTHER, 0, Step { same_rack: true, ..gang(members, 8) });
+        rig.submit(Submission { submitted_at: rig.wall, ..submission });
+        rig.plan();
+        assert_eq!(rig.statuses(OTHER), vec![], "no rack has room");
+        rig.pass(Duration::from_secs(3)).await;
+        rig.plan();
+        assert_eq!(rig.statuses(OTHER).len(), running_soon);
+        rig.pass(Duration::from_secs(10)).await;
+        rig.plan();
+        assert_eq!(rig.statuses(OTHER).len(), members as usize, "it doesn't wait for ever");
+    });
+}
+
+/// Estimates that scatter widely say little: the job with fewer tasks goes first, whatever it says.
+#[test]
+fn scattered_estimates_drawn_to_their_mean() {
+    on_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(1);
+        let estimated = |id: &str, count: u32, estimate_ms: u64| {
+            job(id, 1, Step { estimate_ms, ..step(count, 4) })
+        };
+        for (index, estimate_ms) in [200, 1_000, 5_000, 30_000, 90_000].into_iter().enumerate() {
+            let id = format!("00000000000000{index:02}");
+            rig.submit(Submission {
+                first_run_ms: u64::MAX / 2,
+                occurrences: 1,
+                ..estimated(&id, 1, estimate_ms)
+            });
+        }
+        rig.submit(estimated(JOB, 2, 2_000));
+        rig.submit(estimated(OTHER, 1, 8_000));
+        rig.plan();
+        assert_eq!(rig.statuses(OTHER), vec![TaskStatus::Running]);
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running, TaskStatus::Waiting]);
+    });
+}
+
+/// Two jobs that get on at a tenth of their pace show a slow worker; one may just be long.
+#[rstest]
+#[case::two_jobs(true, "i-1")]
+#[case::one_job(false, "i-0")]
+fn slow_worker_avoided(#[case] both_slow: bool, #[case] expected: &str) {
+    on_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2);
+        rig.submit(job(JOB, 1, step(1, 2)));
+        rig.submit(job(OTHER, 1, step(1, 2)));
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(JOB, 0)), rig.instance_of(&task(OTHER, 0)));
+        for second in 0..4_u32 {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            rig.progress.note_read(Instant::now());
+            let ran_ms = u64::from(second) * 1000;
+            let other_percent = if both_slow { second * 2 } else { second * 20 };
+            let runs = vec![
+                progress(JOB, 0, second * 2, ran_ms),
+                progress(OTHER, 0, other_percent, ran_ms),
+            ];
+            rig.progress.insert("i-0", ProgressReport { silent_ms: 0, runs }, Instant::now());
+            rig.progress.insert("i-1", ProgressReport::default(), Instant::now());
+        }
+        rig.submit(job(URGENT, 1, step(1, 1)));
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(URGENT, 0)), expected);
+    });
+}
+
+/// A worker whose runs lag on average is left to work that has time.
+#[test]
+fn urgent_work_prefers_faster_machines() {
+    on_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(2);
+        rig.submit(job(JOB, 1, step(1, 2)));
+        rig.plan();
+        for second in 0..8_u32 {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            rig.progress.note_read(Instant::now());
+            let runs = vec![progress(JOB, 0, second * 12, u64::from(second) * 1000)];
+            rig.progress.insert("i-0", ProgressReport { silent_ms: 0, runs }, Instant::now());
+            rig.progress.insert("i-1", ProgressReport::default(), Instant::now());
+            rig.plan();
+        }
+        rig.submit(job(URGENT, 0, step(1, 1)));
+        rig.submit(job(OTHER, 1, step(1, 1)));
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(URGENT, 0)), "i-1", "urgent work: the faster machine");
+        assert_eq!(rig.instance_of(&task(OTHER, 0)), "i-0", "other work: the fuller one");
+    });
+}
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -5,180 +5,22 @@
 use std::time::Duration;
 
 use rampbay_jobs::job::{Step, Submission, TaskId};
-use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
-    EndReason, JobStatus, ProgressReport, Record, RunEnd, RunProgress, TaskStatus, WorkerRecord,
+    EndReason, JobStatus, ProgressReport, Record, RunEnd, TaskStatus, WorkerRecord,
 };
-use rampbay_jobs::routing::{Routing, Workspace};
-use rampbay_jobs::table::JobTable;
 use rstest::rstest;
-use support::{job, on_virtual_time, settings, step, task, worker_record};
+use support::planner::{PlannerRig, gang, progress};
+use support::{job, on_virtual_time, step, task, worker_record};
 use tokio::time::Instant;
 
 const JOB: &str = "00000000000000aa";
 const OTHER: &str = "00000000000000bb";
 const URGENT: &str = "00000000000000cc";
 
-/// A planner with what it goes by.
-struct Rig {
-    planner: Planner,
-    table: JobTable,
-    progress: ProgressTable,
-    routing: Routing,
-    started: Instant,
-    wall: u64,
-}
-
-impl Rig {
-    fn new(workers: &[(&str, WorkerRecord)]) -> Self {
-        let mut rig = Self {
-            planner: Planner::new(settings().planner()),
-            table: JobTable::default(),
-            progress: ProgressTable::default(),
-            routing: Routing::default(),
-            started: Instant::now(),
-            wall: 2_000,
-        };
-        rig.progress.note_read(Instant::now());
-        for (instance, worker) in workers {
-            rig.put(&Record::Worker((*instance).to_owned(), Box::new(worker.clone())));
-        }
-        rig
-    }
-
-    /// A rig of workers with 8 accelerators each, three a rack.
-    fn of_workers(count: usize) -> Self {
-        let name = |index: usize| format!("i-{index}");
-        let names: Vec<String> = (0..count).map(name).collect();
-        let record = |index: usize| worker_record("side", &format!("r{}", index / 3), 8);
-        let workers: Vec<(&str, WorkerRecord)> =
-            names.iter().enumerate().map(|(index, name)| (name.as_str(), record(index))).collect();
-        Self::new(&workers)
-    }
-
-    fn put(&mut self, record: &Record) {
-        self.table.apply(&record.encode());
-    }
-
-    fn submit(&mut self, submission: Submission) {
-        self.put(&Record::Submitted(Box::new(submission)));
-    }
-
-    /// Guarantees accelerators to the workspace of the test jobs.
-    fn guarantee(&mut self, devices: u64) {
-        self.routing.workspaces = vec![Workspace {
-            name: "workspace".to_owned(),
-            keys: Vec::new(),
-            guaranteed_devices: devices,
-        }];
-    }
-
-    /// Plans until nothing changes.
-    fn plan(&mut self) {
-        for _ in 0..20 {
-            let records = self.planner.round(&RoundInputs {
-                table: &self.table,
-                routing: &self.routing,
-                progress: &self.progress,
-                now: self.started.elapsed(),
-                wall: self.wall,
-            });
-            if records.is_empty() {
-                return;
-            }
-            records.iter().for_each(|record| self.table.apply(record));
-        }
-        panic!("the planner doesn't come to rest");
-    }
-
-    /// Lets time pass in which all agents report.
-    async fn pass(&mut self, time: Duration) {
-        self.pass_without(time, "").await;
-    }
-
-    /// Lets time pass in which all agents but one report.
-    async fn pass_without(&mut self, time: Duration, silent: &str) {
-        let end = Instant::now() + time;
-        while Instant::now() < end {
-            tokio::time::sleep(Duration::from_millis(500)).await;
-            self.wall += 500;
-            self.progress.note_read(Instant::now());
-            let instances: Vec<String> = self.table.workers.keys().cloned().collect();
-            for instance in instances.into_iter().filter(|instance| instance != silent) {
-                let runs = self.runs_at(&instance);
-                let runs = runs.into_iter().map(|(task, attempt)| RunProgress {
-                    task,
-                    attempt,
-                    percent: u32::try_from(self.wall / 500 % 100).unwrap_or(0),
-                    ran_ms: 0,
-                    checkpoint: String::new(),
-                });
-                let report = ProgressReport { silent_ms: 0, runs: runs.collect() };
-                self.progress.insert(&instance, report, Instant::now());
-            }
-        }
-    }
-
-    fn runs_at(&self, instance: &str) -> Vec<(TaskId, u32)> {
-        let mut runs = Vec::new();
-        for (id, job) in &self.table.jobs {
-            let Some(plan) = &job.plan else { continue };
-            let here =
-                plan.tasks(id).filter(|(_, task)| task.instance == instance && task.occupies());
-            runs.extend(here.map(|(id, task)| (id, task.attempt)));
-        }
-        runs
-    }
-
-    fn end(&mut self, id: &TaskId, reason: EndReason) {
-        let (attempt, instance) = self.placed(id);
-        self.put(&Record::Ended(Box::new(RunEnd {
-            task: id.clone(),
-            attempt,
-            reason,
-            checkpoint: String::new(),
-            instance,
-        })));
-    }
-
-    fn placed(&self, id: &TaskId) -> (u32, String) {
-        let plan = self.table.jobs[&id.job].plan.as_ref().expect("a plan");
-        let task = plan.task(id).expect("a task");
-        (task.attempt, task.instance.clone())
-    }
-
-    fn instance_of(&self, id: &TaskId) -> String {
-        self.placed(id).1
-    }
-
-    fn status_of(&self, id: &TaskId) -> TaskStatus {
-        let plan = self.table.jobs[&id.job].plan.as_ref();
-        plan.and_then(|plan| plan.task(id)).map_or(TaskStatus::Waiting, |task| task.status)
-    }
-
-    fn statuses(&self, job: &str) -> Vec<TaskStatus> {
-        let Some(plan) = &self.table.jobs[job].plan else { return Vec::new() };
-        plan.tasks(&job.to_owned()).map(|(_, task)| task.status).collect()
-    }
-
-    fn job_status(&self, job: &str) -> JobStatus {
-        self.table.jobs[job].status()
-    }
-}
-
-/// What an agent reports of a task's first run.
-fn progress(job: &str, index: u32, percent: u32, ran_ms: u64) -> RunProgress {
-    RunProgress { task: task(job, index), attempt: 1, percent, ran_ms, checkpoint: String::new() }
-}
-
-fn gang(count: u32, devices: u64) -> Step {
-    Step { gang: true, ..step(count, devices) }
-}
-
 #[test]
 fn gang_placed_whole() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(2);
+        let mut rig = PlannerRig::of_workers(2);
         rig.submit(job(JOB, 1, gang(2, 8)));
         rig.plan();
         assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running; 2]);
@@ -189,7 +31,7 @@
 #[test]
 fn gang_without_room_not_placed_in_part() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(2);
+        let mut rig = PlannerRig::of_workers(2);
         rig.submit(job(JOB, 1, gang(3, 8)));
         rig.plan();
         assert!(rig.statuses(JOB).iter().all(|status| *status == TaskStatus::Waiting));
@@ -199,7 +41,7 @@
 #[test]
 fn gang_wanting_rack_placed_in_one() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(6);
+        let mut rig = PlannerRig::of_workers(6);
         rig.submit(job(JOB, 1, Step { same_rack: true, ..gang(3, 8) }));
         rig.plan();
         let racks: Vec<String> = (0..3)
@@ -214,7 +56,7 @@
 #[test]
 fn new_worker_without_report_not_evicted() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.pass(Duration::from_secs(20)).await;
         rig.put(&Record::Worker("i-new".to_owned(), Box::new(worker_record("side", "r1", 8))));
         rig.plan();
@@ -228,7 +70,7 @@
 #[test]
 fn silent_worker_evicted_then_given_up() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.submit(job(JOB, 1, step(1, 1)));
         rig.plan();
         rig.pass(Duration::from_secs(1)).await;
@@ -254,7 +96,7 @@
 #[test]
 fn departed_worker_given_up_after_leases() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(2);
+        let mut rig = PlannerRig::of_workers(2);
         rig.submit(job(JOB, 1, step(1, 8)));
         rig.pass(Duration::from_secs(1)).await;
         rig.plan();
@@ -280,7 +122,7 @@
 #[test]
 fn worker_unheard_since_outage_avoided() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(2);
+        let mut rig = PlannerRig::of_workers(2);
         rig.pass(Duration::from_secs(1)).await;
         // Nothing can be read for a while; then only one agent reports.
         tokio::time::sleep(Duration::from_secs(5)).await;
@@ -294,7 +136,7 @@
 #[test]
 fn unreadable_reports_nobody_evicted() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.pass(Duration::from_secs(1)).await;
         tokio::time::sleep(Duration::from_secs(30)).await;
         rig.plan();
@@ -306,7 +148,7 @@
 #[test]
 fn failing_worker_blocked() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(2);
+        let mut rig = PlannerRig::of_workers(2);
         for (number, id) in [JOB, OTHER].iter().enumerate() {
             rig.submit(job(id, 1, step(1, 8)));
             rig.plan();
@@ -330,7 +172,7 @@
 #[test]
 fn hopeless_job_blocks_nobody() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(3);
+        let mut rig = PlannerRig::of_workers(3);
         for id in [JOB, OTHER] {
             rig.submit(job(id, 1, step(1, 8)));
             for _ in 0..3 {
@@ -349,7 +191,7 @@
 #[test]
 fn guaranteed_job_stops_borrower() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.guarantee(8);
         rig.submit(job(JOB, 1, step(1, 8)));
         rig.plan();
@@ -367,7 +209,7 @@
 #[test]
 fn room_being_freed_kept_for_guaranteed_job() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.guarantee(8);
         rig.submit(job(JOB, 1, step(2, 4)));
         rig.plan();
@@ -385,7 +227,7 @@
 #[case::too_often(3, JobStatus::Failed)]
 fn gang_failures_counted_once_a_run(#[case] failures: u32, #[case] status: JobStatus) {
     on_virtual_time(async move {
-        let mut rig = Rig::of_workers(6);
+        let mut rig = PlannerRig::of_workers(6);
         rig.submit(job(JOB, 1, gang(2, 8)));
         for _ in 0..failures {
             rig.plan();
@@ -400,7 +242,7 @@
 #[test]
 fn gang_members_share_attempt() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(4);
+        let mut rig = PlannerRig::of_workers(4);
         rig.submit(job(JOB, 1, gang(2, 8)));
         rig.plan();
         rig.end(&task(JOB, 0), EndReason::NotStarted);
@@ -416,7 +258,7 @@
 #[test]
 fn dependent_step_waits() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         let mut submission = job(JOB, 1, step(2, 1));
         submission.steps.push(Step { depends_on: vec![0], ..step(1, 1) });
         rig.submit(submission);
@@ -437,7 +279,7 @@
 #[test]
 fn cancelled_job_stopped() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.submit(job(JOB, 1, step(1, 1)));
         rig.plan();
         rig.put(&Record::Cancelled(JOB.to_owned()));
@@ -450,7 +292,7 @@
 #[test]
 fn stale_end_removed_without_effect() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.submit(job(JOB, 1, step(1, 1)));
         rig.plan();
         rig.put(&Record::Ended(Box::new(RunEnd {
@@ -469,7 +311,7 @@
 #[test]
 fn timed_job_starts_when_due() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         let timed = Submission {
             first_run_ms: 5_000,
             interval_ms: 4_000,
@@ -499,7 +341,7 @@
 #[test]
 fn wide_urgent_step_keeps_freed_room() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(2);
+        let mut rig = PlannerRig::of_workers(2);
         rig.submit(job(JOB, 1, step(4, 4)));
         rig.plan();
         rig.submit(job(URGENT, 0, step(5, 8)));
@@ -518,7 +360,7 @@
 #[test]
 fn ended_job_removed_later() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.submit(job(JOB, 1, step(1, 1)));
         rig.plan();
         rig.end(&task(JOB, 0), EndReason::Done);
@@ -537,7 +379,7 @@
 #[test]
 fn unreadable_reports_no_run_moved() {
     on_virtual_time(async {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.submit(job(JOB, 1, step(2, 1)));
         rig.plan();
         rig.pass(Duration::from_secs(2)).await;
@@ -554,7 +396,7 @@
 #[case::past_its_estimate(100, TaskStatus::Running)]
 fn same_progress_reported(#[case] percent: u32, #[case] expected: TaskStatus) {
     on_virtual_time(async move {
-        let mut rig = Rig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1);
         rig.submit(job(JOB, 1, step(1, 1)));
         rig.plan();
         for _ in 0..6 {
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -27,6 +27,8 @@
     FirstOrderLost,
     /// It carries the first out and doesn't answer; it turns later ones away.
     AnswerLostThenUnhealthy,
+    /// It turns the first away; later ones are sound.
+    FirstRefused,
     /// It turns them away.
     Unhealthy,
 }
@@ -180,6 +182,10 @@
         if trouble == StartTrouble::Unhealthy {
             return Ok(Started::No(Refusal::Unhealthy));
         }
+        if trouble == StartTrouble::FirstRefused {
+            self.worker.start_trouble.set(StartTrouble::None);
+            return Ok(Started::No(Refusal::Unhealthy));
+        }
         let lost = matches!(trouble, StartTrouble::OrderLost | StartTrouble::FirstOrderLost);
         if trouble == StartTrouble::AnswerLostThenUnhealthy {
             self.worker.start_trouble.set(StartTrouble::Unhealthy);
