--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -19,6 +19,7 @@
 mod progress;
 mod queue;
 mod room;
+mod waits;
 mod watch;
 
 use std::collections::BTreeMap;
@@ -32,11 +33,13 @@
 use crate::table::JobTable;
 
 pub use progress::{ProgressTable, Seen};
+pub use waits::WaitReason;
 
 use draft::Draft;
 use forecast::Forecasts;
 use health::HealthBook;
 use pace::PaceBook;
+use waits::WaitBook;
 
 /// Times that a planner goes by.
 #[derive(Clone, Copy, Debug)]
@@ -78,6 +81,7 @@
     health: HealthBook,
     forecasts: Forecasts,
     pace: PaceBook,
+    waits: WaitBook,
     evicted_since: BTreeMap<InstanceId, Duration>,
     departed_since: BTreeMap<InstanceId, Duration>,
     known_since: BTreeMap<InstanceId, Duration>,
@@ -93,6 +97,7 @@
             health: HealthBook::default(),
             forecasts: Forecasts::default(),
             pace: PaceBook::default(),
+            waits: WaitBook::default(),
             evicted_since: BTreeMap::new(),
             departed_since: BTreeMap::new(),
             known_since: BTreeMap::new(),
@@ -114,11 +119,18 @@
         evict::give_up_departed(self, &mut draft, inputs);
         self.pace.update(&draft, inputs, &self.forecasts);
         watch::move_runs(self, &mut draft, inputs);
-        place::place(self, &mut draft, inputs);
+        let waits = place::place(self, &mut draft, inputs);
+        self.waits.update(&waits, inputs.now);
         expire::expire(self, &mut draft, inputs);
         draft.into_records()
     }
 
+    /// Returns why a step of a job waits, if it does.
+    #[must_use]
+    pub fn wait_reason(&self, job: &str, occurrence: u32, step: u32) -> Option<WaitReason> {
+        self.waits.reason(&(job.to_owned(), occurrence, step))
+    }
+
     fn note_workers(&mut self, inputs: &RoundInputs<'_>) {
         let workers = &inputs.table.workers;
         self.known_since.retain(|instance, _| workers.contains_key(instance));
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -10,6 +10,7 @@
 use super::preempt::preempt;
 use super::queue::{WaitingStep, waiting_steps};
 use super::room::Rooms;
+use super::waits::{Wait, WaitReason};
 use super::{Planner, RoundInputs};
 
 /// How long a gang that wants one rack waits for it before it is spread over several. Spread, it
@@ -28,21 +29,23 @@
 /// Share of all workers that gangs without room may keep less urgent work away from, in percent.
 const MOST_HELD_PERCENT: usize = 34;
 
-/// Places all that waits.
-pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+/// Places what waits where it fits. Returns what goes on waiting, and why.
+pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<Wait> {
     let waiting = waiting_steps(draft, inputs, &planner.forecasts);
     if waiting.is_empty() {
-        return;
+        return Vec::new();
     }
+    let mut waits = Vec::new();
     let mut rooms = Rooms::survey(planner, draft, inputs);
     for step in &waiting {
         let need = Need::of(step, failed_workers(draft, step)).avoiding_failures(&rooms.rooms);
         if need.step.gang {
-            place_gang(draft, &mut rooms, step, &need, inputs);
+            waits.extend(place_gang(draft, &mut rooms, step, &need, inputs));
         } else {
-            place_tasks(draft, &mut rooms, step, &need, inputs);
+            waits.extend(place_tasks(draft, &mut rooms, step, &need, inputs));
         }
     }
+    waits
 }
 
 fn failed_workers(draft: &Draft<'_>, waiting: &WaitingStep) -> Vec<InstanceId> {
@@ -92,7 +95,7 @@
     waiting: &WaitingStep,
     need: &Need<'_>,
     inputs: &RoundInputs<'_>,
-) {
+) -> Option<Wait> {
     let count = waiting.tasks.len();
     let insists = insists_on_rack(waiting, rooms, need, inputs);
     let need = &Need { insists_on_rack: insists, ..need.clone() };
@@ -105,11 +108,14 @@
     };
     if let Some(places) = places {
         start_gang(draft, rooms, waiting, need, &places);
-        return;
+        return None;
     }
-    if !make_room(draft, rooms, waiting, need, count, inputs) {
-        hold_room(rooms, waiting, need, count);
+    if make_room(draft, rooms, waiting, need, count, inputs) {
+        return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
     }
+    hold_room(rooms, waiting, need, count);
+    let reason = if insists { WaitReason::NoRack } else { WaitReason::NoRoom };
+    Some(Wait::new(waiting, count, reason, inputs))
 }
 
 /// Keeps less urgent work away from the workers where a gang will fit once that work has ended.
@@ -136,7 +142,7 @@
     waiting: &WaitingStep,
     need: &Need<'_>,
     inputs: &RoundInputs<'_>,
-) {
+) -> Option<Wait> {
     let waited = inputs.wall.saturating_sub(waiting.waits_since);
     let mut left = waiting.tasks.clone();
     while let Some(&index) = left.first() {
@@ -144,10 +150,14 @@
         start_task(draft, waiting, index, &rooms.rooms[place].instance, None);
         left.remove(0);
     }
-    if is_urgent(waiting) {
-        // As many as possible: what doesn't fit yet must not keep the others from starting.
-        let _ = left.iter().all(|_| make_room(draft, rooms, waiting, need, 1, inputs));
+    if left.is_empty() {
+        return None;
     }
+    // As many as possible: what doesn't fit yet must not keep the others from starting.
+    let is_made = is_urgent(waiting)
+        && left.iter().all(|_| make_room(draft, rooms, waiting, need, 1, inputs));
+    let reason = if is_made { WaitReason::StopsUnderWay } else { WaitReason::NoRoom };
+    Some(Wait::new(waiting, left.len(), reason, inputs))
 }
 
 fn place_near_data(rooms: &mut Rooms, need: &Need<'_>, waited: u64) -> Option<usize> {
--- a/crates/rampbay-jobs/tests/decisions.rs
+++ b/crates/rampbay-jobs/tests/decisions.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use rampbay_jobs::job::{Step, Submission};
+use rampbay_jobs::planner::WaitReason;
 use rampbay_jobs::record::{EndReason, ProgressReport, TaskStatus};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
@@ -173,3 +174,21 @@
         assert_eq!(rig.instance_of(&task(OTHER, 0)), "i-0", "other work: the fuller one");
     });
 }
+
+/// What waits says why, and what would start it.
+#[rstest]
+#[case::urgent(0, step(1, 8), WaitReason::StopsUnderWay)]
+#[case::not_urgent(1, step(1, 8), WaitReason::NoRoom)]
+#[case::wants_rack(1, Step { same_rack: true, ..gang(2, 4) }, WaitReason::NoRack)]
+fn wait_reason(#[case] priority: u32, #[case] step_that_waits: Step, #[case] expected: WaitReason) {
+    on_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1);
+        rig.submit(job(JOB, 1, step(1, 8)));
+        rig.plan();
+        assert_eq!(rig.planner.wait_reason(JOB, 0, 0), None);
+        let submission = job(OTHER, priority, step_that_waits);
+        rig.submit(Submission { submitted_at: rig.wall, ..submission });
+        rig.plan();
+        assert_eq!(rig.planner.wait_reason(OTHER, 0, 0), Some(expected));
+    });
+}
