feat: machines compared by the tasks of one step; faster ones first for urgent work

The pace against estimates, tried first, was biased: whole queues guess too low.

Change: rates of the tasks of one step are compared across workers; urgent work takes faster machines first and stops nothing on slower ones while others do.

--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -2,6 +2,7 @@
 
 use crate::job::{Resources, Step};
 
+use super::pace::MachineSpeed;
 use super::queue::WaitingStep;
 use super::room::{Room, StepKey, charge};
 
@@ -74,15 +75,20 @@
         self.allows_more(room) && room.free.fits(&self.demand)
     }
 
+    /// Returns how fast a worker's machine is, where that matters: time is short for urgent work only.
+    pub fn speed_of(&self, room: &Room) -> MachineSpeed {
+        if self.priority == 0 { room.speed } else { MachineSpeed::Usual }
+    }
+
     /// Returns how badly a worker suits, the least first: failed or refused lately, not heard of,
-    /// away from the data, failed this before, a slower machine where time is short, then whatever
+    /// away from the data, failed this before, slower machines where time is short, then whatever
     /// leaves least room behind.
-    fn unfitness(&self, room: &Room) -> (bool, bool, bool, bool, bool, u64, u64) {
+    fn unfitness(&self, room: &Room) -> (bool, bool, bool, bool, MachineSpeed, u64, u64) {
         let rack = &self.step.data_rack;
         let remote = !rack.is_empty() && !room.worker.labels.contains(rack);
         let failed = self.failed_at.contains(&room.instance);
-        let slower = self.priority == 0 && room.slower_machine;
-        (room.avoided, room.unheard, remote, failed, slower, room.free.devices, room.free.cpu_milli)
+        let speed = self.speed_of(room);
+        (room.avoided, room.unheard, remote, failed, speed, room.free.devices, room.free.cpu_milli)
     }
 }
 
@@ -138,15 +144,17 @@
 
 /// Finds places for `count` tasks in one rack: the one that is left with least room.
 pub fn place_in_rack(rooms: &[Room], need: &Need<'_>, count: usize) -> Option<Vec<usize>> {
-    let mut best: Option<(bool, u64, Vec<usize>)> = None;
+    let mut best: Option<((bool, usize, u64), Vec<usize>)> = None;
     for rack in racks(rooms, need) {
         let trial = within_rack(rooms, &rack);
         let Some(places) = place_all(&trial, need, count) else { continue };
         let remote = !need.step.data_rack.is_empty() && need.step.data_rack != rack;
         let free = trial.iter().filter(|room| room.usable).map(|room| room.free.devices).sum();
-        if best.as_ref().is_none_or(|(r, f, _)| (remote, free) < (*r, *f)) {
-            best = Some((remote, free, places));
+        let is_slower = |&&place: &&usize| need.speed_of(&rooms[place]) == MachineSpeed::Slower;
+        let rank = (remote, places.iter().filter(is_slower).count(), free);
+        if best.as_ref().is_none_or(|(best, _)| rank < *best) {
+            best = Some((rank, places));
         }
     }
-    best.map(|(_, _, places)| places)
+    best.map(|(_, places)| places)
 }
--- a/crates/rampbay-jobs/src/planner/pace.rs
+++ b/crates/rampbay-jobs/src/planner/pace.rs
@@ -2,7 +2,8 @@
 //!
 //! A run's rate against the expected duration of its task gives a pace: 1 is as expected. One run
 //! says little, since tasks differ; but a worker none of whose runs comes near its expected pace is
-//! slow now, and one whose runs lag on average is a slower machine.
+//! slow now. The tasks of one step are alike: a worker whose runs lag behind those of the same steps
+//! elsewhere, on average, is a slower machine.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -12,20 +13,40 @@
 use super::RoundInputs;
 use super::draft::Draft;
 use super::forecast::Forecasts;
-use super::progress::FULL_PERCENT;
+use super::progress::{FULL_PERCENT, Seen};
+use super::room::StepKey;
 
 /// Best pace of a worker's runs below which the worker is slow now.
 const SLOW_PACE: f64 = 0.33;
-/// Mean pace below which a worker is a slower machine than others.
-const SLOWER_MACHINE_PACE: f64 = 0.88;
+/// Mean speed against other workers below which a worker is a slower machine.
+const SLOWER_MACHINE: f64 = 0.9;
+/// The same above which it is a faster one.
+const FASTER_MACHINE: f64 = 1.1;
+/// Runs of one step that make a comparison.
+const FEWEST_PEERS: usize = 3;
 /// Jobs that must run at a worker before it can be called slow: one may just be longer than expected.
 const FEWEST_JOBS: usize = 2;
-/// Intervals measured before the mean pace says anything.
+/// Intervals measured before the mean speed says anything.
 const FEWEST_INTERVALS: u32 = 4;
-/// Weight of one more interval in the mean pace.
-const INTERVAL_WEIGHT: f64 = 0.2;
-/// Slowest pace that counts in the mean, so that a run that stands still doesn't spoil it for long.
-const LEAST_PACE: f64 = 0.1;
+/// Weight of one more interval in the mean speed.
+const INTERVAL_WEIGHT: f64 = 0.1;
+/// Slowest rate that is compared, in percent a second: less is a run that stands still.
+const LEAST_RATE: f64 = 1.0;
+
+/// How fast a machine is against others, fastest first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MachineSpeed {
+    /// Faster than others.
+    Faster,
+    /// Like others, or not known.
+    #[default]
+    Usual,
+    /// Slower than others.
+    Slower,
+}
+
+/// Names a run: the task and its attempt.
+type RunKey = (TaskId, u32);
 
 /// What is known of one worker's pace.
 #[derive(Clone, Debug, Default)]
@@ -42,7 +63,7 @@
 #[derive(Debug, Default)]
 pub struct PaceBook {
     workers: BTreeMap<InstanceId, WorkerPace>,
-    counted: BTreeMap<(TaskId, u32), u32>,
+    counted: BTreeMap<RunKey, u32>,
 }
 
 impl PaceBook {
@@ -51,6 +72,7 @@
         self.workers.retain(|instance, _| inputs.table.workers.contains_key(instance));
         self.workers.values_mut().for_each(WorkerPace::begin_round);
         self.counted.retain(|(task, attempt), _| inputs.progress.run(task, *attempt).is_some());
+        let mut peers: BTreeMap<StepKey, Vec<(&RunKey, &Seen)>> = BTreeMap::new();
         for (key, seen) in inputs.progress.runs() {
             let Some(percent_per_s) = seen.rate.percent_per_s else { continue };
             let Some(expected) = expected_percent_per_s(draft, key, inputs, forecasts) else {
@@ -62,10 +84,26 @@
                 worker.best_now = worker.best_now.max(pace);
                 worker.jobs_now.insert(key.0.job.clone());
             }
-            let counted = self.counted.entry(key.clone()).or_default();
+            let step = (key.0.job.clone(), key.0.occurrence, key.0.step);
+            peers.entry(step).or_default().push((key, seen));
+        }
+        peers.values().for_each(|runs| self.compare(runs));
+    }
+
+    /// Compares the runs of one step.
+    fn compare(&mut self, runs: &[(&RunKey, &Seen)]) {
+        let rates = runs.iter().filter_map(|(_, seen)| seen.rate.percent_per_s);
+        let logs: Vec<f64> = rates.map(|rate| rate.max(LEAST_RATE).ln()).collect();
+        let workers: BTreeSet<&InstanceId> = runs.iter().map(|(_, seen)| &seen.instance).collect();
+        if workers.len() < 2 || logs.len() < FEWEST_PEERS {
+            return;
+        }
+        let mean = logs.iter().sum::<f64>() / logs.len() as f64;
+        for ((key, seen), log) in runs.iter().zip(&logs) {
+            let counted = self.counted.entry((*key).clone()).or_default();
             if *counted < seen.rate.intervals {
                 *counted = seen.rate.intervals;
-                worker.count(pace);
+                self.workers.entry(seen.instance.clone()).or_default().count(log - mean);
             }
         }
     }
@@ -77,11 +115,14 @@
         })
     }
 
-    /// Returns whether a worker is a slower machine than others.
-    pub fn is_slower_machine(&self, instance: &str) -> bool {
-        self.workers.get(instance).is_some_and(|worker| {
-            worker.intervals >= FEWEST_INTERVALS && worker.mean_log < SLOWER_MACHINE_PACE.ln()
-        })
+    /// Returns how fast a machine is against others.
+    pub fn machine_speed(&self, instance: &str) -> MachineSpeed {
+        let worker = self.workers.get(instance);
+        match worker.filter(|worker| worker.intervals >= FEWEST_INTERVALS) {
+            Some(worker) if worker.mean_log < SLOWER_MACHINE.ln() => MachineSpeed::Slower,
+            Some(worker) if worker.mean_log > FASTER_MACHINE.ln() => MachineSpeed::Faster,
+            _ => MachineSpeed::Usual,
+        }
     }
 }
 
@@ -91,8 +132,7 @@
         self.jobs_now.clear();
     }
 
-    fn count(&mut self, pace: f64) {
-        let log = pace.max(LEAST_PACE).ln();
+    fn count(&mut self, log: f64) {
         self.intervals += 1;
         let weight = INTERVAL_WEIGHT.max(1.0 / f64::from(self.intervals));
         self.mean_log += weight * (log - self.mean_log);
@@ -102,7 +142,7 @@
 /// Returns how fast a run should get on where it is, if it is a current one.
 fn expected_percent_per_s(
     draft: &Draft<'_>,
-    (task, attempt): &(TaskId, u32),
+    (task, attempt): &RunKey,
     inputs: &RoundInputs<'_>,
     forecasts: &Forecasts,
 ) -> Option<f64> {
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -5,6 +5,7 @@
 use crate::job::TaskId;
 
 use super::gang::{Need, occupy, racks, within_rack};
+use super::pace::MachineSpeed;
 use super::room::{Room, Rooms, RunningTask};
 
 /// Tasks that end together, and what their stop costs.
@@ -93,7 +94,8 @@
             let stops = stops_for(&rooms[index], units, &chosen, need)?;
             let cost: u64 = stops.iter().map(|&unit| units[unit].cost).sum();
             let room = &rooms[index];
-            Some(((room.avoided, room.unheard, cost, room.free.devices), index, stops))
+            let slower = need.speed_of(room) == MachineSpeed::Slower;
+            Some(((room.avoided, room.unheard, slower, cost, room.free.devices), index, stops))
         });
         let (_, index, stops) = options.min_by_key(|(rank, ..)| *rank)?;
         for unit in stops {
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -8,6 +8,7 @@
 use crate::record::{TaskStatus, WorkerRecord};
 
 use super::draft::Draft;
+use super::pace::MachineSpeed;
 use super::{Planner, RoundInputs};
 
 /// Names the tasks of one step of one occurrence.
@@ -26,8 +27,8 @@
     pub freed_soon: Resources,
     /// Whether it may get work.
     pub usable: bool,
-    /// Whether its runs take longer than elsewhere.
-    pub slower_machine: bool,
+    /// How fast its machine is.
+    pub speed: MachineSpeed,
     /// Whether it failed or refused lately, or is slow now.
     pub avoided: bool,
     /// Whether its agent hasn't reported since the last outage of the reports: it may be gone.
@@ -87,7 +88,7 @@
                 && inputs.progress.silent(instance) < planner.settings.doubt_after,
             avoided: planner.health.is_avoided(instance, inputs.now)
                 || planner.pace.is_slow(instance),
-            slower_machine: planner.pace.is_slower_machine(instance),
+            speed: planner.pace.machine_speed(instance),
             unheard: !inputs.progress.is_heard(instance),
             held_for: None,
             members: BTreeMap::new(),
--- a/crates/rampbay-jobs/tests/decisions.rs
+++ b/crates/rampbay-jobs/tests/decisions.rs
@@ -152,19 +152,22 @@
     });
 }
 
-/// A worker whose runs lag on average is left to work that has time.
+/// A worker whose runs lag behind those of the same step elsewhere is left to work that has time.
 #[test]
 fn urgent_work_prefers_faster_machines() {
     on_virtual_time(async {
         let mut rig = PlannerRig::of_workers(2);
-        rig.submit(job(JOB, 1, step(1, 2)));
+        rig.submit(job(JOB, 1, step(3, 3)));
         rig.plan();
+        assert_eq!(rig.instance_of(&task(JOB, 2)), "i-1");
         for second in 0..8_u32 {
             tokio::time::sleep(Duration::from_secs(1)).await;
             rig.progress.note_read(Instant::now());
-            let runs = vec![progress(JOB, 0, second * 12, u64::from(second) * 1000)];
-            rig.progress.insert("i-0", ProgressReport { silent_ms: 0, runs }, Instant::now());
-            rig.progress.insert("i-1", ProgressReport::default(), Instant::now());
+            let run = |index, rate| progress(JOB, index, second * rate, u64::from(second) * 1000);
+            let slower = ProgressReport { silent_ms: 0, runs: vec![run(0, 8), run(1, 8)] };
+            let faster = ProgressReport { silent_ms: 0, runs: vec![run(2, 12)] };
+            rig.progress.insert("i-0", slower, Instant::now());
+            rig.progress.insert("i-1", faster, Instant::now());
             rig.plan();
         }
         rig.submit(job(URGENT, 0, step(1, 1)));
