--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -141,7 +141,7 @@
         let (free, all) = usable.fold((0, 0), |(free, all), room| {
             (free + room.free.devices, all + room.worker.capacity.devices)
         });
-        if all == 0 { 0 } else { (all - free) * 100 / all }
+        ((all - free) * 100).checked_div(all).unwrap_or(0)
     }
 
     /// Returns the place of a worker in the list.
