--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -42,6 +42,11 @@
         &self.submission.steps[self.step as usize]
     }
 
+    /// Returns whether it goes before all that isn't urgent.
+    pub fn is_urgent(&self) -> bool {
+        self.guaranteed || self.submission.priority == 0
+    }
+
     /// Returns the expected work of the tasks that wait, in thousandths of core-seconds.
     pub fn work(&self) -> u64 {
         let weight = self.definition().demand.weight();
