feat: group commit through the leader; calls wait for the store within their callers' time

Change: unfenced appends of a process go in groups, agents' through the leader's process; a process takes its own appends into its table at once; an append is repeated only once the store has answered a probe and not the append; followers and callers are woken when the store answers again; calls wait for the store until 40 ms before their callers give up, 512 at most; J201 says how long the caller waits. Tests: intake (outage within the caller's time kept and admitted, too many waiting refused at once), relay (slow store not repeated, lost answer repeated soon, silence over: sent again, failed gateway passed over), group (serial store at x60 and x96: nothing turned away). Two older intake tests now wait for the caller's time instead of expecting an answer at once: the decision behind them changed, their outcomes didn't.

--- /dev/null
+++ b/crates/rampbay-jobs/src/echo.rs
@@ -0,0 +1,66 @@
+//! Takes this process's own appends into its table as soon as the store has them.
+//!
+//! Without it, a process that has just appended records waits until it has read them back. The
+//! table stays a function of the records in their order: an append is taken in only where nothing
+//! lies between the table's position and it, otherwise the follower reads it like any other.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::time::Instant;
+
+use crate::process::LiveTable;
+use crate::record::{KeyedRecord, STATE_TOPIC};
+use crate::store::{AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store};
+
+/// A store whose appends go into a table at once.
+pub struct EchoStore {
+    store: Rc<dyn Store>,
+    live: LiveTable,
+}
+
+impl EchoStore {
+    /// Makes a store over another, with the table that this process keeps.
+    #[must_use]
+    pub fn new(store: Rc<dyn Store>, live: LiveTable) -> Self {
+        Self { store, live }
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for EchoStore {
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        let sent = Instant::now();
+        let end = self.store.append(topic, records, fence).await?;
+        if topic == STATE_TOPIC {
+            self.live.take_in(end, records, sent);
+        }
+        Ok(end)
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        self.store.read(topic, from, wait).await
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        self.store.newest(topic).await
+    }
+
+    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
+        self.store.stand(member, generation).await
+    }
+
+    async fn resign(&self, member: &str) {
+        self.store.resign(member).await;
+    }
+
+    async fn regained(&self) {
+        self.store.regained().await;
+    }
+}
--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -46,12 +46,22 @@
     let mut reachable = true;
     loop {
         let started = Instant::now();
-        let result = if reloads {
-            reload(store.as_ref(), topic, &freshness, &mut sink).await
-        } else {
-            // The first read after a failure doesn't wait: it shows how current the view is.
-            let wait = if reachable { pace.wait } else { Duration::ZERO };
-            advance(store.as_ref(), topic, wait, &freshness, &mut sink).await
+        // The first read after a failure doesn't wait: it shows how current the view is.
+        let wait = if reachable { pace.wait } else { Duration::ZERO };
+        let read = async {
+            if reloads {
+                reload(store.as_ref(), topic, &freshness, &mut sink).await
+            } else {
+                advance(store.as_ref(), topic, wait, &freshness, &mut sink).await
+            }
+        };
+        let result = tokio::select! {
+            result = read => result,
+            // A read from before the store came back may never be answered.
+            () = store.regained() => {
+                reachable = false;
+                continue;
+            }
         };
         match result {
             Ok(()) => {
@@ -76,7 +86,7 @@
                     log::warn!("event=J102 store lost topic={topic} age_ms={}", age_ms(&freshness));
                 }
                 reachable = false;
-                tokio::time::sleep(pause).await;
+                let _ = tokio::time::timeout(pause, store.regained()).await;
                 pause = (pause * 2).min(LONGEST_RETRY_PAUSE);
             }
         }
@@ -123,11 +133,15 @@
     sink: &mut impl Sink,
 ) -> Result<(), ReadError> {
     let started = Instant::now();
-    let batch = store.read(topic, freshness.position(), wait).await?;
-    freshness.keep(freshness.position(), &batch.records);
+    let from = freshness.position();
+    let batch = store.read(topic, from, wait).await?;
     let count = batch.records.len() as u64;
-    batch.records.iter().for_each(|record| sink.apply(record));
-    let position = freshness.position() + count;
+    // This process may have taken in records of its own meanwhile.
+    let known = (freshness.position() - from).min(count);
+    let new = &batch.records[known as usize..];
+    freshness.keep(freshness.position(), new);
+    new.iter().for_each(|record| sink.apply(record));
+    let position = freshness.position().max(from + count);
     if position >= batch.end {
         // An empty answer comes only after the whole wait, and speaks for its end.
         let waited = count == 0 && started.elapsed() >= wait;
--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -30,6 +30,8 @@
     }
 }
 
+/// Age from which on a view isn't read without pause any more: reads wait a second at most.
+const STALE_AFTER: Duration = Duration::from_millis(1500);
 /// Most records that are kept to be passed on.
 const MOST_RECENT: usize = 2048;
 
@@ -132,11 +134,16 @@
         recent.first = position;
     }
 
-    /// Takes note that the view holds all that the store had acknowledged at this time.
+    /// Takes note that the view holds all that the store had acknowledged at this time. Whoever
+    /// waits for a view that is current is told.
     pub(crate) fn prove(&self, at: Instant) {
+        let was_stale = !self.is_within(STALE_AFTER);
         if self.proven_at.get().is_none_or(|before| before < at) {
             self.proven_at.set(Some(at));
         }
+        if was_stale {
+            self.notify();
+        }
     }
 
     /// Takes note that records up to `position` are taken in.
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -1,9 +1,11 @@
 //! Takes callers' jobs in and answers what became of them.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::freshness::Freshness;
 use crate::job::{JobId, Submission, WorkspaceName};
 use crate::record::{JobStatus, Record, STATE_TOPIC};
@@ -11,6 +13,11 @@
 use crate::store::{AppendError, Store};
 use crate::table::JobTable;
 
+/// Time before a caller gives up at which it gets its answer; an answer that comes later is lost.
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+/// Pause before an append that the store didn't take is sent again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(150);
+
 /// How a call is refused. Only [`Refusal::Unknown`] leaves open whether the job was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -42,10 +49,10 @@
 pub struct IntakeLimits {
     /// Oldest configuration under which calls are answered.
     pub configuration_age: Duration,
-    /// Oldest table under which the store is taken to be reachable.
-    pub store_age: Duration,
-    /// Longest time that the store may take to keep a job.
-    pub keep_time: Duration,
+    /// How long a call is waited with for the store where its caller doesn't say how long it waits.
+    pub usual_wait: Duration,
+    /// Calls that may wait for the store at once; more are refused.
+    pub most_waiting: usize,
     /// Oldest table out of which a job is said to be unknown, or pending jobs are counted.
     pub table_age: Duration,
 }
@@ -128,6 +135,7 @@
     table_freshness: Rc<Freshness>,
     routing: Rc<CurrentRouting>,
     limits: IntakeLimits,
+    waiting: Cell<usize>,
 }
 
 impl Intake {
@@ -140,7 +148,7 @@
         routing: Rc<CurrentRouting>,
         limits: IntakeLimits,
     ) -> Self {
-        Self { store, table, table_freshness, routing, limits }
+        Self { store, table, table_freshness, routing, limits, waiting: Cell::new(0) }
     }
 
     /// Returns the ages of the configuration and of the table, by which calls are answered.
@@ -149,12 +157,49 @@
         Ages { configuration: self.routing.freshness.age(), table: self.table_freshness.age() }
     }
 
-    /// Checks queue and key of a call.
+    /// Returns until when a call may wait for the store, given how long its caller waits.
+    #[must_use]
+    pub fn deadline(&self, caller_waits: Option<Duration>) -> Instant {
+        let wait =
+            caller_waits.map_or(self.limits.usual_wait, |wait| wait.saturating_sub(ANSWER_MARGIN));
+        Instant::now() + wait
+    }
+
+    /// Checks queue and key of a call. Waits for a configuration that is known to be current.
     ///
     /// # Errors
     ///
     /// Says why the call may not go on.
-    pub fn admit(&self, target: CallTarget<'_>) -> Result<Admission, Refusal> {
+    pub async fn admit(
+        &self,
+        target: CallTarget<'_>,
+        deadline: Instant,
+    ) -> Result<Admission, Refusal> {
+        let mut changes = self.routing.freshness.subscribe();
+        loop {
+            changes.borrow_and_update();
+            match self.admit_now(target) {
+                Err(Refusal::NotCurrent) => {}
+                settled => return settled,
+            }
+            let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
+            if tokio::time::timeout_at(deadline, changes.changed()).await.is_err() {
+                return Err(Refusal::NotCurrent);
+            }
+        }
+    }
+
+    /// Counts a call as waiting, unless too many wait already.
+    fn wait_for_store(&self) -> Option<Waiting<'_>> {
+        let waiting = self.waiting.get();
+        if waiting >= self.limits.most_waiting {
+            return None;
+        }
+        self.waiting.set(waiting + 1);
+        Some(Waiting(&self.waiting))
+    }
+
+    fn admit_now(&self, target: CallTarget<'_>) -> Result<Admission, Refusal> {
         let routing = self.routing.get().ok_or(Refusal::NotCurrent)?;
         if !self.routing.freshness.is_within(self.limits.configuration_age) {
             return Err(Refusal::NotCurrent);
@@ -174,11 +219,11 @@
     ///
     /// Returns [`Refusal::Unavailable`] if the job surely isn't kept, and [`Refusal::Unknown`]
     /// if it may be.
-    pub async fn submit(&self, submission: Submission) -> Result<(), Refusal> {
+    pub async fn submit(&self, submission: Submission, deadline: Instant) -> Result<(), Refusal> {
         if self.table.borrow().jobs.contains_key(&submission.id) {
             return Ok(());
         }
-        self.keep(&Record::Submitted(Box::new(submission))).await
+        self.keep(&Record::Submitted(Box::new(submission)), deadline).await
     }
 
     /// Cancels a job.
@@ -186,12 +231,12 @@
     /// # Errors
     ///
     /// Returns [`Refusal::NoJob`] if there is no such job, or it has ended.
-    pub async fn cancel(&self, id: &JobId) -> Result<(), Refusal> {
+    pub async fn cancel(&self, id: &JobId, deadline: Instant) -> Result<(), Refusal> {
         match self.known_status(id)? {
             JobStatus::Cancelled => Ok(()),
             JobStatus::Succeeded | JobStatus::Failed => Err(Refusal::NoJob),
             JobStatus::Queued | JobStatus::Running => {
-                self.keep(&Record::Cancelled(id.clone())).await
+                self.keep(&Record::Cancelled(id.clone()), deadline).await
             }
         }
     }
@@ -224,16 +269,33 @@
         Ok(self.table.borrow().pending(queue))
     }
 
-    async fn keep(&self, record: &Record) -> Result<(), Refusal> {
-        if !self.table_freshness.is_within(self.limits.store_age) {
-            return Err(Refusal::Unavailable);
-        }
+    /// Appends a record, again and again until the store has it or the caller's time is over.
+    async fn keep(&self, record: &Record, deadline: Instant) -> Result<(), Refusal> {
+        let _guard = self.wait_for_store().ok_or(Refusal::Unavailable)?;
         let records = [record.encode()];
-        let append = self.store.append(STATE_TOPIC, &records, None);
-        match tokio::time::timeout(self.limits.keep_time, append).await {
-            Ok(Ok(_)) => Ok(()),
-            Ok(Err(AppendError::Unknown)) | Err(_) => Err(Refusal::Unknown),
-            Ok(Err(AppendError::Refused | AppendError::Fenced)) => Err(Refusal::Unavailable),
+        let mut refusal = Refusal::Unavailable;
+        loop {
+            let append = self.store.append(STATE_TOPIC, &records, None);
+            match tokio::time::timeout_at(deadline, append).await {
+                Ok(Ok(_)) => return Ok(()),
+                Ok(Err(AppendError::Unknown)) => refusal = Refusal::Unknown,
+                Ok(Err(AppendError::Refused | AppendError::Fenced)) => {}
+                Err(_) => return Err(Refusal::Unknown),
+            }
+            let again = (Instant::now() + REPEAT_PAUSE).min(deadline);
+            let _ = tokio::time::timeout_at(again, self.store.regained()).await;
+            if Instant::now() >= deadline {
+                return Err(refusal);
+            }
         }
     }
 }
+
+/// Counts a call that waits for the store until it is dropped.
+struct Waiting<'a>(&'a Cell<usize>);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -4,11 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::follower::{Pace, Sink, follow};
 use crate::freshness::Freshness;
 use crate::planner::ProgressTable;
 use crate::record::{KeyedRecord, Member, PROGRESS_TOPIC, Record, STATE_TOPIC};
-use crate::store::Store;
+use crate::store::{Offset, Store};
 use crate::table::JobTable;
 
 /// Pause before the store is asked again to keep a process's address.
@@ -42,6 +44,20 @@
         follow(store, STATE_TOPIC, pace, self.freshness, sink).await;
     }
 
+    /// Takes in records that this process has appended itself, if they follow on what it holds.
+    /// `end` is the offset after them; `sent` is when they were sent.
+    pub(crate) fn take_in(&self, end: Offset, records: &[KeyedRecord], sent: Instant) {
+        let known = self.freshness.position();
+        if self.freshness.age().is_none() || known + records.len() as u64 != end {
+            return;
+        }
+        self.freshness.keep(known, records);
+        records.iter().for_each(|record| self.table.borrow_mut().apply(record));
+        // Nothing lies between the table and the append, so the table was current when it was sent.
+        self.freshness.prove(sent);
+        self.freshness.move_to(end);
+    }
+
     /// Keeps the store's record of this process's address.
     pub async fn announce(self, store: Rc<dyn Store>, member: Member) {
         let mut changes = self.freshness.subscribe();
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -116,4 +116,9 @@
 
     /// Gives leadership up.
     async fn resign(&self, member: &str);
+
+    /// Waits until the store answers again after it didn't; for ever where that isn't observed.
+    async fn regained(&self) {
+        std::future::pending::<()>().await;
+    }
 }
--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -4,6 +4,7 @@
 //! whose own way to the store is broken reach it through its peers.
 
 pub mod client;
+pub mod group;
 pub mod metered;
 pub mod protocol;
 pub mod relay;
--- a/crates/rampbay-peer/src/metered.rs
+++ b/crates/rampbay-peer/src/metered.rs
@@ -64,4 +64,8 @@
     async fn resign(&self, member: &str) {
         self.0.resign(member).await;
     }
+
+    async fn regained(&self) {
+        self.0.regained().await;
+    }
 }
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -5,7 +5,7 @@
 //! finds the direct way open again. A peer serves others out of its direct way only, so that a call
 //! takes one hop at most, and at once says no while that way is broken ([`DirectStore`]).
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,19 +15,30 @@
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Time between two probes of a broken direct way.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two probes of a way that is broken or says nothing: so much longer than it has to be
+/// does an outage seem, at most.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without any answer after which the way is probed: more than a read waits for a record.
+const SILENCE: Duration = Duration::from_millis(1300);
 /// Calls that fail in a row before the direct way is taken to be broken.
 const FAILURES_TO_CLOSE: u32 = 2;
 /// Peers that are asked for one call, at most.
 const PEERS_PER_CALL: usize = 2;
-/// An append that takes so many times the usual time is sent another way as well.
-const HEDGE_FACTOR: u32 = 3;
-/// Shortest and longest time until then.
-const SHORTEST_HEDGE: Duration = Duration::from_millis(300);
-const LONGEST_HEDGE: Duration = Duration::from_millis(1200);
+/// An append that takes so many times the usual time is looked into.
+const PATIENCE_FACTOR: u32 = 3;
+/// Shortest and longest time until then. The shortest is some ten times a usual append.
+const SHORTEST_PATIENCE: Duration = Duration::from_millis(100);
+const LONGEST_PATIENCE: Duration = Duration::from_millis(2000);
+/// How long a probe is waited for before an append goes another way: longer than a read at a store
+/// that is a hundred times slower than usual.
+const PROBE_PATIENCE: Duration = Duration::from_millis(700);
+/// An append takes at most so many times as long as a probe, since it may have to wait its turn.
+const TURN_FACTOR: u32 = 3;
+/// How long a gateway that failed is passed over.
+const GATEWAY_PAUSE: Duration = Duration::from_millis(1000);
 
 /// This process's own way to the store, and whether it is open.
 pub struct DirectStore {
@@ -35,26 +46,62 @@
     open: Cell<bool>,
     /// Calls that have failed since the last that was served.
     failures: Cell<u32>,
+    /// When the store was heard last.
+    answered_at: Cell<Instant>,
+    /// An offset of the state near its end, from where a probe reads little.
+    near_end: Cell<Offset>,
+    regained: Notify,
 }
 
 impl DirectStore {
     /// Takes the way to be open until a call fails.
     #[must_use]
     pub fn new(store: Rc<dyn Store>) -> Rc<Self> {
-        Rc::new(Self { store, open: Cell::new(true), failures: Cell::new(0) })
+        Rc::new(Self {
+            store,
+            open: Cell::new(true),
+            failures: Cell::new(0),
+            answered_at: Cell::new(Instant::now()),
+            near_end: Cell::new(0),
+            regained: Notify::new(),
+        })
     }
 
-    /// Probes the way for ever, while it is broken.
+    /// Probes the way for ever, while it is broken or says nothing. A probe that hangs doesn't
+    /// keep the next one.
     pub async fn probe_for_ever(self: Rc<Self>) {
         loop {
             tokio::time::sleep(PROBE_INTERVAL).await;
-            if self.open.get() {
-                continue;
+            if !self.open.get() || self.answered_at.get().elapsed() > SILENCE {
+                let direct = Rc::clone(&self);
+                tokio::task::spawn_local(async move { direct.probe().await });
             }
-            // A topic's history may be gone; that is an answer all the same.
-            let answer = self.store.read(STATE_TOPIC, 0, Duration::ZERO).await;
-            if answer != Err(ReadError::Unavailable) {
-                self.note(true);
+        }
+    }
+
+    /// Asks the store for something small. Returns how long the answer took, if one came.
+    async fn probe(&self) -> Option<Duration> {
+        let sent = Instant::now();
+        let answer = self.store.read(STATE_TOPIC, self.near_end.get(), Duration::ZERO).await;
+        // A topic's history may be gone; that is an answer all the same.
+        let answered = !matches!(answer, Err(ReadError::Unavailable));
+        self.note(answered);
+        answered.then(|| sent.elapsed())
+    }
+
+    /// Probes until an answer comes, and returns how long that one took. A probe that hangs doesn't
+    /// keep the next one.
+    async fn answered(&self) -> Duration {
+        let mut probes = FuturesUnordered::new();
+        loop {
+            probes.push(self.probe());
+            let next = tokio::time::sleep(PROBE_INTERVAL);
+            tokio::pin!(next);
+            loop {
+                tokio::select! {
+                    Some(answer) = probes.next() => if let Some(took) = answer { return took },
+                    () = &mut next => break,
+                }
             }
         }
     }
@@ -68,6 +115,20 @@
             let number = if open { "J105" } else { "J106" };
             log::info!("event={number} direct way to the store open={open}");
         }
+        if !served {
+            return;
+        }
+        // Calls from before a silence may never be answered.
+        let silent = self.answered_at.replace(Instant::now()).elapsed() > SILENCE;
+        if silent {
+            self.regained.notify_waiters();
+        }
+    }
+
+    fn note_end(&self, topic: &str, end: Offset) {
+        if topic == STATE_TOPIC {
+            self.near_end.set(end);
+        }
     }
 
     fn note_read<T>(&self, outcome: Result<T, ReadError>) -> Result<T, ReadError> {
@@ -89,6 +150,9 @@
         }
         let outcome = self.store.append(topic, records, fence).await;
         self.note(matches!(outcome, Ok(_) | Err(AppendError::Fenced)));
+        if let Ok(end) = outcome {
+            self.note_end(topic, end);
+        }
         outcome
     }
 
@@ -96,7 +160,11 @@
         if !self.open.get() {
             return Err(ReadError::Unavailable);
         }
-        self.note_read(self.store.read(topic, from, wait).await)
+        let outcome = self.note_read(self.store.read(topic, from, wait).await);
+        if let Ok(batch) = &outcome {
+            self.note_end(topic, batch.end);
+        }
+        outcome
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
@@ -116,15 +184,25 @@
     async fn resign(&self, member: &str) {
         self.store.resign(member).await;
     }
+
+    async fn regained(&self) {
+        self.regained.notified().await;
+    }
 }
 
 /// Lists the ways through peers, the nearest first.
 pub type PeerList = Box<dyn Fn() -> Vec<Rc<dyn Store>>>;
 
+/// Finds the peer that gathers the appends of others, if there is one.
+pub type Gateway = Box<dyn Fn() -> Option<Rc<dyn Store>>>;
+
 /// The store over whichever way is open.
 pub struct RelayStore {
     direct: Rc<DirectStore>,
     peers: PeerList,
+    gateway: Gateway,
+    /// Until when the gateway is passed over.
+    gateway_paused: Cell<Option<Instant>>,
     /// Place in the list of the peer that served last.
     preferred: Cell<usize>,
     /// How long an append usually takes.
@@ -135,7 +213,21 @@
     /// Makes a store over a direct way and peers.
     #[must_use]
     pub fn new(direct: Rc<DirectStore>, peers: PeerList) -> Self {
-        Self { direct, peers, preferred: Cell::new(0), append_time: Cell::new(Duration::ZERO) }
+        Self {
+            direct,
+            peers,
+            gateway: Box::new(|| None),
+            gateway_paused: Cell::new(None),
+            preferred: Cell::new(0),
+            append_time: Cell::new(Duration::ZERO),
+        }
+    }
+
+    /// Sends unfenced appends through a peer first, which gathers those of many processes.
+    #[must_use]
+    pub fn through(mut self, gateway: Gateway) -> Self {
+        self.gateway = gateway;
+        self
     }
 
     /// Lists peers to ask, the one that served last first.
@@ -151,39 +243,85 @@
         self.preferred.set(place);
     }
 
-    /// Lists the ways of one append: direct, through peers, and direct once more.
-    fn append_ways(&self) -> Vec<Way> {
-        let direct = Way { place: None, store: Rc::clone(&self.direct) as Rc<dyn Store> };
-        let peers = self.candidates().into_iter();
-        let peers = peers.map(|(place, store)| Way { place: Some(place), store });
-        let again = Way { place: None, store: Rc::clone(&direct.store) };
-        std::iter::once(direct).chain(peers).chain(std::iter::once(again)).collect()
+    /// Lists the ways of one append: the gateway, direct, through peers, and direct once more
+    /// where peers have been asked meanwhile.
+    fn append_ways(&self, fence: Option<&Fence>) -> Vec<Way> {
+        let gateway = self.open_gateway().filter(|_| fence.is_none());
+        let gateway = gateway.map(|store| Way { kind: WayKind::Gateway, store });
+        let direct = Way { kind: WayKind::Direct, store: Rc::clone(&self.direct) as Rc<dyn Store> };
+        let peers = self.candidates();
+        let again = (!peers.is_empty()).then(|| self.direct_again());
+        let peers = peers.into_iter();
+        let peers = peers.map(|(place, store)| Way { kind: WayKind::Peer(place), store });
+        gateway.into_iter().chain([direct]).chain(peers).chain(again).collect()
+    }
+
+    /// Returns the direct way, whether it is taken to be open or not.
+    fn direct_again(&self) -> Way {
+        Way { kind: WayKind::Direct, store: Rc::clone(&self.direct.store) }
+    }
+
+    fn open_gateway(&self) -> Option<Rc<dyn Store>> {
+        let paused = self.gateway_paused.get().is_some_and(|until| Instant::now() < until);
+        if paused { None } else { (self.gateway)() }
+    }
+
+    /// Waits until an append without answer should be sent once more. Slowness is no reason: a
+    /// repeat would only make the queue at the store longer. A store that answers a probe, but not
+    /// the append within several times as long, has lost it. A store that doesn't answer the probe
+    /// may be reached another way, if there is one left.
+    async fn repeat_due(&self, sent: Instant, ways_left: bool) {
+        tokio::time::sleep(self.patience()).await;
+        let answered = self.direct.answered();
+        let took = if ways_left {
+            tokio::time::timeout(PROBE_PATIENCE, answered).await.unwrap_or_default()
+        } else {
+            answered.await
+        };
+        tokio::time::sleep_until(sent + took * TURN_FACTOR).await;
     }
 
-    /// Returns how long an append may take before it is sent another way as well.
-    fn hedge_delay(&self) -> Duration {
-        (self.append_time.get() * HEDGE_FACTOR).clamp(SHORTEST_HEDGE, LONGEST_HEDGE)
+    /// Returns how long an append may take before it is looked into.
+    fn patience(&self) -> Duration {
+        (self.append_time.get() * PATIENCE_FACTOR).clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE)
     }
 
     fn note_append(&self, way: &Way, took: Duration) {
-        if let Some(place) = way.place {
+        if let WayKind::Peer(place) = way.kind {
             self.prefer(place);
         }
         let before = self.append_time.get();
         self.append_time.set((before * 3 + took) / 4);
     }
+
+    /// Passes the gateway over for a while if an append has had to go another way.
+    fn leave_gateway(&self, ways: &RefCell<Vec<WayKind>>) {
+        if ways.borrow().contains(&WayKind::Gateway) {
+            self.gateway_paused.set(Some(Instant::now() + GATEWAY_PAUSE));
+        }
+    }
+}
+
+/// Which way a call takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WayKind {
+    /// Through the peer that gathers appends.
+    Gateway,
+    /// Direct.
+    Direct,
+    /// Through the peer at this place of the list.
+    Peer(usize),
 }
 
 /// One way of a call.
 struct Way {
-    /// Place in the list of peers; `None` for the direct way.
-    place: Option<usize>,
+    kind: WayKind,
     store: Rc<dyn Store>,
 }
 
 #[async_trait(?Send)]
 impl Store for RelayStore {
-    /// Appends over one way, and over the next ones when that fails or takes too long; the first
+    /// Appends over one way, and over the next ones when that fails or loses the call; the first
     /// that is settled counts. Sending the same records again does no harm: the newest record of a
     /// key counts, and a fenced append is answered again.
     async fn append(
@@ -192,33 +330,44 @@
         records: &[KeyedRecord],
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
-        let send = |way: Way| async move {
-            let started = Instant::now();
-            let outcome = way.store.append(topic, records, fence).await;
-            (way, started.elapsed(), outcome)
+        let tried = RefCell::new(Vec::new());
+        let send = |way: Way| {
+            tried.borrow_mut().push(way.kind);
+            async move {
+                let started = Instant::now();
+                let outcome = way.store.append(topic, records, fence).await;
+                (way, started.elapsed(), outcome)
+            }
         };
-        let mut waiting = self.append_ways().into_iter();
+        let mut ways = self.append_ways(fence).into_iter();
         let mut sent = FuturesUnordered::new();
-        sent.extend(waiting.next().map(send));
+        sent.extend(ways.next().map(send));
         let mut failure = AppendError::Refused;
-        loop {
+        while !sent.is_empty() {
+            let sent_at = Instant::now();
             let next = tokio::select! {
                 Some((way, took, outcome)) = sent.next() => match outcome {
-                    Err(AppendError::Refused) => waiting.next(),
+                    Err(AppendError::Refused) => ways.next(),
                     Err(AppendError::Unknown) => {
                         failure = AppendError::Unknown;
-                        waiting.next()
+                        ways.next()
                     }
                     settled => {
                         self.note_append(&way, took);
+                        if way.kind != WayKind::Gateway {
+                            self.leave_gateway(&tried);
+                        }
                         return settled;
                     }
                 },
-                () = tokio::time::sleep(self.hedge_delay()), if waiting.len() > 0 => waiting.next(),
-                else => return Err(failure),
+                () = self.repeat_due(sent_at, ways.len() > 0) => {
+                    ways.next().or_else(|| Some(self.direct_again()))
+                }
             };
             sent.extend(next.map(send));
         }
+        self.leave_gateway(&tried);
+        Err(failure)
     }
 
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
@@ -260,4 +409,8 @@
     async fn resign(&self, member: &str) {
         self.direct.resign(member).await;
     }
+
+    async fn regained(&self) {
+        self.direct.regained().await;
+    }
 }
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -91,4 +91,8 @@
     async fn resign(&self, member: &str) {
         self.store.resign(member).await;
     }
+
+    async fn regained(&self) {
+        self.store.regained().await;
+    }
 }
--- /dev/null
+++ b/crates/rampbay-peer/tests/group.rs
@@ -0,0 +1,164 @@
+//! Group commit, against a store that takes its appends in turn, on virtual time.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rampbay_jobs::record::{KeyedRecord, STATE_TOPIC};
+use rampbay_jobs::store::{
+    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
+};
+use rampbay_peer::group::GroupStore;
+use rampbay_peer::relay::{DirectStore, RelayStore};
+use rstest::rstest;
+use tokio::sync::Mutex;
+use tokio::time::{Instant, sleep};
+
+/// Time that one append takes at a sound store.
+const APPEND_TIME: Duration = Duration::from_millis(4);
+/// Longest queue of appends; more are turned away.
+const LONGEST_QUEUE: Duration = Duration::from_secs(2);
+
+/// A store that takes its appends in turn.
+#[derive(Default)]
+struct SerialStore {
+    turn: Mutex<()>,
+    queued: Cell<u32>,
+    slowness: Cell<u32>,
+    kept: RefCell<Vec<KeyedRecord>>,
+    appends: Cell<u32>,
+}
+
+impl SerialStore {
+    fn append_time(&self) -> Duration {
+        APPEND_TIME * self.slowness.get().max(1)
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for SerialStore {
+    async fn append(
+        &self,
+        _: &str,
+        records: &[KeyedRecord],
+        _: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        if self.append_time() * self.queued.get() > LONGEST_QUEUE {
+            return Err(AppendError::Refused);
+        }
+        self.queued.set(self.queued.get() + 1);
+        let turn = self.turn.lock().await;
+        sleep(self.append_time()).await;
+        drop(turn);
+        self.queued.set(self.queued.get() - 1);
+        self.appends.set(self.appends.get() + 1);
+        self.kept.borrow_mut().extend_from_slice(records);
+        Ok(self.kept.borrow().len() as Offset)
+    }
+
+    async fn read(&self, _: &str, from: Offset, _: Duration) -> Result<Batch, ReadError> {
+        sleep(self.append_time()).await;
+        Ok(Batch { end: from, ..Batch::default() })
+    }
+
+    async fn newest(&self, _: &str) -> Result<Snapshot, ReadError> {
+        Err(ReadError::Unavailable)
+    }
+
+    async fn stand(&self, _: &str, _: u64) -> Result<Candidacy, ReadError> {
+        Err(ReadError::Unavailable)
+    }
+
+    async fn resign(&self, _: &str) {}
+}
+
+fn on_virtual_time<F: Future<Output = ()>>(test: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+/// One process's way to the store.
+fn process(store: &Rc<SerialStore>) -> Rc<dyn Store> {
+    let direct = DirectStore::new(Rc::clone(store) as Rc<dyn Store>);
+    Rc::new(GroupStore::new(Rc::new(RelayStore::new(direct, Box::new(Vec::new)))))
+}
+
+fn record(number: u32) -> KeyedRecord {
+    KeyedRecord { key: format!("key/{number}"), value: vec![1] }
+}
+
+#[test]
+fn appends_meanwhile_ride_together() {
+    on_virtual_time(async {
+        let store = Rc::new(SerialStore::default());
+        let group = process(&store);
+        let appends = (0..20).map(|number| {
+            let group = Rc::clone(&group);
+            async move { group.append(STATE_TOPIC, &[record(number)], None).await }
+        });
+        let outcomes = futures_util::future::join_all(appends).await;
+        assert!(outcomes.iter().all(Result::is_ok));
+        assert_eq!(store.kept.borrow().len(), 20);
+        assert!(store.appends.get() <= 2, "what comes while one is under way goes together");
+    });
+}
+
+/// What a caller has given up on before its turn is surely not appended.
+#[test]
+fn caller_gone_left_out() {
+    on_virtual_time(async {
+        let store = Rc::new(SerialStore::default());
+        store.slowness.set(50);
+        let group = process(&store);
+        let first = Rc::clone(&group);
+        tokio::task::spawn_local(
+            async move { first.append(STATE_TOPIC, &[record(1)], None).await },
+        );
+        sleep(Duration::from_millis(10)).await;
+        let records = [record(2)];
+        let second = group.append(STATE_TOPIC, &records, None);
+        assert!(tokio::time::timeout(Duration::from_millis(50), second).await.is_err());
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(store.kept.borrow().clone(), vec![record(1)]);
+    });
+}
+
+/// Four processes with five appends a second each, while the store is slow for five seconds. Seen on
+/// the bench: its queue grew past two seconds and nearly everything was turned away.
+#[rstest]
+#[case::sixty_times(60)]
+#[case::ninety_six_times(96)]
+fn slow_store_goodput(#[case] slowness: u32) {
+    on_virtual_time(async move {
+        let store = Rc::new(SerialStore::default());
+        store.slowness.set(slowness);
+        let (kept, slowest) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(Duration::ZERO)));
+        for process in [process(&store), process(&store), process(&store), process(&store)] {
+            for number in 0..25 {
+                let (process, kept) = (Rc::clone(&process), Rc::clone(&kept));
+                let slowest = Rc::clone(&slowest);
+                tokio::task::spawn_local(async move {
+                    sleep(Duration::from_millis(200) * number).await;
+                    let sent = Instant::now();
+                    if process.append(STATE_TOPIC, &[record(number)], None).await.is_ok() {
+                        kept.set(kept.get() + 1);
+                        slowest.set(slowest.get().max(sent.elapsed()));
+                    }
+                });
+            }
+        }
+        sleep(Duration::from_secs(5)).await;
+        store.slowness.set(1);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(kept.get(), 100, "nothing is turned away");
+        // Its own process's batch under way, and then its own, each behind three others.
+        let longest = APPEND_TIME * slowness * 9;
+        assert!(slowest.get() < longest, "{:?}", slowest.get());
+        assert!(store.appends.get() < 100, "appends went together");
+    });
+}
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -18,6 +18,7 @@
     append: RefCell<Result<Offset, AppendError>>,
     readable: Cell<bool>,
     delay: Cell<Duration>,
+    read_delay: Cell<Duration>,
     appends: Cell<u32>,
 }
 
@@ -27,6 +28,7 @@
             append: RefCell::new(append),
             readable: Cell::new(true),
             delay: Cell::new(Duration::from_millis(4)),
+            read_delay: Cell::new(Duration::ZERO),
             appends: Cell::new(0),
         })
     }
@@ -46,6 +48,7 @@
     }
 
     async fn read(&self, _: &str, from: Offset, _: Duration) -> Result<Batch, ReadError> {
+        tokio::time::sleep(self.read_delay.get()).await;
         if !self.readable.get() {
             return Err(ReadError::Unavailable);
         }
@@ -156,3 +159,78 @@
         assert_eq!(direct.append(STATE_TOPIC, &[], None).await, Ok(1));
     });
 }
+
+/// Seen on the bench: a slow store was sent every append up to four times, which made its queue
+/// longer still.
+#[test]
+fn slow_store_not_repeated() {
+    on_virtual_time(async {
+        let slow = Scripted::answering(Ok(5));
+        slow.delay.set(Duration::from_millis(900));
+        slow.read_delay.set(Duration::from_millis(400));
+        let peer = Scripted::answering(Ok(6));
+        let store = relay(&slow, &[Rc::clone(&peer)]);
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(5));
+        assert_eq!((slow.appends.get(), peer.appends.get()), (1, 0));
+    });
+}
+
+/// A store that answers a probe has lost the append that it doesn't answer.
+#[test]
+fn lost_answer_repeated_soon() {
+    on_virtual_time(async {
+        let lossy = Scripted::answering(Ok(5));
+        lossy.delay.set(Duration::from_secs(60));
+        let store = relay(&lossy, &[]);
+        let healing = Rc::clone(&lossy);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            healing.delay.set(Duration::from_millis(4));
+        });
+        let started = Instant::now();
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(5));
+        assert!(started.elapsed() < Duration::from_millis(200));
+    });
+}
+
+/// An append that was under way when the store fell silent is sent again as soon as it is back.
+#[test]
+fn silence_over_append_sent_again() {
+    on_virtual_time(async {
+        let silent = Scripted::answering(Ok(5));
+        silent.delay.set(Duration::from_secs(60));
+        silent.read_delay.set(Duration::from_secs(60));
+        let store = relay(&silent, &[]);
+        let healing = Rc::clone(&silent);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(2500)).await;
+            healing.delay.set(Duration::from_millis(4));
+            healing.read_delay.set(Duration::ZERO);
+        });
+        let started = Instant::now();
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(5));
+        assert!(started.elapsed() < Duration::from_millis(2700), "{:?}", started.elapsed());
+    });
+}
+
+/// A gateway that fails is passed over for a while; fenced appends never take it.
+#[test]
+fn gateway_failed_passed_over() {
+    on_virtual_time(async {
+        let (direct, gateway) = (Scripted::answering(Ok(1)), Scripted::answering(Ok(2)));
+        let way = Rc::clone(&gateway) as Rc<dyn Store>;
+        let store = relay(&direct, &[]).through(Box::new(move || Some(Rc::clone(&way))));
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
+        let fence = Fence { writer: "planner".to_owned(), epoch: 1, sequence: 0 };
+        assert_eq!(store.append(STATE_TOPIC, &[], Some(&fence)).await, Ok(1));
+        *gateway.append.borrow_mut() = REFUSED;
+        let before = gateway.appends.get();
+        for _ in 0..3 {
+            assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(1));
+        }
+        assert_eq!(gateway.appends.get(), before + 1);
+        *gateway.append.borrow_mut() = Ok(2);
+        tokio::time::sleep(Duration::from_millis(1100)).await;
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
+    });
+}
