feat: entries read through the leader; a job is shown as ended by its ends

Change: entries read through the leader, which has most records first; a regained store is announced only after a call failed or a probe hung; a job counts as succeeded as soon as the store holds its last ends; J107 names appends that take 0.4 s or more.

--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -248,8 +248,8 @@
     /// Returns [`Refusal::NoJob`] if there is none, and [`Refusal::NotCurrent`] if the table is
     /// too old to say so.
     pub fn known_status(&self, id: &JobId) -> Result<JobStatus, Refusal> {
-        if let Some(job) = self.table.borrow().jobs.get(id) {
-            return Ok(job.status());
+        if let Some(status) = self.table.borrow().status(id) {
+            return Ok(status);
         }
         if self.table_freshness.is_within(self.limits.table_age) {
             return Err(Refusal::NoJob);
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use crate::job::{InstanceId, JobId, NodeName, Submission};
+use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
 use crate::record::{
-    JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskStatus, WorkerRecord,
+    EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
+    TaskStatus, WorkerRecord,
 };
 
 /// One job.
@@ -154,6 +155,49 @@
         }
     }
 
+    /// Returns what callers see of a job, if it is known. A job whose last tasks have ended well has
+    /// succeeded as soon as the store holds these ends; the planner's account follows.
+    #[must_use]
+    pub fn status(&self, id: &str) -> Option<JobStatus> {
+        let job = self.jobs.get(id)?;
+        let status = job.status();
+        let has_ended = status == JobStatus::Running && self.all_done(job);
+        Some(if has_ended { JobStatus::Succeeded } else { status })
+    }
+
+    /// Returns whether every task of a job is done, by the account or by an end that it doesn't hold
+    /// yet.
+    fn all_done(&self, job: &Job) -> bool {
+        let submission = &job.submission;
+        let Some(plan) = &job.plan else { return false };
+        let lasts = submission.steps.iter().any(|step| step.long_running);
+        if lasts || plan.next_occurrence < submission.occurrence_count() {
+            return false;
+        }
+        plan.open.iter().all(|occurrence| {
+            let steps = occurrence.steps.iter().zip(&submission.steps).enumerate();
+            steps.into_iter().all(|(number, (tasks, step))| {
+                let mut tasks = tasks.iter().enumerate();
+                let is_done = |(index, task): (usize, &TaskPlan)| {
+                    let id = TaskId {
+                        job: submission.id.clone(),
+                        occurrence: occurrence.number,
+                        step: number as u32,
+                        index: index as u32,
+                    };
+                    task.status == TaskStatus::Done || self.has_ended_well(&id, task)
+                };
+                // A gang ends jointly: one member done counts for all.
+                if step.gang { tasks.any(is_done) } else { tasks.all(is_done) }
+            })
+        })
+    }
+
+    fn has_ended_well(&self, id: &TaskId, task: &TaskPlan) -> bool {
+        let end = self.ends.get(&format!("end/{id}/{}", task.attempt));
+        task.occupies() && end.is_some_and(|end| end.reason == EndReason::Done)
+    }
+
     /// Counts the accepted jobs of a queue that aren't timed and none of whose tasks has begun.
     #[must_use]
     pub fn pending(&self, queue: &str) -> usize {
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -23,7 +23,7 @@
 /// Added to a read's wait at the store.
 const READ_SLACK: Duration = Duration::from_millis(950);
 /// Added to the wait for records that a peer follows itself.
-const TAIL_SLACK: Duration = Duration::from_millis(400);
+const TAIL_SLACK: Duration = Duration::from_millis(200);
 
 /// An operation on the store that a peer is asked for.
 #[derive(Debug, Serialize, Deserialize)]
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -21,7 +21,8 @@
 /// Time between two probes of a way that is broken or says nothing: so much longer than it has to be
 /// does an outage seem, at most.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without any answer after which the way is probed: more than a read waits for a record.
+/// Time without any answer to calls under way after which the way is probed: more than a read waits
+/// for a record.
 const SILENCE: Duration = Duration::from_millis(1300);
 /// Calls that fail in a row before the direct way is taken to be broken.
 const FAILURES_TO_CLOSE: u32 = 2;
@@ -37,6 +38,8 @@
 const PROBE_PATIENCE: Duration = Duration::from_millis(700);
 /// An append takes at most so many times as long as a probe, since it may have to wait its turn.
 const TURN_FACTOR: u32 = 3;
+/// Time from which on an append is told of: a hundred times the usual.
+const SLOW_APPEND: Duration = Duration::from_millis(400);
 /// How long a gateway that failed is passed over.
 const GATEWAY_PAUSE: Duration = Duration::from_millis(1000);
 
@@ -46,8 +49,12 @@
     open: Cell<bool>,
     /// Calls that have failed since the last that was served.
     failures: Cell<u32>,
-    /// When the store was heard last.
+    /// Calls that are under way.
+    in_flight: Cell<usize>,
+    /// When the store was heard last, or the first of the calls under way began.
     answered_at: Cell<Instant>,
+    /// Whether a call has failed, or a probe has hung, since then.
+    doubted: Cell<bool>,
     /// An offset of the state near its end, from where a probe reads little.
     near_end: Cell<Offset>,
     regained: Notify,
@@ -61,7 +68,9 @@
             store,
             open: Cell::new(true),
             failures: Cell::new(0),
+            in_flight: Cell::new(0),
             answered_at: Cell::new(Instant::now()),
+            doubted: Cell::new(false),
             near_end: Cell::new(0),
             regained: Notify::new(),
         })
@@ -72,7 +81,8 @@
     pub async fn probe_for_ever(self: Rc<Self>) {
         loop {
             tokio::time::sleep(PROBE_INTERVAL).await;
-            if !self.open.get() || self.answered_at.get().elapsed() > SILENCE {
+            let waits = self.in_flight.get() > 0;
+            if !self.open.get() || (waits && self.answered_at.get().elapsed() > SILENCE) {
                 let direct = Rc::clone(&self);
                 tokio::task::spawn_local(async move { direct.probe().await });
             }
@@ -82,7 +92,15 @@
     /// Asks the store for something small. Returns how long the answer took, if one came.
     async fn probe(&self) -> Option<Duration> {
         let sent = Instant::now();
-        let answer = self.store.read(STATE_TOPIC, self.near_end.get(), Duration::ZERO).await;
+        let read = self.store.read(STATE_TOPIC, self.near_end.get(), Duration::ZERO);
+        tokio::pin!(read);
+        let answer = match tokio::time::timeout(PROBE_PATIENCE, &mut read).await {
+            Ok(answer) => answer,
+            Err(_) => {
+                self.doubted.set(true);
+                read.await
+            }
+        };
         // A topic's history may be gone; that is an answer all the same.
         let answered = !matches!(answer, Err(ReadError::Unavailable));
         self.note(answered);
@@ -116,11 +134,12 @@
             log::info!("event={number} direct way to the store open={open}");
         }
         if !served {
+            self.doubted.set(true);
             return;
         }
+        self.answered_at.set(Instant::now());
         // Calls from before a silence may never be answered.
-        let silent = self.answered_at.replace(Instant::now()).elapsed() > SILENCE;
-        if silent {
+        if self.doubted.replace(false) {
             self.regained.notify_waiters();
         }
     }
@@ -131,12 +150,30 @@
         }
     }
 
+    /// Counts a call as under way until the guard is dropped.
+    fn in_flight(&self) -> InFlight<'_> {
+        if self.in_flight.get() == 0 {
+            self.answered_at.set(Instant::now());
+        }
+        self.in_flight.set(self.in_flight.get() + 1);
+        InFlight(&self.in_flight)
+    }
+
     fn note_read<T>(&self, outcome: Result<T, ReadError>) -> Result<T, ReadError> {
         self.note(!matches!(outcome, Err(ReadError::Unavailable)));
         outcome
     }
 }
 
+/// Counts a call as under way until it is dropped.
+struct InFlight<'a>(&'a Cell<usize>);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 #[async_trait(?Send)]
 impl Store for DirectStore {
     async fn append(
@@ -148,6 +185,7 @@
         if !self.open.get() {
             return Err(AppendError::Refused);
         }
+        let _guard = self.in_flight();
         let outcome = self.store.append(topic, records, fence).await;
         self.note(matches!(outcome, Ok(_) | Err(AppendError::Fenced)));
         if let Ok(end) = outcome {
@@ -160,6 +198,7 @@
         if !self.open.get() {
             return Err(ReadError::Unavailable);
         }
+        let _guard = self.in_flight();
         let outcome = self.note_read(self.store.read(topic, from, wait).await);
         if let Ok(batch) = &outcome {
             self.note_end(topic, batch.end);
@@ -171,6 +210,7 @@
         if !self.open.get() {
             return Err(ReadError::Unavailable);
         }
+        let _guard = self.in_flight();
         self.note_read(self.store.newest(topic).await)
     }
 
@@ -178,6 +218,7 @@
         if !self.open.get() {
             return Err(ReadError::Unavailable);
         }
+        let _guard = self.in_flight();
         self.note_read(self.store.stand(member, generation).await)
     }
 
@@ -287,6 +328,13 @@
     }
 
     fn note_append(&self, way: &Way, took: Duration) {
+        if took > SLOW_APPEND {
+            log::info!(
+                "event=J107 append took long way={:?} took_ms={}",
+                way.kind,
+                took.as_millis()
+            );
+        }
         if let WayKind::Peer(place) = way.kind {
             self.prefer(place);
         }
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -1,9 +1,10 @@
 //! Reads of the state through a process that follows it anyway, to spare the store's calls.
 //!
-//! Every agent needs every record of the state soon. A read of its own for each costs a call to the
-//! store; entries follow the state themselves and pass the records on, with the age of their view.
-//! A view that is too old, or an entry that doesn't answer, sends the agent to the next entry, and
-//! then to the store.
+//! Every process needs every record of the state soon. A read of its own for each costs a call to the
+//! store, and at a slow store its time too. The leader appends most records itself and reads the
+//! others; entries read through the leader, agents through entries, each with the age of the view.
+//! A view that is too old, or a peer that doesn't answer, sends the reader to the next peer, and then
+//! to the store.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -20,6 +21,8 @@
 
 /// Oldest view that is taken from a peer; more than the time that its own reads take.
 const OLDEST_VIEW: Duration = Duration::from_millis(1500);
+/// Longest wait for a record at a peer: so late is a peer that says nothing noticed, and a little more.
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
 /// How long peers are left alone after none of them could pass records on.
 const PEERS_PAUSE: Duration = Duration::from_millis(1000);
 /// Peers that are asked for one read, at most.
@@ -48,6 +51,10 @@
             return None;
         }
         let peers = (self.peers)();
+        if peers.is_empty() {
+            return None;
+        }
+        let wait = wait.min(LONGEST_WAIT);
         for _ in 0..PEERS_PER_READ.min(peers.len()) {
             let peer = &peers[self.preferred.get() % peers.len()];
             match peer.tail(from, wait).await {
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -20,6 +20,7 @@
     delay: Cell<Duration>,
     read_delay: Cell<Duration>,
     appends: Cell<u32>,
+    reads: Cell<u32>,
 }
 
 impl Scripted {
@@ -30,6 +31,7 @@
             delay: Cell::new(Duration::from_millis(4)),
             read_delay: Cell::new(Duration::ZERO),
             appends: Cell::new(0),
+            reads: Cell::new(0),
         })
     }
 }
@@ -48,6 +50,7 @@
     }
 
     async fn read(&self, _: &str, from: Offset, _: Duration) -> Result<Batch, ReadError> {
+        self.reads.set(self.reads.get() + 1);
         tokio::time::sleep(self.read_delay.get()).await;
         if !self.readable.get() {
             return Err(ReadError::Unavailable);
@@ -234,3 +237,27 @@
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
     });
 }
+
+/// Seen on the bench: agents that had had nothing to ask took their next answer for the store's
+/// return, and dropped the reads that they had under way.
+#[test]
+fn idle_way_not_taken_for_regained() {
+    on_virtual_time(async {
+        let store = Scripted::answering(Ok(1));
+        let direct = DirectStore::new(Rc::clone(&store) as Rc<dyn Store>);
+        tokio::task::spawn_local(Rc::clone(&direct).probe_for_ever());
+        let watching = Rc::clone(&direct);
+        let regained = tokio::task::spawn_local(async move { watching.regained().await });
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        assert_eq!(direct.append(STATE_TOPIC, &[], None).await, Ok(1));
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert!(!regained.is_finished());
+        assert_eq!(store.reads.get(), 0, "an idle way isn't probed");
+        store.readable.set(false);
+        assert!(direct.read(STATE_TOPIC, 0, Duration::ZERO).await.is_err());
+        store.readable.set(true);
+        assert!(direct.read(STATE_TOPIC, 0, Duration::ZERO).await.is_ok());
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        assert!(regained.is_finished());
+    });
+}
