feat: agents get only what concerns their worker

Change: an entry keeps with each record whom it concerns (agents named by the account before and after it), sends a job along with the first account that concerns an agent, and waits on while nothing does.

--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::audience::Passed;
 use crate::freshness::Freshness;
 use crate::record::KeyedRecord;
 use crate::store::{ReadError, Store};
@@ -29,6 +30,11 @@
     fn reset(&mut self);
     /// Takes in one record.
     fn apply(&mut self, record: &KeyedRecord);
+    /// Takes in one record that is to be passed on, and tells whom it concerns.
+    fn apply_and_tell(&mut self, record: &KeyedRecord) -> Passed {
+        self.apply(record);
+        Passed::to_all(record.clone())
+    }
     /// Takes note that the topic could be read.
     fn read(&mut self) {}
 }
@@ -111,10 +117,10 @@
     while position < snapshot.end {
         started = Instant::now();
         let batch = store.read(topic, position, Duration::ZERO).await?;
-        if batch.records.is_empty() {
+        if batch.next <= position {
             break;
         }
-        position += batch.records.len() as u64;
+        position = batch.next;
         later.extend(batch.records);
     }
     sink.reset();
@@ -137,19 +143,29 @@
     let batch = store.read(topic, from, wait).await?;
     let count = batch.records.len() as u64;
     // This process may have taken in records of its own meanwhile.
-    let known = (freshness.position() - from).min(count);
-    let new = &batch.records[known as usize..];
-    freshness.keep(freshness.position(), new);
-    new.iter().for_each(|record| sink.apply(record));
-    let position = freshness.position().max(from + count);
+    let known = freshness.position();
+    let new = if known >= batch.next { &[] } else { batch.new_since(from, known) };
+    for record in new {
+        take_in(sink, freshness, record);
+    }
+    let position = known.max(batch.next);
     if position >= batch.end {
         // An empty answer comes only after the whole wait, and speaks for its end.
         let waited = count == 0 && started.elapsed() >= wait;
         let answered = if waited { started + wait } else { started };
         freshness.prove(answered.checked_sub(batch.age).unwrap_or(answered));
     }
-    if count > 0 {
+    if position > known || count > 0 {
         freshness.move_to(position);
     }
     Ok(())
 }
+
+/// Takes one record into a sink, and keeps it where records are passed on.
+pub(crate) fn take_in(sink: &mut impl Sink, freshness: &Freshness, record: &KeyedRecord) {
+    if freshness.keeps() {
+        freshness.keep(sink.apply_and_tell(record));
+    } else {
+        sink.apply(record);
+    }
+}
--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::record::KeyedRecord;
+use crate::audience::Passed;
 use crate::store::{Batch, Offset, ReadError};
 
 /// How current the view is.
@@ -39,7 +39,7 @@
 #[derive(Debug, Default)]
 struct Recent {
     first: Offset,
-    records: VecDeque<KeyedRecord>,
+    records: VecDeque<Passed>,
     kept: bool,
 }
 
@@ -89,39 +89,64 @@
         self.recent.borrow_mut().kept = true;
     }
 
-    /// Passes on records from an offset on; waits up to `wait` for one.
+    /// Returns whether the latest records are kept.
+    #[must_use]
+    pub fn keeps(&self) -> bool {
+        self.recent.borrow().kept
+    }
+
+    /// Passes on records from an offset on: all, or those that an agent needs. Waits up to `wait`
+    /// for one.
     ///
     /// # Errors
     ///
     /// Returns an error if nothing is known yet, or these records aren't kept.
-    pub async fn pass_on(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+    pub async fn pass_on(
+        &self,
+        from: Offset,
+        wait: Duration,
+        agent: Option<&str>,
+    ) -> Result<Batch, ReadError> {
         let deadline = Instant::now() + wait;
         let mut changes = self.subscribe();
-        while self.position.get() <= from && Instant::now() < deadline {
+        loop {
+            changes.borrow_and_update();
+            let batch = self.batch(from, agent)?;
+            let is_over = Instant::now() >= deadline;
+            if let Some(batch) = batch.filter(|batch| is_over || !batch.records.is_empty()) {
+                return Ok(batch);
+            }
+            if is_over {
+                return Err(ReadError::Unavailable);
+            }
             let _ = tokio::time::timeout_at(deadline, changes.changed()).await;
         }
+    }
+
+    /// Returns the kept records from an offset on; `None` before they are there.
+    fn batch(&self, from: Offset, agent: Option<&str>) -> Result<Option<Batch>, ReadError> {
         let age = self.age().ok_or(ReadError::Unavailable)?;
         let recent = self.recent.borrow();
         let end = self.position.get();
-        if !recent.kept || from < recent.first || from > end {
+        if !recent.kept || from < recent.first {
             return Err(ReadError::Unavailable);
         }
-        let skipped = (from - recent.first) as usize;
-        let records = recent.records.iter().skip(skipped).cloned().collect();
-        Ok(Batch { end, records, age })
+        if from > end {
+            return Ok(None);
+        }
+        let new = recent.records.iter().skip((from - recent.first) as usize);
+        let records = match agent {
+            Some(agent) => new.flat_map(|passed| passed.records_for(agent)).collect(),
+            None => new.map(|passed| passed.record.clone()).collect(),
+        };
+        Ok(Some(Batch { end, next: end, records, age }))
     }
 
-    /// Keeps records that begin at an offset, to pass them on.
-    pub(crate) fn keep(&self, at: Offset, records: &[KeyedRecord]) {
+    /// Keeps the record that follows on the kept ones, to pass it on.
+    pub(crate) fn keep(&self, passed: Passed) {
         let mut recent = self.recent.borrow_mut();
-        if !recent.kept {
-            return;
-        }
-        if recent.records.is_empty() {
-            recent.first = at;
-        }
-        recent.records.extend(records.iter().cloned());
-        while recent.records.len() > MOST_RECENT {
+        recent.records.push_back(passed);
+        if recent.records.len() > MOST_RECENT {
             recent.records.pop_front();
             recent.first += 1;
         }
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -12,6 +12,7 @@
 //! Read [`job`], [`record`], [`table`], then [`planner`] and [`agent`].
 
 pub mod agent;
+pub mod audience;
 pub mod echo;
 pub mod follower;
 pub mod freshness;
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -6,7 +6,8 @@
 
 use tokio::time::Instant;
 
-use crate::follower::{Pace, Sink, follow};
+use crate::audience::Passed;
+use crate::follower::{Pace, Sink, follow, take_in};
 use crate::freshness::Freshness;
 use crate::planner::ProgressTable;
 use crate::record::{KeyedRecord, Member, PROGRESS_TOPIC, Record, STATE_TOPIC};
@@ -35,6 +36,10 @@
     fn apply(&mut self, record: &KeyedRecord) {
         self.0.borrow_mut().apply(record);
     }
+
+    fn apply_and_tell(&mut self, record: &KeyedRecord) -> Passed {
+        self.0.borrow_mut().apply_and_tell(record)
+    }
 }
 
 impl LiveTable {
@@ -51,8 +56,10 @@
         if self.freshness.age().is_none() || known + records.len() as u64 != end {
             return;
         }
-        self.freshness.keep(known, records);
-        records.iter().for_each(|record| self.table.borrow_mut().apply(record));
+        let mut sink = TableSink(Rc::clone(&self.table));
+        for record in records {
+            take_in(&mut sink, &self.freshness, record);
+        }
         // Nothing lies between the table and the append, so the table was current when it was sent.
         self.freshness.prove(sent);
         self.freshness.move_to(end);
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -263,6 +263,8 @@
     pub failure_domain: String,
     /// Whether it passes on the records that it follows.
     pub passes_on: bool,
+    /// Bandwidth of its machine's link, in megabits a second; 0 if it isn't known.
+    pub link_mbps: u32,
 }
 
 /// Progress of one run.
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -57,6 +57,9 @@
     pub remote_penalty: u64,
     /// Least time that a candidate for leadership may be silent.
     pub leader_ttl_ms: u64,
+    /// Bandwidth of the machine's link, in megabits a second; 0 if it isn't known.
+    #[serde(default)]
+    pub link_mbps: f64,
     /// Lowest level of log lines.
     #[serde(default = "default_log_level")]
     pub log_level: String,
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -52,12 +52,27 @@
 pub struct Batch {
     /// The offset after the last record that the topic holds.
     pub end: Offset,
-    /// Records from the asked offset on, without gaps.
+    /// The offset up to which the records speak, and from which to read on.
+    pub next: Offset,
+    /// Records from the asked offset on. Without gaps where `next` follows on the last of them;
+    /// otherwise those that concern the reader.
     pub records: Vec<KeyedRecord>,
     /// How old the answer's view of the store was when it was given; zero from the store itself.
     pub age: Duration,
 }
 
+impl Batch {
+    /// Returns the records that a reader who asked from `from` on and has come to `known` meanwhile
+    /// hasn't taken in yet. Where some are left out, offsets say nothing, and all are returned: the
+    /// newest record of a key counts.
+    #[must_use]
+    pub fn new_since(&self, from: Offset, known: Offset) -> &[KeyedRecord] {
+        let is_whole = from + self.records.len() as Offset == self.next;
+        let known = if is_whole { known.saturating_sub(from) as usize } else { 0 };
+        &self.records[known.min(self.records.len())..]
+    }
+}
+
 /// The newest record of each key.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -131,6 +131,7 @@
                 let end = records.len() as u64;
                 tokio::time::sleep(self.read_delay.get()).await;
                 return Ok(Batch {
+                    next: end.max(from),
                     age: Duration::ZERO,
                     end,
                     records: records.into_iter().skip(from as usize).collect(),
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::{Method, StatusCode};
 use rampbay_jobs::freshness::Freshness;
+use rampbay_jobs::job::NodeName;
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
@@ -52,6 +53,8 @@
         from: Offset,
         /// Longest wait, in milliseconds.
         wait_ms: u64,
+        /// The agent that asks, for the records that it needs; none for all.
+        agent: Option<NodeName>,
     },
     /// See [`Store::newest`].
     Newest {
@@ -108,8 +111,9 @@
 
 async fn perform(store: &dyn Store, followed: &Freshness, request: StoreRequest) -> StoreReply {
     match request {
-        StoreRequest::Tail { from, wait_ms } => {
-            StoreReply::Read(followed.pass_on(from, Duration::from_millis(wait_ms)).await)
+        StoreRequest::Tail { from, wait_ms, agent } => {
+            let wait = Duration::from_millis(wait_ms);
+            StoreReply::Read(followed.pass_on(from, wait, agent.as_deref()).await)
         }
         StoreRequest::Append { topic, records, fence } => {
             StoreReply::Append(store.append(&topic, &records, fence.as_ref()).await)
@@ -141,13 +145,19 @@
         Self { client, address }
     }
 
-    /// Reads records that the peer follows itself.
+    /// Reads records that the peer follows itself: all, or those that an agent needs.
     ///
     /// # Errors
     ///
     /// Returns an error if the peer can't be reached or doesn't keep them.
-    pub async fn tail(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        let request = StoreRequest::Tail { from, wait_ms: wait.as_millis() as u64 };
+    pub async fn tail(
+        &self,
+        from: Offset,
+        wait: Duration,
+        agent: Option<NodeName>,
+    ) -> Result<Batch, ReadError> {
+        let wait_ms = wait.as_millis() as u64;
+        let request = StoreRequest::Tail { from, wait_ms, agent };
         match self.call(&request, wait + TAIL_SLACK).await {
             Ok(StoreReply::Read(outcome)) => outcome,
             _ => Err(ReadError::Unavailable),
--- a/crates/rampbay-peer/tests/group.rs
+++ b/crates/rampbay-peer/tests/group.rs
@@ -59,7 +59,7 @@
 
     async fn read(&self, _: &str, from: Offset, _: Duration) -> Result<Batch, ReadError> {
         sleep(self.append_time()).await;
-        Ok(Batch { end: from, ..Batch::default() })
+        Ok(Batch { end: from, next: from, ..Batch::default() })
     }
 
     async fn newest(&self, _: &str) -> Result<Snapshot, ReadError> {
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -55,7 +55,7 @@
         if !self.readable.get() {
             return Err(ReadError::Unavailable);
         }
-        Ok(Batch { end: from, ..Batch::default() })
+        Ok(Batch { end: from, next: from, ..Batch::default() })
     }
 
     async fn newest(&self, _: &str) -> Result<Snapshot, ReadError> {
