feat: a gang for one rack stops others there before it is spread

Ruled out: nothing yet. Change: room in one rack is looked for first, by stops too; only then, and only when its patience is over, is the gang spread.

--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -53,16 +53,24 @@
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
     let count = waiting.tasks.len();
+    let wants_rack = need.step.same_rack && count > 1;
     let insists = insists_on_rack(waiting, rooms, need, inputs);
-    let need = &Need { insists_on_rack: insists, ..need.clone() };
-    let in_rack = (need.step.same_rack && count > 1)
-        .then(|| place_in_rack(&rooms.rooms, need, count))
-        .flatten();
-    let places = match in_rack {
-        None if !insists => place_all(&rooms.rooms, need, count),
-        in_rack => in_rack,
-    };
-    if let Some(places) = places {
+    let in_one_rack = Need { insists_on_rack: true, ..need.clone() };
+    if wants_rack {
+        if let Some(places) = place_in_rack(&rooms.rooms, need, count) {
+            start_gang(draft, rooms, waiting, need, &places);
+            return None;
+        }
+        // Spread over racks it would hold its room several times as long, and end late.
+        if make_room(draft, rooms, waiting, &in_one_rack, count, inputs) {
+            return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
+        }
+        if insists {
+            hold_room(rooms, waiting, &in_one_rack, count);
+            return Some(Wait::new(waiting, count, WaitReason::NoRack, inputs));
+        }
+    }
+    if let Some(places) = place_all(&rooms.rooms, need, count) {
         start_gang(draft, rooms, waiting, need, &places);
         return None;
     }
@@ -70,8 +78,7 @@
         return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
     }
     hold_room(rooms, waiting, need, count);
-    let reason = if insists { WaitReason::NoRack } else { WaitReason::NoRoom };
-    Some(Wait::new(waiting, count, reason, inputs))
+    Some(Wait::new(waiting, count, WaitReason::NoRoom, inputs))
 }
 
 fn place_tasks(
