--- a/crates/rampbay-jobs/src/echo.rs
+++ b/crates/rampbay-jobs/src/echo.rs
@@ -60,6 +60,10 @@
         self.store.resign(member).await;
     }
 
+    async fn ping(&self) -> Result<(), ReadError> {
+        self.store.ping().await
+    }
+
     async fn regained(&self) {
         self.store.regained().await;
     }
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -20,6 +20,7 @@
 mod progress;
 mod queue;
 mod rack;
+mod reserve;
 mod room;
 mod waits;
 mod watch;
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -23,6 +23,8 @@
     pub priority: u32,
     /// Whether the tasks go into one rack or nowhere.
     pub insists_on_rack: bool,
+    /// Whether it may use the workers that are kept for urgent work.
+    pub uses_reserve: bool,
     /// Whether other workers than those will do.
     pub others_will_do: bool,
 }
@@ -39,6 +41,7 @@
             failed_at,
             priority: waiting.submission.priority,
             insists_on_rack: false,
+            uses_reserve: true,
             others_will_do: false,
         }
     }
@@ -56,8 +59,10 @@
         let label = &self.step.required_label;
         let failed_there = self.others_will_do && self.failed_at.contains(&room.instance);
         let held = room.held_for.is_some_and(|priority| priority < self.priority);
+        let kept = room.reserved && !self.uses_reserve;
         room.usable
             && !held
+            && !kept
             && !failed_there
             && room.worker.service == self.service
             && (label.is_empty() || room.worker.labels.contains(label))
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -9,6 +9,7 @@
 use super::make_room::{hold_room, make_room};
 use super::queue::{WaitingStep, waiting_steps};
 use super::rack::insists_on_rack;
+use super::reserve::may_use_reserve;
 use super::room::Rooms;
 use super::waits::{Wait, WaitReason};
 use super::{Planner, RoundInputs};
@@ -24,7 +25,11 @@
     let mut waits = Vec::new();
     let mut rooms = Rooms::survey(planner, draft, inputs);
     for step in &waiting {
-        let need = Need::of(step, failed_workers(draft, step)).avoiding_failures(&rooms.rooms);
+        let need = Need {
+            uses_reserve: may_use_reserve(step, inputs.wall),
+            ..Need::of(step, failed_workers(draft, step))
+        };
+        let need = need.avoiding_failures(&rooms.rooms);
         if need.step.gang {
             waits.extend(place_gang(draft, &mut rooms, step, &need, inputs));
         } else {
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -9,6 +9,7 @@
 
 use super::draft::Draft;
 use super::pace::MachineSpeed;
+use super::reserve::choose_reserve;
 use super::{Planner, RoundInputs};
 
 /// Names the tasks of one step of one occurrence.
@@ -35,6 +36,8 @@
     pub unheard: bool,
     /// Priority of a gang that waits for room here; less urgent work is kept away.
     pub held_for: Option<u32>,
+    /// Whether it is kept for urgent work.
+    pub reserved: bool,
     /// Number of its tasks of each step.
     pub members: BTreeMap<StepKey, u32>,
 }
@@ -91,6 +94,7 @@
             speed: planner.pace.machine_speed(instance),
             unheard: !inputs.progress.is_heard(instance),
             held_for: None,
+            reserved: false,
             members: BTreeMap::new(),
             worker: Rc::clone(worker),
         });
@@ -99,6 +103,7 @@
             let Some(submission) = draft.submission(&id) else { continue };
             survey.charge_job(draft, &id, &submission, inputs);
         }
+        choose_reserve(&mut survey);
         survey
     }
 
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -132,6 +132,13 @@
     /// Gives leadership up.
     async fn resign(&self, member: &str);
 
+    /// Asks for something small, to see whether the store answers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store can't be reached or turned the call away.
+    async fn ping(&self) -> Result<(), ReadError>;
+
     /// Waits until the store answers again after it didn't; for ever where that isn't observed.
     async fn regained(&self) {
         std::future::pending::<()>().await;
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -169,4 +169,8 @@
             *leader = None;
         }
     }
+
+    async fn ping(&self) -> Result<(), ReadError> {
+        if self.trouble.get() == Trouble::Refuses { Err(ReadError::Unavailable) } else { Ok(()) }
+    }
 }
--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -151,6 +151,10 @@
         self.store.resign(member).await;
     }
 
+    async fn ping(&self) -> Result<(), ReadError> {
+        self.store.ping().await
+    }
+
     async fn regained(&self) {
         self.store.regained().await;
     }
--- a/crates/rampbay-peer/src/metered.rs
+++ b/crates/rampbay-peer/src/metered.rs
@@ -65,6 +65,10 @@
         self.0.resign(member).await;
     }
 
+    async fn ping(&self) -> Result<(), ReadError> {
+        self.0.ping().await
+    }
+
     async fn regained(&self) {
         self.0.regained().await;
     }
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -252,11 +252,18 @@
         let request = StoreRequest::Resign { member: member.to_owned() };
         let _ = self.call(&request, CALL_TIMEOUT).await;
     }
+
+    async fn ping(&self) -> Result<(), ReadError> {
+        match self.call(&StoreRequest::Ping, PING_TIMEOUT).await {
+            Ok(StoreReply::Pong) => Ok(()),
+            _ => Err(ReadError::Unavailable),
+        }
+    }
 }
 
 #[async_trait(?Send)]
 impl GatewayPeer for PeerStore {
     async fn responds(&self) -> bool {
-        matches!(self.call(&StoreRequest::Ping, PING_TIMEOUT).await, Ok(StoreReply::Pong))
+        self.ping().await.is_ok()
     }
 }
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -11,16 +11,13 @@
 
 use async_trait::async_trait;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use rampbay_jobs::record::{KeyedRecord, STATE_TOPIC};
+use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Time between two probes of a way that is broken or says nothing: so much longer than it has to be
-/// does an outage seem, at most.
-const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without any answer to calls under way after which the way is probed: more than a read waits
 /// for a record.
 const SILENCE: Duration = Duration::from_millis(1300);
@@ -58,15 +55,16 @@
     answered_at: Cell<Instant>,
     /// Whether a call has failed, or a probe has hung, since then.
     doubted: Cell<bool>,
-    /// An offset of the state near its end, from where a probe reads little.
-    near_end: Cell<Offset>,
+    /// Time between two probes.
+    probe_interval: Duration,
     regained: Notify,
 }
 
 impl DirectStore {
-    /// Takes the way to be open until a call fails.
+    /// Takes the way to be open until a call fails. While it is broken, it is probed at an interval;
+    /// by so much does an outage seem longer at most.
     #[must_use]
-    pub fn new(store: Rc<dyn Store>) -> Rc<Self> {
+    pub fn new(store: Rc<dyn Store>, probe_interval: Duration) -> Rc<Self> {
         Rc::new(Self {
             store,
             open: Cell::new(true),
@@ -74,7 +72,7 @@
             in_flight: Cell::new(0),
             answered_at: Cell::new(Instant::now()),
             doubted: Cell::new(false),
-            near_end: Cell::new(0),
+            probe_interval,
             regained: Notify::new(),
         })
     }
@@ -83,7 +81,7 @@
     /// keep the next one.
     pub async fn probe_for_ever(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(PROBE_INTERVAL).await;
+            tokio::time::sleep(self.probe_interval).await;
             let waits = self.in_flight.get() > 0;
             if !self.open.get() || (waits && self.answered_at.get().elapsed() > SILENCE) {
                 let direct = Rc::clone(&self);
@@ -95,19 +93,17 @@
     /// Asks the store for something small. Returns how long the answer took, if one came.
     async fn probe(&self) -> Option<Duration> {
         let sent = Instant::now();
-        let read = self.store.read(STATE_TOPIC, self.near_end.get(), Duration::ZERO);
-        tokio::pin!(read);
-        let answer = match tokio::time::timeout(PROBE_PATIENCE, &mut read).await {
+        let ping = self.store.ping();
+        tokio::pin!(ping);
+        let answer = match tokio::time::timeout(PROBE_PATIENCE, &mut ping).await {
             Ok(answer) => answer,
             Err(_) => {
                 self.doubted.set(true);
-                read.await
+                ping.await
             }
         };
-        // A topic's history may be gone; that is an answer all the same.
-        let answered = !matches!(answer, Err(ReadError::Unavailable));
-        self.note(answered);
-        answered.then(|| sent.elapsed())
+        self.note(answer.is_ok());
+        answer.is_ok().then(|| sent.elapsed())
     }
 
     /// Probes until an answer comes, and returns how long that one took. A probe that hangs doesn't
@@ -116,7 +112,7 @@
         let mut probes = FuturesUnordered::new();
         loop {
             probes.push(self.probe());
-            let next = tokio::time::sleep(PROBE_INTERVAL);
+            let next = tokio::time::sleep(self.probe_interval);
             tokio::pin!(next);
             loop {
                 tokio::select! {
@@ -147,12 +143,6 @@
         }
     }
 
-    fn note_end(&self, topic: &str, end: Offset) {
-        if topic == STATE_TOPIC {
-            self.near_end.set(end);
-        }
-    }
-
     /// Counts a call as under way until the guard is dropped.
     fn in_flight(&self) -> InFlight<'_> {
         if self.in_flight.get() == 0 {
@@ -194,9 +184,6 @@
         if outcome != Err(AppendError::Refused) {
             self.note(matches!(outcome, Ok(_) | Err(AppendError::Fenced)));
         }
-        if let Ok(end) = outcome {
-            self.note_end(topic, end);
-        }
         outcome
     }
 
@@ -205,11 +192,7 @@
             return Err(ReadError::Unavailable);
         }
         let _guard = self.in_flight();
-        let outcome = self.note_read(self.store.read(topic, from, wait).await);
-        if let Ok(batch) = &outcome {
-            self.note_end(topic, batch.end);
-        }
-        outcome
+        self.note_read(self.store.read(topic, from, wait).await)
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
@@ -232,6 +215,10 @@
         self.store.resign(member).await;
     }
 
+    async fn ping(&self) -> Result<(), ReadError> {
+        self.note_read(self.store.ping().await)
+    }
+
     async fn regained(&self) {
         self.regained.notified().await;
     }
@@ -492,6 +479,10 @@
         self.direct.resign(member).await;
     }
 
+    async fn ping(&self) -> Result<(), ReadError> {
+        self.direct.ping().await
+    }
+
     async fn regained(&self) {
         self.direct.regained().await;
     }
--- a/crates/rampbay-peer/tests/group.rs
+++ b/crates/rampbay-peer/tests/group.rs
@@ -71,6 +71,11 @@
     }
 
     async fn resign(&self, _: &str) {}
+
+    async fn ping(&self) -> Result<(), ReadError> {
+        sleep(self.append_time()).await;
+        Ok(())
+    }
 }
 
 fn on_virtual_time<F: Future<Output = ()>>(test: F) {
@@ -84,7 +89,7 @@
 
 /// One process's way to the store.
 fn process(store: &Rc<SerialStore>) -> Rc<dyn Store> {
-    let direct = DirectStore::new(Rc::clone(store) as Rc<dyn Store>);
+    let direct = DirectStore::new(Rc::clone(store) as Rc<dyn Store>, APPEND_TIME * 25);
     Rc::new(GroupStore::new(Rc::new(RelayStore::new(direct, Box::new(Vec::new)))))
 }
 
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -13,6 +13,9 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
+/// Time between two probes of a broken way.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A store that answers as it is told.
 struct Scripted {
     append: RefCell<Result<Offset, AppendError>>,
@@ -20,7 +23,7 @@
     delay: Cell<Duration>,
     read_delay: Cell<Duration>,
     appends: Cell<u32>,
-    reads: Cell<u32>,
+    pings: Cell<u32>,
 }
 
 impl Scripted {
@@ -31,7 +34,7 @@
             delay: Cell::new(Duration::from_millis(4)),
             read_delay: Cell::new(Duration::ZERO),
             appends: Cell::new(0),
-            reads: Cell::new(0),
+            pings: Cell::new(0),
         })
     }
 }
@@ -50,7 +53,6 @@
     }
 
     async fn read(&self, _: &str, from: Offset, _: Duration) -> Result<Batch, ReadError> {
-        self.reads.set(self.reads.get() + 1);
         tokio::time::sleep(self.read_delay.get()).await;
         if !self.readable.get() {
             return Err(ReadError::Unavailable);
@@ -67,6 +69,12 @@
     }
 
     async fn resign(&self, _: &str) {}
+
+    async fn ping(&self) -> Result<(), ReadError> {
+        self.pings.set(self.pings.get() + 1);
+        tokio::time::sleep(self.read_delay.get()).await;
+        if self.readable.get() { Ok(()) } else { Err(ReadError::Unavailable) }
+    }
 }
 
 #[async_trait(?Send)]
@@ -77,7 +85,7 @@
 }
 
 fn relay(direct: &Rc<Scripted>, peers: &[Rc<Scripted>]) -> RelayStore {
-    let direct = DirectStore::new(Rc::clone(direct) as Rc<dyn Store>);
+    let direct = DirectStore::new(Rc::clone(direct) as Rc<dyn Store>, PROBE_INTERVAL);
     let peers = peers.to_vec();
     let list = move || peers.iter().map(|peer| Rc::clone(peer) as Rc<dyn Store>).collect();
     RelayStore::new(direct, Box::new(list))
@@ -143,7 +151,7 @@
 fn one_lost_answer_leaves_way_open() {
     on_virtual_time(async {
         let lossy = Scripted::answering(UNKNOWN);
-        let direct = DirectStore::new(Rc::clone(&lossy) as Rc<dyn Store>);
+        let direct = DirectStore::new(Rc::clone(&lossy) as Rc<dyn Store>, PROBE_INTERVAL);
         assert_eq!(direct.append(STATE_TOPIC, &[], None).await, UNKNOWN);
         assert!(direct.read(STATE_TOPIC, 0, Duration::ZERO).await.is_ok());
         *lossy.append.borrow_mut() = Ok(3);
@@ -156,7 +164,7 @@
     on_virtual_time(async {
         let store = Scripted::answering(UNKNOWN);
         store.readable.set(false);
-        let direct = DirectStore::new(Rc::clone(&store) as Rc<dyn Store>);
+        let direct = DirectStore::new(Rc::clone(&store) as Rc<dyn Store>, PROBE_INTERVAL);
         tokio::task::spawn_local(Rc::clone(&direct).probe_for_ever());
         for _ in 0..2 {
             assert!(direct.read(STATE_TOPIC, 0, Duration::ZERO).await.is_err());
@@ -251,7 +259,7 @@
 fn idle_way_not_taken_for_regained() {
     on_virtual_time(async {
         let store = Scripted::answering(Ok(1));
-        let direct = DirectStore::new(Rc::clone(&store) as Rc<dyn Store>);
+        let direct = DirectStore::new(Rc::clone(&store) as Rc<dyn Store>, PROBE_INTERVAL);
         tokio::task::spawn_local(Rc::clone(&direct).probe_for_ever());
         let watching = Rc::clone(&direct);
         let regained = tokio::task::spawn_local(async move { watching.regained().await });
@@ -259,7 +267,7 @@
         assert_eq!(direct.append(STATE_TOPIC, &[], None).await, Ok(1));
         tokio::time::sleep(Duration::from_millis(10)).await;
         assert!(!regained.is_finished());
-        assert_eq!(store.reads.get(), 0, "an idle way isn't probed");
+        assert_eq!(store.pings.get(), 0, "an idle way isn't probed");
         store.readable.set(false);
         assert!(direct.read(STATE_TOPIC, 0, Duration::ZERO).await.is_err());
         store.readable.set(true);
@@ -302,7 +310,7 @@
 fn refused_appends_leave_way_open() {
     on_virtual_time(async {
         let full = Scripted::answering(REFUSED);
-        let direct = DirectStore::new(Rc::clone(&full) as Rc<dyn Store>);
+        let direct = DirectStore::new(Rc::clone(&full) as Rc<dyn Store>, PROBE_INTERVAL);
         for _ in 0..3 {
             assert_eq!(direct.append(STATE_TOPIC, &[], None).await, REFUSED);
         }
@@ -310,3 +318,21 @@
         assert_eq!(full.appends.get(), 3);
     });
 }
+
+/// Seen on the bench: after all processes had been killed, eighty of them probed the store ten times a
+/// second with reads of its whole history, and it served nothing else.
+#[test]
+fn broken_way_probed_at_interval() {
+    on_virtual_time(async {
+        let store = Scripted::answering(UNKNOWN);
+        store.readable.set(false);
+        let way = Rc::clone(&store) as Rc<dyn Store>;
+        let direct = DirectStore::new(way, Duration::from_millis(1000));
+        tokio::task::spawn_local(Rc::clone(&direct).probe_for_ever());
+        for _ in 0..2 {
+            assert!(direct.read(STATE_TOPIC, 0, Duration::ZERO).await.is_err());
+        }
+        tokio::time::sleep(Duration::from_millis(10_500)).await;
+        assert_eq!(store.pings.get(), 10);
+    });
+}
