--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -15,6 +15,11 @@
 
 /// Time before a caller gives up at which it gets its answer; an answer that comes later is lost.
 const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+/// Time that a caller must have left to be told to come back: the second after which callers are asked to
+/// come, and half a second to be served then. A caller with less is waited with.
+const LAST_WAIT: Duration = Duration::from_millis(1500);
+/// How long a caller who can come back waits while the store is known to be away.
+const AWAY_WAIT: Duration = Duration::from_millis(100);
 /// Pause before an append that the store didn't take is sent again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -49,14 +54,26 @@
 pub struct IntakeLimits {
     /// Oldest configuration under which calls are answered.
     pub configuration_age: Duration,
-    /// How long a call is waited with for the store where its caller doesn't say how long it waits.
+    /// How long a call waits for a store that isn't known to be away.
     pub usual_wait: Duration,
+    /// Age of the table from which on the store is taken to be away.
+    pub store_age: Duration,
     /// Calls that may wait for the store at once; more are refused.
     pub most_waiting: usize,
     /// Oldest table out of which a job is said to be unknown, or pending jobs are counted.
     pub table_age: Duration,
 }
 
+/// How long a call may wait for the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Until when.
+    pub until: Instant,
+    /// Whether records are sent to a store that may not answer: then it stays unknown what became of
+    /// them.
+    pub sends: bool,
+}
+
 /// What an intake knows of the configuration.
 #[derive(Debug, Default)]
 pub struct CurrentRouting {
@@ -157,12 +174,19 @@
         Ages { configuration: self.routing.freshness.age(), table: self.table_freshness.age() }
     }
 
-    /// Returns until when a call may wait for the store, given how long its caller waits.
+    /// Returns how long a call may wait for the store, given how long its caller waits. A caller who
+    /// has time to come back is told so soon; one who hasn't is waited with to the end.
     #[must_use]
-    pub fn deadline(&self, caller_waits: Option<Duration>) -> Instant {
-        let wait =
-            caller_waits.map_or(self.limits.usual_wait, |wait| wait.saturating_sub(ANSWER_MARGIN));
-        Instant::now() + wait
+    pub fn patience(&self, caller_waits: Option<Duration>) -> Patience {
+        let left = caller_waits.map_or(self.limits.usual_wait, |w| w.saturating_sub(ANSWER_MARGIN));
+        let is_last = left <= LAST_WAIT;
+        let is_away = !self.table_freshness.is_within(self.limits.store_age);
+        let wait = match (is_last, is_away) {
+            (true, _) => left,
+            (false, false) => self.limits.usual_wait.min(left),
+            (false, true) => AWAY_WAIT,
+        };
+        Patience { until: Instant::now() + wait, sends: is_last || !is_away }
     }
 
     /// Checks queue and key of a call. Waits for a configuration that is known to be current.
@@ -173,7 +197,7 @@
     pub async fn admit(
         &self,
         target: CallTarget<'_>,
-        deadline: Instant,
+        patience: Patience,
     ) -> Result<Admission, Refusal> {
         let mut changes = self.routing.freshness.subscribe();
         loop {
@@ -183,7 +207,7 @@
                 settled => return settled,
             }
             let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
-            if tokio::time::timeout_at(deadline, changes.changed()).await.is_err() {
+            if tokio::time::timeout_at(patience.until, changes.changed()).await.is_err() {
                 return Err(Refusal::NotCurrent);
             }
         }
@@ -219,11 +243,11 @@
     ///
     /// Returns [`Refusal::Unavailable`] if the job surely isn't kept, and [`Refusal::Unknown`]
     /// if it may be.
-    pub async fn submit(&self, submission: Submission, deadline: Instant) -> Result<(), Refusal> {
+    pub async fn submit(&self, submission: Submission, patience: Patience) -> Result<(), Refusal> {
         if self.table.borrow().jobs.contains_key(&submission.id) {
             return Ok(());
         }
-        self.keep(&Record::Submitted(Box::new(submission)), deadline).await
+        self.keep(&Record::Submitted(Box::new(submission)), patience).await
     }
 
     /// Cancels a job.
@@ -231,12 +255,12 @@
     /// # Errors
     ///
     /// Returns [`Refusal::NoJob`] if there is no such job, or it has ended.
-    pub async fn cancel(&self, id: &JobId, deadline: Instant) -> Result<(), Refusal> {
+    pub async fn cancel(&self, id: &JobId, patience: Patience) -> Result<(), Refusal> {
         match self.known_status(id)? {
             JobStatus::Cancelled => Ok(()),
             JobStatus::Succeeded | JobStatus::Failed => Err(Refusal::NoJob),
             JobStatus::Queued | JobStatus::Running => {
-                self.keep(&Record::Cancelled(id.clone()), deadline).await
+                self.keep(&Record::Cancelled(id.clone()), patience).await
             }
         }
     }
@@ -269,22 +293,27 @@
         Ok(self.table.borrow().pending(queue))
     }
 
-    /// Appends a record, again and again until the store has it or the caller's time is over.
-    async fn keep(&self, record: &Record, deadline: Instant) -> Result<(), Refusal> {
+    /// Appends a record, again and again until the store has it or the call's time is over.
+    async fn keep(&self, record: &Record, patience: Patience) -> Result<(), Refusal> {
         let _guard = self.wait_for_store().ok_or(Refusal::Unavailable)?;
+        if !patience.sends {
+            // Nothing is sent, so that the caller may be told that nothing was kept.
+            let regained = tokio::time::timeout_at(patience.until, self.store.regained());
+            regained.await.map_err(|_| Refusal::Unavailable)?;
+        }
         let records = [record.encode()];
         let mut refusal = Refusal::Unavailable;
         loop {
             let append = self.store.append(STATE_TOPIC, &records, None);
-            match tokio::time::timeout_at(deadline, append).await {
+            match tokio::time::timeout_at(patience.until, append).await {
                 Ok(Ok(_)) => return Ok(()),
                 Ok(Err(AppendError::Unknown)) => refusal = Refusal::Unknown,
                 Ok(Err(AppendError::Refused | AppendError::Fenced)) => {}
                 Err(_) => return Err(Refusal::Unknown),
             }
-            let again = (Instant::now() + REPEAT_PAUSE).min(deadline);
+            let again = (Instant::now() + REPEAT_PAUSE).min(patience.until);
             let _ = tokio::time::timeout_at(again, self.store.regained()).await;
-            if Instant::now() >= deadline {
+            if Instant::now() >= patience.until {
                 return Err(refusal);
             }
         }
