feat: an agent keeps to its worker's capacity

Cause: workers of the new customer start whatever they are told (preconditions false), so nothing but the planner's account kept a worker from going over its capacity. Change: an agent starts a run only if it fits beside all runs that may exist there, those being stopped among them; otherwise it reports that the run has not started (J168). The charge of a step stands once, with the step. Tests: three of four cases fail without the check.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -7,7 +7,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::job::InstanceId;
+use crate::job::{InstanceId, Resources};
 use crate::record::{
     PROGRESS_TOPIC, ProgressReport, Record, RunProgress, STATE_TOPIC, WorkerRecord, eviction_key,
     removal, worker_key,
@@ -178,6 +178,11 @@
         Some(now + self.parts.settings.lease.as_millis() as u64)
     }
 
+    /// Returns what the worker has in all, by its own account.
+    pub(super) fn capacity(&self) -> Resources {
+        self.record.borrow().capacity
+    }
+
     /// Returns the fencing token of orders.
     pub(super) fn fencing_token(&self) -> u64 {
         self.parts.table.borrow().leader.epoch
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::job::{Step, TaskId};
 use crate::metrics::metrics;
 use crate::record::{EndReason, TaskStatus};
 use crate::worker::{Refusal, StartOrder, Started, StopOrder, WorkerError};
@@ -55,7 +56,7 @@
             return;
         }
         for wanted in self.wanted() {
-            if self.is_draining() {
+            if self.is_draining() || !self.has_room_for(&wanted.key.0) {
                 self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
                 continue;
             }
@@ -67,6 +68,31 @@
         }
     }
 
+    /// Returns whether a task fits beside all runs that may exist here, those that are being stopped
+    /// among them. Workers may start whatever they are told.
+    fn has_room_for(&self, task: &TaskId) -> bool {
+        let table = self.parts.table.borrow();
+        let charge = |task: &TaskId| {
+            let job = table.jobs.get(&task.job)?;
+            job.submission.steps.get(task.step as usize).map(Step::charge)
+        };
+        let Some(demand) = charge(task) else { return false };
+        let mut free = self.capacity();
+        let runs = self.runs.borrow();
+        // An end that is listed has freed its room, also while it is on its way to the store.
+        for (held, _) in runs.open.keys().filter(|key| !runs.over.contains(*key)) {
+            free.take(&charge(held).unwrap_or_default());
+        }
+        let fits = free.fits(&demand);
+        if !fits {
+            log::warn!(
+                "event=J168 start refused for want of room task={task} worker={} free={free:?} demand={demand:?}",
+                self.instance
+            );
+        }
+        fits
+    }
+
     /// Lists the runs that the table wants and that this life has never had.
     fn wanted(&self) -> Vec<Wanted> {
         let table = self.parts.table.borrow();
--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -93,6 +93,15 @@
     pub fills: bool,
 }
 
+impl Step {
+    /// Returns what one of its tasks takes from a worker's room.
+    #[must_use]
+    pub const fn charge(&self) -> Resources {
+        let cpu_milli = if self.fills { 0 } else { self.demand.cpu_milli };
+        Resources { cpu_milli, ..self.demand }
+    }
+}
+
 /// A job as it was accepted, with the terms of its queue at that time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -4,7 +4,7 @@
 
 use super::pace::MachineSpeed;
 use super::queue::WaitingStep;
-use super::room::{Room, StepKey, charge};
+use super::room::{Room, StepKey};
 
 /// What a place must offer.
 #[derive(Clone, Debug)]
@@ -36,7 +36,7 @@
         Self {
             step,
             service: &waiting.submission.service,
-            demand: charge(step),
+            demand: step.charge(),
             key: (waiting.job.clone(), waiting.occurrence, waiting.step),
             failed_at,
             priority: waiting.submission.priority,
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -61,12 +61,6 @@
     pub gang: bool,
 }
 
-/// What a task takes from a worker's room.
-pub fn charge(step: &Step) -> Resources {
-    let cpu_milli = if step.fills { 0 } else { step.demand.cpu_milli };
-    Resources { cpu_milli, ..step.demand }
-}
-
 /// All workers and what runs there.
 #[derive(Clone, Debug, Default)]
 pub struct Rooms {
@@ -118,7 +112,7 @@
         for (task_id, task) in plan.tasks(id).filter(|(_, task)| task.occupies()) {
             let Some(step) = submission.steps.get(task_id.step as usize) else { continue };
             let Some(index) = self.position(&task.instance) else { continue };
-            let held = charge(step);
+            let held = step.charge();
             let room = &mut self.rooms[index];
             room.free.take(&held);
             let key = (id.clone(), task_id.occurrence, task_id.step);
--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -8,7 +8,9 @@
 use rstest::rstest;
 use support::store::{MemoryStore, Trouble};
 use support::worker::{FakeWorker, StartTrouble};
-use support::{AgentRig, on_virtual_time, running_plan, seed_running_job, table_of, task};
+use support::{
+    AgentRig, job, on_virtual_time, running_plan, seed_running_job, step, table_of, task,
+};
 use tokio::time::sleep;
 
 const JOB: &str = "00000000000000aa";
@@ -42,6 +44,31 @@
     });
 }
 
+/// A worker may start whatever it is told, so the agent keeps to its capacity of eight accelerators,
+/// whatever two planners assigned; what is being stopped still counts.
+#[rstest]
+#[case::beside_running(6, TaskStatus::Running, 2)]
+#[case::beside_stopping(6, TaskStatus::Stopping, 2)]
+#[case::none_fits(8, TaskStatus::Running, 0)]
+#[case::all_fit(4, TaskStatus::Running, 3)]
+fn starts_within_capacity(#[case] held: u32, #[case] status: TaskStatus, #[case] expected: usize) {
+    const OTHER: &str = "00000000000000bb";
+    on_virtual_time(async move {
+        let rig = running_rig(held).await;
+        rig.worker.stops_hang.set(true);
+        let mut plan = running_plan(held, "i-1", 1);
+        plan.open[0].steps[0].iter_mut().for_each(|task| task.status = status);
+        rig.store.put(&Record::Plan(JOB.to_owned(), Box::new(plan)));
+        sleep(Duration::from_millis(300)).await;
+        rig.store.put(&Record::Submitted(Box::new(job(OTHER, 1, step(3, 1)))));
+        rig.store.put(&Record::Plan(OTHER.to_owned(), Box::new(running_plan(3, "i-1", 1))));
+        sleep(Duration::from_millis(300)).await;
+        let starts = rig.worker.starts();
+        assert_eq!(starts.iter().filter(|(task, _)| task.job == OTHER).count(), expected);
+        assert_eq!(reasons(&rig.store), vec![EndReason::NotStarted; 3 - expected]);
+    });
+}
+
 #[test]
 fn end_kept_before_noted() {
     on_virtual_time(async {
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -57,6 +57,8 @@
     pub gone: Cell<bool>,
     /// How it treats starts.
     pub start_trouble: Cell<StartTrouble>,
+    /// Whether runs go on after their stop was answered.
+    pub stops_hang: Cell<bool>,
 }
 
 impl FakeWorker {
@@ -69,6 +71,7 @@
             silent: Cell::new(false),
             gone: Cell::new(false),
             start_trouble: Cell::default(),
+            stops_hang: Cell::new(false),
         })
     }
 
@@ -222,6 +225,9 @@
 
     async fn stop(&self, order: &StopOrder) -> Result<(), WorkerError> {
         self.reach().await?;
+        if self.worker.stops_hang.get() {
+            return Ok(());
+        }
         let mut state = self.worker.state.borrow_mut();
         if state.running.contains_key(&(order.task.clone(), order.attempt)) {
             state.end(&order.task, order.attempt, EndReason::Stopped);
