feat: rampctl losses tells from logs alone which jobs were lost or late, and why

Change: rampctl losses FILE... follows each job over the numbered events and counts, by ten seconds, queue and reason, what was refused, late or not ended, and for jobs of which outcome runs were stopped; as grids and as JSON. Left: a plot over time.

--- a/crates/rampctl/src/args.rs
+++ b/crates/rampctl/src/args.rs
@@ -50,6 +50,18 @@
     Drain(DrainArgs),
     /// Events of all processes in one order.
     Timeline(TimelineArgs),
+    /// Jobs that were refused or late, and why, from logs alone.
+    Losses(LossesArgs),
+}
+
+/// tells from log files which jobs were refused or late and why, and what stops for urgent work
+/// bought; needs no running process
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "losses")]
+pub struct LossesArgs {
+    /// log files of all processes, in any order
+    #[argh(positional)]
+    pub files: Vec<PathBuf>,
 }
 
 /// reads and edits the table
--- a/crates/rampctl/src/commands.rs
+++ b/crates/rampctl/src/commands.rs
@@ -1,6 +1,6 @@
 //! The commands.
 
-use std::{collections::BTreeMap, fmt::Write as _, fs};
+use std::{collections::BTreeMap, fmt::Write as _, fs, path::PathBuf};
 
 use bytes::Bytes;
 use hyper::Method;
@@ -20,9 +20,10 @@
 use serde_json::Value;
 
 use crate::{
-    args::{Args, Command, DrainArgs, TableCommand, TableSet, TimelineArgs},
+    args::{Args, Command, DrainArgs, LossesArgs, TableCommand, TableSet, TimelineArgs},
     client::{Client, CtlError},
     grids, html,
+    losses::{LogLine, Report, Trails},
 };
 
 /// Runs a command and returns what it prints.
@@ -54,6 +55,10 @@
             let view: ExplainView = client.get(&format!("/v1/explain/{}", explain.job)).await?;
             Ok(show(json, &view, grids::explanation))
         }
+        Command::Losses(args) => {
+            let report = losses(&args)?;
+            Ok(show(json, &report, grids::losses))
+        }
         Command::Workers(_) => {
             let views: Vec<WorkerView> = client.get("/v1/workers").await?;
             Ok(show(json, &views, |views| grids::workers(views)))
@@ -240,3 +245,17 @@
     }
     Ok(show(json, &events, |events| grids::timeline(events)))
 }
+
+/// Reads log files and counts what was lost.
+fn losses(args: &LossesArgs) -> Result<Report, CtlError> {
+    let read = |file: &PathBuf| {
+        fs::read_to_string(file).map_err(|e| CtlError::Use(format!("{}: {e}", file.display())))
+    };
+    let texts = args.files.iter().map(read).collect::<Result<Vec<String>, CtlError>>()?;
+    let lines = texts.iter().flat_map(|text| text.lines());
+    let mut lines: Vec<LogLine<'_>> = lines.filter_map(LogLine::parse).collect();
+    lines.sort_by_key(|line| line.time);
+    let mut trails = Trails::default();
+    lines.iter().for_each(|line| trails.take_in(line));
+    Ok(Report::of(&trails))
+}
--- a/crates/rampctl/src/grids.rs
+++ b/crates/rampctl/src/grids.rs
@@ -13,6 +13,8 @@
 use rampbay_wire::event::Event;
 use serde_json::Value;
 
+use crate::losses::{Loss, Report};
+
 fn grid(header: &[&str], rows: impl IntoIterator<Item = Vec<String>>) -> String {
     let mut table = Table::new();
     table.set_header(header.iter().copied());
@@ -170,3 +172,19 @@
     }
     text
 }
+
+/// Shows what was lost, and what the stops for urgent work bought.
+#[must_use]
+pub fn losses(report: &Report) -> String {
+    let name = |loss: Loss| format!("{loss:?}");
+    let losses = report.losses.iter().map(|row| {
+        vec![row.from_s.to_string(), row.queue.clone(), name(row.loss), row.jobs.to_string()]
+    });
+    let stops = report
+        .stops
+        .iter()
+        .map(|row| vec![name(row.beneficiary), row.stops.to_string(), row.lost_core_s.to_string()]);
+    let losses = grid(&["from s", "queue", "outcome", "jobs"], losses);
+    let stops = grid(&["stopped for jobs that ended", "stops", "core-seconds lost"], stops);
+    format!("{losses}\n{stops}")
+}
--- a/crates/rampctl/src/lib.rs
+++ b/crates/rampctl/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod commands;
 pub mod grids;
 pub mod html;
+pub mod losses;
--- /dev/null
+++ b/crates/rampctl/src/losses/trail.rs
@@ -0,0 +1,171 @@
+//! The way of each job through the log.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::line::{EpochMillis, LogLine};
+
+/// Why a job was lost or late: the largest part of its time beyond what its work takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Loss {
+    /// None: it ended in time by its caller's estimate.
+    InTime,
+    /// It was never accepted.
+    Refused,
+    /// Its caller cancelled it.
+    Cancelled,
+    /// It has failed, or hadn't ended when the log did.
+    NotEnded,
+    /// It waited for room before its first run was assigned.
+    WaitedForRoom,
+    /// Its first run was ordered late after it was assigned.
+    OrderedLate,
+    /// A run ended early, and it had to run again.
+    RanAgain,
+    /// Its last runs took longer than the estimate: a slow worker, spread over racks, a bad estimate.
+    RanLong,
+    /// It was shown as ended late after its last run had ended.
+    ToldLate,
+}
+
+/// What the log tells of one job.
+#[derive(Clone, Debug, Default)]
+pub struct Trail {
+    /// Its queue.
+    pub queue: String,
+    /// Estimate and objective, in milliseconds.
+    estimate_ms: u64,
+    objective_ms: u64,
+    refused_at: Option<EpochMillis>,
+    accepted_at: Option<EpochMillis>,
+    first_assigned: Option<EpochMillis>,
+    last_assigned: Option<EpochMillis>,
+    first_ordered: Option<EpochMillis>,
+    last_ordered: Option<EpochMillis>,
+    last_ended: Option<EpochMillis>,
+    succeeded_at: Option<EpochMillis>,
+    cancelled: bool,
+}
+
+impl Trail {
+    /// Returns why the job was lost or late.
+    #[must_use]
+    pub fn loss(&self) -> Loss {
+        let Some(accepted) = self.accepted_at else { return Loss::Refused };
+        if self.cancelled {
+            return Loss::Cancelled;
+        }
+        let Some(succeeded) = self.succeeded_at else { return Loss::NotEnded };
+        if succeeded.saturating_sub(accepted) <= self.objective_ms {
+            return Loss::InTime;
+        }
+        let span = |from: Option<EpochMillis>, to: Option<EpochMillis>| {
+            to.unwrap_or_default().saturating_sub(from.unwrap_or_default())
+        };
+        let ran = span(self.last_ordered, self.last_ended);
+        let parts = [
+            (span(Some(accepted), self.first_assigned), Loss::WaitedForRoom),
+            (span(self.first_assigned, self.first_ordered), Loss::OrderedLate),
+            (span(self.first_assigned, self.last_assigned), Loss::RanAgain),
+            (ran.saturating_sub(self.estimate_ms), Loss::RanLong),
+            (span(self.last_ended, Some(succeeded)), Loss::ToldLate),
+        ];
+        parts.into_iter().max_by_key(|(part, _)| *part).map_or(Loss::InTime, |(_, loss)| loss)
+    }
+
+    /// Returns when the job came.
+    #[must_use]
+    pub fn came_at(&self) -> Option<EpochMillis> {
+        self.accepted_at.or(self.refused_at)
+    }
+}
+
+/// A stop for urgent work.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    /// The job that it made room for.
+    pub beneficiary: String,
+    /// Work thrown away, in thousandths of core-seconds.
+    pub lost_work: u64,
+}
+
+/// The ways of all jobs.
+#[derive(Debug, Default)]
+pub struct Trails {
+    /// The jobs, by id.
+    pub jobs: BTreeMap<String, Trail>,
+    /// All stops for urgent work.
+    pub stops: Vec<Stop>,
+}
+
+impl Trails {
+    /// Takes in a line.
+    pub fn take_in(&mut self, line: &LogLine<'_>) {
+        match line.event {
+            "J201" => self.take_in_call(line),
+            "J202" => self.take_in_accepted(line),
+            "J132" => {
+                if let Some(trail) = self.trail(line.text("job")) {
+                    trail.cancelled = true;
+                }
+            }
+            "J133" if line.text("status") == Some("Succeeded") => {
+                if let Some(trail) = self.trail(line.text("job")) {
+                    trail.succeeded_at.get_or_insert(line.time);
+                }
+            }
+            "J150" => {
+                if let Some(trail) = self.trail(line.job_of_task()) {
+                    trail.first_assigned.get_or_insert(line.time);
+                    trail.last_assigned = Some(line.time);
+                }
+            }
+            "J151" => self.take_in_stop(line),
+            "J165" => {
+                if let Some(trail) = self.trail(line.job_of_task()) {
+                    trail.last_ended = Some(line.time);
+                }
+            }
+            "J166" => {
+                if let Some(trail) = self.trail(line.job_of_task()) {
+                    trail.first_ordered.get_or_insert(line.time);
+                    trail.last_ordered = Some(line.time);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn trail(&mut self, job: Option<&str>) -> Option<&mut Trail> {
+        self.jobs.get_mut(job?)
+    }
+
+    fn take_in_call(&mut self, line: &LogLine<'_>) {
+        let is_refusal = matches!(line.text("status"), Some("429" | "503" | "504"));
+        if line.text("method") != Some("POST") || !is_refusal {
+            return;
+        }
+        let Some((_, job)) = line.text("path").and_then(|path| path.rsplit_once('/')) else {
+            return;
+        };
+        let trail = self.jobs.entry(job.to_owned()).or_default();
+        trail.refused_at.get_or_insert(line.time);
+    }
+
+    fn take_in_accepted(&mut self, line: &LogLine<'_>) {
+        let Some(job) = line.text("job") else { return };
+        let trail = self.jobs.entry(job.to_owned()).or_default();
+        trail.accepted_at.get_or_insert(line.time);
+        line.text("queue").unwrap_or_default().clone_into(&mut trail.queue);
+        trail.estimate_ms = line.number("estimate_ms").unwrap_or_default();
+        trail.objective_ms = line.number("objective_ms").unwrap_or_default();
+    }
+
+    fn take_in_stop(&mut self, line: &LogLine<'_>) {
+        let Some(beneficiary) = line.text("for_job") else { return };
+        let lost_work = line.number("lost_work").unwrap_or_default();
+        self.stops.push(Stop { beneficiary: beneficiary.to_owned(), lost_work });
+    }
+}
