--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -86,7 +86,7 @@
         let fits = free.fits(&demand);
         if !fits {
             log::warn!(
-                "event=J168 start refused for want of room task={task} worker={} free={free:?} demand={demand:?}",
+                "event=J170 start refused for want of room task={task} worker={} free={free:?} demand={demand:?}",
                 self.instance
             );
         }
--- a/crates/rampbay-peer/tests/group.rs
+++ b/crates/rampbay-peer/tests/group.rs
@@ -9,8 +9,9 @@
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
+use rampbay_peer::direct::DirectStore;
 use rampbay_peer::group::GroupStore;
-use rampbay_peer::relay::{DirectStore, RelayStore};
+use rampbay_peer::relay::RelayStore;
 use rstest::rstest;
 use tokio::sync::Mutex;
 use tokio::time::{Instant, sleep};
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -9,7 +9,8 @@
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
-use rampbay_peer::relay::{DirectStore, GatewayPeer, RelayStore};
+use rampbay_peer::direct::DirectStore;
+use rampbay_peer::relay::{GatewayPeer, RelayStore};
 use rstest::rstest;
 use tokio::time::Instant;
 
--- a/crates/rampctl/src/losses/report.rs
+++ b/crates/rampctl/src/losses/report.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::trail::{Loss, Trails};
+use super::trail::{Loss, Trail, Trails};
 
 /// Length of one row of the report, in seconds.
 const WINDOW_S: u64 = 10;
@@ -53,7 +53,7 @@
 }
 
 fn losses(trails: &Trails) -> Vec<LossRow> {
-    let first = trails.jobs.values().filter_map(|trail| trail.came_at()).min().unwrap_or(0);
+    let first = trails.jobs.values().filter_map(Trail::came_at).min().unwrap_or(0);
     let mut counts: BTreeMap<(u64, &str, Loss), usize> = BTreeMap::new();
     for trail in trails.jobs.values() {
         let came = trail.came_at().unwrap_or(first);
@@ -74,7 +74,7 @@
     let mut counts: BTreeMap<Loss, (usize, u64)> = BTreeMap::new();
     for stop in &trails.stops {
         let beneficiary = trails.jobs.get(&stop.beneficiary);
-        let loss = beneficiary.map_or(Loss::NotEnded, |trail| trail.loss());
+        let loss = beneficiary.map_or(Loss::NotEnded, Trail::loss);
         let (stops, lost) = counts.entry(loss).or_default();
         *stops += 1;
         *lost += stop.lost_work;
