--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -16,8 +16,8 @@
 /// Time before a caller gives up at which it gets its answer; an answer that comes later is lost.
 const ANSWER_MARGIN: Duration = Duration::from_millis(40);
 /// Time that a caller must have left to be told to come back: the second after which callers are asked to
-/// come, and a fifth of a second to be served then. A caller with less is waited with.
-const LAST_WAIT: Duration = Duration::from_millis(1200);
+/// come, and half a second to be served then. A caller with less is waited with.
+const LAST_WAIT: Duration = Duration::from_millis(1500);
 /// How long a caller who can come back waits while the store is known to be away.
 const AWAY_WAIT: Duration = Duration::from_millis(100);
 /// Pause before an append that the store didn't take is sent again.
