--- /dev/null
+++ b/crates/rampbay-jobs/benches/round.rs
@@ -0,0 +1,34 @@
+//! What one round of the planner costs on a fleet under load.
+//!
+//! `cargo bench -p rampbay-jobs`
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use support::fleet::Fleet;
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+/// Sizes of fleets, in workers.
+const WORKERS: [usize; 2] = [240, 1_000];
+/// How long a fleet is under load before its rounds are timed.
+const WARM_UP: Duration = Duration::from_secs(12);
+
+fn round(c: &mut Criterion) {
+    let mut group = c.benchmark_group("round");
+    group.sample_size(20);
+    for workers in WORKERS {
+        support::on_virtual_time(async {
+            let mut fleet = Fleet::new(workers, 1);
+            fleet.pass(WARM_UP).await;
+            let name = BenchmarkId::new("loaded", workers);
+            group.bench_function(name, |bencher| bencher.iter(|| black_box(fleet.round())));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, round);
+criterion_main!(benches);
--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -42,6 +42,16 @@
             && self.devices >= demand.devices
     }
 
+    /// Returns how often `demand` fits into these resources.
+    #[must_use]
+    pub fn count_of(&self, demand: &Self) -> u32 {
+        let times = |there: u64, each: u64| there.checked_div(each).unwrap_or(u64::MAX);
+        let count = times(self.cpu_milli, demand.cpu_milli)
+            .min(times(self.memory_mb, demand.memory_mb))
+            .min(times(self.devices, demand.devices));
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
     /// Takes `demand` away, stopping at zero.
     pub const fn take(&mut self, demand: &Self) {
         self.cpu_milli = self.cpu_milli.saturating_sub(demand.cpu_milli);
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -22,14 +22,14 @@
 mod rack;
 mod reserve;
 mod room;
+mod units;
 mod waits;
 mod watch;
+mod workers;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use crate::job::{EpochMillis, InstanceId, JobId};
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
@@ -39,10 +39,12 @@
 pub use waits::WaitReason;
 
 use draft::Draft;
+use fold::SettledPlans;
 use forecast::Forecasts;
 use health::HealthBook;
 use pace::PaceBook;
 use waits::WaitBook;
+use workers::WorkerViews;
 
 /// Times that a planner goes by.
 #[derive(Clone, Copy, Debug)]
@@ -89,6 +91,13 @@
     departed_since: BTreeMap<InstanceId, Duration>,
     known_since: BTreeMap<InstanceId, Duration>,
     ended_since: BTreeMap<JobId, Duration>,
+    /// When ended jobs are looked for next.
+    expires_next: Duration,
+    settled: SettledPlans,
+    /// State of the progress at which runs were last looked at.
+    watched: Option<u64>,
+    /// Whether runs on workers that are gone have been looked for since the workers changed.
+    lost_runs_checked: bool,
 }
 
 impl Planner {
@@ -105,6 +114,10 @@
             departed_since: BTreeMap::new(),
             known_since: BTreeMap::new(),
             ended_since: BTreeMap::new(),
+            expires_next: Duration::ZERO,
+            settled: SettledPlans::default(),
+            watched: None,
+            lost_runs_checked: false,
         }
     }
 
@@ -113,16 +126,19 @@
     pub fn round(&mut self, inputs: &RoundInputs<'_>) -> Vec<KeyedRecord> {
         self.note_workers(inputs);
         self.forecasts.update(inputs.table);
+        let workers = WorkerViews::new(inputs, &self.known_since);
         let mut draft = Draft::new(inputs.table);
         fold::take_in_ends(&mut draft, inputs, &mut self.health);
-        fold::give_up_lost_runs(&mut draft, inputs);
+        if !std::mem::replace(&mut self.lost_runs_checked, true) {
+            fold::give_up_lost_runs(&mut draft, inputs);
+        }
         fold::cancel(&mut draft);
-        fold::settle(&mut draft, inputs);
-        evict::evict(self, &mut draft, inputs);
+        fold::settle(&mut draft, inputs, &mut self.settled);
+        evict::evict(self, &mut draft, &workers, inputs);
         evict::give_up_departed(self, &mut draft, inputs);
         self.pace.update(&draft, inputs, &self.forecasts);
-        watch::move_runs(self, &mut draft, inputs);
-        let waits = place::place(self, &mut draft, inputs);
+        watch::move_runs(self, &mut draft, &workers, inputs);
+        let waits = place::place(self, &mut draft, &workers, inputs);
         self.waits.update(&waits, inputs.now);
         expire::expire(self, &mut draft, inputs);
         draft.into_records()
@@ -136,17 +152,14 @@
 
     fn note_workers(&mut self, inputs: &RoundInputs<'_>) {
         let workers = &inputs.table.workers;
+        if self.known_since.keys().eq(workers.keys()) {
+            return;
+        }
+        self.lost_runs_checked = false;
         self.known_since.retain(|instance, _| workers.contains_key(instance));
         self.health.keep_only(|instance| workers.contains_key(instance));
         for instance in workers.keys() {
             self.known_since.entry(instance.clone()).or_insert(inputs.now);
         }
     }
-
-    /// Returns how long a worker's agent hasn't reported, since this planner knows the worker.
-    fn report_age(&self, instance: &str, inputs: &RoundInputs<'_>) -> Duration {
-        let age = inputs.progress.report_age(instance, Instant::now());
-        let known = self.known_since.get(instance).copied().unwrap_or(inputs.now);
-        age.min(inputs.now.saturating_sub(known))
-    }
 }
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -21,11 +21,6 @@
         Self { table, changed: BTreeMap::new(), others: Vec::new() }
     }
 
-    /// Returns the names of all jobs with something left to do.
-    pub fn active(&self) -> Vec<JobId> {
-        self.table.active.iter().cloned().collect()
-    }
-
     /// Returns the account of a job, with the changes so far.
     pub fn plan(&self, id: &JobId) -> Option<&JobPlan> {
         if let Some(plan) = self.changed.get(id) {
@@ -34,6 +29,14 @@
         self.table.jobs.get(id)?.plan.as_deref()
     }
 
+    /// Returns the account of a job as the store holds it, if this round hasn't changed it.
+    pub fn unchanged_plan(&self, id: &JobId) -> Option<&'a Rc<JobPlan>> {
+        if self.changed.contains_key(id) {
+            return None;
+        }
+        self.table.jobs.get(id)?.plan.as_ref()
+    }
+
     /// Returns the account of a job, to change it.
     pub fn edit(&mut self, id: &JobId) -> &mut JobPlan {
         let kept = self.table.jobs.get(id).and_then(|job| job.plan.as_deref());
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -4,11 +4,17 @@
 use crate::record::{Record, eviction_key, worker_key};
 
 use super::draft::Draft;
+use super::workers::WorkerViews;
 use super::{Planner, RoundInputs};
 
 /// Evicts workers without reports, and removes those whose eviction is old enough.
-pub fn evict(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    start_evictions(planner, draft, inputs);
+pub fn evict(
+    planner: &mut Planner,
+    draft: &mut Draft<'_>,
+    workers: &WorkerViews<'_>,
+    inputs: &RoundInputs<'_>,
+) {
+    start_evictions(planner, draft, workers, inputs);
     planner.evicted_since.retain(|instance, _| inputs.table.evicted.contains(instance));
     for instance in &inputs.table.evicted {
         // A planner that takes over counts from its own start: later, never earlier.
@@ -28,7 +34,7 @@
     let workers = &inputs.table.workers;
     let has_departed = |instance: &str| workers.get(instance).is_some_and(|known| known.departed);
     planner.departed_since.retain(|instance, _| has_departed(instance));
-    for instance in workers.keys().filter(|instance| has_departed(instance)) {
+    for (instance, _) in workers.iter().filter(|(_, worker)| worker.departed) {
         // A planner that takes over counts from its own start: later, never earlier.
         let since = *planner.departed_since.entry(instance.clone()).or_insert(inputs.now);
         let waited = inputs.now.saturating_sub(since);
@@ -44,21 +50,25 @@
     }
 }
 
-fn start_evictions(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    for (instance, worker) in &inputs.table.workers {
-        if worker.departed || inputs.table.evicted.contains(instance) {
-            continue;
-        }
-        let age = planner.report_age(instance, inputs);
-        if age < planner.settings.evict_after {
-            continue;
-        }
+fn start_evictions(
+    planner: &Planner,
+    draft: &mut Draft<'_>,
+    workers: &WorkerViews<'_>,
+    inputs: &RoundInputs<'_>,
+) {
+    let silent = workers.views.iter().filter(|view| {
+        view.report_age >= planner.settings.evict_after
+            && !view.record.departed
+            && !inputs.table.evicted.contains(view.instance)
+    });
+    for view in silent {
         log::warn!(
-            "event=J140 worker evicted worker={instance} agent={} report_age_ms={}",
-            worker.node,
-            age.as_millis()
+            "event=J140 worker evicted worker={} agent={} report_age_ms={}",
+            view.instance,
+            view.record.node,
+            view.report_age.as_millis()
         );
         metrics().decided("evict");
-        draft.add(Record::Evicted(instance.clone()).encode());
+        draft.add(Record::Evicted(view.instance.clone()).encode());
     }
 }
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -1,7 +1,11 @@
 //! Takes into the accounts what has happened: ends, lost workers, cancellations, done steps.
 
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
 use crate::job::{JobId, Step, Submission, TaskId};
 use crate::record::{EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus};
+use crate::table::JobTable;
 
 use super::RoundInputs;
 use super::draft::Draft;
@@ -71,7 +75,7 @@
     if !end.checkpoint.is_empty() {
         return end.checkpoint.clone();
     }
-    let seen = inputs.progress.run(&end.task, end.attempt);
+    let seen = inputs.progress.run(&end.instance, &end.task, end.attempt);
     seen.map(|seen| seen.checkpoint.clone()).unwrap_or_default()
 }
 
@@ -94,9 +98,9 @@
 
 /// Takes runs on workers that are gone as lapsed.
 pub fn give_up_lost_runs(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    for id in draft.active() {
-        for task in lost_runs(draft, &id) {
-            let Some(current) = draft.plan(&id).and_then(|plan| plan.task(&task)) else { continue };
+    for id in &inputs.table.active {
+        for task in lost_runs(draft, id) {
+            let Some(current) = draft.plan(id).and_then(|plan| plan.task(&task)) else { continue };
             let end = RunEnd {
                 attempt: current.attempt,
                 reason: EndReason::Lapsed,
@@ -113,38 +117,60 @@
     let Some(plan) = draft.plan(id) else { return Vec::new() };
     let is_lost =
         |task: &TaskPlan| task.occupies() && !draft.table.workers.contains_key(&task.instance);
-    plan.tasks(id).filter(|(_, task)| is_lost(task)).map(|(id, _)| id).collect()
+    plan.tasks_where(id, is_lost).collect()
 }
 
 /// Ends jobs that their callers have cancelled, and stops what runs of jobs that have ended.
 pub fn cancel(draft: &mut Draft<'_>) {
-    for id in draft.active() {
-        let cancelled = draft.table.jobs.get(&id).is_some_and(|job| job.cancelled);
-        let is_final = draft.plan(&id).is_some_and(|plan| plan.status.is_final());
+    for id in &draft.table.active {
+        let cancelled = draft.table.jobs.get(id).is_some_and(|job| job.cancelled);
+        let is_final = draft.plan(id).is_some_and(|plan| plan.status.is_final());
         if cancelled && !is_final {
-            draft.edit(&id).status = JobStatus::Cancelled;
+            draft.edit(id).status = JobStatus::Cancelled;
             log::info!("event=J132 job cancelled job={id}");
         }
         if cancelled || is_final {
-            stop_all(draft, &id);
+            stop_all(draft, id);
         }
     }
 }
 
 fn stop_all(draft: &mut Draft<'_>, id: &JobId) {
     let Some(plan) = draft.plan(id) else { return };
-    let running = plan.tasks(id).filter(|(_, task)| task.status == TaskStatus::Running);
-    let running: Vec<TaskId> = running.map(|(id, _)| id).collect();
+    let is_running = |task: &TaskPlan| task.status == TaskStatus::Running;
+    let running: Vec<TaskId> = plan.tasks_where(id, is_running).collect();
     for task in running {
         draft.stop(&task);
     }
 }
 
+/// Accounts as the store holds them in which nothing is left to settle.
+///
+/// What a round finds settled it needn't look at again until the account changes: a changed account
+/// is another value, and these are kept so that none takes the place of another in memory.
+#[derive(Debug, Default)]
+pub struct SettledPlans(BTreeMap<JobId, Rc<JobPlan>>);
+
+impl SettledPlans {
+    fn holds(&self, id: &JobId, plan: &Rc<JobPlan>) -> bool {
+        self.0.get(id).is_some_and(|settled| Rc::ptr_eq(settled, plan))
+    }
+
+    fn keep_active(&mut self, table: &JobTable) {
+        self.0.retain(|id, _| table.active.contains(id));
+    }
+}
+
 /// Settles gangs, closes occurrences that are done, and ends jobs.
-pub fn settle(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    for id in draft.active() {
-        let Some(submission) = draft.submission(&id) else { continue };
-        let Some(plan) = draft.plan(&id) else { continue };
+pub fn settle(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, known: &mut SettledPlans) {
+    known.keep_active(inputs.table);
+    for id in &inputs.table.active {
+        let kept = draft.unchanged_plan(id);
+        if kept.is_some_and(|plan| known.holds(id, plan)) {
+            continue;
+        }
+        let Some(submission) = draft.submission(id) else { continue };
+        let Some(plan) = draft.plan(id) else { continue };
         if plan.status.is_final() {
             continue;
         }
@@ -152,8 +178,10 @@
         settle_gangs(&mut settled, &submission);
         settle_job(&mut settled, &submission);
         if settled != *plan {
-            log_settled(&id, plan.status, settled.status, inputs);
-            *draft.edit(&id) = settled;
+            log_settled(id, plan.status, settled.status, inputs);
+            *draft.edit(id) = settled;
+        } else if let Some(plan) = kept {
+            known.0.insert(id.clone(), Rc::clone(plan));
         }
     }
 }
--- a/crates/rampbay-jobs/src/planner/pace.rs
+++ b/crates/rampbay-jobs/src/planner/pace.rs
@@ -64,34 +64,48 @@
 pub struct PaceBook {
     workers: BTreeMap<InstanceId, WorkerPace>,
     counted: BTreeMap<RunKey, u32>,
+    /// State of the progress that was taken in last.
+    version: Option<u64>,
 }
 
 impl PaceBook {
-    /// Takes in the progress since the last round.
+    /// Takes in what has been reported since the last call.
     pub fn update(&mut self, draft: &Draft<'_>, inputs: &RoundInputs<'_>, forecasts: &Forecasts) {
+        if self.version == Some(inputs.progress.version()) {
+            return;
+        }
+        self.version = Some(inputs.progress.version());
         self.workers.retain(|instance, _| inputs.table.workers.contains_key(instance));
         self.workers.values_mut().for_each(WorkerPace::begin_round);
-        self.counted.retain(|(task, attempt), _| inputs.progress.run(task, *attempt).is_some());
-        let mut peers: BTreeMap<StepKey, Vec<(&RunKey, &Seen)>> = BTreeMap::new();
-        for (key, seen) in inputs.progress.runs() {
+        let mut counted = BTreeMap::new();
+        let mut peers: BTreeMap<StepKey, Vec<(RunKey, &Seen)>> = BTreeMap::new();
+        for (task, attempt, seen) in inputs.progress.runs() {
             let Some(percent_per_s) = seen.rate.percent_per_s else { continue };
-            let Some(expected) = expected_percent_per_s(draft, key, inputs, forecasts) else {
+            let key = (task.clone(), attempt);
+            if let Some(count) = self.counted.remove(&key) {
+                counted.insert(key.clone(), count);
+            }
+            let Some(expected) = expected_percent_per_s(draft, &key, inputs, forecasts) else {
                 continue;
             };
             let pace = percent_per_s / expected;
             let worker = self.workers.entry(seen.instance.clone()).or_default();
             if seen.percent < FULL_PERCENT {
                 worker.best_now = worker.best_now.max(pace);
-                worker.jobs_now.insert(key.0.job.clone());
+                worker.jobs_now.insert(task.job.clone());
             }
-            let step = (key.0.job.clone(), key.0.occurrence, key.0.step);
+            let step = (task.job.clone(), task.occurrence, task.step);
             peers.entry(step).or_default().push((key, seen));
         }
-        peers.values().for_each(|runs| self.compare(runs));
+        self.counted = counted;
+        for runs in peers.values_mut() {
+            runs.sort_by(|one, other| one.0.cmp(&other.0));
+            self.compare(runs);
+        }
     }
 
     /// Compares the runs of one step.
-    fn compare(&mut self, runs: &[(&RunKey, &Seen)]) {
+    fn compare(&mut self, runs: &[(RunKey, &Seen)]) {
         let rates = runs.iter().filter_map(|(_, seen)| seen.rate.percent_per_s);
         let logs: Vec<f64> = rates.map(|rate| rate.max(LEAST_RATE).ln()).collect();
         let workers: BTreeSet<&InstanceId> = runs.iter().map(|(_, seen)| &seen.instance).collect();
@@ -100,7 +114,7 @@
         }
         let mean = logs.iter().sum::<f64>() / logs.len() as f64;
         for ((key, seen), log) in runs.iter().zip(&logs) {
-            let counted = self.counted.entry((*key).clone()).or_default();
+            let counted = self.counted.entry(key.clone()).or_default();
             if *counted < seen.rate.intervals {
                 *counted = seen.rate.intervals;
                 self.workers.entry(seen.instance.clone()).or_default().count(log - mean);
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -5,31 +5,35 @@
 use crate::record::{JobPlan, JobStatus, TaskStatus};
 
 use super::draft::{Draft, unbegun};
-use super::gang::{Need, occupy, place_all, place_in_rack, place_one};
-use super::make_room::{hold_room, make_room};
+use super::gang::{Need, place_all, place_in_rack, place_one};
+use super::make_room::{Within, allowed_for, find_room, hold_room, make_room};
 use super::queue::{WaitingStep, waiting_steps};
 use super::rack::insists_on_rack;
 use super::reserve::may_use_reserve;
-use super::room::Rooms;
+use super::room::{Place, Rooms};
 use super::waits::{Wait, WaitReason};
+use super::workers::WorkerViews;
 use super::{Planner, RoundInputs};
 
 /// How long a task waits for a worker near its data.
 const WAIT_FOR_DATA_MS: u64 = 3000;
+
 /// Places what waits where it fits. Returns what goes on waiting, and why.
-pub fn place(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<Wait> {
+pub fn place(
+    planner: &Planner,
+    draft: &mut Draft<'_>,
+    workers: &WorkerViews<'_>,
+    inputs: &RoundInputs<'_>,
+) -> Vec<Wait> {
     let waiting = waiting_steps(draft, inputs, &planner.forecasts);
     if waiting.is_empty() {
         return Vec::new();
     }
     let mut waits = Vec::new();
-    let mut rooms = Rooms::survey(planner, draft, inputs);
+    let mut rooms = Rooms::survey(planner, draft, workers, inputs);
     for step in &waiting {
-        let need = Need {
-            uses_reserve: may_use_reserve(step, inputs.wall),
-            ..Need::of(step, failed_workers(draft, step))
-        };
-        let need = need.avoiding_failures(&rooms.rooms);
+        let uses_reserve = may_use_reserve(step, inputs.wall);
+        let need = Need::of(step, failed_workers(draft, step), uses_reserve, &rooms);
         if need.step.gang {
             waits.extend(place_gang(draft, &mut rooms, step, &need, inputs));
         } else {
@@ -58,31 +62,42 @@
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
     let count = waiting.tasks.len();
-    let wants_rack = need.step.same_rack && count > 1;
-    let insists = insists_on_rack(waiting, rooms, need, inputs);
-    let in_one_rack = Need { insists_on_rack: true, ..need.clone() };
-    if wants_rack {
-        if let Some(places) = place_in_rack(&rooms.rooms, need, count) {
+    let allowed = allowed_for(waiting, count, inputs);
+    if need.step.same_rack && count > 1 {
+        if let Some(places) = place_in_rack(rooms, need, count) {
             start_gang(draft, rooms, waiting, need, &places);
             return None;
         }
         // Spread over racks it would hold its room several times as long, and end late.
-        if make_room(draft, rooms, waiting, &in_one_rack, count, inputs) {
+        let insists = insists_on_rack(waiting, rooms, need, inputs);
+        let in_rack = if allowed > 0 || insists {
+            find_room(rooms, need, count, Within::OneRack, inputs)
+        } else {
+            None
+        };
+        if let Some(found) = &in_rack
+            && allowed > 0
+            && make_room(draft, rooms, waiting, need, found, allowed)
+        {
             return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
         }
         if insists {
-            hold_room(rooms, waiting, &in_one_rack, count);
+            if let Some(found) = &in_rack {
+                hold_room(rooms, waiting, found);
+            }
             return Some(Wait::new(waiting, count, WaitReason::NoRack, inputs));
         }
     }
-    if let Some(places) = place_all(&rooms.rooms, need, count) {
+    if let Some(places) = place_all(rooms, need, count) {
         start_gang(draft, rooms, waiting, need, &places);
         return None;
     }
-    if make_room(draft, rooms, waiting, need, count, inputs) {
-        return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
+    if let Some(found) = find_room(rooms, need, count, Within::Anywhere, inputs) {
+        if allowed > 0 && make_room(draft, rooms, waiting, need, &found, allowed) {
+            return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
+        }
+        hold_room(rooms, waiting, &found);
     }
-    hold_room(rooms, waiting, need, count);
     Some(Wait::new(waiting, count, WaitReason::NoRoom, inputs))
 }
 
@@ -93,35 +108,49 @@
     need: &Need<'_>,
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
-    let waited = waiting.waited_ms(inputs.wall);
-    let mut left = waiting.tasks.clone();
-    while let Some(&index) = left.first() {
-        let Some(place) = place_near_data(rooms, need, waited) else { break };
+    let places = places_near_data(rooms, need, waiting.waited_ms(inputs.wall));
+    let mut left = waiting.tasks.as_slice();
+    while let Some((&index, rest)) = left.split_first() {
+        let Some(place) = place_one(rooms, need, &places) else { break };
+        rooms.occupy(place, need.step, &need.key);
         start_task(draft, waiting, index, &rooms.rooms[place].instance, None);
-        left.remove(0);
+        left = rest;
     }
     if left.is_empty() {
         return None;
     }
     // As many as possible: what doesn't fit yet must not keep the others from starting.
     let is_made = waiting.is_urgent()
-        && left.iter().all(|_| make_room(draft, rooms, waiting, need, 1, inputs));
+        && left.iter().all(|_| make_room_for_one(draft, rooms, waiting, need, inputs));
     let reason = if is_made { WaitReason::StopsUnderWay } else { WaitReason::NoRoom };
     Some(Wait::new(waiting, left.len(), reason, inputs))
 }
 
-fn place_near_data(rooms: &mut Rooms, need: &Need<'_>, waited: u64) -> Option<usize> {
-    let rack = &need.step.data_rack;
-    if rack.is_empty() || waited > WAIT_FOR_DATA_MS {
-        return place_one(&mut rooms.rooms, need);
+fn make_room_for_one(
+    draft: &mut Draft<'_>,
+    rooms: &mut Rooms,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    inputs: &RoundInputs<'_>,
+) -> bool {
+    let allowed = allowed_for(waiting, 1, inputs);
+    if allowed == 0 {
+        return false;
     }
-    let mut near = super::gang::within_rack(&rooms.rooms, rack);
-    if !near.iter().any(|room| need.allows(room)) {
-        return place_one(&mut rooms.rooms, need);
+    let found = find_room(rooms, need, 1, Within::Anywhere, inputs);
+    found.is_some_and(|found| make_room(draft, rooms, waiting, need, &found, allowed))
+}
+
+/// Lists the workers where the tasks of a step may go now: near their data, unless they have waited
+/// long or no worker there may run them.
+fn places_near_data(rooms: &Rooms, need: &Need<'_>, waited_ms: u64) -> Vec<Place> {
+    let rack = &need.step.data_rack;
+    if rack.is_empty() || waited_ms > WAIT_FOR_DATA_MS {
+        return need.allowed.clone();
     }
-    let place = place_one(&mut near, need)?;
-    occupy(&mut rooms.rooms[place], need);
-    Some(place)
+    let near = need.allowed.iter().copied();
+    let near: Vec<Place> = near.filter(|&place| rooms.rooms[place].worker.rack() == rack).collect();
+    if near.is_empty() { need.allowed.clone() } else { near }
 }
 
 fn start_gang(
@@ -129,7 +158,7 @@
     rooms: &mut Rooms,
     waiting: &WaitingStep,
     need: &Need<'_>,
-    places: &[usize],
+    places: &[Place],
 ) {
     let plan = draft.plan(&waiting.job);
     let members = waiting.tasks.iter().filter_map(|&index| plan?.task(&task_id(waiting, index)));
@@ -137,7 +166,7 @@
     let attempt = members.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
     let checkpoint = members.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
     for (&index, &place) in waiting.tasks.iter().zip(places) {
-        occupy(&mut rooms.rooms[place], need);
+        rooms.occupy(place, need.step, &need.key);
         let joint = Some((attempt, checkpoint.clone()));
         start_task(draft, waiting, index, &rooms.rooms[place].instance, joint);
     }
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -2,154 +2,188 @@
 
 use std::collections::BTreeSet;
 
-use crate::job::TaskId;
+use crate::job::Resources;
 
-use super::gang::{Need, occupy, racks, within_rack};
+use super::gang::{Need, by_rack};
 use super::pace::MachineSpeed;
-use super::room::{Room, Rooms, RunningTask};
-
-/// Tasks that end together, and what their stop costs.
-struct Unit<'a> {
-    members: Vec<&'a RunningTask>,
-    lost_work: u64,
-    /// The lost work, more for more urgent work and for what was started often.
-    cost: u64,
-}
+use super::room::{Place, Rooms};
+use super::units::{UnitIndex, Units};
 
 /// What to stop, and where the tasks will then fit.
+#[derive(Clone, Debug)]
 pub struct Preemption {
-    /// A member of each unit to stop.
-    pub victims: Vec<TaskId>,
+    /// The units to stop.
+    pub victims: Vec<UnitIndex>,
     /// Workers, one for each task.
-    pub places: Vec<usize>,
+    pub places: Vec<Place>,
     /// Work that the stops throw away, in thousandths of core-seconds.
     pub lost_work: u64,
     /// The same, more for more urgent work and for what was started often.
     pub cost: u64,
 }
 
+/// Finds the cheapest stops of less urgent work after which `count` tasks fit into one rack.
+pub fn preempt_in_rack(
+    rooms: &Rooms,
+    units: &Units,
+    need: &Need<'_>,
+    count: usize,
+) -> Option<Preemption> {
+    let racks = by_rack(rooms, need);
+    let options =
+        racks.iter().filter_map(|(_, places)| preempt_at(rooms, units, need, places, count));
+    options.min_by_key(|preemption| preemption.cost)
+}
+
 /// Finds the cheapest stops of less urgent work after which `count` tasks fit, in one rack if the
-/// step wants that.
-pub fn preempt(rooms: &Rooms, need: &Need<'_>, count: usize, priority: u32) -> Option<Preemption> {
-    let units = units_below(rooms, priority);
-    if need.step.same_rack && count > 1 {
-        let in_racks = racks(&rooms.rooms, need)
-            .into_iter()
-            .filter_map(|rack| free_places(within_rack(&rooms.rooms, &rack), &units, need, count));
-        if let Some(best) = in_racks.min_by_key(|preemption| preemption.cost) {
-            return Some(best);
-        }
-        if need.insists_on_rack {
-            return None;
-        }
-    }
-    free_places(rooms.rooms.clone(), &units, need, count)
+/// step wants that and it can be.
+pub fn preempt(rooms: &Rooms, units: &Units, need: &Need<'_>, count: usize) -> Option<Preemption> {
+    let wants_rack = need.step.same_rack && count > 1;
+    let in_rack = if wants_rack { preempt_in_rack(rooms, units, need, count) } else { None };
+    in_rack.or_else(|| preempt_at(rooms, units, need, &need.allowed, count))
 }
 
-fn units_below(rooms: &Rooms, priority: u32) -> Vec<Unit<'_>> {
-    let mut units: Vec<Unit<'_>> = Vec::new();
-    for task in rooms.running.iter().filter(|task| task.priority > priority) {
-        let cost = task.lost_work * weight(task.priority) * u64::from(task.attempt);
-        let same = |unit: &&mut Unit<'_>| task.gang && is_same_gang(&unit.members[0].id, &task.id);
-        match units.iter_mut().find(same) {
-            Some(unit) => {
-                unit.members.push(task);
-                unit.lost_work += task.lost_work;
-                unit.cost += cost;
-            }
-            None => units.push(Unit { members: vec![task], lost_work: task.lost_work, cost }),
-        }
+fn preempt_at(
+    rooms: &Rooms,
+    units: &Units,
+    need: &Need<'_>,
+    places: &[Place],
+    count: usize,
+) -> Option<Preemption> {
+    let mut search = Search::new(rooms, units, need, places);
+    if !search.could_hold(count) {
+        return None;
     }
-    units.sort_by_key(|unit| unit.cost);
-    units
+    let places: Option<Vec<Place>> = (0..count).map(|_| search.place_one()).collect();
+    let places = places?;
+    let victims: Vec<UnitIndex> = search.chosen.into_iter().collect();
+    let lost_work = victims.iter().map(|&unit| units.units[unit].lost_work).sum();
+    let cost = victims.iter().map(|&unit| units.units[unit].cost).sum();
+    Some(Preemption { victims, places, lost_work, cost })
 }
 
-/// Priority from which on all work weighs the same.
-const LEAST_PRIORITY: u32 = 2;
+/// How badly a worker suits: avoided, not heard of, slower, cost of the stops, accelerators free.
+type Rank = (bool, bool, bool, u64, u64);
 
-/// Returns how much a stop weighs: twice as much for each step of priority.
-fn weight(priority: u32) -> u64 {
-    1 << LEAST_PRIORITY.saturating_sub(priority)
+/// What one task costs at a worker.
+struct Offer {
+    rank: Rank,
+    stops: Vec<UnitIndex>,
 }
 
-fn is_same_gang(one: &TaskId, other: &TaskId) -> bool {
-    one.job == other.job && one.occurrence == other.occurrence && one.step == other.step
+/// Places task after task, each where the stops that it needs cost least.
+struct Search<'a> {
+    rooms: &'a Rooms,
+    units: &'a Units,
+    need: &'a Need<'a>,
+    places: &'a [Place],
+    /// What is free at each worker, now or by stops that are under way or chosen.
+    free: Vec<Resources>,
+    members: Option<Vec<u32>>,
+    chosen: BTreeSet<UnitIndex>,
+    /// Offers of the places, worked out once and again after each change there.
+    offers: Vec<Option<Offer>>,
 }
 
-/// Places task after task, each where the stops that it needs cost least.
-fn free_places(
-    mut rooms: Vec<Room>,
-    units: &[Unit<'_>],
-    need: &Need<'_>,
-    count: usize,
-) -> Option<Preemption> {
-    for room in &mut rooms {
-        let soon = room.freed_soon;
-        room.free.give(&soon);
-    }
-    let mut chosen: BTreeSet<usize> = BTreeSet::new();
-    let mut places = Vec::with_capacity(count);
-    for _ in 0..count {
-        let options = (0..rooms.len()).filter_map(|index| {
-            let stops = stops_for(&rooms[index], units, &chosen, need)?;
-            let cost: u64 = stops.iter().map(|&unit| units[unit].cost).sum();
-            let room = &rooms[index];
-            let slower = need.speed_of(room) == MachineSpeed::Slower;
-            Some(((room.avoided, room.unheard, slower, cost, room.free.devices), index, stops))
-        });
-        let (_, index, stops) = options.min_by_key(|(rank, ..)| *rank)?;
-        for unit in stops {
-            chosen.insert(unit);
-            release(&mut rooms, &units[unit]);
+impl<'a> Search<'a> {
+    fn new(rooms: &'a Rooms, units: &'a Units, need: &'a Need<'a>, places: &'a [Place]) -> Self {
+        let mut free = rooms.free.clone();
+        for (free, room) in free.iter_mut().zip(&rooms.rooms) {
+            free.give(&room.freed_soon);
         }
-        occupy(&mut rooms[index], need);
-        places.push(index);
+        let members = rooms.members(need.step, &need.key);
+        let chosen = BTreeSet::new();
+        Self { rooms, units, need, places, free, members, chosen, offers: Vec::new() }
     }
-    let lost_work = chosen.iter().map(|&unit| units[unit].lost_work).sum();
-    let cost = chosen.iter().map(|&unit| units[unit].cost).sum();
-    let victims = chosen.iter().map(|&unit| units[unit].members[0].id.clone()).collect();
-    Some(Preemption { victims, places, lost_work, cost })
-}
 
-fn release(rooms: &mut [Room], unit: &Unit<'_>) {
-    for member in &unit.members {
-        if let Some(room) = rooms.iter_mut().find(|room| room.instance == member.instance) {
-            room.free.give(&member.held);
-        }
+    fn there(&self, place: Place) -> u32 {
+        self.members.as_ref().map_or(0, |members| members[place])
     }
-}
 
-/// Returns the cheapest units to stop so that one task fits at this worker.
-fn stops_for(
-    room: &Room,
-    units: &[Unit<'_>],
-    chosen: &BTreeSet<usize>,
-    need: &Need<'_>,
-) -> Option<Vec<usize>> {
-    if !need.allows_more(room) {
-        return None;
+    /// Returns whether `count` tasks would fit if all that may be stopped were.
+    fn could_hold(&self, count: usize) -> bool {
+        let mut left = count as u64;
+        for &place in self.places {
+            let mut free = self.free[place];
+            for unit in self.units.at(place, self.need.priority) {
+                self.units.held_at(unit, place).for_each(|held| free.give(held));
+            }
+            left = left.saturating_sub(u64::from(self.need.most_at(&free, self.there(place))));
+            if left == 0 {
+                return true;
+            }
+        }
+        left == 0
     }
-    let mut free = room.free;
-    let mut stops = Vec::new();
-    for (index, unit) in units.iter().enumerate() {
-        if free.fits(&need.demand) {
-            break;
+
+    fn place_one(&mut self) -> Option<Place> {
+        if self.offers.is_empty() {
+            self.offers = self.places.iter().map(|&place| self.offer(place)).collect();
+        }
+        let offers = self.offers.iter().enumerate();
+        let offers = offers.filter_map(|(at, offer)| Some((offer.as_ref()?.rank, at)));
+        let (_, best) = offers.min_by_key(|(rank, _)| *rank)?;
+        let place = self.places[best];
+        let stops = self.offers[best].take().map_or_else(Vec::new, |offer| offer.stops);
+        let mut changed = vec![place];
+        for unit in stops {
+            self.chosen.insert(unit);
+            for (at, held) in &self.units.units[unit].held {
+                self.free[*at].give(held);
+                changed.push(*at);
+            }
+        }
+        self.free[place].take(&self.need.demand);
+        if let Some(members) = &mut self.members {
+            members[place] += 1;
+        }
+        changed.sort_unstable();
+        changed.dedup();
+        for at in changed {
+            if let Ok(index) = self.places.binary_search(&at) {
+                self.offers[index] = self.offer(at);
+            }
         }
-        if chosen.contains(&index) {
-            continue;
+        Some(place)
+    }
+
+    /// Returns what one more task costs at a worker, if it can be placed there.
+    fn offer(&self, place: Place) -> Option<Offer> {
+        let most = self.need.step.max_per_worker;
+        if most > 0 && self.there(place) >= most {
+            return None;
         }
-        let here: Vec<_> =
-            unit.members.iter().filter(|member| member.instance == room.instance).collect();
-        let helps = here.iter().any(|member| {
-            (free.devices < need.demand.devices && member.held.devices > 0)
-                || (free.cpu_milli < need.demand.cpu_milli && member.held.cpu_milli > 0)
-                || (free.memory_mb < need.demand.memory_mb && member.held.memory_mb > 0)
-        });
-        if !helps {
-            continue;
+        let stops = self.stops_at(place)?;
+        let cost = stops.iter().map(|&unit| self.units.units[unit].cost).sum();
+        let room = &self.rooms.rooms[place];
+        let slower = self.need.speed_of(room) == MachineSpeed::Slower;
+        let rank = (room.avoided, room.unheard, slower, cost, self.free[place].devices);
+        Some(Offer { rank, stops })
+    }
+
+    /// Returns the cheapest units to stop so that one task fits at a worker.
+    fn stops_at(&self, place: Place) -> Option<Vec<UnitIndex>> {
+        let demand = &self.need.demand;
+        let mut free = self.free[place];
+        let mut stops = Vec::new();
+        for unit in self.units.at(place, self.need.priority) {
+            if free.fits(demand) {
+                break;
+            }
+            if self.chosen.contains(&unit) {
+                continue;
+            }
+            let helps = self.units.held_at(unit, place).any(|held| {
+                (free.devices < demand.devices && held.devices > 0)
+                    || (free.cpu_milli < demand.cpu_milli && held.cpu_milli > 0)
+                    || (free.memory_mb < demand.memory_mb && held.memory_mb > 0)
+            });
+            if !helps {
+                continue;
+            }
+            self.units.held_at(unit, place).for_each(|held| free.give(held));
+            stops.push(unit);
         }
-        here.iter().for_each(|member| free.give(&member.held));
-        stops.push(index);
+        free.fits(demand).then_some(stops)
     }
-    free.fits(&need.demand).then_some(stops)
 }
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -67,18 +67,48 @@
 /// Progress of a run that is done, or waits for the other members of its gang.
 pub const FULL_PERCENT: u32 = 100;
 
+/// A run and its progress.
+#[derive(Clone, Debug)]
+struct SeenRun {
+    task: TaskId,
+    attempt: u32,
+    seen: Seen,
+}
+
+impl SeenRun {
+    fn is(&self, task: &TaskId, attempt: u32) -> bool {
+        self.attempt == attempt && self.task == *task
+    }
+}
+
 /// An agent's latest report.
 #[derive(Clone, Debug)]
 struct Report {
     received_at: Instant,
     silent: Duration,
+    /// What it lists.
+    runs: Vec<SeenRun>,
+}
+
+/// What an agent's latest report says of it.
+#[derive(Clone, Copy, Debug)]
+pub struct ReportView {
+    /// How long the agent hasn't reported, while reports could be read.
+    pub age: Duration,
+    /// How long its worker hadn't answered it at the report.
+    pub silent: Duration,
+    /// Whether it has reported since reports could last be read again.
+    pub is_heard: bool,
 }
 
 /// Progress of all runs.
 #[derive(Debug, Default)]
 pub struct ProgressTable {
-    runs: BTreeMap<(TaskId, u32), Seen>,
     reports: BTreeMap<InstanceId, Report>,
+    /// Runs that are listed no longer, by their workers.
+    ended: BTreeMap<InstanceId, Vec<SeenRun>>,
+    /// Rises with each report.
+    version: u64,
     /// Reports older than this time may be missing only because none could be read.
     readable_since: Option<Instant>,
     last_read: Option<Instant>,
@@ -97,35 +127,42 @@
         self.last_read = Some(now);
     }
 
-    /// Returns how long an agent hasn't reported, while reports could be read.
-    pub fn report_age(&self, instance: &str, now: Instant) -> Duration {
-        let Some(readable) = self.readable_since else { return Duration::ZERO };
-        if self.last_read.is_none_or(|last| now - last > READ_GAP) {
-            return Duration::ZERO;
-        }
-        let received = self.reports.get(instance).map_or(readable, |report| report.received_at);
-        now.saturating_duration_since(received.max(readable))
-    }
-
-    /// Returns whether an agent has reported since reports could last be read again.
-    pub fn is_heard(&self, instance: &str) -> bool {
-        let Some(readable) = self.readable_since else { return false };
-        self.reports.get(instance).is_some_and(|report| report.received_at > readable)
+    /// Returns a number that rises with each report.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
     }
 
-    /// Returns how long a worker hadn't answered its agent at the last report.
-    pub fn silent(&self, instance: &str) -> Duration {
-        self.reports.get(instance).map_or(Duration::ZERO, |report| report.silent)
+    /// Returns what an agent's latest report says of it.
+    pub fn report(&self, instance: &str, now: Instant) -> ReportView {
+        let report = self.reports.get(instance);
+        let silent = report.map_or(Duration::ZERO, |report| report.silent);
+        let Some(readable) = self.readable_since else {
+            return ReportView { age: Duration::ZERO, silent, is_heard: false };
+        };
+        let received = report.map_or(readable, |report| report.received_at);
+        let is_readable = self.last_read.is_some_and(|last| now - last <= READ_GAP);
+        let age = now.saturating_duration_since(received.max(readable));
+        ReportView {
+            age: if is_readable { age } else { Duration::ZERO },
+            silent,
+            is_heard: received > readable,
+        }
     }
 
-    /// Returns a run's progress.
-    pub fn run(&self, task: &TaskId, attempt: u32) -> Option<&Seen> {
-        self.runs.get(&(task.clone(), attempt))
+    /// Returns the progress of a run at a worker.
+    pub fn run(&self, instance: &str, task: &TaskId, attempt: u32) -> Option<&Seen> {
+        let listed = self.reports.get(instance).map(|report| report.runs.iter());
+        let ended = self.ended.get(instance).map(|runs| runs.iter());
+        let mut runs = listed.into_iter().flatten().chain(ended.into_iter().flatten());
+        runs.find(|run| run.is(task, attempt)).map(|run| &run.seen)
     }
 
-    /// Iterates over all runs that are known.
-    pub fn runs(&self) -> impl Iterator<Item = (&(TaskId, u32), &Seen)> {
-        self.runs.iter()
+    /// Iterates over all runs that are known, worker by worker.
+    pub fn runs(&self) -> impl Iterator<Item = (&TaskId, u32, &Seen)> {
+        let listed = self.reports.values().flat_map(|report| &report.runs);
+        let ended = self.ended.values().flatten();
+        listed.chain(ended).map(|run| (&run.task, run.attempt, &run.seen))
     }
 
     /// Returns how long a run's reports have said the same. Time without reports doesn't count.
@@ -136,34 +173,50 @@
 
     /// Takes in a report.
     pub fn insert(&mut self, instance: &str, report: ProgressReport, now: Instant) {
-        let silent = Duration::from_millis(report.silent_ms);
-        self.reports.insert(instance.to_owned(), Report { received_at: now, silent });
-        self.runs.retain(|(task, attempt), seen| {
-            seen.instance != instance
-                || report.runs.iter().any(|run| run.task == *task && run.attempt == *attempt)
-                || now.saturating_duration_since(seen.since) < KEEP_ENDED
-        });
+        self.version += 1;
+        let mut before = self.reports.remove(instance).map_or_else(Vec::new, |known| known.runs);
+        before.append(self.ended.entry(instance.to_owned()).or_default());
+        let mut runs = Vec::with_capacity(report.runs.len());
         for run in report.runs {
-            let key = (run.task.clone(), run.attempt);
-            let before = self.runs.get(&key);
-            let rate = before.map_or_else(|| Rate::begin(&run), |seen| seen.rate.advance(&run));
-            let first_seen = before.map_or(now, |seen| seen.first_seen);
-            let same = before.filter(|seen| seen.percent == run.percent);
-            let since = same.map_or(now, |seen| seen.since);
-            let seen = Seen {
-                percent: run.percent,
-                since,
-                first_seen,
-                checkpoint: run.checkpoint,
-                instance: instance.to_owned(),
-                rate,
-            };
-            self.runs.insert(key, seen);
+            let place = before.iter().position(|known| known.is(&run.task, run.attempt));
+            let known = place.map(|place| before.swap_remove(place).seen);
+            runs.push(Self::advance(instance, known.as_ref(), run, now));
+        }
+        self.keep_ended(instance, before, now);
+        let silent = Duration::from_millis(report.silent_ms);
+        self.reports.insert(instance.to_owned(), Report { received_at: now, silent, runs });
+    }
+
+    fn advance(instance: &str, known: Option<&Seen>, run: RunProgress, now: Instant) -> SeenRun {
+        let rate = known.map_or_else(|| Rate::begin(&run), |seen| seen.rate.advance(&run));
+        let same = known.filter(|seen| seen.percent == run.percent);
+        let seen = Seen {
+            percent: run.percent,
+            since: same.map_or(now, |seen| seen.since),
+            first_seen: known.map_or(now, |seen| seen.first_seen),
+            checkpoint: run.checkpoint,
+            instance: instance.to_owned(),
+            rate,
+        };
+        SeenRun { task: run.task, attempt: run.attempt, seen }
+    }
+
+    /// Keeps runs that are listed no longer for a while.
+    fn keep_ended(&mut self, instance: &str, mut over: Vec<SeenRun>, now: Instant) {
+        over.retain(|run| now.saturating_duration_since(run.seen.since) < KEEP_ENDED);
+        if over.is_empty() {
+            self.ended.remove(instance);
+        } else {
+            self.ended.insert(instance.to_owned(), over);
         }
     }
 
-    fn forget(&mut self, instance: &str) {
-        self.reports.remove(instance);
+    /// Forgets a worker's report, and keeps for a while what its runs saved.
+    fn forget(&mut self, instance: &str, now: Instant) {
+        self.version += 1;
+        let mut runs = self.reports.remove(instance).map_or_else(Vec::new, |known| known.runs);
+        runs.extend(self.ended.remove(instance).unwrap_or_default());
+        self.keep_ended(instance, runs, now);
     }
 }
 
@@ -175,7 +228,7 @@
 
     fn apply(&mut self, record: &KeyedRecord) {
         if record.value.is_empty() {
-            self.forget(&record.key);
+            self.forget(&record.key, Instant::now());
             return;
         }
         match postcard::from_bytes(&record.value) {
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -1,6 +1,6 @@
 //! What waits for a place, in the order in which it is looked at.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 use crate::job::{EpochMillis, JobId, Step, Submission, WorkspaceName};
@@ -78,41 +78,39 @@
 ) -> Vec<WaitingStep> {
     let guaranteed = guaranteed_jobs(draft, inputs);
     let mut waiting = Vec::new();
-    for id in draft.active() {
-        let Some(submission) = draft.submission(&id) else { continue };
-        let is_final = draft.plan(&id).is_some_and(|plan| plan.status.is_final());
-        let cancelled = draft.table.jobs.get(&id).is_some_and(|job| job.cancelled);
+    for id in &inputs.table.active {
+        let Some(submission) = draft.submission(id) else { continue };
+        let is_final = draft.plan(id).is_some_and(|plan| plan.status.is_final());
+        let cancelled = draft.table.jobs.get(id).is_some_and(|job| job.cancelled);
         if is_final || cancelled {
             continue;
         }
-        for occurrence in open_occurrences(draft, &id, &submission, inputs.wall) {
-            let is_guaranteed = guaranteed.contains(&id);
-            let steps = ready_steps(&id, &submission, &occurrence, is_guaranteed, forecasts);
-            waiting.extend(steps);
+        let terms = Terms { id, submission: &submission, guaranteed: guaranteed.contains(id) };
+        let plan = draft.plan(id);
+        for occurrence in plan.iter().flat_map(|plan| &plan.open) {
+            waiting.extend(ready_steps(terms, occurrence, forecasts));
+        }
+        let mut next = plan.map_or(0, |plan| plan.next_occurrence);
+        while next < submission.occurrence_count() && is_due(&submission, next, inputs.wall) {
+            waiting.extend(ready_steps(terms, &unbegun(&submission, next), forecasts));
+            next += 1;
         }
     }
-    waiting.sort_by_key(|step| {
+    let order = |step: &WaitingStep| {
         let late = step.is_late(inputs.wall);
         let work = step.aged_work(inputs.wall);
         (!step.guaranteed, step.submission.priority, late, work, step.job.clone())
-    });
+    };
+    waiting.sort_by_cached_key(order);
     waiting
 }
 
-fn open_occurrences(
-    draft: &Draft<'_>,
-    id: &JobId,
-    submission: &Submission,
-    wall: EpochMillis,
-) -> Vec<Occurrence> {
-    let plan = draft.plan(id);
-    let mut open = plan.map(|plan| plan.open.clone()).unwrap_or_default();
-    let mut next = plan.map_or(0, |plan| plan.next_occurrence);
-    while next < submission.occurrence_count() && is_due(submission, next, wall) {
-        open.push(unbegun(submission, next));
-        next += 1;
-    }
-    open
+/// A job, and what its steps go by.
+#[derive(Clone, Copy, Debug)]
+struct Terms<'a> {
+    id: &'a JobId,
+    submission: &'a Rc<Submission>,
+    guaranteed: bool,
 }
 
 fn is_due(submission: &Submission, number: u32, wall: EpochMillis) -> bool {
@@ -121,37 +119,39 @@
 
 /// Lists the steps of an occurrence that may start.
 fn ready_steps(
-    id: &JobId,
-    submission: &Rc<Submission>,
+    terms: Terms<'_>,
     occurrence: &Occurrence,
-    guaranteed: bool,
     forecasts: &Forecasts,
 ) -> Vec<WaitingStep> {
+    let submission = terms.submission;
+    let steps = submission.steps.iter().enumerate();
+    let ready = steps.filter_map(|(number, step)| {
+        let tasks = waiting_tasks(occurrence, number);
+        let is_broken = step.gang && tasks.len() < occurrence.steps[number].len();
+        let is_ready = !tasks.is_empty() && !is_broken && are_done(&step.depends_on, occurrence);
+        is_ready.then_some((number, tasks))
+    });
+    let ready: Vec<(usize, Vec<u32>)> = ready.collect();
+    if ready.is_empty() {
+        return Vec::new();
+    }
     let durations = forecasts.durations_ms(submission);
     let chains = submission.chains_ms(&durations);
     let waits_since = submission.due_at(occurrence.number);
     let longest = chains.iter().copied().max().unwrap_or(0);
     let objective_at = waits_since + submission.objective_ms(longest);
-    let mut ready = Vec::new();
-    for (number, step) in submission.steps.iter().enumerate() {
-        let tasks = waiting_tasks(occurrence, number);
-        let is_broken = step.gang && tasks.len() < occurrence.steps[number].len();
-        if tasks.is_empty() || is_broken || !are_done(&step.depends_on, occurrence) {
-            continue;
-        }
-        ready.push(WaitingStep {
-            job: id.clone(),
-            submission: Rc::clone(submission),
-            occurrence: occurrence.number,
-            step: number as u32,
-            tasks,
-            guaranteed,
-            waits_since,
-            duration_ms: durations[number],
-            latest_start: objective_at.saturating_sub(chains[number]),
-        });
-    }
-    ready
+    let ready = ready.into_iter().map(|(number, tasks)| WaitingStep {
+        job: terms.id.clone(),
+        submission: Rc::clone(submission),
+        occurrence: occurrence.number,
+        step: number as u32,
+        tasks,
+        guaranteed: terms.guaranteed,
+        waits_since,
+        duration_ms: durations[number],
+        latest_start: objective_at.saturating_sub(chains[number]),
+    });
+    ready.collect()
 }
 
 fn waiting_tasks(occurrence: &Occurrence, step: usize) -> Vec<u32> {
@@ -171,24 +171,24 @@
 }
 
 /// Lists the urgent jobs that their workspaces' guarantees cover, the oldest first.
-fn guaranteed_jobs(draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Vec<JobId> {
-    let mut urgent: Vec<(EpochMillis, JobId, Rc<Submission>)> = Vec::new();
-    for id in draft.active() {
-        let Some(submission) = draft.submission(&id) else { continue };
-        let status = draft.plan(&id).map_or(JobStatus::Queued, |plan| plan.status);
+fn guaranteed_jobs(draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> BTreeSet<JobId> {
+    let mut urgent: Vec<(EpochMillis, &JobId, Rc<Submission>)> = Vec::new();
+    for id in &inputs.table.active {
+        let Some(submission) = draft.submission(id) else { continue };
+        let status = draft.plan(id).map_or(JobStatus::Queued, |plan| plan.status);
         if submission.priority == 0 && !status.is_final() {
             urgent.push((submission.submitted_at, id, submission));
         }
     }
-    urgent.sort_by_key(|(at, id, _)| (*at, id.clone()));
+    urgent.sort_by_key(|(at, id, _)| (*at, *id));
     let mut used: BTreeMap<WorkspaceName, u64> = BTreeMap::new();
-    let mut covered = Vec::new();
+    let mut covered = BTreeSet::new();
     for (_, id, submission) in urgent {
         let used = used.entry(submission.workspace.clone()).or_default();
         let guarantee = inputs.routing.guaranteed_devices(&submission.workspace);
         *used += submission.first_step_devices();
         if *used <= guarantee {
-            covered.push(id);
+            covered.insert(id.clone());
         }
     }
     covered
--- a/crates/rampbay-jobs/src/planner/rack.rs
+++ b/crates/rampbay-jobs/src/planner/rack.rs
@@ -39,5 +39,5 @@
     need.step.same_rack
         && waiting.tasks.len() > 1
         && waiting.waited_ms(inputs.wall) <= patience_ms(waiting, rooms)
-        && rack_could_hold(&rooms.rooms, need, waiting.tasks.len())
+        && rack_could_hold(rooms, need, waiting.tasks.len())
 }
--- a/crates/rampbay-jobs/src/planner/reserve.rs
+++ b/crates/rampbay-jobs/src/planner/reserve.rs
@@ -7,7 +7,7 @@
 use crate::job::EpochMillis;
 
 use super::queue::WaitingStep;
-use super::room::Rooms;
+use super::room::{Place, Rooms};
 
 /// Share of the usable workers that is kept for urgent work, in percent.
 const RESERVE_PERCENT: usize = 15;
@@ -24,18 +24,16 @@
 /// that gangs for one rack find room there.
 pub fn choose_reserve(rooms: &mut Rooms) {
     let most = rooms.rooms.iter().filter(|room| room.usable).count() * RESERVE_PERCENT / 100;
-    let is_taken = |instance: &str| {
-        rooms.running.iter().any(|task| task.priority > 0 && task.instance == instance)
-    };
+    let mut is_taken = vec![false; rooms.rooms.len()];
+    for task in rooms.running.iter().filter(|task| task.priority > 0) {
+        is_taken[task.place] = true;
+    }
     let free = (0..rooms.rooms.len()).filter(|&place| {
         let room = &rooms.rooms[place];
-        room.usable && !room.avoided && !is_taken(&room.instance)
-    });
-    let mut free: Vec<usize> = free.collect();
-    free.sort_by(|&one, &other| {
-        let rack = |place: usize| rooms.rooms[place].worker.rack();
-        rack(one).cmp(rack(other))
+        room.usable && !room.avoided && !is_taken[place]
     });
+    let mut free: Vec<Place> = free.collect();
+    free.sort_by_key(|&place| rooms.rooms[place].rack);
     free.truncate(most);
     for place in free {
         rooms.rooms[place].reserved = true;
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -4,16 +4,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::job::{InstanceId, Resources, Step, Submission, TaskId};
+use crate::job::{InstanceId, JobId, Resources, Step, Submission, TaskId};
 use crate::record::{TaskStatus, WorkerRecord};
 
 use super::draft::Draft;
 use super::pace::MachineSpeed;
 use super::reserve::choose_reserve;
+use super::units::Units;
+use super::workers::{WorkerView, WorkerViews};
 use super::{Planner, RoundInputs};
 
 /// Names the tasks of one step of one occurrence.
-pub type StepKey = (String, u32, u32);
+pub type StepKey = (JobId, u32, u32);
+/// Place of a worker in [`Rooms::rooms`].
+pub type Place = usize;
 
 /// A worker during a round.
 #[derive(Clone, Debug)]
@@ -22,8 +26,8 @@
     pub instance: InstanceId,
     /// The worker.
     pub worker: Rc<WorkerRecord>,
-    /// What is free now.
-    pub free: Resources,
+    /// Its rack, as a place in [`Rooms::racks`].
+    pub rack: usize,
     /// What becomes free by stops under way.
     pub freed_soon: Resources,
     /// Whether it may get work.
@@ -38,8 +42,6 @@
     pub held_for: Option<u32>,
     /// Whether it is kept for urgent work.
     pub reserved: bool,
-    /// Number of its tasks of each step.
-    pub members: BTreeMap<StepKey, u32>,
 }
 
 /// A run that may be stopped for other work.
@@ -50,52 +52,58 @@
     /// What it holds.
     pub held: Resources,
     /// Its worker.
-    pub instance: InstanceId,
+    pub place: Place,
     /// Priority of its queue.
     pub priority: u32,
     /// Number of its run, from 1.
     pub attempt: u32,
-    /// Work that a stop would throw away, in thousandths of core-seconds.
-    pub lost_work: u64,
     /// Whether it is a member of a gang.
     pub gang: bool,
+    /// Whether it saves its progress.
+    pub checkpointing: bool,
+    /// Weight of what it asks for, in thousandths of a core.
+    pub weight: u64,
 }
 
 /// All workers and what runs there.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 pub struct Rooms {
     /// The workers.
     pub rooms: Vec<Room>,
+    /// What is free now at each worker. Apart from the rooms, so that a trial copies little.
+    pub free: Vec<Resources>,
+    /// Names of the racks, sorted.
+    pub racks: Vec<String>,
     /// What runs.
     pub running: Vec<RunningTask>,
+    /// What may be stopped; worked out once something has to be.
+    pub units: Option<Units>,
+    /// Tasks at each worker, of the steps that limit them.
+    limited: BTreeMap<StepKey, Vec<u32>>,
 }
 
 impl Rooms {
     /// Works out the room of all workers.
-    pub fn survey(planner: &Planner, draft: &Draft<'_>, inputs: &RoundInputs<'_>) -> Self {
-        let workers = inputs.table.workers.iter();
-        let rooms = workers.map(|(instance, worker)| Room {
-            instance: instance.clone(),
-            free: worker.capacity,
-            freed_soon: Resources::default(),
-            usable: !worker.draining
-                && !planner.health.is_blocked(instance, inputs.now)
-                && !inputs.table.evicted.contains(instance)
-                && planner.report_age(instance, inputs) < planner.settings.doubt_after
-                && inputs.progress.silent(instance) < planner.settings.doubt_after,
-            avoided: planner.health.is_avoided(instance, inputs.now)
-                || planner.pace.is_slow(instance),
-            speed: planner.pace.machine_speed(instance),
-            unheard: !inputs.progress.is_heard(instance),
-            held_for: None,
-            reserved: false,
-            members: BTreeMap::new(),
-            worker: Rc::clone(worker),
-        });
-        let mut survey = Self { rooms: rooms.collect(), running: Vec::new() };
-        for id in draft.active() {
-            let Some(submission) = draft.submission(&id) else { continue };
-            survey.charge_job(draft, &id, &submission, inputs);
+    pub fn survey(
+        planner: &Planner,
+        draft: &Draft<'_>,
+        workers: &WorkerViews<'_>,
+        inputs: &RoundInputs<'_>,
+    ) -> Self {
+        let mut racks: Vec<String> =
+            workers.views.iter().map(|view| view.record.rack().to_owned()).collect();
+        racks.sort_unstable();
+        racks.dedup();
+        let room = |view: &WorkerView<'_>| make_room(planner, view, &racks, inputs);
+        let mut survey = Self {
+            rooms: workers.views.iter().map(room).collect(),
+            free: workers.views.iter().map(|view| view.record.capacity).collect(),
+            racks,
+            ..Self::default()
+        };
+        for id in &inputs.table.active {
+            let Some(submission) = draft.submission(id) else { continue };
+            survey.charge_job(draft, id, &submission, workers);
         }
         choose_reserve(&mut survey);
         survey
@@ -104,48 +112,117 @@
     fn charge_job(
         &mut self,
         draft: &Draft<'_>,
-        id: &String,
+        id: &JobId,
         submission: &Submission,
-        inputs: &RoundInputs<'_>,
+        workers: &WorkerViews<'_>,
     ) {
         let Some(plan) = draft.plan(id) else { return };
-        for (task_id, task) in plan.tasks(id).filter(|(_, task)| task.occupies()) {
-            let Some(step) = submission.steps.get(task_id.step as usize) else { continue };
-            let Some(index) = self.position(&task.instance) else { continue };
-            let held = step.charge();
-            let room = &mut self.rooms[index];
-            room.free.take(&held);
-            let key = (id.clone(), task_id.occurrence, task_id.step);
-            *room.members.entry(key).or_default() += 1;
-            if task.status == TaskStatus::Stopping {
-                room.freed_soon.give(&held);
-                continue;
+        for occurrence in &plan.open {
+            for (number, (tasks, step)) in
+                occurrence.steps.iter().zip(&submission.steps).enumerate()
+            {
+                for (index, task) in tasks.iter().enumerate().filter(|(_, task)| task.occupies()) {
+                    let Some(place) = workers.place(&task.instance) else { continue };
+                    let held = step.charge();
+                    self.free[place].take(&held);
+                    self.count_limited((id, occurrence.number, number as u32), step, place);
+                    if task.status == TaskStatus::Stopping {
+                        self.rooms[place].freed_soon.give(&held);
+                        continue;
+                    }
+                    self.running.push(RunningTask {
+                        id: TaskId {
+                            job: id.clone(),
+                            occurrence: occurrence.number,
+                            step: number as u32,
+                            index: index as u32,
+                        },
+                        held,
+                        place,
+                        priority: submission.priority,
+                        attempt: task.attempt,
+                        gang: step.gang,
+                        checkpointing: step.checkpointing,
+                        weight: step.demand.weight(),
+                    });
+                }
             }
-            let lost_work = lost_work(&task_id, task.attempt, step, inputs);
-            self.running.push(RunningTask {
-                id: task_id,
-                held,
-                instance: task.instance.clone(),
-                priority: submission.priority,
-                attempt: task.attempt,
-                lost_work,
-                gang: step.gang,
-            });
         }
     }
 
+    /// Counts a task of a step that limits how many of its tasks a worker takes.
+    fn count_limited(&mut self, key: (&JobId, u32, u32), step: &Step, place: Place) {
+        if step.max_per_worker > 0 {
+            let key = (key.0.clone(), key.1, key.2);
+            self.limited.entry(key).or_insert_with(|| vec![0; self.rooms.len()])[place] += 1;
+        }
+    }
+
+    /// Returns how many tasks of a step are at each worker, if the step limits that.
+    pub fn members(&self, step: &Step, key: &StepKey) -> Option<Vec<u32>> {
+        let members = || self.limited.get(key).cloned();
+        (step.max_per_worker > 0).then(|| members().unwrap_or_else(|| vec![0; self.rooms.len()]))
+    }
+
+    /// Takes one task's room at a worker.
+    pub fn occupy(&mut self, place: Place, step: &Step, key: &StepKey) {
+        self.free[place].take(&step.charge());
+        self.count_limited((&key.0, key.1, key.2), step, place);
+    }
+
+    /// Keeps one task's room at a worker, first out of what becomes free soon.
+    pub fn reserve(&mut self, place: Place, step: &Step, key: &StepKey) {
+        let room = &mut self.rooms[place];
+        let free = self.free[place];
+        let mut total = free;
+        total.give(&room.freed_soon);
+        total.take(&step.charge());
+        // What is free now and still left belongs to others; the rest comes with the stops.
+        let left = Resources {
+            cpu_milli: free.cpu_milli.min(total.cpu_milli),
+            memory_mb: free.memory_mb.min(total.memory_mb),
+            devices: free.devices.min(total.devices),
+        };
+        total.take(&left);
+        self.free[place] = left;
+        room.freed_soon = total;
+        self.count_limited((&key.0, key.1, key.2), step, place);
+    }
+
     /// Returns the share of the accelerators of usable workers that is in use, in percent.
     pub fn percent_used(&self) -> u64 {
-        let usable = self.rooms.iter().filter(|room| room.usable);
-        let (free, all) = usable.fold((0, 0), |(free, all), room| {
-            (free + room.free.devices, all + room.worker.capacity.devices)
+        let usable = self.rooms.iter().zip(&self.free).filter(|(room, _)| room.usable);
+        let (free, all) = usable.fold((0, 0), |(free, all), (room, left)| {
+            (free + left.devices, all + room.worker.capacity.devices)
         });
         ((all - free) * 100).checked_div(all).unwrap_or(0)
     }
+}
 
-    /// Returns the place of a worker in the list.
-    pub fn position(&self, instance: &str) -> Option<usize> {
-        self.rooms.iter().position(|room| room.instance == instance)
+fn make_room(
+    planner: &Planner,
+    view: &WorkerView<'_>,
+    racks: &[String],
+    inputs: &RoundInputs<'_>,
+) -> Room {
+    let doubt_after = planner.settings.doubt_after;
+    let rack = view.record.rack();
+    Room {
+        instance: view.instance.clone(),
+        rack: racks.binary_search_by(|known| known.as_str().cmp(rack)).unwrap_or(0),
+        freed_soon: Resources::default(),
+        usable: !view.record.draining
+            && !planner.health.is_blocked(view.instance, inputs.now)
+            && !inputs.table.evicted.contains(view.instance)
+            && view.report_age < doubt_after
+            && view.silent < doubt_after,
+        avoided: planner.health.is_avoided(view.instance, inputs.now)
+            || planner.pace.is_slow(view.instance),
+        speed: planner.pace.machine_speed(view.instance),
+        unheard: !view.is_heard,
+        held_for: None,
+        reserved: false,
+        worker: Rc::clone(view.record),
     }
 }
 
@@ -156,15 +233,17 @@
 /// The same for a member of a gang, which has to find room for all members again.
 const GANG_RESTART_WORK: Duration = Duration::from_millis(1000);
 
-/// Returns the work that a stop throws away. Estimates are rough, so the time since the run was
-/// seen first counts.
-fn lost_work(id: &TaskId, attempt: u32, step: &Step, inputs: &RoundInputs<'_>) -> u64 {
-    let seen = inputs.progress.run(id, attempt);
-    let mut lost = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
-    if step.checkpointing {
-        lost = lost.min(CHECKPOINT_WORK);
+impl RunningTask {
+    /// Returns the work that a stop throws away, in thousandths of core-seconds. Estimates are rough,
+    /// so the time since the run was seen first counts.
+    pub fn lost_work(&self, instance: &str, inputs: &RoundInputs<'_>) -> u64 {
+        let seen = inputs.progress.run(instance, &self.id, self.attempt);
+        let mut lost = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
+        if self.checkpointing {
+            lost = lost.min(CHECKPOINT_WORK);
+        }
+        let restart = if self.gang { GANG_RESTART_WORK } else { RESTART_WORK };
+        let lost_ms = (lost + restart).as_millis() as u64;
+        self.weight.max(1) * lost_ms / 1000
     }
-    let restart = if step.gang { GANG_RESTART_WORK } else { RESTART_WORK };
-    let lost_ms = (lost + restart).as_millis() as u64;
-    step.demand.weight().max(1) * lost_ms / 1000
 }
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/units.rs
@@ -0,0 +1,102 @@
+//! What may be stopped for other work: single runs, and gangs as a whole.
+
+use std::collections::HashMap;
+
+use crate::job::{JobId, Resources, TaskId};
+
+use super::RoundInputs;
+use super::room::{Place, Room, RunningTask};
+
+/// Place of a unit in [`Units::units`]; cheaper units come first.
+pub type UnitIndex = usize;
+
+/// Runs that end together, and what their stop costs.
+#[derive(Clone, Debug)]
+pub struct Unit {
+    /// One of its runs.
+    pub first: TaskId,
+    /// What its runs hold, and where.
+    pub held: Vec<(Place, Resources)>,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// Work that the stop throws away, in thousandths of core-seconds.
+    pub lost_work: u64,
+    /// The lost work, more for more urgent work and for what was started often.
+    pub cost: u64,
+    /// Whether it is being stopped already.
+    pub is_stopped: bool,
+}
+
+/// All units, and where they run.
+#[derive(Clone, Debug, Default)]
+pub struct Units {
+    /// The units, cheaper ones first.
+    pub units: Vec<Unit>,
+    /// Units with a run at each worker, cheaper ones first.
+    by_place: Vec<Vec<UnitIndex>>,
+}
+
+/// Priority from which on all work weighs the same.
+const LEAST_PRIORITY: u32 = 2;
+
+/// Returns how much a stop weighs: twice as much for each step of priority.
+fn weight(priority: u32) -> u64 {
+    1 << LEAST_PRIORITY.saturating_sub(priority)
+}
+
+impl Units {
+    /// Gathers what runs into units.
+    pub fn gather(running: &[RunningTask], rooms: &[Room], inputs: &RoundInputs<'_>) -> Self {
+        let mut units: Vec<Unit> = Vec::new();
+        let mut gangs: HashMap<(&JobId, u32, u32), UnitIndex> = HashMap::new();
+        for task in running {
+            let lost_work = task.lost_work(&rooms[task.place].instance, inputs);
+            let cost = lost_work * weight(task.priority) * u64::from(task.attempt);
+            let key = (&task.id.job, task.id.occurrence, task.id.step);
+            let known = if task.gang { gangs.get(&key).copied() } else { None };
+            if let Some(unit) = known.map(|index| &mut units[index]) {
+                unit.held.push((task.place, task.held));
+                unit.lost_work += lost_work;
+                unit.cost += cost;
+                continue;
+            }
+            if task.gang {
+                gangs.insert(key, units.len());
+            }
+            units.push(Unit {
+                first: task.id.clone(),
+                held: vec![(task.place, task.held)],
+                priority: task.priority,
+                lost_work,
+                cost,
+                is_stopped: false,
+            });
+        }
+        units.sort_by_key(|unit| unit.cost);
+        let mut by_place = vec![Vec::new(); rooms.len()];
+        for (index, unit) in units.iter().enumerate() {
+            for (place, _) in &unit.held {
+                if by_place[*place].last() != Some(&index) {
+                    by_place[*place].push(index);
+                }
+            }
+        }
+        Self { units, by_place }
+    }
+
+    /// Iterates over the units with a run at a worker that may be stopped for work of a priority,
+    /// cheaper ones first.
+    pub fn at(&self, place: Place, priority: u32) -> impl Iterator<Item = UnitIndex> + '_ {
+        let units = self.by_place[place].iter().copied();
+        units.filter(move |&index| {
+            let unit = &self.units[index];
+            unit.priority > priority && !unit.is_stopped
+        })
+    }
+
+    /// Iterates over what one unit holds at a worker, run by run.
+    pub fn held_at(&self, unit: UnitIndex, place: Place) -> impl Iterator<Item = &Resources> {
+        let held = self.units[unit].held.iter().filter(move |(at, _)| *at == place);
+        held.map(|(_, held)| held)
+    }
+}
--- a/crates/rampbay-jobs/src/planner/waits.rs
+++ b/crates/rampbay-jobs/src/planner/waits.rs
@@ -1,6 +1,6 @@
 //! Why steps wait, told when it changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::RoundInputs;
@@ -69,7 +69,8 @@
 impl WaitBook {
     /// Takes in what waits after a round, and tells what has changed.
     pub fn update(&mut self, waits: &[Wait], now: Duration) {
-        self.told.retain(|key, _| waits.iter().any(|wait| wait.key == *key));
+        let keys: BTreeSet<&StepKey> = waits.iter().map(|wait| &wait.key).collect();
+        self.told.retain(|key, _| keys.contains(key));
         for wait in waits {
             let told = self.told.get(&wait.key);
             let is_news = told.is_none_or(|(reason, at)| {
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -2,38 +2,48 @@
 
 use std::time::Duration;
 
-use crate::job::{Step, TaskId};
+use crate::job::{Step, Submission, TaskId};
 use crate::metrics::metrics;
-use crate::record::{TaskPlan, TaskStatus, WorkerRecord};
+use crate::record::{TaskPlan, TaskStatus};
 
 use super::draft::Draft;
 use super::progress::{FULL_PERCENT, Seen};
+use super::workers::{WorkerView, WorkerViews};
 use super::{Planner, RoundInputs};
 
 /// Share of the remaining time on a leaving worker that a run may be estimated to need.
 const LEAVING_MARGIN_PERMILLE: u64 = 800;
 
-/// Stops runs that are better off elsewhere.
-pub fn move_runs(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    for id in draft.active() {
-        let Some(submission) = draft.submission(&id) else { continue };
-        let Some(plan) = draft.plan(&id) else { continue };
+/// Stops runs that are better off elsewhere. What an agent has reported is looked at once.
+pub fn move_runs(
+    planner: &mut Planner,
+    draft: &mut Draft<'_>,
+    workers: &WorkerViews<'_>,
+    inputs: &RoundInputs<'_>,
+) {
+    let is_news = planner.watched != Some(inputs.progress.version());
+    planner.watched = Some(inputs.progress.version());
+    let any_leaves = workers.views.iter().any(|view| view.record.draining);
+    if !is_news && !any_leaves {
+        return;
+    }
+    for id in &inputs.table.active {
+        let Some(submission) = draft.submission(id) else { continue };
+        let Some(plan) = draft.plan(id) else { continue };
+        let is_running = |task: &TaskPlan| task.status == TaskStatus::Running;
         let mut moved: Vec<TaskId> = Vec::new();
-        for (task_id, task) in plan.tasks(&id) {
+        for task_id in plan.tasks_where(id, is_running) {
+            let Some(task) = plan.task(&task_id) else { continue };
             let Some(step) = submission.steps.get(task_id.step as usize) else { continue };
-            if task.status != TaskStatus::Running {
-                continue;
-            }
-            let duration = planner.forecasts.duration_ms(&submission, step);
-            if leaves_too_early(&task_id, task, step, duration, inputs) {
+            let Some(worker) = workers.get(&task.instance) else { continue };
+            let run = WatchedRun { id: &task_id, task, step, submission: &submission, worker };
+            if run.leaves_too_early(planner, inputs) {
                 log::info!(
                     "event=J142 run leaves a draining worker task={task_id} worker={}",
                     task.instance
                 );
                 moved.push(task_id);
-            } else if stands_still(planner, &task_id, task, step, inputs) {
-                let percent =
-                    inputs.progress.run(&task_id, task.attempt).map_or(0, |seen| seen.percent);
+            } else if is_news && let Some(percent) = run.stands_still(planner, inputs) {
                 log::warn!(
                     "event=J143 run stands still task={task_id} worker={} percent={percent}",
                     task.instance
@@ -49,14 +59,60 @@
     }
 }
 
-/// Returns the time that a run is expected to need still, in milliseconds, by its own rate if that
-/// is known.
-fn remaining_ms(id: &TaskId, task: &TaskPlan, duration_ms: u64, inputs: &RoundInputs<'_>) -> u64 {
-    let Some(seen) = inputs.progress.run(id, task.attempt) else { return duration_ms };
-    remaining_by_rate_ms(seen).unwrap_or_else(|| {
-        let elapsed = seen.first_seen.elapsed();
-        duration_ms.saturating_sub(elapsed.as_millis() as u64)
-    })
+/// A run that is looked at.
+struct WatchedRun<'a> {
+    id: &'a TaskId,
+    task: &'a TaskPlan,
+    step: &'a Step,
+    submission: &'a Submission,
+    worker: &'a WorkerView<'a>,
+}
+
+impl WatchedRun<'_> {
+    fn seen<'b>(&self, inputs: &RoundInputs<'b>) -> Option<&'b Seen> {
+        inputs.progress.run(&self.task.instance, self.id, self.task.attempt)
+    }
+
+    /// Returns the time that it is expected to need still, in milliseconds, by its own rate if that
+    /// is known.
+    fn remaining_ms(&self, planner: &Planner, inputs: &RoundInputs<'_>) -> u64 {
+        let duration_ms = planner.forecasts.duration_ms(self.submission, self.step);
+        let Some(seen) = self.seen(inputs) else { return duration_ms };
+        remaining_by_rate_ms(seen).unwrap_or_else(|| {
+            let elapsed = seen.first_seen.elapsed();
+            duration_ms.saturating_sub(elapsed.as_millis() as u64)
+        })
+    }
+
+    /// Returns whether its worker leaves before it ends.
+    fn leaves_too_early(&self, planner: &Planner, inputs: &RoundInputs<'_>) -> bool {
+        let worker = self.worker.record;
+        if !worker.draining {
+            return false;
+        }
+        if self.step.long_running {
+            return true;
+        }
+        let left = worker.leaves_at.saturating_sub(inputs.wall) * LEAVING_MARGIN_PERMILLE / 1000;
+        self.remaining_ms(planner, inputs) > left
+    }
+
+    /// Returns how far it is, in percent, if it gets on no more.
+    fn stands_still(&self, planner: &Planner, inputs: &RoundInputs<'_>) -> Option<u32> {
+        if self.step.long_running {
+            return None;
+        }
+        let seen = self.seen(inputs)?;
+        // Past its estimate a run shows no progress, and may take long, away from its data.
+        let past_estimate = seen.percent >= FULL_PERCENT;
+        let longest =
+            Duration::from_millis(self.step.estimate_ms * planner.settings.remote_penalty);
+        let patience =
+            planner.settings.stall_after + if past_estimate { longest } else { Duration::ZERO };
+        let doubt_after = planner.settings.doubt_after;
+        let is_heard = self.worker.report_age < doubt_after && self.worker.silent < doubt_after;
+        (is_heard && inputs.progress.same_for(seen) > patience).then_some(seen.percent)
+    }
 }
 
 /// Returns the time that a run still needs at its present rate, in milliseconds.
@@ -66,40 +122,3 @@
     // A run that doesn't get on is never done; a float that is too large becomes the largest time.
     Some((left * 1000.0 / rate.max(f64::MIN_POSITIVE)) as u64)
 }
-
-fn leaves_too_early(
-    id: &TaskId,
-    task: &TaskPlan,
-    step: &Step,
-    duration_ms: u64,
-    inputs: &RoundInputs<'_>,
-) -> bool {
-    let worker: Option<&WorkerRecord> = inputs.table.workers.get(&task.instance).map(AsRef::as_ref);
-    let Some(worker) = worker.filter(|worker| worker.draining) else { return false };
-    if step.long_running {
-        return true;
-    }
-    let left = worker.leaves_at.saturating_sub(inputs.wall) * LEAVING_MARGIN_PERMILLE / 1000;
-    remaining_ms(id, task, duration_ms, inputs) > left
-}
-
-fn stands_still(
-    planner: &Planner,
-    id: &TaskId,
-    task: &TaskPlan,
-    step: &Step,
-    inputs: &RoundInputs<'_>,
-) -> bool {
-    if step.long_running {
-        return false;
-    }
-    let Some(seen) = inputs.progress.run(id, task.attempt) else { return false };
-    // Past its estimate a run shows no progress, and may take long, away from its data.
-    let past_estimate = seen.percent >= FULL_PERCENT;
-    let longest = Duration::from_millis(step.estimate_ms * planner.settings.remote_penalty);
-    let patience =
-        planner.settings.stall_after + if past_estimate { longest } else { Duration::ZERO };
-    let is_heard = planner.report_age(&task.instance, inputs) < planner.settings.doubt_after
-        && inputs.progress.silent(&task.instance) < planner.settings.doubt_after;
-    is_heard && inputs.progress.same_for(seen) > patience
-}
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -120,6 +120,25 @@
         })
     }
 
+    /// Iterates over the names of the tasks whose accounts are so.
+    pub fn tasks_where<'a>(
+        &'a self,
+        job: &'a JobId,
+        is_so: impl Fn(&TaskPlan) -> bool + Copy + 'a,
+    ) -> impl Iterator<Item = TaskId> + 'a {
+        self.open.iter().flat_map(move |occurrence| {
+            occurrence.steps.iter().enumerate().flat_map(move |(step, tasks)| {
+                let those = tasks.iter().enumerate().filter(move |(_, task)| is_so(task));
+                those.map(move |(index, _)| TaskId {
+                    job: job.clone(),
+                    occurrence: occurrence.number,
+                    step: step as u32,
+                    index: index as u32,
+                })
+            })
+        })
+    }
+
     /// Returns the account of a task.
     #[must_use]
     pub fn task(&self, id: &TaskId) -> Option<&TaskPlan> {
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory fakes of the store and of a worker, on virtual time.
 #![allow(dead_code, reason = "each test file uses some of the fakes")]
 
+pub mod fleet;
 pub mod planner;
 pub mod store;
 pub mod worker;
