test: who leads, and whom processes read through

Cause: ample leaders and routes had no test of their own. Change: a leader's candidacy against the store in memory (nobody leads, an ample one does, handover, outage), and the order of peers by room and failure domain.

--- /dev/null
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -0,0 +1,127 @@
+//! Who leads: processes with room, and others only while nobody else does.
+
+mod support;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rampbay_jobs::follower::Pace;
+use rampbay_jobs::leader::{self, LeaderParts, Successors};
+use rampbay_jobs::planner::Planner;
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::store::Store;
+use support::store::{MemoryStore, Trouble};
+use support::{on_virtual_time, settings, table_of};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+const SMALL: &str = "entry-small";
+const AMPLE: &str = "entry-ample";
+
+/// An ample process that answers or doesn't.
+struct Peer {
+    answers: Cell<bool>,
+}
+
+#[async_trait(?Send)]
+impl Successors for Peer {
+    async fn any_answers(&self) -> bool {
+        self.answers.get()
+    }
+}
+
+fn start(
+    store: &Rc<MemoryStore>,
+    node: &str,
+    successors: Option<Rc<dyn Successors>>,
+) -> JoinHandle<()> {
+    let shared: Rc<dyn Store> = store.clone();
+    let live = LiveTable::default();
+    let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
+    tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
+    let parts = LeaderParts {
+        node: node.to_owned(),
+        store: shared,
+        table: live.table,
+        freshness: live.freshness,
+        routing: Rc::default(),
+        progress_pace: pace,
+        wall_clock: || 2_000,
+        candidacy_interval: Duration::from_millis(333),
+        salt: node.len() as u64,
+        successors,
+    };
+    tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
+}
+
+fn holder(store: &MemoryStore) -> Option<String> {
+    store.leader.borrow().as_ref().map(|(name, _)| name.clone())
+}
+
+#[test]
+fn small_process_leads_where_nobody_does() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let peer = Rc::new(Peer { answers: Cell::new(false) });
+        start(&store, SMALL, Some(peer));
+        sleep(Duration::from_millis(1500)).await;
+        assert_eq!(holder(&store), None, "one answer isn't enough");
+        sleep(Duration::from_millis(1500)).await;
+        assert_eq!(holder(&store).as_deref(), Some(SMALL));
+        assert_eq!(table_of(&store).leader.node, SMALL);
+    });
+}
+
+#[test]
+fn small_process_leaves_leadership_to_ample_one() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let peer = Rc::new(Peer { answers: Cell::new(true) });
+        start(&store, SMALL, Some(peer));
+        start(&store, AMPLE, None);
+        sleep(Duration::from_secs(10)).await;
+        assert_eq!(holder(&store).as_deref(), Some(AMPLE));
+        assert_eq!(table_of(&store).leader.node, AMPLE);
+    });
+}
+
+#[test]
+fn small_process_hands_over_once_ample_one_answers() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let peer = Rc::new(Peer { answers: Cell::new(false) });
+        start(&store, SMALL, Some(Rc::clone(&peer) as Rc<dyn Successors>));
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(holder(&store).as_deref(), Some(SMALL));
+        start(&store, AMPLE, None);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(holder(&store).as_deref(), Some(SMALL), "nobody has answered it yet");
+        peer.answers.set(true);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(holder(&store).as_deref(), Some(AMPLE));
+        assert_eq!(table_of(&store).leader.node, AMPLE);
+    });
+}
+
+/// A store that is away doesn't say that nobody leads.
+#[test]
+fn small_process_doesnt_stand_while_store_is_away() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let peer = Rc::new(Peer { answers: Cell::new(false) });
+        let ample = start(&store, AMPLE, None);
+        start(&store, SMALL, Some(peer));
+        sleep(Duration::from_secs(2)).await;
+        store.trouble.set(Trouble::Refuses);
+        sleep(Duration::from_secs(6)).await;
+        store.trouble.set(Trouble::None);
+        sleep(Duration::from_millis(500)).await;
+        assert_eq!(holder(&store).as_deref(), Some(AMPLE));
+        ample.abort();
+        store.leader.borrow_mut().take();
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(holder(&store).as_deref(), Some(SMALL));
+    });
+}
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -162,6 +162,12 @@
         Self { client, address, append_timeout: CALL_TIMEOUT }
     }
 
+    /// Returns where the peer is reached, `IP:PORT`.
+    #[must_use]
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
     /// Gives the peer the time that it needs to see to an append itself.
     #[must_use]
     pub fn as_gateway(mut self) -> Self {
--- /dev/null
+++ b/crates/rampbay-peer/tests/routes.rs
@@ -0,0 +1,90 @@
+//! Which peers a process reads through.
+
+use std::rc::Rc;
+
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::record::{Leader, Member, Record};
+use rampbay_jobs::settings::Settings;
+use rampbay_peer::client::HttpClient;
+use rampbay_peer::routes::Routes;
+use rampbay_peer::tail::TailPeers;
+use rstest::rstest;
+
+const LEADER: &str = "a-large-1";
+
+/// A process in a failure domain; large ones have room.
+fn member(node: &str) -> Member {
+    let domain = node.chars().next().expect("a name").to_string();
+    let is_large = node.contains("large");
+    Member {
+        node: node.to_owned(),
+        address: node.to_owned(),
+        failure_domain: domain,
+        passes_on: !node.contains("side"),
+        link_mbps: if is_large { 200 } else { 20 },
+        cpu_milli: if is_large { 500 } else { 120 },
+    }
+}
+
+fn routes(node: &str, members: &[&str]) -> Routes {
+    let own = member(node);
+    let text = serde_json::json!({
+        "node": node, "ip": "127.0.0.1", "failure_domain": own.failure_domain,
+        "peer_port": 7000, "metrics_port": 7001, "store": "127.0.0.1:1",
+        "lease_ms": 6000, "stop_ms": 400, "revocation_ms": 5000, "visible_ms": 3000,
+        "grace_s": 6.0, "remote_penalty": 3, "leader_ttl_ms": 1000,
+        "link_mbps": own.link_mbps, "cpu_share": f64::from(own.cpu_milli) / 1000.0, "cores": 1
+    });
+    let settings: Settings = serde_json::from_value(text).expect("settings");
+    let live = LiveTable::default();
+    for node in members {
+        live.table.borrow_mut().apply(&Record::Member(member(node)).encode());
+    }
+    let leader = Record::Leader(Leader { node: LEADER.to_owned(), epoch: 1 });
+    live.table.borrow_mut().apply(&leader.encode());
+    Routes { settings: Rc::new(settings), client: HttpClient::default(), live }
+}
+
+fn names(peers: &TailPeers) -> Vec<String> {
+    peers().iter().map(|peer| peer.address().to_owned()).collect()
+}
+
+const SITE: [&str; 6] =
+    ["a-large-1", "a-small-1", "b-large-1", "b-large-2", "b-small-1", "b-side-1"];
+
+#[rstest]
+#[case::leader_reads_from_store("a-large-1", &[])]
+#[case::ample_reads_through_leader("b-large-1", &["a-large-1"])]
+fn tails_of_entry_of_ample(#[case] node: &str, #[case] expected: &[&str]) {
+    assert_eq!(names(&routes(node, &SITE).tails_of_entry()), expected);
+}
+
+#[test]
+fn tails_of_entry_of_small_near_and_ample_without_leader_first() {
+    let found = names(&routes("b-small-1", &SITE).tails_of_entry());
+    assert_eq!(found.len(), 3);
+    assert!(found[..2].iter().all(|node| node.starts_with("b-large")), "{found:?}");
+    assert_eq!(found[2], LEADER);
+}
+
+#[test]
+fn tails_of_agent_ample_only() {
+    let found = names(&routes("b-side-1", &SITE).tails_of_agent());
+    assert!(found.iter().all(|node| node.contains("large")), "{found:?}");
+    assert!(found[0].starts_with("b-"));
+}
+
+/// Where no machine has room, agents read through all entries, and entries from the store.
+#[test]
+fn tails_without_ample_ones() {
+    let site = ["a-small-1", "b-small-1", "b-side-1"];
+    assert_eq!(names(&routes("b-side-1", &site).tails_of_agent()), ["b-small-1", "a-small-1"]);
+    assert!(names(&routes("b-small-1", &site).tails_of_entry()).is_empty());
+}
+
+#[rstest]
+#[case::small("b-small-1", true)]
+#[case::ample("b-large-1", false)]
+fn successors_of_small_only(#[case] node: &str, #[case] expected: bool) {
+    assert_eq!(routes(node, &SITE).successors().is_some(), expected);
+}
