feat: the leader's pace follows the cost of its rounds; runs' ages outlast a takeover

Cause: rounds, renewals, reads and callers share the leader's thread; a new leader took all runs for as old as itself, so lost work said nothing about whom to stop. Change: a round takes at most a quarter of the leader's time as its clock shows it; a run's age comes from its agent's report.

--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -26,6 +26,9 @@
 const IDLE_ROUND: Duration = Duration::from_millis(200);
 /// Least time between two rounds, so that records come in groups.
 const ROUND_GAP: Duration = Duration::from_millis(10);
+/// Rounds take at most one part in so many of the leader's time, as the clock shows it: renewals of
+/// leadership, reads and callers share its thread.
+const ROUND_SHARE: u32 = 4;
 /// Pause before an append without answer is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 /// Time between two questions of a process with little room whether anybody leads.
@@ -240,6 +243,7 @@
         let round_started = Instant::now();
         let mut changes = parts.freshness.subscribe();
         let records = decide(parts, &mut planner, progress, started.elapsed());
+        let gap = ROUND_GAP.max(round_started.elapsed() * ROUND_SHARE);
         let idle = records.is_empty();
         for group in records.chunks(RECORDS_PER_APPEND) {
             let end = writer.append(group).await?;
@@ -248,7 +252,7 @@
         if idle {
             let _ = tokio::time::timeout(IDLE_ROUND, changes.changed()).await;
         }
-        tokio::time::sleep_until(round_started + ROUND_GAP).await;
+        tokio::time::sleep_until(round_started + gap).await;
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -16,7 +16,7 @@
     pub percent: u32,
     /// When it came there.
     pub since: Instant,
-    /// When it was seen first.
+    /// When its agent saw it first.
     pub first_seen: Instant,
     /// What it saved last.
     pub checkpoint: Checkpoint,
@@ -193,7 +193,7 @@
         let seen = Seen {
             percent: run.percent,
             since: same.map_or(now, |seen| seen.since),
-            first_seen: known.map_or(now, |seen| seen.first_seen),
+            first_seen: known.map_or_else(|| began(&run, now), |seen| seen.first_seen),
             checkpoint: run.checkpoint,
             instance: instance.to_owned(),
             rate,
@@ -220,6 +220,11 @@
     }
 }
 
+/// Returns when a run was first seen by its agent. A planner that takes over so knows how old runs are.
+fn began(run: &RunProgress, now: Instant) -> Instant {
+    now.checked_sub(Duration::from_millis(run.ran_ms)).unwrap_or(now)
+}
+
 /// How long the progress of a run that is no longer listed is kept, for its checkpoint.
 const KEEP_ENDED: Duration = Duration::from_secs(30);
 
--- a/crates/rampbay-jobs/tests/decisions.rs
+++ b/crates/rampbay-jobs/tests/decisions.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use rampbay_jobs::job::{Step, Submission};
-use rampbay_jobs::planner::WaitReason;
+use rampbay_jobs::planner::{Planner, WaitReason};
 use rampbay_jobs::record::{EndReason, ProgressReport, TaskStatus};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
-use support::{job, on_virtual_time, step, task};
+use support::{job, on_virtual_time, settings, step, task};
 use tokio::time::Instant;
 
 const JOB: &str = "00000000000000aa";
@@ -195,3 +195,26 @@
         assert_eq!(rig.planner.wait_reason(OTHER, 0, 0), Some(expected));
     });
 }
+
+/// A planner that takes over knows from the agents' reports how long runs have run: the youngest is
+/// stopped, not the first of all that look as young.
+#[test]
+fn youngest_run_stopped_after_takeover() {
+    on_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(2);
+        rig.submit(job(JOB, 1, step(2, 8)));
+        rig.plan();
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        for (index, ran_ms) in [(0, 9_000), (1, 500)] {
+            let instance = rig.instance_of(&task(JOB, index));
+            let report =
+                ProgressReport { silent_ms: 0, runs: vec![progress(JOB, index, 20, ran_ms)] };
+            rig.progress.insert(&instance, report, Instant::now());
+        }
+        rig.planner = Planner::new(settings().planner());
+        rig.guarantee(16);
+        rig.submit(job(URGENT, 0, step(1, 8)));
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running, TaskStatus::Stopping]);
+    });
+}
