fix: agents' appends are gathered also while the store turns the leader away; queued appends aren't repeated

It kept leading through a peer, but refused what agents gave it (peers were served out of its own way alone), so 240 agents went past it one by one. An append was repeated after eight times a probe's time, though a probe doesn't wait behind the appends of 55 entries: with repeats the store's queue stayed full (2 s) from second 5 to 21; no decision from 9 to 21. Ruled out: a lost leader (none changed), a slow round (the leader's appends took 1.3 to 2 s). Change: a gateway appends over all its own ways (Gather); after the leader an ample entry nearby is the next gateway, and only then an agent appends on its own; an append is repeated after a probe's time multiplied by the processes that append.

--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -44,6 +44,13 @@
         /// Fence, if the writer has one.
         fence: Option<Fence>,
     },
+    /// See [`Store::append`]: gathered with those of others, over all ways of the peer.
+    Gather {
+        /// Topic.
+        topic: String,
+        /// Records.
+        records: Vec<KeyedRecord>,
+    },
     /// See [`Store::read`].
     Read {
         /// Topic.
@@ -104,17 +111,26 @@
     Resigned,
 }
 
-/// Makes the handler that serves peers out of this process's own way to the store, and passes on
-/// the records of the state that it follows.
+/// What a process serves its peers with.
+#[derive(Clone)]
+pub struct Served {
+    /// Its direct way to the store alone, so that a call takes one hop at most.
+    pub direct: Rc<dyn Store>,
+    /// All ways that it has itself, for the appends that it gathers.
+    pub own: Rc<dyn Store>,
+    /// The records of the state that it follows.
+    pub followed: Rc<Freshness>,
+}
+
+/// Makes the handler that serves peers.
 #[must_use]
-pub fn handler(store: Rc<dyn Store>, followed: Rc<Freshness>) -> Handler {
+pub fn handler(served: Served) -> Handler {
     Rc::new(move |received| {
-        let store = Rc::clone(&store);
-        let followed = Rc::clone(&followed);
+        let served = served.clone();
         Box::pin(async move {
             let request: Result<StoreRequest, _> = postcard::from_bytes(&received.body);
             let Ok(request) = request else { return Answer::status(StatusCode::BAD_REQUEST) };
-            let reply = perform(store.as_ref(), &followed, request).await;
+            let reply = perform(&served, request).await;
             match postcard::to_allocvec(&reply) {
                 Ok(body) => Answer::with_body(StatusCode::OK, "application/octet-stream", body),
                 Err(_) => Answer::status(StatusCode::INTERNAL_SERVER_ERROR),
@@ -123,15 +139,19 @@
     })
 }
 
-async fn perform(store: &dyn Store, followed: &Freshness, request: StoreRequest) -> StoreReply {
+async fn perform(served: &Served, request: StoreRequest) -> StoreReply {
+    let store = served.direct.as_ref();
     match request {
         StoreRequest::Tail { from, wait_ms, agent } => {
             let wait = Duration::from_millis(wait_ms);
-            StoreReply::Read(followed.pass_on(from, wait, agent.as_deref()).await)
+            StoreReply::Read(served.followed.pass_on(from, wait, agent.as_deref()).await)
         }
         StoreRequest::Append { topic, records, fence } => {
             StoreReply::Append(store.append(&topic, &records, fence.as_ref()).await)
         }
+        StoreRequest::Gather { topic, records } => {
+            StoreReply::Append(served.own.append(&topic, &records, None).await)
+        }
         StoreRequest::Read { topic, from, wait_ms } => {
             StoreReply::Read(store.read(&topic, from, Duration::from_millis(wait_ms)).await)
         }
@@ -152,14 +172,15 @@
 pub struct PeerStore {
     client: HttpClient,
     address: String,
-    append_timeout: Duration,
+    /// Whether the peer gathers appends and sees to them itself.
+    is_gateway: bool,
 }
 
 impl PeerStore {
     /// Makes a client of the peer at an address.
     #[must_use]
     pub fn new(client: HttpClient, address: String) -> Self {
-        Self { client, address, append_timeout: CALL_TIMEOUT }
+        Self { client, address, is_gateway: false }
     }
 
     /// Returns where the peer is reached, `IP:PORT`.
@@ -171,7 +192,7 @@
     /// Gives the peer the time that it needs to see to an append itself.
     #[must_use]
     pub fn as_gateway(mut self) -> Self {
-        self.append_timeout = GATEWAY_TIMEOUT;
+        self.is_gateway = true;
         self
     }
 
@@ -222,12 +243,14 @@
         records: &[KeyedRecord],
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
-        let request = StoreRequest::Append {
-            topic: topic.to_owned(),
-            records: records.to_vec(),
-            fence: fence.cloned(),
+        let (topic, records) = (topic.to_owned(), records.to_vec());
+        let gathers = self.is_gateway && fence.is_none();
+        let (request, timeout) = if gathers {
+            (StoreRequest::Gather { topic, records }, GATEWAY_TIMEOUT)
+        } else {
+            (StoreRequest::Append { topic, records, fence: fence.cloned() }, CALL_TIMEOUT)
         };
-        match self.call(&request, self.append_timeout).await {
+        match self.call(&request, timeout).await {
             Ok(StoreReply::Append(outcome)) => outcome,
             Err(CallError::NotSent | CallError::Refused) => Err(AppendError::Refused),
             Ok(_) | Err(CallError::NoAnswer) => Err(AppendError::Unknown),
@@ -274,6 +297,10 @@
 
 #[async_trait(?Send)]
 impl GatewayPeer for PeerStore {
+    fn name(&self) -> &str {
+        &self.address
+    }
+
     async fn responds(&self) -> bool {
         matches!(self.call(&StoreRequest::Ping, PING_TIMEOUT).await, Ok(StoreReply::Pong))
     }
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -4,8 +4,13 @@
 //! first; when that fails it asks peers in turn, and stays with one that serves it, until a probe
 //! finds the direct way open again. A peer serves others out of its direct way only, so that a call
 //! takes one hop at most, and at once says no while that way is broken ([`DirectStore`]).
+//!
+//! Agents are many. Their appends go through a gateway, a peer that puts them together and brings them
+//! to the store over all ways that it has itself. A gateway that fails is followed by another one:
+//! agents that appended one by one would fill the store's queue.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -27,15 +32,17 @@
 /// Shortest and longest time until then. The shortest is some ten times a usual append.
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(100);
 const LONGEST_PATIENCE: Duration = Duration::from_millis(2000);
-/// An append takes at most so many times as long as a probe, since it may have to wait its turn
-/// behind one of each entry and two of the leader.
-const TURN_FACTOR: u32 = 8;
+/// An append takes at most so many times as long as a probe where few write: it may have to wait its
+/// turn behind one of each entry and two of the leader.
+const LEAST_TURN_FACTOR: u32 = 8;
 /// Longest queue of appends at the store; it turns more away (PROTOCOL: over 2 s waiting).
 const LONGEST_QUEUE: Duration = Duration::from_millis(2000);
 /// Time from which on an append is told of: a hundred times the usual.
 const SLOW_APPEND: Duration = Duration::from_millis(400);
 /// How long a gateway that failed is passed over.
 const GATEWAY_PAUSE: Duration = Duration::from_millis(1000);
+/// Gateways that are tried for one append, at most.
+const GATEWAYS_PER_APPEND: usize = 2;
 
 /// Lists the ways through peers, the nearest first.
 pub type PeerList = Box<dyn Fn() -> Vec<Rc<dyn Store>>>;
@@ -43,20 +50,26 @@
 /// A peer that gathers the appends of others, and sees to it that they get to the store.
 #[async_trait(?Send)]
 pub trait GatewayPeer: Store {
+    /// Returns its name.
+    fn name(&self) -> &str;
     /// Returns whether its process answers.
     async fn responds(&self) -> bool;
 }
 
-/// Finds the peer that gathers the appends of others, if there is one.
-pub type Gateway = Box<dyn Fn() -> Option<Rc<dyn GatewayPeer>>>;
+/// Lists the peers that gather the appends of others, the best first.
+pub type Gateways = Box<dyn Fn() -> Vec<Rc<dyn GatewayPeer>>>;
+
+/// Counts the processes that may append on their own.
+pub type Writers = Box<dyn Fn() -> u32>;
 
 /// The store over whichever way is open.
 pub struct RelayStore {
     direct: Rc<DirectStore>,
     peers: PeerList,
-    gateway: Gateway,
-    /// Until when the gateway is passed over.
-    gateway_paused: Cell<Option<Instant>>,
+    gateways: Gateways,
+    /// Gateways that failed, by their names, and until when they are passed over.
+    gateways_paused: RefCell<BTreeMap<String, Instant>>,
+    writers: Writers,
     /// Place in the list of the peer that served last.
     preferred: Cell<usize>,
     /// How long an append usually takes.
@@ -70,8 +83,9 @@
         Self {
             direct,
             peers,
-            gateway: Box::new(|| None),
-            gateway_paused: Cell::new(None),
+            gateways: Box::new(Vec::new),
+            gateways_paused: RefCell::default(),
+            writers: Box::new(|| 0),
             preferred: Cell::new(0),
             append_time: Cell::new(Duration::ZERO),
         }
@@ -79,8 +93,15 @@
 
     /// Sends unfenced appends through a peer first, which gathers those of many processes.
     #[must_use]
-    pub fn through(mut self, gateway: Gateway) -> Self {
-        self.gateway = gateway;
+    pub fn through(mut self, gateways: Gateways) -> Self {
+        self.gateways = gateways;
+        self
+    }
+
+    /// Knows how many processes append on their own: so many appends may wait at the store before one.
+    #[must_use]
+    pub fn among(mut self, writers: Writers) -> Self {
+        self.writers = writers;
         self
     }
 
@@ -113,9 +134,15 @@
         Way { kind: WayKind::Direct, store: self.direct.unchecked() }
     }
 
-    fn open_gateway(&self) -> Option<Rc<dyn GatewayPeer>> {
-        let paused = self.gateway_paused.get().is_some_and(|until| Instant::now() < until);
-        if paused { None } else { (self.gateway)() }
+    /// Lists the gateways that haven't failed lately.
+    fn open_gateways(&self) -> Vec<Rc<dyn GatewayPeer>> {
+        let now = Instant::now();
+        let mut paused = self.gateways_paused.borrow_mut();
+        paused.retain(|_, until| now < *until);
+        let mut gateways = (self.gateways)();
+        gateways.retain(|gateway| !paused.contains_key(gateway.name()));
+        gateways.truncate(GATEWAYS_PER_APPEND);
+        gateways
     }
 
     /// Waits until an append without answer should be sent once more. Slowness is no reason: a
@@ -130,7 +157,8 @@
         } else {
             answered.await
         };
-        let turn = (took * TURN_FACTOR).min(LONGEST_QUEUE + took);
+        let factor = (self.writers)().max(LEAST_TURN_FACTOR);
+        let turn = (took * factor).min(LONGEST_QUEUE + took);
         tokio::time::sleep_until(sent + turn).await;
     }
 
@@ -145,29 +173,33 @@
         }
     }
 
-    /// Appends through the gateway; `None` if another way has to be taken.
+    /// Appends through a gateway; `None` if another way has to be taken.
     async fn append_through_gateway(
         &self,
         topic: &str,
         records: &[KeyedRecord],
     ) -> Option<Result<Offset, AppendError>> {
-        let gateway = self.open_gateway()?;
-        let started = Instant::now();
-        let outcome = tokio::select! {
-            outcome = gateway.append(topic, records, None) => outcome,
-            () = self.gateway_gone(gateway.as_ref()) => Err(AppendError::Unknown),
-        };
-        match outcome {
-            Ok(_) | Err(AppendError::Fenced) => {
-                self.note_append(WayKind::Gateway, started.elapsed());
-                Some(outcome)
-            }
-            Err(error) => {
-                log::info!("event=J108 gateway passed over error={error}");
-                self.gateway_paused.set(Some(Instant::now() + GATEWAY_PAUSE));
-                None
+        for gateway in self.open_gateways() {
+            let started = Instant::now();
+            let outcome = tokio::select! {
+                outcome = gateway.append(topic, records, None) => outcome,
+                () = self.gateway_gone(gateway.as_ref()) => Err(AppendError::Unknown),
+            };
+            match outcome {
+                Ok(_) | Err(AppendError::Fenced) => {
+                    self.note_append(WayKind::Gateway, started.elapsed());
+                    return Some(outcome);
+                }
+                Err(error) => self.pass_over(gateway.name(), &error),
             }
         }
+        None
+    }
+
+    fn pass_over(&self, gateway: &str, error: &AppendError) {
+        log::info!("event=J108 gateway passed over gateway={gateway} error={error}");
+        let until = Instant::now() + GATEWAY_PAUSE;
+        self.gateways_paused.borrow_mut().insert(gateway.to_owned(), until);
     }
 
     /// Returns how long an append may take before it is looked into.
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -14,10 +14,11 @@
 use rampbay_jobs::record::Member;
 use rampbay_jobs::settings::Settings;
 use rampbay_jobs::store::Store;
+use rampbay_jobs::table::JobTable;
 
 use crate::client::HttpClient;
 use crate::protocol::PeerStore;
-use crate::relay::{Gateway, GatewayPeer, PeerList};
+use crate::relay::{GatewayPeer, Gateways, PeerList, Writers};
 use crate::tail::TailPeers;
 
 /// What a process needs to find its peers.
@@ -36,16 +37,43 @@
         PeerStore::new(self.client.clone(), member.address.clone())
     }
 
-    /// Finds the leader's process: what passes through it, the planner knows at once.
+    /// Lists the processes that gather an agent's appends: the leader's first, since the planner knows
+    /// at once what passes through it; then ample ones, or all entries where none is ample.
     #[must_use]
-    pub fn gateway(self) -> Gateway {
+    pub fn gateways(self) -> Gateways {
         Box::new(move || {
             let table = self.live.table.borrow();
-            let leader = table.members.get(&table.leader.node)?;
-            Some(Rc::new(self.peer(leader).as_gateway()))
+            let leader = table.members.get(&table.leader.node).map(|leader| self.peer(leader));
+            let others = self.near_first(self.ample_entries(&table), &table.leader.node);
+            let others = others.into_iter().filter(|other| {
+                leader.as_ref().is_none_or(|leader| leader.address() != other.address())
+            });
+            let others: Vec<PeerStore> = others.collect();
+            let gateway = |peer: PeerStore| -> Rc<dyn GatewayPeer> { Rc::new(peer.as_gateway()) };
+            leader.into_iter().chain(others).map(gateway).collect()
         })
     }
 
+    /// Counts the processes that append on their own: all entries, and a second time the leader, whose
+    /// decisions go beside what it gathers.
+    #[must_use]
+    pub fn writers(self) -> Writers {
+        Box::new(move || {
+            let table = self.live.table.borrow();
+            let entries = table.members.values().filter(|member| member.passes_on);
+            entries.count() as u32 + 1
+        })
+    }
+
+    /// Lists the ample entries, or all where none is ample.
+    fn ample_entries<'a>(&self, table: &'a JobTable) -> Vec<&'a Member> {
+        let entries = table.members.values().filter(|member| member.passes_on);
+        let entries: Vec<&Member> = entries.collect();
+        let ample: Vec<&Member> =
+            entries.iter().copied().filter(|member| member.is_ample()).collect();
+        if ample.is_empty() { entries } else { ample }
+    }
+
     /// Lists what an entry reads the state through: the leader for ample ones, other ample ones for
     /// the rest. An entry that leads itself, or finds nobody ample, reads from the store.
     #[must_use]
@@ -71,12 +99,7 @@
     pub fn tails_of_agent(self) -> TailPeers {
         Box::new(move || {
             let table = self.live.table.borrow();
-            let entries = table.members.values().filter(|member| member.passes_on);
-            let entries: Vec<&Member> = entries.collect();
-            let ample: Vec<&Member> =
-                entries.iter().copied().filter(|member| member.is_ample()).collect();
-            let chosen = if ample.is_empty() { entries } else { ample };
-            self.near_first(chosen, &table.leader.node)
+            self.near_first(self.ample_entries(&table), &table.leader.node)
         })
     }
 
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -26,6 +26,7 @@
     read_delay: Cell<Duration>,
     appends: Cell<u32>,
     pings: Cell<u32>,
+    name: String,
 }
 
 impl Scripted {
@@ -37,8 +38,14 @@
             read_delay: Cell::new(Duration::ZERO),
             appends: Cell::new(0),
             pings: Cell::new(0),
+            name: "first".to_owned(),
         })
     }
+
+    fn named(name: &str, append: Result<Offset, AppendError>) -> Rc<Self> {
+        let scripted = Rc::into_inner(Self::answering(append)).expect("the only one");
+        Rc::new(Self { name: name.to_owned(), ..scripted })
+    }
 }
 
 #[async_trait(?Send)]
@@ -81,6 +88,10 @@
 
 #[async_trait(?Send)]
 impl GatewayPeer for Scripted {
+    fn name(&self) -> &str {
+        &self.name
+    }
+
     async fn responds(&self) -> bool {
         self.readable.get()
     }
@@ -239,7 +250,7 @@
     on_virtual_time(async {
         let (direct, gateway) = (Scripted::answering(Ok(1)), Scripted::answering(Ok(2)));
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || Some(Rc::clone(&way))));
+        let store = relay(&direct, &[]).through(Box::new(move || vec![Rc::clone(&way)]));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
         let fence = Fence { writer: "planner".to_owned(), epoch: 1, sequence: 0 };
         assert_eq!(store.append(STATE_TOPIC, &[], Some(&fence)).await, Ok(1));
@@ -287,7 +298,7 @@
         let (direct, gateway) = (Scripted::answering(Ok(1)), Scripted::answering(Ok(2)));
         gateway.delay.set(Duration::from_millis(3500));
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || Some(Rc::clone(&way))));
+        let store = relay(&direct, &[]).through(Box::new(move || vec![Rc::clone(&way)]));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
         assert_eq!((direct.appends.get(), gateway.appends.get()), (0, 1));
     });
@@ -300,7 +311,7 @@
         gateway.delay.set(Duration::from_secs(60));
         gateway.readable.set(false);
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || Some(Rc::clone(&way))));
+        let store = relay(&direct, &[]).through(Box::new(move || vec![Rc::clone(&way)]));
         let started = Instant::now();
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(1));
         assert!(started.elapsed() < Duration::from_millis(200));
@@ -338,3 +349,37 @@
         assert_eq!(store.pings.get(), 10);
     });
 }
+
+/// Seen on the bench: the store turned the leader away, 240 agents appended one by one past it, and the
+/// store's queue stayed full for eighteen seconds.
+#[test]
+fn refusing_gateway_followed_by_another() {
+    on_virtual_time(async {
+        let direct = Scripted::answering(Ok(1));
+        let gateways = [Scripted::named("first", REFUSED), Scripted::named("second", Ok(2))];
+        let listed = gateways.clone();
+        let list = move || listed.iter().map(|g| Rc::clone(g) as Rc<dyn GatewayPeer>).collect();
+        let store = relay(&direct, &[]).through(Box::new(list));
+        for _ in 0..3 {
+            assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
+        }
+        let calls = (gateways[0].appends.get(), gateways[1].appends.get(), direct.appends.get());
+        assert_eq!(calls, (1, 3, 0));
+    });
+}
+
+/// Seen on the bench: where 55 entries append, one append waits its turn behind many, though a probe
+/// is answered at once; repeated after eight times the probe's time, appends made the queue longer.
+#[rstest]
+#[case::few_writers(4, 3)]
+#[case::many_writers(56, 1)]
+fn queued_append_repeated(#[case] writers: u32, #[case] appends: u32) {
+    on_virtual_time(async move {
+        let queued = Scripted::answering(Ok(5));
+        queued.delay.set(Duration::from_millis(250));
+        queued.read_delay.set(Duration::from_millis(6));
+        let store = relay(&queued, &[]).among(Box::new(move || writers));
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(5));
+        assert_eq!(queued.appends.get(), appends);
+    });
+}
--- a/crates/rampbay-peer/tests/routes.rs
+++ b/crates/rampbay-peer/tests/routes.rs
@@ -74,6 +74,21 @@
     assert!(found[0].starts_with("b-"));
 }
 
+/// What passes through the leader, the planner knows at once; after it come ample ones nearby.
+#[test]
+fn gateways_of_agent_leader_first() {
+    let found = routes("b-side-1", &SITE).gateways()();
+    let found: Vec<&str> = found.iter().map(|gateway| gateway.name()).collect();
+    assert_eq!(found[0], LEADER);
+    assert!(found[1].starts_with("b-large") && found[2].starts_with("b-large"), "{found:?}");
+    assert_eq!(found.len(), 3);
+}
+
+#[test]
+fn writers_counts_entries_and_leader() {
+    assert_eq!(routes("b-side-1", &SITE).writers()(), 6);
+}
+
 /// Where no machine has room, agents read through all entries, and entries from the store.
 #[test]
 fn tails_without_ample_ones() {
