--- a/crates/rampbay-jobs/tests/intake.rs
+++ b/crates/rampbay-jobs/tests/intake.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
