--- a/crates/rampbay-jobs/tests/intake.rs
+++ b/crates/rampbay-jobs/tests/intake.rs
@@ -8,15 +8,14 @@
 use rampbay_jobs::follower::Pace;
 use rampbay_jobs::intake::{Admission, CallTarget, CurrentRouting, Intake, IntakeLimits, Refusal};
 use rampbay_jobs::job::Submission;
-use rampbay_jobs::leader::{self, LeaderParts};
-use rampbay_jobs::planner::Planner;
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::{JobStatus, Record, STATE_TOPIC};
 use rampbay_jobs::routing::{Queue, Routing, Workspace};
 use rampbay_jobs::store::Store;
 use rstest::rstest;
+use support::leader::start_leader;
 use support::store::{MemoryStore, Trouble};
-use support::{job, on_virtual_time, settings, step, table_of, worker_record};
+use support::{job, on_virtual_time, step, table_of, worker_record};
 use tokio::time::{Instant, sleep};
 
 const JOB: &str = "00000000000000aa";
@@ -308,33 +307,12 @@
     });
 }
 
-/// Starts an entry's leader.
-fn start_leader(store: &Rc<MemoryStore>, node: &str, salt: u64) -> tokio::task::JoinHandle<()> {
-    let shared: Rc<dyn Store> = store.clone();
-    let live = LiveTable::default();
-    let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
-    tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
-    let parts = LeaderParts {
-        node: node.to_owned(),
-        store: shared,
-        table: live.table,
-        freshness: live.freshness,
-        routing: Rc::default(),
-        progress_pace: pace,
-        wall_clock: || 2_000,
-        candidacy_interval: Duration::from_millis(333),
-        salt,
-        successors: None,
-    };
-    tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
-}
-
 #[test]
 fn leader_plans_submitted_job() {
     on_virtual_time(async {
         let store = MemoryStore::new();
         store.put(&Record::Worker("i-1".to_owned(), Box::new(worker_record("side-1", "r1", 8))));
-        start_leader(&store, "entry-1", 1);
+        start_leader(&store, "entry-1", 1, None);
         sleep(Duration::from_millis(500)).await;
         store.put(&Record::Submitted(Box::new(job(JOB, 1, step(2, 1)))));
         sleep(Duration::from_millis(200)).await;
@@ -347,10 +325,10 @@
 fn replaced_leader_fenced() {
     on_virtual_time(async {
         let store = MemoryStore::new();
-        start_leader(&store, "entry-1", 1);
+        start_leader(&store, "entry-1", 1, None);
         sleep(Duration::from_millis(500)).await;
         *store.leader.borrow_mut() = Some(("entry-2".to_owned(), 2));
-        start_leader(&store, "entry-2", 2);
+        start_leader(&store, "entry-2", 2, None);
         sleep(Duration::from_millis(1000)).await;
         let first = table_of(&store).leader;
         assert_eq!(first.node, "entry-2");
@@ -376,7 +354,7 @@
     on_virtual_time(async {
         let store = MemoryStore::new();
         store.put(&Record::Worker("i-1".to_owned(), Box::new(worker_record("side-1", "r1", 8))));
-        start_leader(&store, "entry-1", 1);
+        start_leader(&store, "entry-1", 1, None);
         sleep(Duration::from_millis(500)).await;
         store.trouble.set(Trouble::LosesAnswers);
         store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
--- a/crates/rampbay-jobs/tests/leader.rs
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -7,13 +7,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use rampbay_jobs::follower::Pace;
-use rampbay_jobs::leader::{self, LeaderParts, Successors};
-use rampbay_jobs::planner::Planner;
-use rampbay_jobs::process::LiveTable;
-use rampbay_jobs::store::Store;
+use rampbay_jobs::leader::Successors;
+use support::leader::start_leader;
 use support::store::{MemoryStore, Trouble};
-use support::{on_virtual_time, settings, table_of};
+use support::{on_virtual_time, table_of};
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -37,23 +34,7 @@
     node: &str,
     successors: Option<Rc<dyn Successors>>,
 ) -> JoinHandle<()> {
-    let shared: Rc<dyn Store> = store.clone();
-    let live = LiveTable::default();
-    let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
-    tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
-    let parts = LeaderParts {
-        node: node.to_owned(),
-        store: shared,
-        table: live.table,
-        freshness: live.freshness,
-        routing: Rc::default(),
-        progress_pace: pace,
-        wall_clock: || 2_000,
-        candidacy_interval: Duration::from_millis(333),
-        salt: node.len() as u64,
-        successors,
-    };
-    tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
+    start_leader(store, node, node.len() as u64, successors)
 }
 
 fn holder(store: &MemoryStore) -> Option<String> {
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of the fakes")]
 
 pub mod fleet;
+pub mod leader;
 pub mod planner;
 pub mod store;
 pub mod worker;
