--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod agent;
 pub mod audience;
+pub mod candidacy;
 pub mod echo;
 pub mod follower;
 pub mod freshness;
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -112,6 +112,9 @@
         if self.revocation_ms < 1000 {
             return invalid("revocation_ms is below 1000");
         }
+        if self.cpu_share < 0.0 || self.cores < 0.0 {
+            return invalid("cpu_share or cores is below 0");
+        }
         if self.peer_port == self.metrics_port {
             return invalid("peer_port and metrics_port are the same");
         }
--- a/crates/rampbay-jobs/tests/leader.rs
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use rampbay_jobs::leader::Successors;
+use rampbay_jobs::candidacy::Successors;
 use support::leader::start_leader;
 use support::store::{MemoryStore, Trouble};
 use support::{on_virtual_time, table_of};
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::candidacy::Successors;
 use rampbay_jobs::follower::Pace;
-use rampbay_jobs::leader::{self, LeaderParts, Successors};
+use rampbay_jobs::leader::{self, LeaderParts};
 use rampbay_jobs::planner::Planner;
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::store::Store;
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use async_trait::async_trait;
-use rampbay_jobs::leader::Successors;
+use rampbay_jobs::candidacy::Successors;
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::Member;
 use rampbay_jobs::settings::Settings;
