feat: drained failure domains get nothing more

Ruled out: agents following the operators' topic themselves (55 long polls more, and configurations of 1,400 queues to each). Change: entries read the orders beside the configuration (the adapter translates; a record dropped with the history is no take-back, since the newest record of each key is read then); the leader copies them into the state with the offset up to which it had read, so that a leader that has read less restores nothing; it assigns nothing while its knowledge is older than 0.55 of the bound. Each agent holds every start, also a repeated one, against its own copy. Runs there go on.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -162,6 +162,12 @@
         self.record.borrow().draining || self.left_at.get().is_some()
     }
 
+    /// Returns whether operators have drained the worker's failure domain. Held against each start, also
+    /// one that was assigned before, or by a leader that didn't know it.
+    pub(super) fn is_in_drained_domain(&self) -> bool {
+        self.parts.table.borrow().is_in_drained_domain(&self.record.borrow())
+    }
+
     /// Returns whether leases may be renewed.
     pub(super) fn may_renew(&self) -> bool {
         let table = self.parts.table.borrow();
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -56,7 +56,8 @@
             return;
         }
         for wanted in self.wanted() {
-            if self.is_draining() || !self.has_room_for(&wanted.key.0) {
+            let is_kept_off = self.is_draining() || self.is_in_drained_domain();
+            if is_kept_off || !self.has_room_for(&wanted.key.0) {
                 self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
                 continue;
             }
@@ -222,6 +223,7 @@
     fn still_wants(&self, key: &RunKey) -> bool {
         let table = self.parts.table.borrow();
         !self.is_draining()
+            && !self.is_in_drained_domain()
             && !table.evicted.contains(&self.instance)
             && table.wants_run(&self.instance, &key.0, key.1)
             && self.parts.freshness.is_within(self.parts.settings.start_age)
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 
+use crate::drained::DrainOrders;
 use crate::freshness::Freshness;
 use crate::job::{JobId, Submission, WorkspaceName};
 use crate::record::{JobStatus, Record, STATE_TOPIC};
@@ -74,11 +75,13 @@
     pub sends: bool,
 }
 
-/// What an intake knows of the configuration.
+/// What an entry knows of what operators want.
 #[derive(Debug, Default)]
 pub struct CurrentRouting {
     /// The newest version, if any has come.
     pub routing: RefCell<Option<Rc<Routing>>>,
+    /// Failure domains that are to get nothing more.
+    pub drains: DrainOrders,
     /// How old that knowledge is.
     pub freshness: Rc<Freshness>,
 }
--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -8,6 +8,8 @@
 pub type InstanceId = String;
 /// Name of a process of rampbay.
 pub type NodeName = String;
+/// Name of a failure domain: machines that may be lost together.
+pub type FailureDomain = String;
 /// Name of a workspace, the owner of a guarantee.
 pub type WorkspaceName = String;
 /// Name of a queue, the route through which jobs come.
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -44,7 +44,7 @@
     pub table: Rc<RefCell<JobTable>>,
     /// Age and position of the table.
     pub freshness: Rc<Freshness>,
-    /// The configuration.
+    /// What operators want.
     pub routing: Rc<CurrentRouting>,
     /// How the runs' progress is followed. Only whoever leads needs it.
     pub progress_pace: Pace,
@@ -175,9 +175,13 @@
     metrics().active_jobs.set(table.active.len() as i64);
     let progress = progress.borrow();
     let routing = parts.routing.get().unwrap_or_default();
+    let operators = &parts.routing.freshness;
+    let drained = parts.routing.drains.view(operators.position());
     planner.round(&RoundInputs {
         table: &table,
         routing: &routing,
+        drained: &drained,
+        operators_age: operators.age(),
         progress: &progress,
         now,
         wall: (parts.wall_clock)(),
--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -57,6 +57,8 @@
     pub ends: Family<KindLabel, Counter>,
     /// Jobs with something left to do.
     pub active_jobs: Gauge,
+    /// Failure domains that get nothing more, as the leader knows them.
+    pub drained_domains: Gauge,
     /// Lines of the log that were dropped since nobody read them in time.
     pub dropped_lines: Counter,
 }
@@ -74,6 +76,7 @@
             orders: Family::default(),
             ends: Family::default(),
             active_jobs: Gauge::default(),
+            drained_domains: Gauge::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -101,6 +104,8 @@
         registry.register("orders", "Orders to the worker", self.orders.clone());
         registry.register("ends", "Ends of runs reported", self.ends.clone());
         registry.register("active_jobs", "Jobs with something to do", self.active_jobs.clone());
+        let drained = self.drained_domains.clone();
+        registry.register("drained_domains", "Failure domains that get nothing more", drained);
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
     }
 
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -7,6 +7,7 @@
 
 mod allowance;
 mod draft;
+mod drain;
 mod evict;
 mod expire;
 mod fold;
@@ -30,6 +31,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::drained::DrainedDomains;
 use crate::job::{EpochMillis, InstanceId, JobId};
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
@@ -61,6 +63,8 @@
     pub stall_after: Duration,
     /// How long a job is kept after its end.
     pub keep_ended: Duration,
+    /// Oldest knowledge of what operators want under which runs are assigned.
+    pub operators_age: Duration,
     /// How much longer work takes away from its data or spread over racks.
     pub remote_penalty: u64,
 }
@@ -71,6 +75,10 @@
     pub table: &'a JobTable,
     /// The configuration.
     pub routing: &'a Routing,
+    /// The failure domains that operators have drained, as this process reads their orders.
+    pub drained: &'a DrainedDomains,
+    /// Age of what is known of the operators' orders; `None` before the first read.
+    pub operators_age: Option<Duration>,
     /// Progress of the runs.
     pub progress: &'a ProgressTable,
     /// Steady time since the planner began.
@@ -90,6 +98,8 @@
     evicted_since: BTreeMap<InstanceId, Duration>,
     departed_since: BTreeMap<InstanceId, Duration>,
     known_since: BTreeMap<InstanceId, Duration>,
+    /// Whether the operators' orders were known well enough in the last round.
+    knows_operators: bool,
     ended_since: BTreeMap<JobId, Duration>,
     /// When ended jobs are looked for next.
     expires_next: Duration,
@@ -113,6 +123,7 @@
             evicted_since: BTreeMap::new(),
             departed_since: BTreeMap::new(),
             known_since: BTreeMap::new(),
+            knows_operators: true,
             ended_since: BTreeMap::new(),
             expires_next: Duration::ZERO,
             settled: SettledPlans::default(),
@@ -134,11 +145,16 @@
         }
         fold::cancel(&mut draft);
         fold::settle(&mut draft, inputs, &mut self.settled);
+        drain::record(&mut draft, inputs);
         evict::evict(self, &mut draft, &workers, inputs);
         evict::give_up_departed(self, &mut draft, inputs);
         self.pace.update(&draft, inputs, &self.forecasts);
         watch::move_runs(self, &mut draft, &workers, inputs);
-        let waits = place::place(self, &mut draft, &workers, inputs);
+        let waits = if drain::check_known(self, inputs) {
+            place::place(self, &mut draft, &workers, inputs)
+        } else {
+            Vec::new()
+        };
         self.waits.update(&waits, inputs.now);
         expire::expire(self, &mut draft, inputs);
         draft.into_records()
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -8,6 +8,7 @@
 use crate::record::{TaskStatus, WorkerRecord};
 
 use super::draft::Draft;
+use super::drain::keeps_off;
 use super::pace::MachineSpeed;
 use super::reserve::choose_reserve;
 use super::units::Units;
@@ -212,6 +213,7 @@
         rack: racks.binary_search_by(|known| known.as_str().cmp(rack)).unwrap_or(0),
         freed_soon: Resources::default(),
         usable: !view.record.draining
+            && !keeps_off(view.record, inputs)
             && !planner.health.is_blocked(view.instance, inputs.now)
             && !inputs.table.evicted.contains(view.instance)
             && view.report_age < doubt_after
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::drained::DrainedDomains;
 use crate::job::{
     Checkpoint, EpochMillis, InstanceId, JobId, NodeName, Resources, ServiceName, Submission,
     TaskId,
@@ -260,6 +261,8 @@
     Leader(Leader),
     /// A process that peers can reach.
     Member(Member),
+    /// The failure domains in which nothing is started.
+    Drained(DrainedDomains),
 }
 
 /// The planner in charge.
@@ -377,6 +380,7 @@
             Self::Evicted(instance) => eviction_key(instance),
             Self::Leader(_) => "leader".to_owned(),
             Self::Member(member) => format!("member/{}", member.node),
+            Self::Drained(_) => "drained".to_owned(),
         }
     }
 
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -17,6 +17,10 @@
 /// Part of the time allowed for the removal of a key after which an entry stops answering.
 const REVOCATION_MARGIN_PERMILLE: u64 = 550;
 
+/// Part of the time allowed for a drain after which a leader whose knowledge of the operators' orders is as
+/// old assigns nothing more: the rest is for the agents' view (2 s) and the order itself.
+const DRAIN_MARGIN_PERMILLE: u64 = 550;
+
 /// Settings of a process. Unknown fields are passed over, so that a newer platform may add some.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -47,6 +51,9 @@
     pub stop_ms: u64,
     /// Time after which a removed key may no longer be taken.
     pub revocation_ms: u64,
+    /// Time after which nothing may be started in a failure domain that operators drain.
+    #[serde(default = "default_drain_ms")]
+    pub drain_ms: u64,
     /// Age up to which the count of pending jobs may be given.
     pub visible_ms: u64,
     /// How long callers may ask for a job after its end.
@@ -76,6 +83,10 @@
     120
 }
 
+const fn default_drain_ms() -> u64 {
+    5000
+}
+
 const fn default_cores() -> f64 {
     1.0
 }
@@ -112,6 +123,9 @@
         if self.revocation_ms < 1000 {
             return invalid("revocation_ms is below 1000");
         }
+        if self.drain_ms < 1000 {
+            return invalid("drain_ms is below 1000");
+        }
         if self.cpu_share < 0.0 || self.cores < 0.0 {
             return invalid("cpu_share or cores is below 0");
         }
@@ -178,6 +192,7 @@
             departed_after: self.lapse() + LAPSE_SLACK,
             stall_after: Duration::from_millis(3500),
             keep_ended: Duration::from_secs(self.status_s * KEEP_FACTOR),
+            operators_age: Duration::from_millis(self.drain_ms * DRAIN_MARGIN_PERMILLE / 1000),
             remote_penalty: self.remote_penalty.max(1),
         }
     }
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use crate::drained::DrainedDomains;
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
 use crate::record::{
     EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
@@ -54,6 +55,8 @@
     pub ends: BTreeMap<String, Rc<RunEnd>>,
     /// The planner in charge.
     pub leader: Leader,
+    /// Failure domains in which nothing is started.
+    pub drained: DrainedDomains,
     /// The processes, by their names.
     pub members: BTreeMap<NodeName, Member>,
     /// Cancellations of jobs that aren't known.
@@ -96,6 +99,11 @@
             Record::Member(member) => {
                 self.members.insert(member.node.clone(), member);
             }
+            Record::Drained(drained) => {
+                if drained.read_to >= self.drained.read_to {
+                    self.drained = drained;
+                }
+            }
         }
     }
 
@@ -207,6 +215,12 @@
             .count()
     }
 
+    /// Returns whether nothing may be started at a worker: operators have drained its failure domain.
+    #[must_use]
+    pub fn is_in_drained_domain(&self, worker: &WorkerRecord) -> bool {
+        self.drained.contains(&worker.failure_domain)
+    }
+
     /// Returns whether a run is to go on: assigned to this worker, and not cancelled.
     #[must_use]
     pub fn wants_run(&self, instance: &str, task: &crate::job::TaskId, attempt: u32) -> bool {
--- a/crates/rampbay-jobs/tests/support/fleet.rs
+++ b/crates/rampbay-jobs/tests/support/fleet.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Resources, Step, Submission, TaskId};
 use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
@@ -181,6 +182,8 @@
         self.planner.round(&RoundInputs {
             table: &self.table,
             routing: &self.routing,
+            drained: &DrainedDomains::default(),
+            operators_age: Some(Duration::ZERO),
             progress: &self.progress,
             now: self.started.elapsed(),
             wall: 1_000_000 + self.ticks * TICK.as_millis() as u64,
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -4,16 +4,38 @@
 use std::time::Duration;
 
 use rampbay_jobs::candidacy::Successors;
-use rampbay_jobs::follower::Pace;
+use rampbay_jobs::follower::{Pace, Sink, follow};
+use rampbay_jobs::intake::CurrentRouting;
 use rampbay_jobs::leader::{self, LeaderParts};
 use rampbay_jobs::planner::Planner;
 use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::Store;
 use tokio::task::JoinHandle;
 
 use super::settings;
 use super::store::MemoryStore;
 
+/// Topic of the operators.
+pub const OPERATOR_TOPIC: &str = "keyed.operators";
+
+/// Takes each key of the operators' topic as a failure domain to drain.
+struct Drains(Rc<CurrentRouting>);
+
+impl Sink for Drains {
+    fn reset(&mut self) {
+        self.0.drains.reset();
+    }
+
+    fn apply(&mut self, record: &KeyedRecord) {
+        if record.value.is_empty() {
+            self.0.drains.restore(&record.key);
+        } else {
+            self.0.drains.drain(&record.key);
+        }
+    }
+}
+
 /// Starts a process that stands for leadership and plans while it leads. One with `successors` has
 /// little room itself.
 pub fn start_leader(
@@ -26,12 +48,21 @@
     let live = LiveTable::default();
     let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
     tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
+    let routing = Rc::new(CurrentRouting::default());
+    let operators = follow(
+        Rc::clone(&shared),
+        OPERATOR_TOPIC,
+        pace,
+        Rc::clone(&routing.freshness),
+        Drains(Rc::clone(&routing)),
+    );
+    tokio::task::spawn_local(operators);
     let parts = LeaderParts {
         node: node.to_owned(),
         store: shared,
         table: live.table,
         freshness: live.freshness,
-        routing: Rc::default(),
+        routing,
         progress_pace: pace,
         wall_clock: || 2_000,
         candidacy_interval: Duration::from_millis(333),
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Step, Submission, TaskId};
 use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
-    EndReason, JobStatus, ProgressReport, Record, RunEnd, RunProgress, TaskStatus, WorkerRecord,
+    EndReason, JobStatus, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, TaskStatus,
+    WorkerRecord,
 };
 use rampbay_jobs::routing::{Routing, Workspace};
 use rampbay_jobs::table::JobTable;
@@ -23,6 +25,10 @@
     pub progress: ProgressTable,
     /// The configuration.
     pub routing: Routing,
+    /// The failure domains that operators have drained.
+    pub drained: DrainedDomains,
+    /// Age of what is known of the operators' orders.
+    pub operators_age: Option<Duration>,
     /// When the planner began.
     pub started: Instant,
     /// Time of day.
@@ -37,6 +43,8 @@
             table: JobTable::default(),
             progress: ProgressTable::default(),
             routing: Routing::default(),
+            drained: DrainedDomains::default(),
+            operators_age: Some(Duration::ZERO),
             started: Instant::now(),
             wall: 2_000,
         };
@@ -76,16 +84,23 @@
         }];
     }
 
+    /// Plans one round, without taking it in.
+    pub fn round(&mut self) -> Vec<KeyedRecord> {
+        self.planner.round(&RoundInputs {
+            table: &self.table,
+            routing: &self.routing,
+            drained: &self.drained,
+            operators_age: self.operators_age,
+            progress: &self.progress,
+            now: self.started.elapsed(),
+            wall: self.wall,
+        })
+    }
+
     /// Plans until nothing changes.
     pub fn plan(&mut self) {
         for _ in 0..20 {
-            let records = self.planner.round(&RoundInputs {
-                table: &self.table,
-                routing: &self.routing,
-                progress: &self.progress,
-                now: self.started.elapsed(),
-                wall: self.wall,
-            });
+            let records = self.round();
             if records.is_empty() {
                 return;
             }
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -53,6 +53,12 @@
         self.push(STATE_TOPIC, &[record.encode()]);
     }
 
+    /// Writes or removes a key of another topic.
+    pub fn put_into(&self, topic: &str, key: &str, value: &[u8]) {
+        let record = KeyedRecord { key: key.to_owned(), value: value.to_vec() };
+        self.push(topic, &[record]);
+    }
+
     /// Removes a key of the state.
     pub fn remove(&self, key: &str) {
         self.push(STATE_TOPIC, &[rampbay_jobs::record::removal(key.to_owned())]);
