feat: a late heartbeat of an ended life is passed over

Cause: a heartbeat that was held up may arrive after its sender has crashed and another life has registered at the address. The agent made a life of it, which wrote a removal once its first call met the other life. Ruled out: that it could be revived or hide the new one (no registration before a listing, and the worker answers 421 to the wrong id): the tests of that pass before. Change: the agent remembers the last 32 lives that are over for good (replaced, or left; a life that was silent may return) and passes their heartbeats over with a log line; why a life is over is a type.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -11,7 +11,7 @@
 mod runs;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -85,8 +85,14 @@
 pub struct AgentHost {
     parts: Rc<AgentParts>,
     lives: RefCell<BTreeMap<InstanceId, Rc<Life>>>,
+    /// Lives that are over for good, the latest last: a heartbeat of theirs that was held up may still come.
+    ended: RefCell<VecDeque<InstanceId>>,
 }
 
+/// Ended lives that are remembered. A machine's worker has a handful in a day; a heartbeat of one that was
+/// forgotten makes a life that ends with its first call, since another one answers.
+const MOST_ENDED: usize = 32;
+
 /// Pause of loops that look for something to do without being told.
 const LOOK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -94,11 +100,23 @@
     /// Makes a host without lives.
     #[must_use]
     pub fn new(parts: AgentParts) -> Rc<Self> {
-        Rc::new(Self { parts: Rc::new(parts), lives: RefCell::default() })
+        Rc::new(Self {
+            parts: Rc::new(parts),
+            lives: RefCell::default(),
+            ended: RefCell::default(),
+        })
     }
 
     /// Takes in a heartbeat.
     pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
+        if self.ended.borrow().contains(&heartbeat.instance) {
+            log::info!(
+                "event=J171 late heartbeat of an ended life worker={} sequence={}",
+                heartbeat.instance,
+                heartbeat.sequence
+            );
+            return;
+        }
         let mut record = heartbeat.record;
         record.node.clone_from(&self.parts.node);
         if let Some(remaining) = heartbeat.remaining.filter(|_| record.draining) {
@@ -156,11 +174,22 @@
                 () = running.run() => {}
                 () = running.abandoned() => {}
             }
+            if running.is_over_for_good() {
+                host.remember_ended(&running);
+            }
             host.lives.borrow_mut().remove(&running.instance);
         });
         life
     }
 
+    fn remember_ended(&self, life: &Life) {
+        let mut ended = self.ended.borrow_mut();
+        if ended.len() >= MOST_ENDED {
+            ended.pop_front();
+        }
+        ended.push_back(life.instance.clone());
+    }
+
     async fn adopt_for_ever(self: &Rc<Self>) {
         loop {
             for (instance, record) in self.unknown_lives() {
--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -22,6 +22,28 @@
 /// Pause before the store is asked again to keep a registration.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 
+/// Why a life is certainly over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LifeEnd {
+    /// Another life answers at its address.
+    Replaced,
+    /// It said good-bye, and is gone.
+    Left,
+    /// It was silent until all its leases had lapsed; it may be heard again.
+    Silent,
+}
+
+impl LifeEnd {
+    /// Returns its name in logs.
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Replaced => "replaced",
+            Self::Left => "left",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// One life of a worker.
 pub struct Life {
     /// The worker's id.
@@ -49,7 +71,8 @@
     record: RefCell<WorkerRecord>,
     sequence: Cell<u64>,
     left_at: Cell<Option<Instant>>,
-    over: Cell<bool>,
+    over: Cell<Option<LifeEnd>>,
+    is_abandoned: Cell<bool>,
     abandoned: Notify,
 }
 
@@ -80,7 +103,8 @@
             record: RefCell::new(record),
             sequence: Cell::new(0),
             left_at: Cell::new(left_at),
-            over: Cell::new(false),
+            over: Cell::new(None),
+            is_abandoned: Cell::new(false),
             abandoned: Notify::new(),
         })
     }
@@ -125,19 +149,24 @@
     }
 
     /// Takes in that the worker's life is certainly over.
-    pub(super) fn end(&self, why: &str) {
-        if self.over.replace(true) {
+    pub(super) fn end(&self, why: LifeEnd) {
+        if self.is_over() {
             return;
         }
+        self.over.set(Some(why));
         let runs = self.runs.borrow().open.len();
-        log::warn!("event=J163 worker life over worker={} runs={runs} why={why}", self.instance);
+        log::warn!(
+            "event=J163 worker life over worker={} runs={runs} why={}",
+            self.instance,
+            why.word()
+        );
         self.wake.notify_waiters();
         self.parts.freshness.notify();
     }
 
     /// Ends all work for the life without telling the store.
     pub(super) fn abandon(&self) {
-        self.over.set(true);
+        self.is_abandoned.set(true);
         self.abandoned.notify_one();
     }
 
@@ -148,7 +177,12 @@
 
     /// Returns whether the life is over.
     pub(super) fn is_over(&self) -> bool {
-        self.over.get()
+        self.over.get().is_some() || self.is_abandoned.get()
+    }
+
+    /// Returns whether no heartbeat of this life counts any more, should one still arrive.
+    pub(super) fn is_over_for_good(&self) -> bool {
+        matches!(self.over.get(), Some(LifeEnd::Replaced | LifeEnd::Left))
     }
 
     /// Returns whether nothing is lost if this process ends now: all ends, and a departure, are in
@@ -249,7 +283,7 @@
             }
             let lapsed = self.lease_sent.get().elapsed() > self.parts.settings.lapse;
             if lapsed || self.nobody_listens().await {
-                self.end("left");
+                self.end(LifeEnd::Left);
                 return;
             }
             tokio::time::sleep(DEPARTURE_LOOK).await;
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -11,7 +11,7 @@
 use crate::worker::{Refusal, StartOrder, Started, StopOrder, WorkerError};
 
 use super::ends::PendingEnd;
-use super::life::Life;
+use super::life::{Life, LifeEnd};
 use super::runs::{Phase, Run, RunKey};
 
 /// Longest time between two looks at what has to be done.
@@ -197,7 +197,7 @@
                     return;
                 }
                 Err(WorkerError::OtherLife) => {
-                    self.end("replaced");
+                    self.end(LifeEnd::Replaced);
                     return;
                 }
                 // The same run is started once, however often it is ordered.
@@ -283,7 +283,7 @@
             );
             match outcome {
                 Ok(()) => break,
-                Err(WorkerError::OtherLife) => self.end("replaced"),
+                Err(WorkerError::OtherLife) => self.end(LifeEnd::Replaced),
                 Err(_) => tokio::time::sleep(STOP_RETRY).await,
             }
         }
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -9,7 +9,7 @@
 use crate::worker::{Listing, RenewOrder, WorkerError};
 
 use super::ends::PendingEnd;
-use super::life::Life;
+use super::life::{Life, LifeEnd};
 use super::runs::{Phase, Run, RunKey};
 
 /// Pause after a call without answer.
@@ -41,7 +41,7 @@
                         tokio::time::sleep(STORING_PAUSE).await;
                     }
                 }
-                Err(WorkerError::OtherLife) => self.end("replaced"),
+                Err(WorkerError::OtherLife) => self.end(LifeEnd::Replaced),
                 Err(WorkerError::NoAnswer | WorkerError::Refused) => {
                     self.judge_silence();
                     tokio::time::sleep(RETRY_PAUSE).await;
@@ -89,7 +89,7 @@
         let settings = &self.parts.settings;
         let silent = self.heard.get().elapsed() > settings.silence;
         if silent && self.lease_sent.get().elapsed() > settings.lapse {
-            self.end("silent");
+            self.end(LifeEnd::Silent);
         }
     }
 
