fix: one call, not one for each kept connection, is lost when connections go silent

Cause: open connections may go silent for good while new ones work. Each call closed only its own connection after its time limit, so every other kept connection to that address cost a call more; an append through a gateway could wait 12 s, since the gateway's process answers pings on another connection. Ruled out: shorter limits (a slow store isn't a silent one). Change: connections are kept by address; a call without answer in its time closes all idle ones there. The kernel probes idle connections each second and ends them after two probes, or 2 s of unacknowledged bytes.

--- a/crates/rampbay-peer/src/client.rs
+++ b/crates/rampbay-peer/src/client.rs
@@ -1,5 +1,12 @@
 //! A client for short calls to known addresses.
+//!
+//! An open connection may go silent for good while new ones work. Nothing tells so but time: the kernel's
+//! probes end a connection whose peer acknowledges nothing, and a call that got no answer in its time
+//! closes all idle connections to that address, so that the next call doesn't meet another silent one.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +20,17 @@
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time without traffic after which the kernel probes a connection, and time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without answer after which a connection is broken.
+const PROBES: u32 = 2;
+/// Longest time that sent bytes may stay unacknowledged: a second more than a stop of 1 s, the shortest that
+/// a peer's machine should outlast, and less than agents' leases (6 s) by far.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Addresses whose connections are kept; beyond it all idle ones are closed. More than the entries of one
+/// deployment, which are what a process calls.
+const MOST_ADDRESSES: usize = 512;
+
 /// A call.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -55,10 +73,27 @@
     NoAnswer,
 }
 
+/// Connections to one address.
+type Pool = Client<HttpConnector, Full<Bytes>>;
+
+/// The pool of an address, and which one it is: pools are replaced.
+#[derive(Clone, Debug)]
+struct KnownPool {
+    pool: Pool,
+    generation: u64,
+}
+
+#[derive(Debug, Default)]
+struct Pools {
+    by_address: HashMap<String, KnownPool>,
+    made: u64,
+}
+
 /// The client; its clones share connections.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+    connector: HttpConnector,
+    pools: Rc<RefCell<Pools>>,
 }
 
 impl Default for HttpClient {
@@ -66,11 +101,11 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        let inner = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .build(connector);
-        Self { inner }
+        connector.set_keepalive(Some(PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBES));
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
+        Self { connector, pools: Rc::default() }
     }
 }
 
@@ -91,7 +126,34 @@
 }
 
 impl HttpClient {
-    /// Makes a call. A connection whose answer doesn't come in time is closed.
+    fn pool(&self, address: &str) -> KnownPool {
+        let mut pools = self.pools.borrow_mut();
+        if let Some(known) = pools.by_address.get(address) {
+            return known.clone();
+        }
+        if pools.by_address.len() >= MOST_ADDRESSES {
+            pools.by_address.clear();
+        }
+        let pool = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_timer(TokioTimer::new())
+            .build(self.connector.clone());
+        pools.made += 1;
+        let known = KnownPool { pool, generation: pools.made };
+        pools.by_address.insert(address.to_owned(), known.clone());
+        known
+    }
+
+    /// Closes the idle connections of a pool; calls that are under way on others go on.
+    fn close_idle(&self, address: &str, generation: u64) {
+        let mut pools = self.pools.borrow_mut();
+        if pools.by_address.get(address).is_some_and(|known| known.generation == generation) {
+            pools.by_address.remove(address);
+        }
+    }
+
+    /// Makes a call. A connection whose answer doesn't come in time is closed, and with it all idle ones to
+    /// the same address.
     ///
     /// # Errors
     ///
@@ -107,12 +169,17 @@
             request = request.header(name, value);
         }
         let request = request.body(Full::new(call.body)).map_err(|_| CallError::NotSent)?;
+        let known = self.pool(&call.address);
         let exchange = async {
-            let response = self.inner.request(request).await.map_err(|error| reason_of(&error))?;
+            let response = known.pool.request(request).await.map_err(|error| reason_of(&error))?;
             let status = response.status();
             let body = response.into_body().collect().await.map_err(|_| CallError::NoAnswer)?;
             Ok(Reply { status, body: body.to_bytes() })
         };
-        tokio::time::timeout(call.timeout, exchange).await.unwrap_or(Err(CallError::NoAnswer))
+        let Ok(outcome) = tokio::time::timeout(call.timeout, exchange).await else {
+            self.close_idle(&call.address, known.generation);
+            return Err(CallError::NoAnswer);
+        };
+        outcome
     }
 }
