fix: rampctl losses takes in lines of a job that come before its acceptance is told

Ruled out: sorting the lines (they are in order). Change: a trail begins with any line; jobs that never came into the log are left out.

--- a/crates/rampctl/src/losses/report.rs
+++ b/crates/rampctl/src/losses/report.rs
@@ -56,7 +56,7 @@
     let first = trails.jobs.values().filter_map(Trail::came_at).min().unwrap_or(0);
     let mut counts: BTreeMap<(u64, &str, Loss), usize> = BTreeMap::new();
     for trail in trails.jobs.values() {
-        let came = trail.came_at().unwrap_or(first);
+        let Some(came) = trail.came_at() else { continue };
         let from_s = (came - first) / MILLI / WINDOW_S * WINDOW_S;
         *counts.entry((from_s, &trail.queue, trail.loss())).or_default() += 1;
     }
--- a/crates/rampctl/src/losses/trail.rs
+++ b/crates/rampctl/src/losses/trail.rs
@@ -138,8 +138,9 @@
         }
     }
 
+    /// Returns the trail of a job, which may begin with any line: processes differ in when they write.
     fn trail(&mut self, job: Option<&str>) -> Option<&mut Trail> {
-        self.jobs.get_mut(job?)
+        Some(self.jobs.entry(job?.to_owned()).or_default())
     }
 
     fn take_in_call(&mut self, line: &LogLine<'_>) {
--- a/crates/rampctl/tests/losses.rs
+++ b/crates/rampctl/tests/losses.rs
@@ -45,6 +45,27 @@
     assert_eq!(trails(&lines).jobs["aa"].loss(), Loss::RanAgain);
 }
 
+/// The leader reads a job out of the store, and may assign it before the entry that accepted it says so.
+#[test]
+fn loss_of_job_assigned_before_its_acceptance_is_told() {
+    const BASE: u64 = 1_700_000_000_000;
+    let accepted = ACCEPTED.replace("time_ms=1000", &format!("time_ms={}", BASE + 1000));
+    let run = run(BASE + 990, BASE + 1010, BASE + 8000, BASE + 8010);
+    let lines: Vec<&str> = std::iter::once(run[0].as_str())
+        .chain([accepted.as_str()])
+        .chain(run[1..].iter().map(String::as_str))
+        .collect();
+    assert_eq!(trails(&lines).jobs["aa"].loss(), Loss::RanLong);
+}
+
+/// Runs of a job whose acceptance stands in no log say nothing of when it came.
+#[test]
+fn report_leaves_out_jobs_that_never_came() {
+    let run = run(900, 950, 2950, 2960);
+    let lines: Vec<&str> = run.iter().map(String::as_str).collect();
+    assert_eq!(Report::of(&trails(&lines)), Report::default());
+}
+
 #[rstest]
 #[case::never_taken("504", false, Loss::Refused)]
 #[case::taken_later("503", true, Loss::NotEnded)]
