refactor: no module of the planner or of the candidacy imports in a circle

Cause: pace, room, reserve and units imported each other in circles, and so did leader and candidacy; a newcomer found no first module to read. Change: what may be stopped stands in running.rs; names of steps and places stand in planner.rs; the reserve is chosen where work is placed, not while room is surveyed; candidacy has a Candidate of its own, which the leader holds.

--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -6,11 +6,10 @@
 
 use tokio::time::Instant;
 
-use crate::candidacy::{Successors, Term, stand_for_ever};
+use crate::candidacy::{Candidate, Term, stand_for_ever};
 use crate::follower::Pace;
 use crate::freshness::Freshness;
 use crate::intake::CurrentRouting;
-use crate::job::NodeName;
 use crate::metrics::metrics;
 use crate::planner::{Planner, ProgressTable, RoundInputs};
 use crate::process::follow_progress;
@@ -36,10 +35,8 @@
 
 /// What a leader works with.
 pub struct LeaderParts {
-    /// Name of this process.
-    pub node: NodeName,
-    /// The store.
-    pub store: Rc<dyn Store>,
+    /// What stands for leadership: this process, over its store.
+    pub candidate: Candidate,
     /// The table, which a follower keeps current.
     pub table: Rc<RefCell<JobTable>>,
     /// Age and position of the table.
@@ -50,12 +47,8 @@
     pub progress_pace: Pace,
     /// Reads the clock for due times.
     pub wall_clock: fn() -> u64,
-    /// Time between two calls for leadership.
-    pub candidacy_interval: Duration,
     /// A number that differs between processes and starts.
     pub salt: u64,
-    /// Processes with more room, where this one has little.
-    pub successors: Option<Rc<dyn Successors>>,
 }
 
 /// A leader that has lost its place.
@@ -65,7 +58,7 @@
 /// Stands for leadership for ever, and plans while it has it.
 pub async fn run(parts: LeaderParts, planner: impl Fn() -> Planner) {
     let term: Term = tokio::sync::watch::channel(None).0;
-    let stand = stand_for_ever(&parts, &term);
+    let stand = stand_for_ever(&parts.candidate, &term);
     let lead = async {
         let mut terms = term.subscribe();
         loop {
@@ -87,7 +80,7 @@
                 () = term_end => log::info!("event=J121 leadership lost generation={generation}"),
                 Deposed = lead_once(&parts, generation, planner()) => {
                     log::info!("event=J122 leadership fenced generation={generation}");
-                    tokio::time::sleep(parts.candidacy_interval).await;
+                    tokio::time::sleep(parts.candidate.interval).await;
                 }
             }
         }
@@ -121,7 +114,7 @@
 async fn lead_once(parts: &LeaderParts, generation: u64, planner: Planner) -> Deposed {
     let progress = Rc::new(RefCell::new(ProgressTable::default()));
     let followed = Rc::clone(&progress);
-    let follow = follow_progress(Rc::clone(&parts.store), followed, parts.progress_pace);
+    let follow = follow_progress(Rc::clone(&parts.candidate.store), followed, parts.progress_pace);
     let lead = async {
         match try_lead(parts, generation, planner, &progress).await {
             Err(deposed) => deposed,
@@ -142,8 +135,8 @@
 ) -> Result<std::convert::Infallible, Deposed> {
     let epoch = next_epoch(generation, parts.table.borrow().leader.epoch, parts.salt);
     let fence = Fence { writer: WRITER.to_owned(), epoch, sequence: 0 };
-    let mut writer = Writer { store: parts.store.as_ref(), fence };
-    let leader = Record::Leader(Leader { node: parts.node.clone(), epoch });
+    let mut writer = Writer { store: parts.candidate.store.as_ref(), fence };
+    let leader = Record::Leader(Leader { node: parts.candidate.node.clone(), epoch });
     let end = writer.append(&[leader.encode()]).await?;
     parts.freshness.reach(end).await;
     log::info!("event=J120 leadership gained generation={generation} epoch={epoch} position={end}");
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -23,6 +23,7 @@
 mod rack;
 mod reserve;
 mod room;
+mod running;
 mod units;
 mod waits;
 mod watch;
@@ -48,6 +49,11 @@
 use waits::WaitBook;
 use workers::WorkerViews;
 
+/// Names the tasks of one step of one occurrence.
+type StepKey = (JobId, u32, u32);
+/// Place of a worker in a round: its index among all workers, in the order of their ids.
+type Place = usize;
+
 /// Times that a planner goes by.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannerSettings {
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -4,7 +4,8 @@
 
 use super::pace::MachineSpeed;
 use super::queue::WaitingStep;
-use super::room::{Place, Room, Rooms, StepKey};
+use super::room::{Room, Rooms};
+use super::{Place, StepKey};
 
 /// What a place must offer.
 #[derive(Clone, Debug)]
--- a/crates/rampbay-jobs/src/planner/make_room.rs
+++ b/crates/rampbay-jobs/src/planner/make_room.rs
@@ -32,7 +32,11 @@
     inputs: &RoundInputs<'_>,
 ) -> Option<Preemption> {
     let units = rooms.units.take();
-    let units = units.unwrap_or_else(|| Units::gather(&rooms.running, &rooms.rooms, inputs));
+    let units = units.unwrap_or_else(|| {
+        Units::gather(&rooms.running, rooms.rooms.len(), |task| {
+            task.lost_work(&rooms.rooms[task.place].instance, inputs)
+        })
+    });
     let found = match within {
         Within::OneRack => preempt_in_rack(rooms, &units, need, count),
         Within::Anywhere => preempt(rooms, &units, need, count),
--- a/crates/rampbay-jobs/src/planner/pace.rs
+++ b/crates/rampbay-jobs/src/planner/pace.rs
@@ -10,11 +10,10 @@
 use crate::job::{InstanceId, JobId, Step, TaskId};
 use crate::record::JobPlan;
 
-use super::RoundInputs;
 use super::draft::Draft;
 use super::forecast::Forecasts;
 use super::progress::{FULL_PERCENT, Seen};
-use super::room::StepKey;
+use super::{RoundInputs, StepKey};
 
 /// Best pace of a worker's runs below which the worker is slow now.
 const SLOW_PACE: f64 = 0.33;
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -9,11 +9,11 @@
 use super::make_room::{Within, allowed_for, find_room, hold_room, make_room};
 use super::queue::{WaitingStep, waiting_steps};
 use super::rack::insists_on_rack;
-use super::reserve::may_use_reserve;
-use super::room::{Place, Rooms};
+use super::reserve::{choose_reserve, may_use_reserve};
+use super::room::Rooms;
 use super::waits::{Wait, WaitReason};
 use super::workers::WorkerViews;
-use super::{Planner, RoundInputs};
+use super::{Place, Planner, RoundInputs};
 
 /// How long a task waits for a worker near its data.
 const WAIT_FOR_DATA_MS: u64 = 3000;
@@ -31,6 +31,7 @@
     }
     let mut waits = Vec::new();
     let mut rooms = Rooms::survey(planner, draft, workers, inputs);
+    choose_reserve(&mut rooms);
     for step in &waiting {
         let uses_reserve = may_use_reserve(step, inputs.wall);
         let need = Need::of(step, failed_workers(draft, step), uses_reserve, &rooms);
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -4,9 +4,10 @@
 
 use crate::job::Resources;
 
+use super::Place;
 use super::gang::{Need, by_rack};
 use super::pace::MachineSpeed;
-use super::room::{Place, Rooms};
+use super::room::Rooms;
 use super::units::{UnitIndex, Units};
 
 /// What to stop, and where the tasks will then fit.
--- a/crates/rampbay-jobs/src/planner/reserve.rs
+++ b/crates/rampbay-jobs/src/planner/reserve.rs
@@ -6,8 +6,9 @@
 
 use crate::job::EpochMillis;
 
+use super::Place;
 use super::queue::WaitingStep;
-use super::room::{Place, Rooms};
+use super::room::Rooms;
 
 /// Share of the usable workers that is kept for urgent work, in percent.
 const RESERVE_PERCENT: usize = 15;
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use crate::job::{InstanceId, JobId, Resources, Step, Submission, TaskId};
 use crate::record::{TaskStatus, WorkerRecord};
@@ -10,15 +9,10 @@
 use super::draft::Draft;
 use super::drain::keeps_off;
 use super::pace::MachineSpeed;
-use super::reserve::choose_reserve;
+use super::running::RunningTask;
 use super::units::Units;
 use super::workers::{WorkerView, WorkerViews};
-use super::{Planner, RoundInputs};
-
-/// Names the tasks of one step of one occurrence.
-pub type StepKey = (JobId, u32, u32);
-/// Place of a worker in [`Rooms::rooms`].
-pub type Place = usize;
+use super::{Place, Planner, RoundInputs, StepKey};
 
 /// A worker during a round.
 #[derive(Clone, Debug)]
@@ -45,27 +39,6 @@
     pub reserved: bool,
 }
 
-/// A run that may be stopped for other work.
-#[derive(Clone, Debug)]
-pub struct RunningTask {
-    /// The task.
-    pub id: TaskId,
-    /// What it holds.
-    pub held: Resources,
-    /// Its worker.
-    pub place: Place,
-    /// Priority of its queue.
-    pub priority: u32,
-    /// Number of its run, from 1.
-    pub attempt: u32,
-    /// Whether it is a member of a gang.
-    pub gang: bool,
-    /// Whether it saves its progress.
-    pub checkpointing: bool,
-    /// Weight of what it asks for, in thousandths of a core.
-    pub weight: u64,
-}
-
 /// All workers and what runs there.
 #[derive(Debug, Default)]
 pub struct Rooms {
@@ -106,7 +79,6 @@
             let Some(submission) = draft.submission(id) else { continue };
             survey.charge_job(draft, id, &submission, workers);
         }
-        choose_reserve(&mut survey);
         survey
     }
 
@@ -227,25 +199,3 @@
         worker: Rc::clone(view.record),
     }
 }
-
-/// Work since the last checkpoint of a run that saves its progress, at most.
-const CHECKPOINT_WORK: Duration = Duration::from_millis(800);
-/// Work that every stop throws away, for the start that has to come again.
-const RESTART_WORK: Duration = Duration::from_millis(300);
-/// The same for a member of a gang, which has to find room for all members again.
-const GANG_RESTART_WORK: Duration = Duration::from_millis(1000);
-
-impl RunningTask {
-    /// Returns the work that a stop throws away, in thousandths of core-seconds. Estimates are rough,
-    /// so the time since the run was seen first counts.
-    pub fn lost_work(&self, instance: &str, inputs: &RoundInputs<'_>) -> u64 {
-        let seen = inputs.progress.run(instance, &self.id, self.attempt);
-        let mut lost = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
-        if self.checkpointing {
-            lost = lost.min(CHECKPOINT_WORK);
-        }
-        let restart = if self.gang { GANG_RESTART_WORK } else { RESTART_WORK };
-        let lost_ms = (lost + restart).as_millis() as u64;
-        self.weight.max(1) * lost_ms / 1000
-    }
-}
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/running.rs
@@ -0,0 +1,50 @@
+//! Runs that may be stopped for other work, and what a stop throws away.
+
+use std::time::Duration;
+
+use crate::job::{Resources, TaskId};
+
+use super::{Place, RoundInputs};
+
+/// Work since the last checkpoint of a run that saves its progress, at most.
+const CHECKPOINT_WORK: Duration = Duration::from_millis(800);
+/// Work that every stop throws away, for the start that has to come again.
+const RESTART_WORK: Duration = Duration::from_millis(300);
+/// The same for a member of a gang, which has to find room for all members again.
+const GANG_RESTART_WORK: Duration = Duration::from_millis(1000);
+
+/// A run that may be stopped for other work.
+#[derive(Clone, Debug)]
+pub struct RunningTask {
+    /// The task.
+    pub id: TaskId,
+    /// What it holds.
+    pub held: Resources,
+    /// Its worker.
+    pub place: Place,
+    /// Priority of its queue.
+    pub priority: u32,
+    /// Number of its run, from 1.
+    pub attempt: u32,
+    /// Whether it is a member of a gang.
+    pub gang: bool,
+    /// Whether it saves its progress.
+    pub checkpointing: bool,
+    /// Weight of what it asks for, in thousandths of a core.
+    pub weight: u64,
+}
+
+impl RunningTask {
+    /// Returns the work that a stop throws away, in thousandths of core-seconds. Estimates are rough,
+    /// so the time since the run was seen first counts.
+    pub fn lost_work(&self, instance: &str, inputs: &RoundInputs<'_>) -> u64 {
+        let seen = inputs.progress.run(instance, &self.id, self.attempt);
+        let mut lost = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
+        if self.checkpointing {
+            lost = lost.min(CHECKPOINT_WORK);
+        }
+        let restart = if self.gang { GANG_RESTART_WORK } else { RESTART_WORK };
+        let lost_ms = (lost + restart).as_millis() as u64;
+        self.weight.max(1) * lost_ms / 1000
+    }
+}
--- a/crates/rampbay-jobs/src/planner/units.rs
+++ b/crates/rampbay-jobs/src/planner/units.rs
@@ -4,8 +4,8 @@
 
 use crate::job::{JobId, Resources, TaskId};
 
-use super::RoundInputs;
-use super::room::{Place, Room, RunningTask};
+use super::Place;
+use super::running::RunningTask;
 
 /// Place of a unit in [`Units::units`]; cheaper units come first.
 pub type UnitIndex = usize;
@@ -45,12 +45,17 @@
 }
 
 impl Units {
-    /// Gathers what runs into units.
-    pub fn gather(running: &[RunningTask], rooms: &[Room], inputs: &RoundInputs<'_>) -> Self {
+    /// Gathers what runs at `places` workers into units. `lost_work` says what the stop of a run throws away,
+    /// in thousandths of core-seconds.
+    pub fn gather(
+        running: &[RunningTask],
+        places: usize,
+        lost_work: impl Fn(&RunningTask) -> u64,
+    ) -> Self {
         let mut units: Vec<Unit> = Vec::new();
         let mut gangs: HashMap<(&JobId, u32, u32), UnitIndex> = HashMap::new();
         for task in running {
-            let lost_work = task.lost_work(&rooms[task.place].instance, inputs);
+            let lost_work = lost_work(task);
             let cost = lost_work * weight(task.priority) * u64::from(task.attempt);
             let key = (&task.id.job, task.id.occurrence, task.id.step);
             let known = if task.gang { gangs.get(&key).copied() } else { None };
@@ -73,7 +78,7 @@
             });
         }
         units.sort_by_key(|unit| unit.cost);
-        let mut by_place = vec![Vec::new(); rooms.len()];
+        let mut by_place = vec![Vec::new(); places];
         for (index, unit) in units.iter().enumerate() {
             for (place, _) in &unit.held {
                 if by_place[*place].last() != Some(&index) {
--- a/crates/rampbay-jobs/src/planner/waits.rs
+++ b/crates/rampbay-jobs/src/planner/waits.rs
@@ -3,9 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use super::RoundInputs;
 use super::queue::WaitingStep;
-use super::room::StepKey;
+use super::{RoundInputs, StepKey};
 
 /// Least time between two lines of one step.
 const LINE_GAP: Duration = Duration::from_secs(1);
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::candidacy::Successors;
+use rampbay_jobs::candidacy::{Candidate, Successors};
 use rampbay_jobs::follower::{Pace, Sink, follow};
 use rampbay_jobs::intake::CurrentRouting;
 use rampbay_jobs::leader::{self, LeaderParts};
@@ -58,16 +58,18 @@
     );
     tokio::task::spawn_local(operators);
     let parts = LeaderParts {
-        node: node.to_owned(),
-        store: shared,
+        candidate: Candidate {
+            node: node.to_owned(),
+            store: shared,
+            interval: Duration::from_millis(333),
+            successors,
+        },
         table: live.table,
         freshness: live.freshness,
         routing,
         progress_pace: pace,
         wall_clock: || 2_000,
-        candidacy_interval: Duration::from_millis(333),
         salt,
-        successors,
     };
     tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
 }
