fix: a caller that goes silent within its body is dropped after 10 s

Cause: the body of a call had no time limit; a connection that went silent half way kept its memory, and kept an orderly stop waiting until it was killed. Ruled out: the header limit (it ends with the header). Change: 10 s for a body, then 408.

--- a/crates/rampbay-peer/src/server.rs
+++ b/crates/rampbay-peer/src/server.rs
@@ -18,6 +18,9 @@
 
 /// Longest time between the start of a connection, or the end of a call, and the next header.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest time for the body of a call: three times as long as callers wait for an answer. A caller whose
+/// connection goes silent half way through is dropped then.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Pause after a connection couldn't be taken, so that a lack of descriptors isn't pressed.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -203,11 +206,11 @@
     let host = text(header::HOST).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_owned();
     let authorization = text(header::AUTHORIZATION);
-    let body = Limited::new(body, body_limit)
-        .collect()
+    let collected = Limited::new(body, body_limit).collect();
+    let collected = tokio::time::timeout(BODY_TIMEOUT, collected)
         .await
-        .map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?
-        .to_bytes();
+        .map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
+    let body = collected.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?.to_bytes();
     let path = parts.uri.path().to_owned();
     let query = parts.uri.query().unwrap_or_default().to_owned();
     Ok(Received {
