fix: only the leader stays in the group of candidates

Ruled out: joining with a longer time to live (a leader that is lost would be missed for longer). Change: the others ask who leads, three times in the leader's time to live, join once nobody does, and leave the group again where another one was first. The question goes through peers where a process's own way is closed.

--- a/crates/rampbay-jobs/src/candidacy.rs
+++ b/crates/rampbay-jobs/src/candidacy.rs
@@ -1,9 +1,13 @@
-//! Who leads: processes with room stand for leadership, others only while nobody leads.
+//! Who leads: a process stands for leadership while nobody leads.
 //!
-//! Leadership is membership of a group that the store keeps. A leader of hundreds of workers needs a good
-//! share of a core and a wide link; a small process that led would lag behind, and lose its place again
-//! and again. So it waits until the store says that nobody leads, and hands over once a process with
-//! more room answers.
+//! Leadership is membership of a group that the store keeps. The store may deal it anew whenever a process
+//! joins or leaves, and unasked; each change costs a second in which nothing is started. So only the leader
+//! stays in the group: the others ask who leads, join once nobody does, and leave again where another one
+//! was first. While the leader is the only member, whatever is dealt is dealt to it.
+//!
+//! A leader of hundreds of workers needs a good share of a core and a wide link; a small process that led
+//! would lag behind, and lose its place again and again. So it leaves processes with room time to stand
+//! first, and hands over once one of them answers.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,10 +19,10 @@
 use crate::store::Store;
 
 /// Time between two questions of a process with little room whether anybody leads.
-const VACANCY_INTERVAL: Duration = Duration::from_millis(1000);
-/// Answers in a row that nobody leads after which such a process stands: between two leaders there is
-/// nobody for a second, the least time to live that the store knows.
-const VACANT_ANSWERS: u32 = 2;
+const SMALL_VACANCY_INTERVAL: Duration = Duration::from_millis(1000);
+/// Answers in a row that nobody leads after which such a process stands: one with room asks three times in
+/// that time.
+const SMALL_VACANT_ANSWERS: u32 = 2;
 /// Time between two looks of such a process, while it leads, for one with more room.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(2000);
 
@@ -35,7 +39,7 @@
     pub node: NodeName,
     /// The store.
     pub store: Rc<dyn Store>,
-    /// Time between two calls for leadership.
+    /// Time between two calls: of a leader to stay, of others to learn whether anybody leads.
     pub interval: Duration,
     /// Processes with more room, where this one has little.
     pub successors: Option<Rc<dyn Successors>>,
@@ -49,13 +53,13 @@
     term.send_if_modified(|current| current.take().is_some());
 }
 
-/// Stands for leadership. A process with little room stands only while nobody leads, and hands over
-/// once a process with more room answers.
+/// Stands for leadership for ever, each time that nobody leads. A process with little room hands over once
+/// one with more room answers.
 pub async fn stand_for_ever(candidate: &Candidate, term: &Term) {
     let mut generation = 0;
     loop {
+        wait_for_vacancy(candidate).await;
         if let Some(successors) = &candidate.successors {
-            wait_for_vacancy(candidate).await;
             log::info!("event=J123 nobody leads, a process with little room stands");
             tokio::select! {
                 () = stand(candidate, term, &mut generation) => {}
@@ -63,15 +67,15 @@
                     log::info!("event=J124 leadership handed over to a process with more room");
                 }
             }
-            end_term(term);
-            candidate.store.resign(&candidate.node).await;
         } else {
             stand(candidate, term, &mut generation).await;
         }
+        end_term(term);
+        candidate.store.resign(&candidate.node).await;
     }
 }
 
-/// Stands until somebody else leads, or for ever where this process has room enough.
+/// Stands until somebody else leads.
 async fn stand(candidate: &Candidate, term: &Term, generation: &mut u64) {
     loop {
         if let Ok(answer) = candidate.store.stand(&candidate.node, *generation).await {
@@ -80,7 +84,7 @@
             let next = if answer.leads { held.or(Some(answer.generation)) } else { None };
             term.send_if_modified(|current| std::mem::replace(current, next) != next);
             *generation = answer.generation;
-            if !answer.leads && candidate.successors.is_some() && is_led_by_other(candidate).await {
+            if !answer.leads && is_led_by_other(candidate).await {
                 return;
             }
         }
@@ -93,21 +97,32 @@
     holder.is_ok_and(|holder| holder.is_some_and(|holder| holder != candidate.node))
 }
 
-/// Waits until the store has said several times in a row that nobody leads.
+/// Waits until the store says that nobody leads, to a process with little room several times in a row.
 async fn wait_for_vacancy(candidate: &Candidate) {
+    if candidate.successors.is_none() {
+        while nobody_leads(candidate).await != Some(true) {
+            tokio::time::sleep(candidate.interval).await;
+        }
+        return;
+    }
     let mut vacant = 0;
-    while vacant < VACANT_ANSWERS {
-        tokio::time::sleep(VACANCY_INTERVAL).await;
-        match candidate.store.holder().await {
-            Ok(None) => vacant += 1,
-            Ok(Some(holder)) if holder == candidate.node => vacant += 1,
-            Ok(Some(_)) => vacant = 0,
-            // A store that is away says nothing about who leads.
-            Err(_) => {}
+    while vacant < SMALL_VACANT_ANSWERS {
+        tokio::time::sleep(SMALL_VACANCY_INTERVAL).await;
+        match nobody_leads(candidate).await {
+            Some(true) => vacant += 1,
+            Some(false) => vacant = 0,
+            None => {}
         }
     }
 }
 
+/// Returns whether nobody leads, or this process by its name from before a restart; `None` where the store
+/// is away, which says nothing about who leads.
+async fn nobody_leads(candidate: &Candidate) -> Option<bool> {
+    let holder = candidate.store.holder().await.ok()?;
+    Some(holder.is_none_or(|holder| holder == candidate.node))
+}
+
 /// Waits until a process with more room answers while this one leads.
 async fn successor_answers(successors: &dyn Successors, term: &Term) {
     loop {
--- a/crates/rampbay-jobs/tests/leader.rs
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -86,6 +86,58 @@
     });
 }
 
+/// Seen on the bench: the store dealt the group anew when an ample process joined, and a leader that
+/// worked lost its place in the middle of a burst.
+#[test]
+fn ample_process_that_starts_leaves_leader_in_place() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        store.deals_to_newcomers.set(true);
+        start(&store, AMPLE, None);
+        sleep(Duration::from_secs(2)).await;
+        let epoch = table_of(&store).leader.epoch;
+        start(&store, "entry-second", None);
+        start(&store, "entry-third-", None);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(holder(&store).as_deref(), Some(AMPLE));
+        assert_eq!(table_of(&store).leader.epoch, epoch, "nobody else has led meanwhile");
+    });
+}
+
+/// Leadership that lapses is taken up within a third of a second, half of the time in which the store
+/// would have dealt it to another member, and one call.
+#[test]
+fn lapsed_leadership_taken_up_soon() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let first = start(&store, AMPLE, None);
+        sleep(Duration::from_secs(2)).await;
+        start(&store, "entry-second", None);
+        sleep(Duration::from_secs(2)).await;
+        first.abort();
+        store.leader.borrow_mut().take();
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(holder(&store).as_deref(), Some("entry-second"));
+    });
+}
+
+/// Processes that join at the same moment settle on one; the others leave the group.
+#[test]
+fn processes_that_start_together_settle_on_one() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        store.deals_to_newcomers.set(true);
+        for index in 0..5 {
+            start(&store, &format!("entry-{}", "x".repeat(index + 1)), None);
+        }
+        sleep(Duration::from_secs(2)).await;
+        let settled = table_of(&store).leader;
+        sleep(Duration::from_secs(10)).await;
+        assert_eq!(table_of(&store).leader, settled);
+        assert_eq!(holder(&store), Some(settled.node));
+    });
+}
+
 /// A store that is away doesn't say that nobody leads.
 #[test]
 fn small_process_doesnt_stand_while_store_is_away() {
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -1,7 +1,7 @@
 //! A store in memory, with faults.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,6 +40,9 @@
     pub read_delay: Cell<Duration>,
     /// Who leads.
     pub leader: RefCell<Option<(String, u64)>>,
+    /// Whether leadership is dealt to each process that joins the group of candidates.
+    pub deals_to_newcomers: Cell<bool>,
+    candidates: RefCell<BTreeSet<String>>,
 }
 
 impl MemoryStore {
@@ -166,11 +169,17 @@
             return Err(ReadError::Unavailable);
         }
         let mut leader = self.leader.borrow_mut();
+        let is_new = self.candidates.borrow_mut().insert(member.to_owned());
+        if is_new && self.deals_to_newcomers.get() {
+            let generation = leader.as_ref().map_or(0, |(_, generation)| *generation) + 1;
+            *leader = Some((member.to_owned(), generation));
+        }
         let (name, generation) = leader.get_or_insert_with(|| (member.to_owned(), 1)).clone();
         Ok(Candidacy { generation, leads: name == member })
     }
 
     async fn resign(&self, member: &str) {
+        self.candidates.borrow_mut().remove(member);
         let mut leader = self.leader.borrow_mut();
         if leader.as_ref().is_some_and(|(name, _)| name == member) {
             *leader = None;
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -325,7 +325,15 @@
     }
 
     async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.direct.holder().await
+        let mut outcome = self.direct.holder().await;
+        for (place, peer) in self.candidates() {
+            if outcome.is_ok() {
+                break;
+            }
+            outcome = peer.holder().await;
+            self.prefer(if outcome.is_ok() { place } else { place + 1 });
+        }
+        outcome
     }
 
     async fn regained(&self) {
