fix: a join that hangs is given up once the leader's place has lapsed

Ruled out: a shorter limit for all calls to the store (a slow store isn't a silent one). Change: a join has three intervals, the time to live; after that, or a refusal, the process asks who leads, and leaves the group where another one does. Measured: join_that_hangs_takes_nothing_back fails before, passes after.

--- a/crates/rampbay-jobs/src/candidacy.rs
+++ b/crates/rampbay-jobs/src/candidacy.rs
@@ -23,6 +23,9 @@
 /// Answers in a row that nobody leads after which such a process stands: one with room asks three times in
 /// that time.
 const SMALL_VACANT_ANSWERS: u32 = 2;
+/// Intervals after which a join without answer is given up: the leader's time to live, by which its place
+/// has lapsed. What hangs longer could take the place back from whoever leads then.
+const JOIN_INTERVALS: u32 = 3;
 /// Time between two looks of such a process, while it leads, for one with more room.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(2000);
 
@@ -78,15 +81,21 @@
 /// Stands until somebody else leads.
 async fn stand(candidate: &Candidate, term: &Term, generation: &mut u64) {
     loop {
-        if let Ok(answer) = candidate.store.stand(&candidate.node, *generation).await {
-            let held = *term.borrow();
-            // A leader keeps the generation under which it began.
-            let next = if answer.leads { held.or(Some(answer.generation)) } else { None };
-            term.send_if_modified(|current| std::mem::replace(current, next) != next);
-            *generation = answer.generation;
-            if !answer.leads && is_led_by_other(candidate).await {
-                return;
+        let join = candidate.store.stand(&candidate.node, *generation);
+        let joined = tokio::time::timeout(candidate.interval * JOIN_INTERVALS, join).await;
+        let is_sure_to_lead = match joined {
+            Ok(Ok(answer)) => {
+                let held = *term.borrow();
+                // A leader keeps the generation under which it began.
+                let next = if answer.leads { held.or(Some(answer.generation)) } else { None };
+                term.send_if_modified(|current| std::mem::replace(current, next) != next);
+                *generation = answer.generation;
+                answer.leads
             }
+            Ok(Err(_)) | Err(_) => false,
+        };
+        if !is_sure_to_lead && is_led_by_other(candidate).await {
+            return;
         }
         tokio::time::sleep(candidate.interval).await;
     }
--- a/crates/rampbay-jobs/tests/leader.rs
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -121,6 +121,29 @@
     });
 }
 
+/// Seen on the bench: the store was silent to the leader; another took over, and lost its place half a
+/// second later to the first one's join, which had hung.
+#[test]
+fn join_that_hangs_takes_nothing_back() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        store.deals_to_newcomers.set(true);
+        start(&store, AMPLE, None);
+        sleep(Duration::from_secs(2)).await;
+        start(&store, "entry-second", None);
+        sleep(Duration::from_secs(1)).await;
+        AMPLE.clone_into(&mut store.hanging_candidate.borrow_mut());
+        sleep(Duration::from_millis(500)).await;
+        store.lapse();
+        sleep(Duration::from_secs(1)).await;
+        let epoch = table_of(&store).leader.epoch;
+        assert_eq!(holder(&store).as_deref(), Some("entry-second"));
+        sleep(Duration::from_secs(6)).await;
+        assert_eq!(holder(&store).as_deref(), Some("entry-second"));
+        assert_eq!(table_of(&store).leader.epoch, epoch, "it has led all the while");
+    });
+}
+
 /// Processes that join at the same moment settle on one; the others leave the group.
 #[test]
 fn processes_that_start_together_settle_on_one() {
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -25,6 +25,9 @@
     LosesAnswers,
 }
 
+/// How long the joins of a process hang that the store is silent to.
+const HANGING_JOIN: Duration = Duration::from_millis(2500);
+
 /// The store.
 #[derive(Default)]
 pub struct MemoryStore {
@@ -43,6 +46,8 @@
     /// Whether leadership is dealt to each process that joins the group of candidates.
     pub deals_to_newcomers: Cell<bool>,
     candidates: RefCell<BTreeSet<String>>,
+    /// A process whose joins hang for a while before they are carried out.
+    pub hanging_candidate: RefCell<String>,
 }
 
 impl MemoryStore {
@@ -51,6 +56,13 @@
         Rc::new(Self::default())
     }
 
+    /// Lets the leader's place lapse.
+    pub fn lapse(&self) {
+        if let Some((leader, _)) = self.leader.borrow_mut().take() {
+            self.candidates.borrow_mut().remove(&leader);
+        }
+    }
+
     /// Appends a record of the state.
     pub fn put(&self, record: &Record) {
         self.push(STATE_TOPIC, &[record.encode()]);
@@ -168,6 +180,9 @@
         if self.trouble.get() == Trouble::Refuses {
             return Err(ReadError::Unavailable);
         }
+        if *self.hanging_candidate.borrow() == member {
+            tokio::time::sleep(HANGING_JOIN).await;
+        }
         let mut leader = self.leader.borrow_mut();
         let is_new = self.candidates.borrow_mut().insert(member.to_owned());
         if is_new && self.deals_to_newcomers.get() {
