--- a/crates/rampbay-jobs/tests/leader.rs
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -104,8 +104,7 @@
     });
 }
 
-/// Leadership that lapses is taken up within a third of a second, half of the time in which the store
-/// would have dealt it to another member, and one call.
+/// Leadership that lapses is taken up within one interval between two questions, and a call.
 #[test]
 fn lapsed_leadership_taken_up_soon() {
     on_virtual_time(async {
