feat: logs tell a registration that goes missing from a run that is given up for it

Cause: the record of the incident can't tell the hypotheses apart: a run given up for want of its worker's registration (J130 reason=Lapsed) looks like a reported end, and an order doesn't say on which view of the state it was given. Ruled out: nothing yet. Change: J135 (run given up for want of a registration, with the age of its agent's last report), J136 (registrations that came and went), J172 (an agent whose worker's registration is missing, with its runs), J166 with position and age of the view. The metric of decisions counts give_up.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -69,6 +69,8 @@
     /// When the worker answered or was heard last.
     pub(super) heard: Cell<Instant>,
     record: RefCell<WorkerRecord>,
+    /// Whether the state held the worker when it was looked at last.
+    was_registered: Cell<bool>,
     sequence: Cell<u64>,
     left_at: Cell<Option<Instant>>,
     over: Cell<Option<LifeEnd>>,
@@ -101,6 +103,7 @@
             lease_sent: Cell::new(now),
             heard: Cell::new(now),
             record: RefCell::new(record),
+            was_registered: Cell::new(false),
             sequence: Cell::new(0),
             left_at: Cell::new(left_at),
             over: Cell::new(None),
@@ -295,6 +298,7 @@
         let mut changes = self.parts.freshness.subscribe();
         loop {
             changes.borrow_and_update();
+            self.tell_missing_registration();
             if !self.needs_registration() {
                 if changes.changed().await.is_err() {
                     return;
@@ -314,6 +318,20 @@
         }
     }
 
+    /// Tells once when the state no longer holds the worker, though its life goes on here.
+    fn tell_missing_registration(&self) {
+        let is_known = self.parts.table.borrow().workers.contains_key(&self.instance);
+        let was_known = self.was_registered.replace(is_known);
+        if was_known && !is_known {
+            log::warn!(
+                "event=J172 registration missing worker={} runs={} position={}",
+                self.instance,
+                self.runs.borrow().open.len(),
+                self.parts.freshness.position()
+            );
+        }
+    }
+
     fn is_evicted(&self) -> bool {
         self.parts.table.borrow().evicted.contains(&self.instance)
     }
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -168,11 +168,13 @@
             let outcome = self.worker.start(&order).await;
             metrics().ordered("start");
             log::info!(
-                "event=J166 run ordered task={} attempt={} worker={} outcome={outcome:?} took_ms={}",
+                "event=J166 run ordered task={} attempt={} worker={} outcome={outcome:?} took_ms={} position={} view_age_ms={}",
                 order.task,
                 order.attempt,
                 self.instance,
-                sent.elapsed().as_millis()
+                sent.elapsed().as_millis(),
+                self.parts.freshness.position(),
+                self.parts.freshness.age().unwrap_or_default().as_millis()
             );
             match outcome {
                 Ok(Started::Yes) => {
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -116,6 +116,26 @@
     lost_runs_checked: bool,
 }
 
+/// Most workers that one line of the log names.
+const MOST_NAMED: usize = 8;
+
+/// Tells which workers' registrations have come and gone since the last round.
+fn log_changed_workers(known: &BTreeMap<InstanceId, Duration>, table: &JobTable) {
+    let workers = &table.workers;
+    let came = workers.keys().filter(|instance| !known.contains_key(*instance));
+    let gone = known.keys().filter(|instance| !workers.contains_key(*instance));
+    let came: Vec<&InstanceId> = came.collect();
+    let gone: Vec<&InstanceId> = gone.collect();
+    log::info!(
+        "event=J136 registrations changed workers={} came={} gone={} names_came={:?} names_gone={:?}",
+        workers.len(),
+        came.len(),
+        gone.len(),
+        &came[..came.len().min(MOST_NAMED)],
+        &gone[..gone.len().min(MOST_NAMED)]
+    );
+}
+
 impl Planner {
     /// Makes a planner that remembers nothing.
     #[must_use]
@@ -178,6 +198,7 @@
             return;
         }
         self.lost_runs_checked = false;
+        log_changed_workers(&self.known_since, inputs.table);
         self.known_since.retain(|instance, _| workers.contains_key(instance));
         self.health.keep_only(|instance| workers.contains_key(instance));
         for instance in workers.keys() {
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use tokio::time::Instant;
+
 use crate::job::{JobId, Step, Submission, TaskId};
+use crate::metrics::metrics;
 use crate::record::{EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus};
 use crate::table::JobTable;
 
@@ -101,6 +104,15 @@
     for id in &inputs.table.active {
         for task in lost_runs(draft, id) {
             let Some(current) = draft.plan(id).and_then(|plan| plan.task(&task)) else { continue };
+            let report = inputs.progress.report(&current.instance, Instant::now());
+            log::warn!(
+                "event=J135 run given up, its worker isn't registered task={task} attempt={} worker={} report_age_ms={} reported={}",
+                current.attempt,
+                current.instance,
+                report.age.as_millis(),
+                report.is_heard
+            );
+            metrics().decided("give_up");
             let end = RunEnd {
                 attempt: current.attempt,
                 reason: EndReason::Lapsed,
