--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -46,6 +46,9 @@
     /// Whether leadership is dealt to each process that joins the group of candidates.
     pub deals_to_newcomers: Cell<bool>,
     candidates: RefCell<BTreeSet<String>>,
+    /// Whether appends without a fence get no answer and aren't carried out yet.
+    pub holds_appends: Cell<bool>,
+    held: RefCell<Vec<(String, Vec<KeyedRecord>)>>,
     /// A process whose joins hang for a while before they are carried out.
     pub hanging_candidate: RefCell<String>,
 }
@@ -90,6 +93,20 @@
         self.first_kept.borrow_mut().insert(topic.to_owned(), end);
     }
 
+    /// Carries out, in their order, the appends that were held back.
+    pub fn land_held(&self) {
+        for (topic, records) in self.held.take() {
+            self.push(&topic, &records);
+        }
+    }
+
+    /// Carries out once more what was appended to the state from one offset to another: copies of calls
+    /// that had no answer and were repeated.
+    pub fn land_again(&self, from: usize, to: usize) {
+        let copies = self.all(STATE_TOPIC)[from..to].to_vec();
+        self.push(STATE_TOPIC, &copies);
+    }
+
     fn push(&self, topic: &str, records: &[KeyedRecord]) -> Offset {
         let mut topics = self.topics.borrow_mut();
         let kept = topics.entry(topic.to_owned()).or_default();
@@ -125,6 +142,10 @@
         if self.trouble.get() == Trouble::Refuses {
             return Err(AppendError::Refused);
         }
+        if fence.is_none() && self.holds_appends.get() {
+            self.held.borrow_mut().push((topic.to_owned(), records.to_vec()));
+            std::future::pending::<()>().await;
+        }
         let end = match fence {
             Some(fence) => self.fenced_push(topic, records, fence).ok_or(AppendError::Fenced)?,
             None => self.push(topic, records),
