fix: a write that lands late is about the registration it was sent for, and no other

Cause: a worker's registration was one key without an order. A call without answer is carried out seconds later or held back by a process that is stopped, while the same records have gone another way; so the removal of an earlier registration took away a later one. The planner reads a missing registration as proof that nothing runs there, and started elsewhere what went on. A refusal that its agent's process didn't live to see kept did the same to the run that the next process started. Ruled out: conditions on the end of the topic (it is busy, they would hardly ever hold) and a writer's epoch for each agent (calls of many agents go in one append; each would be a call of its own). Change: each registration has a number and a key of its own; the highest counts; a process registers before it starts anything, with a number above all that can be under way. Refusals tell the registration under which they were sent, and the planner passes over those of an earlier one. What was assigned before a worker came back, or was refused by an earlier process, goes through a stop and is passed back. What runs at a worker without a registration is stopped.

--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -5,7 +5,9 @@
 
 use crate::job::Checkpoint;
 use crate::metrics::metrics;
-use crate::record::{EndReason, KeyedRecord, Record, RunEnd, STATE_TOPIC};
+use crate::record::{
+    EndReason, KeyedRecord, Record, RunEnd, STATE_TOPIC, encode, end_key, refusal_key,
+};
 use crate::worker::Listing;
 
 use super::life::Life;
@@ -107,6 +109,11 @@
             checkpoint: end.checkpoint.clone(),
             instance: self.instance.clone(),
         };
-        Record::Ended(Box::new(end)).encode()
+        let key = if end.reason == EndReason::NotStarted {
+            refusal_key(&end, self.own_registration())
+        } else {
+            end_key(&end)
+        };
+        KeyedRecord { key, value: encode(&Record::Ended(Box::new(end))) }
     }
 }
--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -9,9 +9,11 @@
 
 use crate::job::{InstanceId, Resources};
 use crate::record::{
-    PROGRESS_TOPIC, ProgressReport, Record, RunProgress, STATE_TOPIC, WorkerRecord, eviction_key,
-    removal, worker_key,
+    KeyedRecord, PROGRESS_TOPIC, ProgressReport, Record, RunProgress, STATE_TOPIC, WorkerRecord,
+    encode, eviction_key, removal, worker_key,
 };
+use crate::registrations::Registration;
+use crate::table::JobTable;
 use crate::worker::{Worker, WorkerMillis};
 
 use super::runs::{Phase, Runs};
@@ -69,6 +71,8 @@
     /// When the worker answered or was heard last.
     pub(super) heard: Cell<Instant>,
     record: RefCell<WorkerRecord>,
+    /// Number under which this process has registered the worker last.
+    registration: Cell<Option<Registration>>,
     /// Whether the state held the worker when it was looked at last.
     was_registered: Cell<bool>,
     sequence: Cell<u64>,
@@ -103,6 +107,7 @@
             lease_sent: Cell::new(now),
             heard: Cell::new(now),
             record: RefCell::new(record),
+            registration: Cell::new(None),
             was_registered: Cell::new(false),
             sequence: Cell::new(0),
             left_at: Cell::new(left_at),
@@ -305,12 +310,7 @@
                 }
                 continue;
             }
-            let record = Box::new(self.record.borrow().clone());
-            let mut records = vec![Record::Worker(self.instance.clone(), record).encode()];
-            if self.is_evicted() {
-                log::info!("event=J164 worker returns after eviction worker={}", self.instance);
-                records.push(removal(eviction_key(&self.instance)));
-            }
+            let records = self.registration_records();
             match self.parts.store.append(STATE_TOPIC, &records, None).await {
                 Ok(end) => self.parts.freshness.reach(end).await,
                 Err(_) => tokio::time::sleep(REGISTER_RETRY).await,
@@ -318,6 +318,59 @@
         }
     }
 
+    /// Returns what registers the worker, in place of all earlier registrations. Changes go under the number
+    /// that counts, if it is this process's; otherwise it takes a higher one.
+    fn registration_records(&self) -> Vec<KeyedRecord> {
+        let table = self.parts.table.borrow();
+        let is_evicted = table.evicted.contains(&self.instance);
+        let number = if self.is_registered_in(&table) && !is_evicted {
+            self.registration.get().unwrap_or_default()
+        } else {
+            self.next_registration(&table)
+        };
+        self.registration.set(Some(number));
+        let key = worker_key(&self.instance, number);
+        let record = Box::new(self.record.borrow().clone());
+        let value = encode(&Record::Worker(self.instance.clone(), record));
+        let mut records = vec![KeyedRecord { key: key.clone(), value }];
+        let earlier = table.registration_keys(&self.instance);
+        records.extend(earlier.into_iter().filter(|known| *known != key).map(removal));
+        if is_evicted {
+            log::info!("event=J164 worker returns after eviction worker={}", self.instance);
+            records.push(removal(eviction_key(&self.instance)));
+        }
+        log::info!(
+            "event=J173 worker registered worker={} registration={number} position={}",
+            self.instance,
+            self.parts.freshness.position()
+        );
+        records
+    }
+
+    /// Returns a number above all that were taken for this worker. Earlier processes took theirs at earlier
+    /// positions of the state, also where the store hasn't carried the registration out yet.
+    fn next_registration(&self, table: &JobTable) -> Registration {
+        let known = table.registration(&self.instance);
+        let above = known.max(self.registration.get()).unwrap_or_default() + 1;
+        above.max(self.parts.freshness.position())
+    }
+
+    /// Returns whether the worker is registered by this process. Before that nothing is started: what an
+    /// earlier process wrote and the store hasn't carried out yet may be about the runs that are assigned.
+    pub(super) fn is_registered(&self) -> bool {
+        self.is_registered_in(&self.parts.table.borrow())
+    }
+
+    fn is_registered_in(&self, table: &JobTable) -> bool {
+        let own = self.registration.get();
+        own.is_some() && own == table.registration(&self.instance)
+    }
+
+    /// Returns the number under which this process has registered the worker; 0 before it did.
+    pub(super) fn own_registration(&self) -> Registration {
+        self.registration.get().unwrap_or_default()
+    }
+
     /// Tells once when the state no longer holds the worker, though its life goes on here.
     fn tell_missing_registration(&self) {
         let is_known = self.parts.table.borrow().workers.contains_key(&self.instance);
@@ -346,15 +399,31 @@
         }
         let table = self.parts.table.borrow();
         match table.workers.get(&self.instance) {
-            Some(known) => **known != *self.record.borrow(),
+            Some(known) => {
+                let is_whole = self.is_registered_in(&table)
+                    && table.registration_keys(&self.instance).len() == 1
+                    && **known == *self.record.borrow();
+                !is_whole
+            }
             // After its runs were given up, a worker comes back without any.
             None => is_empty,
         }
     }
 
+    /// Returns what ends all registrations of the worker that are known.
+    fn removal_records(&self) -> Vec<KeyedRecord> {
+        let mut keys = self.parts.table.borrow().registration_keys(&self.instance);
+        let own = worker_key(&self.instance, self.own_registration());
+        if !keys.contains(&own) {
+            keys.push(own);
+        }
+        keys.push(eviction_key(&self.instance));
+        keys.into_iter().map(removal).collect()
+    }
+
     async fn unregister(&self) {
-        let records = [removal(worker_key(&self.instance)), removal(eviction_key(&self.instance))];
         loop {
+            let records = self.removal_records();
             if let Ok(end) = self.parts.store.append(STATE_TOPIC, &records, None).await {
                 let report = removal(self.instance.clone());
                 // A report that stays is passed over: its worker is gone.
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -43,7 +43,10 @@
         while !self.is_over() {
             changes.borrow_and_update();
             if self.listed.get() && self.parts.freshness.age().is_some() {
-                self.start_wanted();
+                if self.is_registered() {
+                    self.settle_given_up();
+                    self.start_wanted();
+                }
                 self.take_up_unknown_stops();
                 self.stop_unwanted();
             }
@@ -69,6 +72,28 @@
         }
     }
 
+    /// Settles runs that may have been given up already: assigned before the worker came back after its
+    /// registration was gone, or refused by an earlier process of this agent. The planner may start them
+    /// elsewhere by a decision that is on its way, and a start by an earlier process may still be carried out.
+    /// So each goes through a stop, after which it surely never starts here, and the planner is told so.
+    fn settle_given_up(&self) {
+        for wanted in self.wanted().into_iter().filter(|wanted| self.may_be_given_up(&wanted.key)) {
+            let (task, attempt) = &wanted.key;
+            log::info!(
+                "event=J174 run passed back task={task} attempt={attempt} worker={} registration={}",
+                self.instance,
+                self.own_registration()
+            );
+            let run = Run::new(Phase::Unanswered(Instant::now()));
+            self.runs.borrow_mut().open.insert(wanted.key, run);
+        }
+    }
+
+    fn may_be_given_up(&self, key: &RunKey) -> bool {
+        let table = self.parts.table.borrow();
+        table.was_assigned_before_return(&self.instance, key) || table.has_refusal(&key.0, key.1)
+    }
+
     /// Returns whether a task fits beside all runs that may exist here, those that are being stopped
     /// among them. Workers may start whatever they are told.
     fn has_room_for(&self, task: &TaskId) -> bool {
@@ -112,7 +137,7 @@
                     continue;
                 }
                 let (task_id, attempt) = &key;
-                if table.ends.contains_key(&format!("end/{task_id}/{attempt}")) {
+                if table.has_end(task_id, *attempt) {
                     continue;
                 }
                 wanted.push(Wanted {
--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 
 use crate::job::NodeName;
-use crate::record::{JobPlan, KeyedRecord, Record, TaskPlan};
+use crate::record::{JobPlan, KeyedRecord, Record, TaskPlan, split_worker_name};
 use crate::table::JobTable;
 
 /// Whom a record concerns.
@@ -111,7 +111,7 @@
                 let end = self.ends.get(key);
                 Some(end.and_then(|end| self.agent_of(&end.instance)).into_iter().collect())
             }
-            "worker" => Some(self.agent_of(name).into_iter().collect()),
+            "worker" => Some(self.agent_of(split_worker_name(name).0).into_iter().collect()),
             _ => None,
         }
     }
--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -26,8 +26,13 @@
 
 /// What the followed records go into.
 pub trait Sink {
-    /// Forgets everything: the newest records of all keys follow.
+    /// Forgets everything.
     fn reset(&mut self);
+    /// Takes in the newest record of each key in place of all that was known.
+    fn load(&mut self, records: &[KeyedRecord]) {
+        self.reset();
+        records.iter().for_each(|record| self.apply(record));
+    }
     /// Takes in one record.
     fn apply(&mut self, record: &KeyedRecord);
     /// Takes in one record that is to be passed on, and tells whom it concerns.
@@ -123,9 +128,9 @@
         position = batch.next;
         later.extend(batch.records);
     }
-    sink.reset();
+    sink.load(&snapshot.records);
     freshness.restart(position);
-    snapshot.records.iter().chain(&later).for_each(|record| sink.apply(record));
+    later.iter().for_each(|record| sink.apply(record));
     freshness.prove(started);
     freshness.move_to(position);
     Ok(())
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod planner;
 pub mod process;
 pub mod record;
+pub mod registrations;
 pub mod routing;
 pub mod settings;
 pub mod store;
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -1,7 +1,7 @@
 //! Gives up the runs of workers whose agents are silent, once none of them can exist any more.
 
 use crate::metrics::metrics;
-use crate::record::{Record, eviction_key, worker_key};
+use crate::record::{Record, eviction_key};
 
 use super::draft::Draft;
 use super::workers::WorkerViews;
@@ -23,11 +23,17 @@
             continue;
         }
         log::warn!("event=J141 worker given up worker={instance}");
-        draft.remove(worker_key(instance));
-        draft.remove(eviction_key(instance));
+        remove_worker(draft, instance);
     }
 }
 
+fn remove_worker(draft: &mut Draft<'_>, instance: &str) {
+    for key in draft.table.registration_keys(instance) {
+        draft.remove(key);
+    }
+    draft.remove(eviction_key(instance));
+}
+
 /// Removes workers that have said good-bye and whose agents went before they could say that it is
 /// over. Their leases are never renewed again.
 pub fn give_up_departed(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
@@ -45,8 +51,7 @@
             "event=J144 departed worker given up worker={instance} waited_ms={}",
             waited.as_millis()
         );
-        draft.remove(worker_key(instance));
-        draft.remove(eviction_key(instance));
+        remove_worker(draft, instance);
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -7,7 +7,9 @@
 
 use crate::job::{JobId, Step, Submission, TaskId};
 use crate::metrics::metrics;
-use crate::record::{EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus};
+use crate::record::{
+    EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus, split_refusal_key,
+};
 use crate::table::JobTable;
 
 use super::RoundInputs;
@@ -18,11 +20,30 @@
 pub fn take_in_ends(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, health: &mut HealthBook) {
     for (key, end) in &inputs.table.ends {
         draft.remove(key.clone());
+        if is_of_earlier_registration(inputs.table, key, end) {
+            log::info!(
+                "event=J137 refusal of an earlier registration passed over task={} attempt={} worker={}",
+                end.task,
+                end.attempt,
+                end.instance
+            );
+            continue;
+        }
         note_health(end, inputs, health);
         take_in_end(draft, inputs, end);
     }
 }
 
+/// Returns whether a start was refused by an agent's process that another one has followed. It may land late, when
+/// the later process has started the run: taken as an end, the run would have been given up while it went on.
+fn is_of_earlier_registration(table: &JobTable, key: &str, end: &RunEnd) -> bool {
+    if end.reason != EndReason::NotStarted {
+        return false;
+    }
+    let (_, number) = split_refusal_key(key);
+    number > 0 && table.registration(&end.instance).is_some_and(|newest| newest > number)
+}
+
 fn note_health(end: &RunEnd, inputs: &RoundInputs<'_>, health: &mut HealthBook) {
     match end.reason {
         EndReason::Failed => health.failed(&end.instance, &end.task.job, inputs.now),
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -33,6 +33,10 @@
         *self.0.borrow_mut() = JobTable::default();
     }
 
+    fn load(&mut self, records: &[KeyedRecord]) {
+        self.0.borrow_mut().load(records);
+    }
+
     fn apply(&mut self, record: &KeyedRecord) {
         self.0.borrow_mut().apply(record);
     }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -7,6 +7,7 @@
     Checkpoint, EpochMillis, InstanceId, JobId, NodeName, Resources, ServiceName, Submission,
     TaskId,
 };
+use crate::registrations::Registration;
 
 /// Topic of everything that must last.
 pub const STATE_TOPIC: &str = "keyed.rampbay";
@@ -355,10 +356,40 @@
     format!("{kind}/{}/{}", end.task, end.attempt)
 }
 
-/// Returns the key of a worker.
+/// Returns the key of a start that failed, as the agent reports it under a registration of its worker.
 #[must_use]
-pub fn worker_key(instance: &str) -> String {
-    format!("worker/{instance}")
+pub fn refusal_key(end: &RunEnd, registration: Registration) -> String {
+    numbered(end_key(end), registration)
+}
+
+/// Splits the key of a refusal into its run's key and the registration under which it was reported.
+#[must_use]
+pub fn split_refusal_key(key: &str) -> (&str, Registration) {
+    // Before the number stand the kind, the task and the attempt.
+    let is_numbered = key.split('/').count() > 3;
+    if is_numbered { split_number(key) } else { (key, 0) }
+}
+
+/// Returns the key of a worker's registration.
+#[must_use]
+pub fn worker_key(instance: &str, registration: Registration) -> String {
+    numbered(format!("worker/{instance}"), registration)
+}
+
+/// Splits what follows the kind in the key of a registration into the worker's id and the number.
+#[must_use]
+pub fn split_worker_name(name: &str) -> (&str, Registration) {
+    split_number(name)
+}
+
+fn numbered(key: String, number: Registration) -> String {
+    if number == 0 { key } else { format!("{key}/{number}") }
+}
+
+fn split_number(text: &str) -> (&str, Registration) {
+    let split = text.rsplit_once('/');
+    let numbered = split.and_then(|(rest, number)| Some((rest, number.parse().ok()?)));
+    numbered.unwrap_or((text, 0))
 }
 
 /// Returns the key of an eviction.
@@ -368,7 +399,7 @@
 }
 
 impl Record {
-    /// Returns the key under which it is kept.
+    /// Returns the key under which it is kept. Those of registrations and refusals get a number besides.
     #[must_use]
     pub fn key(&self) -> String {
         match self {
@@ -376,7 +407,7 @@
             Self::Cancelled(job) => format!("cancel/{job}"),
             Self::Plan(job, _) => format!("plan/{job}"),
             Self::Ended(end) => end_key(end),
-            Self::Worker(instance, _) => worker_key(instance),
+            Self::Worker(instance, _) => worker_key(instance, 0),
             Self::Evicted(instance) => eviction_key(instance),
             Self::Leader(_) => "leader".to_owned(),
             Self::Member(member) => format!("member/{}", member.node),
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -7,8 +7,9 @@
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
 use crate::record::{
     EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
-    TaskStatus, WorkerRecord,
+    TaskStatus, WorkerRecord, split_refusal_key, split_worker_name,
 };
+use crate::registrations::{Registration, Registrations};
 
 /// One job.
 #[derive(Clone, Debug)]
@@ -47,7 +48,7 @@
     pub jobs: BTreeMap<JobId, Job>,
     /// Jobs with something left to do.
     pub active: BTreeSet<JobId>,
-    /// Workers that are there.
+    /// Workers that are there, by the registration of each that counts.
     pub workers: BTreeMap<InstanceId, Rc<WorkerRecord>>,
     /// Workers whose runs are given up.
     pub evicted: BTreeSet<InstanceId>,
@@ -59,11 +60,26 @@
     pub drained: DrainedDomains,
     /// The processes, by their names.
     pub members: BTreeMap<NodeName, Member>,
+    /// All registrations, those that a newer one has followed among them.
+    registrations: Registrations,
+    /// Runs that were assigned to a worker before it came back, registered anew.
+    assigned_before_return: BTreeMap<InstanceId, BTreeSet<(TaskId, u32)>>,
     /// Cancellations of jobs that aren't known.
     early_cancels: BTreeSet<JobId>,
 }
 
 impl JobTable {
+    /// Takes in the newest record of each key in place of all that was known, whatever their order: jobs go
+    /// before their accounts, which would be passed over without them.
+    pub fn load(&mut self, records: &[KeyedRecord]) {
+        *self = Self::default();
+        let is_job = |record: &&KeyedRecord| record.key.starts_with("job/");
+        records.iter().filter(is_job).for_each(|record| self.apply(record));
+        records.iter().filter(|record| !is_job(record)).for_each(|record| self.apply(record));
+        // Nothing tells whether a worker had been gone before.
+        self.assigned_before_return.clear();
+    }
+
     /// Takes in one record. Records that can't be read are passed over: a newer release may
     /// have written them.
     pub fn apply(&mut self, record: &KeyedRecord) {
@@ -72,6 +88,14 @@
             return;
         }
         match Record::decode(record) {
+            Ok(Record::Worker(instance, worker)) => {
+                let (_, number) = split_worker_name(&record.key);
+                self.insert_worker(instance, number, *worker);
+            }
+            // A refusal's key has the registration under which it was reported.
+            Ok(Record::Ended(end)) => {
+                self.ends.insert(record.key.clone(), Rc::new(*end));
+            }
             Ok(record) => self.insert(record),
             Err(error) => log::warn!("event=J104 record unreadable {error}"),
         }
@@ -82,12 +106,8 @@
             Record::Submitted(submission) => self.insert_submission(*submission),
             Record::Cancelled(id) => self.insert_cancel(id),
             Record::Plan(id, plan) => self.insert_plan(&id, *plan),
-            Record::Ended(end) => {
-                self.ends.insert(crate::record::end_key(&end), Rc::new(*end));
-            }
-            Record::Worker(instance, worker) => {
-                self.workers.insert(instance, Rc::new(*worker));
-            }
+            // These go by their keys.
+            Record::Ended(_) | Record::Worker(..) => {}
             Record::Evicted(instance) => {
                 self.evicted.insert(instance);
             }
@@ -107,6 +127,57 @@
         }
     }
 
+    fn insert_worker(&mut self, instance: InstanceId, number: Registration, worker: WorkerRecord) {
+        if !self.workers.contains_key(&instance) {
+            let assigned = self.runs_assigned_to(&instance);
+            self.assigned_before_return.insert(instance.clone(), assigned);
+        }
+        self.registrations.insert(&instance, number, Rc::new(worker));
+        self.show_newest(&instance);
+    }
+
+    fn remove_worker(&mut self, name: &str) {
+        let (instance, number) = split_worker_name(name);
+        self.registrations.remove(instance, number);
+        self.show_newest(instance);
+    }
+
+    fn show_newest(&mut self, instance: &str) {
+        if let Some((_, record)) = self.registrations.newest(instance) {
+            self.workers.insert(instance.to_owned(), Rc::clone(record));
+        } else {
+            self.workers.remove(instance);
+            self.assigned_before_return.remove(instance);
+        }
+    }
+
+    fn runs_assigned_to(&self, instance: &str) -> BTreeSet<(TaskId, u32)> {
+        let plans =
+            self.active.iter().filter_map(|id| Some((id, self.jobs.get(id)?.plan.as_ref()?)));
+        let tasks = plans.flat_map(|(id, plan)| plan.tasks(id));
+        let assigned = tasks.filter(|(_, task)| task.occupies() && task.instance == instance);
+        assigned.map(|(id, task)| (id, task.attempt)).collect()
+    }
+
+    /// Returns the registration of a worker that counts.
+    #[must_use]
+    pub fn registration(&self, instance: &str) -> Option<Registration> {
+        self.registrations.newest(instance).map(|(number, _)| number)
+    }
+
+    /// Lists the keys of all registrations of a worker.
+    #[must_use]
+    pub fn registration_keys(&self, instance: &str) -> Vec<String> {
+        self.registrations.keys(instance).collect()
+    }
+
+    /// Returns whether a run was assigned to a worker before that came back, after its registration was gone.
+    /// While it was gone the planner may have taken the run to be over, by a decision that is still on its way.
+    #[must_use]
+    pub fn was_assigned_before_return(&self, instance: &str, run: &(TaskId, u32)) -> bool {
+        self.assigned_before_return.get(instance).is_some_and(|runs| runs.contains(run))
+    }
+
     fn insert_submission(&mut self, submission: Submission) {
         let id = submission.id.clone();
         if self.jobs.contains_key(&id) {
@@ -150,9 +221,7 @@
             "end" | "refusal" => {
                 self.ends.remove(key);
             }
-            "worker" => {
-                self.workers.remove(name);
-            }
+            "worker" => self.remove_worker(name),
             "evicted" => {
                 self.evicted.remove(name);
             }
@@ -201,6 +270,20 @@
         })
     }
 
+    /// Returns whether the end of a run is known that no account holds yet.
+    #[must_use]
+    pub fn has_end(&self, task: &TaskId, attempt: u32) -> bool {
+        self.ends.contains_key(&format!("end/{task}/{attempt}"))
+    }
+
+    /// Returns whether a refusal of a run is known that no account holds yet.
+    #[must_use]
+    pub fn has_refusal(&self, task: &TaskId, attempt: u32) -> bool {
+        let key = format!("refusal/{task}/{attempt}");
+        let mut from_key = self.ends.range(key.clone()..);
+        from_key.next().is_some_and(|(found, _)| split_refusal_key(found).0 == key)
+    }
+
     fn has_ended_well(&self, id: &TaskId, task: &TaskPlan) -> bool {
         let end = self.ends.get(&format!("end/{id}/{}", task.attempt));
         task.occupies() && end.is_some_and(|end| end.reason == EndReason::Done)
@@ -221,9 +304,13 @@
         self.drained.contains(&worker.failure_domain)
     }
 
-    /// Returns whether a run is to go on: assigned to this worker, and not cancelled.
+    /// Returns whether a run is to go on: assigned to this worker, which is registered, and not cancelled. What
+    /// runs at a worker whose registration is gone will be started elsewhere.
     #[must_use]
-    pub fn wants_run(&self, instance: &str, task: &crate::job::TaskId, attempt: u32) -> bool {
+    pub fn wants_run(&self, instance: &str, task: &TaskId, attempt: u32) -> bool {
+        if !self.workers.contains_key(instance) {
+            return false;
+        }
         let Some(job) = self.jobs.get(&task.job) else { return false };
         if job.cancelled {
             return false;
--- a/crates/rampbay-jobs/tests/late_writes.rs
+++ b/crates/rampbay-jobs/tests/late_writes.rs
@@ -15,13 +15,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::record::{Record, STATE_TOPIC, TaskPlan};
+use rampbay_jobs::record::{EndReason, Record, STATE_TOPIC, TaskPlan};
 use rstest::rstest;
 use support::leader::start_leader;
 use support::store::MemoryStore;
 use support::worker::{FakeWorker, StartTrouble};
 use support::{
-    AgentRig, job, on_virtual_time, seed_running_job, step, table_of, task, worker_record,
+    AgentRig, job, on_virtual_time, running_plan, seed_running_job, step, table_of, task,
+    worker_record,
 };
 use tokio::time::sleep;
 
@@ -130,6 +131,24 @@
     });
 }
 
+/// A worker that comes back after its registration was gone isn't given what was assigned to it before: it may
+/// have been started elsewhere by a decision that is on its way.
+#[test]
+fn run_assigned_before_return_not_started() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
+        store.put(&Record::Plan(JOB.to_owned(), Box::new(running_plan(1, WORKER, 1))));
+        let rig = AgentRig::start(store, FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        assert_eq!(rig.worker.starts(), vec![]);
+        let ends: Vec<EndReason> =
+            table_of(&rig.store).ends.values().map(|end| end.reason).collect();
+        assert_eq!(ends, vec![EndReason::NotStarted], "the planner learns that it never starts");
+    });
+}
+
 /// Without late writes, an agent that starts again takes up what was assigned before.
 #[test]
 fn run_assigned_before_restart_started() {
