fix: an agent whose worker's registration is gone is told what is decided about its runs

Cause: an entry passes an account on to the agents beside the workers that it names, and looked them up among the registered ones. The planner gives a run up once its worker's registration is gone; so just the agent that still had the run wasn't told. Ruled out: that agents see it anyway: they are sent only what concerns them. Change: the agent of a worker that is gone is remembered; where it isn't known (the state was read anew since), the account goes to all agents. The new agent of a job gets the job before its account in either case. Measured: partial_views, nine cases.

--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -6,8 +6,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::job::NodeName;
-use crate::record::{JobPlan, KeyedRecord, Record, TaskPlan, split_worker_name};
+use crate::job::{InstanceId, NodeName};
+use crate::record::{JobPlan, KeyedRecord, Record, split_worker_name};
 use crate::table::JobTable;
 
 /// Whom a record concerns.
@@ -67,9 +67,30 @@
     pub agents: BTreeSet<NodeName>,
 }
 
+/// Whom the value of a key concerns.
+#[derive(Clone, Debug, Default)]
+struct Concerned {
+    /// The agents that are known.
+    agents: BTreeSet<NodeName>,
+    /// Whether it concerns an agent besides that isn't known.
+    others: bool,
+}
+
+impl Concerned {
+    fn extend(&mut self, agent: Option<&NodeName>) {
+        match agent {
+            Some(agent) => {
+                self.agents.insert(agent.clone());
+            }
+            None => self.others = true,
+        }
+    }
+}
+
 impl JobTable {
     /// Takes in one record, and tells whom it concerns: the agents that its value concerned before,
-    /// and those that it concerns now.
+    /// and those that it concerns now. What concerns a worker that is gone is passed on to its agent still, or
+    /// to all where it isn't known: an agent that isn't told that its run was given up goes on with it.
     pub fn apply_and_tell(&mut self, record: &KeyedRecord) -> Passed {
         let before = self.concerned(&record.key);
         self.apply(record);
@@ -77,8 +98,12 @@
         let (Some(before), Some(after)) = (before, after) else {
             return Passed::to_all(record.clone());
         };
-        let introduction = self.introduction(&record.key, &before, &after);
-        let audience = Audience::Agents(before.into_iter().chain(after).collect());
+        let introduction = self.introduction(&record.key, &before.agents, &after.agents);
+        let audience = if before.others || after.others {
+            Audience::All
+        } else {
+            Audience::Agents(before.agents.into_iter().chain(after.agents).collect())
+        };
         Passed { record: record.clone(), audience, introduction }
     }
 
@@ -98,31 +123,33 @@
     }
 
     /// Returns the agents that the present value of a key concerns; `None` for all processes.
-    fn concerned(&self, key: &str) -> Option<BTreeSet<NodeName>> {
+    fn concerned(&self, key: &str) -> Option<Concerned> {
         let (kind, name) = key.split_once('/')?;
+        let mut concerned = Concerned::default();
         match kind {
             // An agent gets a job with the first account that concerns it, and all removals.
-            "job" => self.jobs.contains_key(name).then(BTreeSet::new),
+            "job" if self.jobs.contains_key(name) => {}
             "plan" => {
                 let plan = self.jobs.get(name).and_then(|job| job.plan.as_deref());
-                Some(plan.map(|plan| self.agents_of(plan)).unwrap_or_default())
+                let workers = plan.into_iter().flat_map(workers_of);
+                workers.for_each(|instance| concerned.extend(self.agent_of(instance)));
             }
             "end" | "refusal" => {
-                let end = self.ends.get(key);
-                Some(end.and_then(|end| self.agent_of(&end.instance)).into_iter().collect())
+                let end = self.ends.get(key).into_iter();
+                end.for_each(|end| concerned.extend(self.agent_of(&end.instance)));
+            }
+            "worker" => {
+                let (instance, _) = split_worker_name(name);
+                concerned.agents.extend(self.agent_of(instance).cloned());
             }
-            "worker" => Some(self.agent_of(split_worker_name(name).0).into_iter().collect()),
-            _ => None,
+            _ => return None,
         }
+        Some(concerned)
     }
+}
 
-    fn agents_of(&self, plan: &JobPlan) -> BTreeSet<NodeName> {
-        let tasks = plan.open.iter().flat_map(|open| open.steps.iter().flatten());
-        let occupying = tasks.filter(|task| TaskPlan::occupies(task));
-        occupying.filter_map(|task| self.agent_of(&task.instance)).collect()
-    }
-
-    fn agent_of(&self, instance: &str) -> Option<NodeName> {
-        self.workers.get(instance).map(|worker| worker.node.clone())
-    }
+/// Iterates over the workers where runs of a job may exist.
+fn workers_of(plan: &JobPlan) -> impl Iterator<Item = &InstanceId> {
+    let tasks = plan.open.iter().flat_map(|open| open.steps.iter().flatten());
+    tasks.filter(|task| task.occupies()).map(|task| &task.instance)
 }
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -62,6 +62,8 @@
     pub members: BTreeMap<NodeName, Member>,
     /// All registrations, those that a newer one has followed among them.
     registrations: Registrations,
+    /// Agents of all workers that were there since the state was read as a whole, also of those that are gone.
+    agents: BTreeMap<InstanceId, NodeName>,
     /// Runs that were assigned to a worker before it came back, registered anew.
     assigned_before_return: BTreeMap<InstanceId, BTreeSet<(TaskId, u32)>>,
     /// Cancellations of jobs that aren't known.
@@ -132,6 +134,7 @@
             let assigned = self.runs_assigned_to(&instance);
             self.assigned_before_return.insert(instance.clone(), assigned);
         }
+        self.agents.insert(instance.clone(), worker.node.clone());
         self.registrations.insert(&instance, number, Rc::new(worker));
         self.show_newest(&instance);
     }
@@ -171,6 +174,13 @@
         self.registrations.keys(instance).collect()
     }
 
+    /// Returns the agent of a worker that is there or was; `None` if it was gone before the state was read as a
+    /// whole.
+    #[must_use]
+    pub fn agent_of(&self, instance: &str) -> Option<&NodeName> {
+        self.agents.get(instance)
+    }
+
     /// Returns whether a run was assigned to a worker before that came back, after its registration was gone.
     /// While it was gone the planner may have taken the run to be over, by a decision that is still on its way.
     #[must_use]
--- /dev/null
+++ b/crates/rampbay-jobs/tests/partial_views.rs
@@ -0,0 +1,142 @@
+//! Views of the state that aren't whole: an agent that is sent only what concerns its worker, and a state that is
+//! read anew in another order than it was written in.
+//!
+//! Seen: of two runs of a task at once, the first was never stopped, though the planner had given it up.
+//!
+//! How it came about: an entry passes an account on to the agents beside the workers that it names. The planner gives
+//! a run up once its worker's registration is gone, and by then the entry no longer knew whose worker it was. So the
+//! agent was never told, went on with the run, and started what it hadn't started yet.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rampbay_jobs::audience::Audience;
+use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC, worker_key};
+use rampbay_jobs::store::Store;
+use rampbay_jobs::table::JobTable;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use support::entry::ThroughEntry;
+use support::store::MemoryStore;
+use support::worker::FakeWorker;
+use support::{
+    AgentRig, job, on_virtual_time, running_plan, seed_running_job, step, task, worker_record,
+};
+use tokio::time::sleep;
+
+const JOB: &str = "00000000000000aa";
+const WORKER: &str = "i-1";
+const OTHER: &str = "i-9";
+const AGENT: &str = "side-1";
+/// More than an agent takes to start or to stop a run.
+const ACTS: Duration = Duration::from_millis(800);
+
+fn plan(instance: &str, attempt: u32) -> Record {
+    Record::Plan(JOB.to_owned(), Box::new(running_plan(1, instance, attempt)))
+}
+
+/// Starts an agent behind an entry, with a run at its worker.
+async fn running_rig() -> AgentRig {
+    let store = MemoryStore::new();
+    seed_running_job(&store, JOB, 1, WORKER);
+    store.put(&Record::Worker(OTHER.to_owned(), Box::new(worker_record("side-9", "r1", 8))));
+    let shared: Rc<dyn Store> = ThroughEntry::start(&store);
+    sleep(ACTS).await;
+    let rig = AgentRig::start_over(store, shared, FakeWorker::new(WORKER));
+    rig.heartbeat(WORKER, 1);
+    sleep(ACTS).await;
+    assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1)]);
+    rig
+}
+
+/// Removes all registrations of a worker, as a planner does that gives it up.
+fn give_up(store: &MemoryStore, instance: &str) {
+    let mut table = JobTable::default();
+    table.load(&store.all(STATE_TOPIC));
+    table.registration_keys(instance).iter().for_each(|key| store.remove(key));
+}
+
+#[test]
+fn run_given_up_stopped_by_agent_behind_entry() {
+    on_virtual_time(async {
+        let rig = running_rig().await;
+        give_up(&rig.store, WORKER);
+        rig.store.put(&plan(OTHER, 2));
+        sleep(ACTS).await;
+        assert_eq!(rig.worker.running(), vec![]);
+    });
+}
+
+#[test]
+fn run_given_up_not_started_by_agent_behind_entry() {
+    on_virtual_time(async {
+        let rig = running_rig().await;
+        let second = "00000000000000bb";
+        let planned = |instance, attempt| {
+            let plan = running_plan(1, instance, attempt);
+            Record::Plan(second.to_owned(), Box::new(plan))
+        };
+        rig.store.put(&Record::Submitted(Box::new(job(second, 1, step(1, 1)))));
+        // All in one read: assigned, its worker given up, assigned elsewhere.
+        rig.store.put(&planned(WORKER, 1));
+        give_up(&rig.store, WORKER);
+        rig.store.put(&planned(OTHER, 2));
+        sleep(ACTS * 3).await;
+        assert_eq!(rig.worker.starts(), vec![(task(JOB, 0), 1)]);
+    });
+}
+
+/// An entry that has read the state anew doesn't know whose a worker was that is gone: all agents are told.
+#[rstest]
+#[case::known_before(false, Audience::Agents([AGENT.to_owned()].into()))]
+#[case::read_anew(true, Audience::All)]
+fn account_of_gone_worker_passed_on(#[case] reloads: bool, #[case] expected: Audience) {
+    let store = MemoryStore::new();
+    seed_running_job(&store, JOB, 1, WORKER);
+    let mut table = JobTable::default();
+    store.all(STATE_TOPIC).iter().for_each(|record| table.apply(record));
+    store.remove(&worker_key(WORKER, 0));
+    if reloads {
+        let kept: Vec<KeyedRecord> = store.all(STATE_TOPIC);
+        let kept = kept.into_iter().filter(|record| !record.key.starts_with("worker/"));
+        table.load(&kept.collect::<Vec<_>>());
+    } else {
+        store.all(STATE_TOPIC).last().iter().for_each(|record| table.apply(record));
+    }
+    let waiting = Record::Plan(JOB.to_owned(), Box::default());
+    let passed = table.apply_and_tell(&waiting.encode());
+    assert_eq!(passed.audience, expected);
+}
+
+/// A job that moves from a worker that is gone to another: the new agent gets the job before its account.
+#[test]
+fn account_of_gone_worker_introduced_to_new_agent() {
+    let mut table = JobTable::default();
+    let records = [
+        Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))),
+        plan(WORKER, 1),
+        Record::Worker(OTHER.to_owned(), Box::new(worker_record("side-9", "r1", 8))),
+    ];
+    table.load(&records.each_ref().map(Record::encode));
+    let passed = table.apply_and_tell(&plan(OTHER, 2).encode());
+    let sent: Vec<String> = passed.records_for("side-9").map(|record| record.key).collect();
+    assert_eq!(sent, [format!("job/{JOB}"), format!("plan/{JOB}")]);
+}
+
+/// What the store answers as the newest record of each key has an order of its own: a job that was written again
+/// stands behind its account.
+#[rstest]
+fn state_read_anew_in_any_order(#[values(1, 2, 3, 4)] seed: u64) {
+    let store = MemoryStore::new();
+    seed_running_job(&store, JOB, 2, WORKER);
+    let mut records = store.all(STATE_TOPIC);
+    records.shuffle(&mut ChaCha8Rng::seed_from_u64(seed));
+    let mut table = JobTable::default();
+    table.load(&records);
+    assert!(table.wants_run(WORKER, &task(JOB, 0), 1));
+    assert!(table.wants_run(WORKER, &task(JOB, 1), 1));
+}
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory fakes of the store and of a worker, on virtual time.
 #![allow(dead_code, reason = "each test file uses some of the fakes")]
 
+pub mod entry;
 pub mod fleet;
 pub mod leader;
 pub mod planner;
@@ -122,8 +123,17 @@
 impl AgentRig {
     /// Starts an agent process on a store and a worker that may exist already.
     pub fn start(store: Rc<MemoryStore>, worker: Rc<FakeWorker>) -> Self {
-        let live = LiveTable::default();
         let shared: Rc<dyn Store> = store.clone();
+        Self::start_over(store, shared, worker)
+    }
+
+    /// Starts an agent process whose way to the store is another.
+    pub fn start_over(
+        store: Rc<MemoryStore>,
+        shared: Rc<dyn Store>,
+        worker: Rc<FakeWorker>,
+    ) -> Self {
+        let live = LiveTable::default();
         let connected = Rc::clone(&worker);
         let host = AgentHost::new(AgentParts {
             node: "side-1".to_owned(),
