fix: an empty answer proves its own wait, not the one that was asked for

Cause: the follower credited an empty answer that came after the asked wait (1 s) with all of it. A peer waits 0.4 s at most, and may be the second one that is asked: a late answer so proved a view younger than it was, by up to 0.6 s at the border of the follower. That age guards leases, starts and keys. Through the calls as they stand (0.6 s at most for each of two peers) the error is 0.2 s at most, unless the process is stalled between answer and its reading.

Ruled out: the direct way and relayed reads send the whole wait; only their fractions of a millisecond were credited too much.

Change: whoever made the call says in the batch how long the answer surely waited, by the wait that it sent; it isn't on the wire. A view whose age can't be subtracted proves nothing (it proved the present).

--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -149,11 +149,10 @@
         take_in(sink, freshness, record);
     }
     let position = known.max(batch.next);
-    if position >= batch.end {
-        // An empty answer comes only after the whole wait, and speaks for its end.
-        let waited = count == 0 && started.elapsed() >= wait;
-        let answered = if waited { started + wait } else { started };
-        freshness.prove(answered.checked_sub(batch.age).unwrap_or(answered));
+    if position >= batch.end
+        && let Some(at) = batch.speaks_for(started)
+    {
+        freshness.prove(at);
     }
     if position > known || count > 0 {
         freshness.move_to(position);
--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -146,7 +146,7 @@
             Some(agent) => new.flat_map(|passed| passed.records_for(agent)).collect(),
             None => new.map(|passed| passed.record.clone()).collect(),
         };
-        Ok(Some(Batch { end, next: end, records, age }))
+        Ok(Some(Batch { end, next: end, records, age, waited: Duration::ZERO }))
     }
 
     /// Keeps the record that follows on the kept ones, to pass it on.
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use crate::job::NodeName;
 use crate::record::KeyedRecord;
@@ -60,9 +61,29 @@
     pub records: Vec<KeyedRecord>,
     /// How old the answer's view of the store was when it was given; zero from the store itself.
     pub age: Duration,
+    /// How long the answer surely waited for a record before it found none. Whoever made the call says
+    /// so ([`Self::after_wait`]): a way may wait less than its reader asked for, or be the second one.
+    #[serde(skip)]
+    pub waited: Duration,
 }
 
 impl Batch {
+    /// Takes note that the answer is to a call that was sent at `sent` and told to wait `wait`. One that
+    /// is empty comes only after that wait, and speaks for its end; any other speaks for `sent`.
+    #[must_use]
+    pub fn after_wait(mut self, sent: Instant, wait: Duration) -> Self {
+        let waited = self.records.is_empty() && sent.elapsed() >= wait;
+        self.waited = if waited { wait } else { Duration::ZERO };
+        self
+    }
+
+    /// Returns the time for which the answer speaks, to a reader whose call began at `started`: all that
+    /// the store had acknowledged by then lies before `end`. `None` if that is too long ago to be told.
+    #[must_use]
+    pub fn speaks_for(&self, started: Instant) -> Option<Instant> {
+        (started + self.waited).checked_sub(self.age)
+    }
+
     /// Returns the records that a reader who asked from `from` on and has come to `known` meanwhile
     /// hasn't taken in yet. Where some are left out, offsets say nothing, and all are returned: the
     /// newest record of a key counts.
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -137,6 +137,7 @@
     }
 
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let sent = tokio::time::Instant::now();
         tokio::time::sleep(Duration::from_millis(2)).await;
         let deadline = tokio::time::Instant::now() + wait;
         loop {
@@ -152,12 +153,13 @@
             if records.len() as u64 > from || tokio::time::Instant::now() >= deadline {
                 let end = records.len() as u64;
                 tokio::time::sleep(self.read_delay.get()).await;
-                return Ok(Batch {
+                let batch = Batch {
                     next: end.max(from),
-                    age: Duration::ZERO,
                     end,
                     records: records.into_iter().skip(from as usize).collect(),
-                });
+                    ..Batch::default()
+                };
+                return Ok(batch.after_wait(sent, wait));
             }
             let _ = tokio::time::timeout_at(deadline, appended).await;
         }
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -13,6 +13,7 @@
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
 use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
 
 use crate::client::{Call, CallError, HttpClient};
 use crate::relay::GatewayPeer;
@@ -209,8 +210,22 @@
     ) -> Result<Batch, ReadError> {
         let wait_ms = wait.as_millis() as u64;
         let request = StoreRequest::Tail { from, wait_ms, agent };
-        match self.call(&request, wait + TAIL_SLACK).await {
-            Ok(StoreReply::Read(outcome)) => outcome,
+        self.call_to_read(&request, wait_ms, wait + TAIL_SLACK).await
+    }
+
+    /// Makes a call that reads. What it proves counts from when it was sent, and by the wait that was
+    /// sent: the peer may be stopped at any moment between.
+    async fn call_to_read(
+        &self,
+        request: &StoreRequest,
+        wait_ms: u64,
+        timeout: Duration,
+    ) -> Result<Batch, ReadError> {
+        let sent = Instant::now();
+        match self.call(request, timeout).await {
+            Ok(StoreReply::Read(outcome)) => {
+                outcome.map(|batch| batch.after_wait(sent, Duration::from_millis(wait_ms)))
+            }
             _ => Err(ReadError::Unavailable),
         }
     }
@@ -260,10 +275,7 @@
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         let wait_ms = wait.as_millis() as u64;
         let request = StoreRequest::Read { topic: topic.to_owned(), from, wait_ms };
-        match self.call(&request, wait + READ_SLACK).await {
-            Ok(StoreReply::Read(outcome)) => outcome,
-            _ => Err(ReadError::Unavailable),
-        }
+        self.call_to_read(&request, wait_ms, wait + READ_SLACK).await
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
