fix: a reload proves no more than its parts show, and never goes back

Cause: a reload took its last read for proof of the present, whatever that read answered. Three faults of one class: an answer from a peer's older view (an agent takes one of any age) left what was written between the parts out, and ended the loop as if the end had been reached; a read cut at its limit proved its own time though the log went on behind it; and records that the process had taken in of its own while the parts were read vanished from the view again, with a later proof kept.

Ruled out: a reload whose parts are of one moment (no write between them, no read needed) was right.

Change: the call for the parts proves the time it was sent; a further read proves what its answer speaks for, only if it reaches the end; reads go on up to what was known before. A view behind the parts fails the reload, which is tried again; to let a peer catch up, the read waits as others do.

Measured: tests/ages.rs before: reload_through_stale_view "a view of age 5ms lacks a record that is 155ms old", reload_by_cut_read "a view of age 25ms lacks a record that is 75ms old", reload_keeps_own_append position 1 after 2; after: all pass, as do the crate's other tests (132).

--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -8,7 +8,7 @@
 use crate::audience::Passed;
 use crate::freshness::Freshness;
 use crate::record::KeyedRecord;
-use crate::store::{ReadError, Store};
+use crate::store::{Batch, Offset, ReadError, Store};
 
 /// Pause after a read that failed, so that a store that is down isn't pressed.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -56,7 +56,7 @@
         let wait = if reachable { pace.wait } else { Duration::ZERO };
         let read = async {
             if reloads {
-                reload(store.as_ref(), topic, &freshness, &mut sink).await
+                reload(store.as_ref(), topic, pace.wait, &freshness, &mut sink).await
             } else {
                 advance(store.as_ref(), topic, wait, &freshness, &mut sink).await
             }
@@ -103,22 +103,28 @@
     freshness.age().map_or(-1, |age| age.as_millis() as i128)
 }
 
+/// Reads the newest record of each key, and what came while the parts were read, up to an end that covers
+/// all of them, and what this process has taken in of its own meanwhile: a view never goes back.
 async fn reload(
     store: &dyn Store,
     topic: &str,
+    wait: Duration,
     freshness: &Freshness,
     sink: &mut impl Sink,
 ) -> Result<(), ReadError> {
-    let mut started = Instant::now();
+    let mut proven_at = Instant::now();
     let snapshot = store.newest(topic).await?;
-    // What came while the parts were read is read again, up to an end that covers all of them.
     let mut later = Vec::new();
     let mut position = snapshot.read_from;
-    while position < snapshot.end {
-        started = Instant::now();
-        let batch = store.read(topic, position, Duration::ZERO).await?;
+    while position < snapshot.end.max(freshness.position()) {
+        let started = Instant::now();
+        let batch = store.read(topic, position, wait).await?;
         if batch.next <= position {
-            break;
+            // Read through a view that is older than the parts, this one would have gaps.
+            return Err(ReadError::Unavailable);
+        }
+        if let Some(at) = proven_by(&batch, batch.next, started) {
+            proven_at = proven_at.max(at);
         }
         position = batch.next;
         later.extend(batch.records);
@@ -126,11 +132,20 @@
     sink.reset();
     freshness.restart(position);
     snapshot.records.iter().chain(&later).for_each(|record| sink.apply(record));
-    freshness.prove(started);
+    freshness.prove(proven_at);
     freshness.move_to(position);
     Ok(())
 }
 
+/// Returns the time up to which an answer proves a view that has come to `position`: none if the log goes
+/// on behind it.
+fn proven_by(batch: &Batch, position: Offset, started: Instant) -> Option<Instant> {
+    if position < batch.end {
+        return None;
+    }
+    batch.speaks_for(started)
+}
+
 async fn advance(
     store: &dyn Store,
     topic: &str,
@@ -149,9 +164,7 @@
         take_in(sink, freshness, record);
     }
     let position = known.max(batch.next);
-    if position >= batch.end
-        && let Some(at) = batch.speaks_for(started)
-    {
+    if let Some(at) = proven_by(&batch, position, started) {
         freshness.prove(at);
     }
     if position > known || count > 0 {
--- a/crates/rampbay-jobs/tests/ages.rs
+++ b/crates/rampbay-jobs/tests/ages.rs
@@ -9,20 +9,27 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use rampbay_jobs::echo::EchoStore;
 use rampbay_jobs::follower::{Pace, Sink, follow};
 use rampbay_jobs::freshness::Freshness;
 use rampbay_jobs::job::NodeName;
-use rampbay_jobs::record::{KeyedRecord, STATE_TOPIC};
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC};
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
-use support::on_virtual_time;
+use support::{on_virtual_time, worker_record};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
 /// How a reader reads: as processes read the state.
 const PACE: Pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(25) };
 
+/// First key of the second part in which the newest records are told.
+const PAGE_END: &str = "m";
+/// Time between two parts.
+const PAGE_DELAY: Duration = Duration::from_millis(100);
+
 /// A log that knows when it has acknowledged each record. The value of a record is its offset.
 #[derive(Default)]
 struct Log {
@@ -37,7 +44,10 @@
 
     fn put(&self, key: &str) {
         let value = self.end().to_be_bytes().to_vec();
-        let record = KeyedRecord { key: key.to_owned(), value };
+        self.push(KeyedRecord { key: key.to_owned(), value });
+    }
+
+    fn push(&self, record: KeyedRecord) {
         self.records.borrow_mut().push((record, Instant::now()));
         self.appended.notify_waiters();
     }
@@ -123,11 +133,40 @@
 }
 
 /// A way to the log: no longer than its limit does it wait for a record, and its answers are late.
-#[derive(Default)]
 struct Way {
     log: Rc<Log>,
     wait_limit: Cell<Duration>,
     answer_delay: Cell<Duration>,
+    /// Time between the two parts in which the newest records are told, and after them.
+    page_delay: Cell<Duration>,
+    /// Where a view ends that isn't kept current any more, and when it was; reads go through it.
+    stale_view: Cell<Option<(Offset, Instant)>>,
+    /// Most records of one answer.
+    most_records: Cell<usize>,
+    /// Whether the next read is told that its records are gone.
+    trims_next: Cell<bool>,
+}
+
+impl Default for Way {
+    fn default() -> Self {
+        Self {
+            log: Rc::default(),
+            wait_limit: Cell::new(PACE.wait),
+            answer_delay: Cell::default(),
+            page_delay: Cell::default(),
+            stale_view: Cell::default(),
+            most_records: Cell::new(usize::MAX),
+            trims_next: Cell::default(),
+        }
+    }
+}
+
+impl Way {
+    /// Returns the end of what reads see, and its age.
+    fn view(&self) -> (Offset, Duration) {
+        let stale = self.stale_view.get();
+        stale.map_or((self.log.end(), Duration::ZERO), |(end, at)| (end, at.elapsed()))
+    }
 }
 
 #[async_trait(?Send)]
@@ -135,25 +174,36 @@
     async fn append(
         &self,
         _: &str,
-        _: &[KeyedRecord],
+        records: &[KeyedRecord],
         _: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
-        Err(AppendError::Refused)
+        records.iter().for_each(|record| self.log.push(record.clone()));
+        Ok(self.log.end())
     }
 
     async fn read(&self, _: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        if self.trims_next.take() {
+            return Err(ReadError::Trimmed);
+        }
         let sent = Instant::now();
         let wait = wait.min(self.wait_limit.get());
         self.log.reaches_past(from, wait).await;
-        let end = self.log.end();
-        let records = self.log.slice(from, end);
+        let (end, age) = self.view();
+        let mut records = self.log.slice(from, end);
+        records.truncate(self.most_records.get());
+        let next = from + records.len() as Offset;
         sleep(self.answer_delay.get()).await;
-        Ok(Batch { end, next: end, records, ..Batch::default() }.after_wait(sent, wait))
+        Ok(Batch { end, next, records, age, ..Batch::default() }.after_wait(sent, wait))
     }
 
     async fn newest(&self, _: &str) -> Result<Snapshot, ReadError> {
+        let read_from = self.log.end();
+        let mut records = self.log.newest(..PAGE_END.to_owned());
+        sleep(self.page_delay.get()).await;
+        records.extend(self.log.newest(PAGE_END.to_owned()..));
         let end = self.log.end();
-        Ok(Snapshot { records: self.log.newest(..), read_from: end, end })
+        sleep(self.page_delay.get()).await;
+        Ok(Snapshot { records, read_from, end })
     }
 
     async fn stand(&self, _: &str, _: u64) -> Result<Candidacy, ReadError> {
@@ -184,3 +234,71 @@
         assert_eq!(reader.freshness.position(), 2, "it does come in");
     });
 }
+
+/// What was written while the parts of a reload were read has to come from a view that shows it: one that
+/// ends before leaves the reader without it, and isn't as young as the call.
+#[test]
+fn reload_through_stale_view() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        let log = Rc::clone(&way.log);
+        ["a", "z"].iter().for_each(|key| log.put(key));
+        way.page_delay.set(PAGE_DELAY);
+        way.stale_view.set(Some((log.end(), Instant::now())));
+        let reader = Reader::start(way.clone());
+        sleep(PAGE_DELAY / 2).await;
+        log.put("a");
+        reader.check_for(&log, Duration::from_secs(2)).await;
+        way.stale_view.set(None);
+        reader.check_for(&log, Duration::from_secs(2)).await;
+        assert_eq!(reader.freshness.position(), 3, "it does come in");
+    });
+}
+
+/// A read that covers the parts of a reload, but ends before the log does, says nothing of the rest.
+#[test]
+fn reload_by_cut_read() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        let log = Rc::clone(&way.log);
+        ["a", "z"].iter().for_each(|key| log.put(key));
+        way.page_delay.set(PAGE_DELAY);
+        way.most_records.set(2);
+        way.answer_delay.set(Duration::from_millis(20));
+        let reader = Reader::start(way);
+        sleep(PAGE_DELAY / 2).await;
+        log.put("a");
+        sleep(PAGE_DELAY).await;
+        ["b", "c", "d"].iter().for_each(|key| log.put(key));
+        reader.check_for(&log, Duration::from_secs(2)).await;
+        assert_eq!(reader.freshness.position(), 6, "all come in");
+    });
+}
+
+/// A process appends while it reloads: what it has taken in already stays, and the view is as old as the
+/// records that it was made of.
+#[test]
+fn reload_keeps_own_append() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        way.log
+            .push(Record::Worker("i-1".to_owned(), Box::new(worker_record("a", "r", 8))).encode());
+        let live = LiveTable::default();
+        let store: Rc<dyn Store> = Rc::new(EchoStore::new(way.clone(), live.clone()));
+        tokio::task::spawn_local(live.clone().follow(Rc::clone(&store), PACE));
+        sleep(PACE.wait / 2).await;
+        way.page_delay.set(PAGE_DELAY);
+        way.answer_delay.set(Duration::from_millis(20));
+        way.trims_next.set(true);
+        // The read that is under way ends, and the last part of the reload has been read.
+        sleep(PACE.wait / 2 + PAGE_DELAY * 2).await;
+        let other = Record::Worker("i-2".to_owned(), Box::new(worker_record("b", "r", 8)));
+        let end = store.append(STATE_TOPIC, &[other.encode()], None).await.expect("an end");
+        assert_eq!(live.freshness.position(), end, "it is taken in at once");
+        for _ in 0..100 {
+            assert_eq!(live.freshness.position(), end);
+            assert!(live.table.borrow().workers.contains_key("i-2"), "it is gone again");
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
