fix: a passed-on view is looked at after its wait, and tests hold each age of a chain

Cause: `pass_on` looked at the view first and then asked whether the wait was over. A process that is stopped between the two answers with a look from within the wait, which its reader takes to speak for the end of the wait: up to 0.4 s too young.

Ruled out, by reading and by tests that pass before and after: a stop elsewhere. The age is told as of the look that makes the answer (one call without a pause in it); a request that a stopped peer takes late is looked at later than its reader counts; an answer that is sent or read late was credited from when its call was sent.

Change: whether the wait is over is read first.

No test can fail for the cause: virtual time doesn't pass between two statements, and a real stop would have to fall between them. New tests: pass_on_after_stop (the age after a stop of 5 s is whole) and chain_of_late_answers (24 cases: log, peer, reader, each call late by up to 5, 300 or 1500 ms, with cut reads, reloads in parts and dropped history; no view is older than told at any 5 ms).

--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -116,8 +116,10 @@
         let mut changes = self.subscribe();
         loop {
             changes.borrow_and_update();
-            let batch = self.batch(from, agent)?;
+            // Before the look: an empty answer speaks for the end of the wait, also where the process is
+            // stopped between the two.
             let is_over = Instant::now() >= deadline;
+            let batch = self.batch(from, agent)?;
             if let Some(batch) = batch.filter(|batch| is_over || !batch.records.is_empty()) {
                 return Ok(batch);
             }
--- a/crates/rampbay-jobs/tests/ages.rs
+++ b/crates/rampbay-jobs/tests/ages.rs
@@ -18,8 +18,12 @@
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 use support::{on_virtual_time, worker_record};
 use tokio::sync::Notify;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 /// How a reader reads: as processes read the state.
@@ -94,16 +98,23 @@
 struct Reader {
     taken: Taken,
     freshness: Rc<Freshness>,
+    following: JoinHandle<()>,
 }
 
 impl Reader {
     fn start(store: Rc<dyn Store>) -> Self {
-        let reader = Self { taken: Taken::default(), freshness: Rc::default() };
-        let (sink, freshness) = (TakenSink(reader.taken.clone()), Rc::clone(&reader.freshness));
-        tokio::task::spawn_local(async move {
-            follow(store, STATE_TOPIC, PACE, freshness, sink).await;
+        let (taken, freshness) = (Taken::default(), Rc::<Freshness>::default());
+        freshness.keep_recent();
+        let (sink, followed) = (TakenSink(taken.clone()), Rc::clone(&freshness));
+        let following = tokio::task::spawn_local(async move {
+            follow(store, STATE_TOPIC, PACE, followed, sink).await;
         });
-        reader
+        Self { taken, freshness, following }
+    }
+
+    /// Stops following for good: the view stays as it is.
+    fn stop(&self) {
+        self.following.abort();
     }
 
     /// Checks that all is there that the log had acknowledged as long ago as the view is old.
@@ -137,6 +148,9 @@
     log: Rc<Log>,
     wait_limit: Cell<Duration>,
     answer_delay: Cell<Duration>,
+    /// Most time that is added to each answer, and what draws it.
+    jitter: Cell<Duration>,
+    rng: RefCell<ChaCha8Rng>,
     /// Time between the two parts in which the newest records are told, and after them.
     page_delay: Cell<Duration>,
     /// Where a view ends that isn't kept current any more, and when it was; reads go through it.
@@ -153,6 +167,8 @@
             log: Rc::default(),
             wait_limit: Cell::new(PACE.wait),
             answer_delay: Cell::default(),
+            jitter: Cell::default(),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(0)),
             page_delay: Cell::default(),
             stale_view: Cell::default(),
             most_records: Cell::new(usize::MAX),
@@ -162,6 +178,12 @@
 }
 
 impl Way {
+    /// Takes the time that is drawn for a part of a call.
+    async fn dawdle(&self) {
+        let share = self.rng.borrow_mut().random::<f64>();
+        sleep(self.jitter.get().mul_f64(share)).await;
+    }
+
     /// Returns the end of what reads see, and its age.
     fn view(&self) -> (Offset, Duration) {
         let stale = self.stale_view.get();
@@ -186,6 +208,7 @@
             return Err(ReadError::Trimmed);
         }
         let sent = Instant::now();
+        self.dawdle().await;
         let wait = wait.min(self.wait_limit.get());
         self.log.reaches_past(from, wait).await;
         let (end, age) = self.view();
@@ -193,6 +216,7 @@
         records.truncate(self.most_records.get());
         let next = from + records.len() as Offset;
         sleep(self.answer_delay.get()).await;
+        self.dawdle().await;
         Ok(Batch { end, next, records, age, ..Batch::default() }.after_wait(sent, wait))
     }
 
@@ -200,6 +224,7 @@
         let read_from = self.log.end();
         let mut records = self.log.newest(..PAGE_END.to_owned());
         sleep(self.page_delay.get()).await;
+        self.dawdle().await;
         records.extend(self.log.newest(PAGE_END.to_owned()..));
         let end = self.log.end();
         sleep(self.page_delay.get()).await;
@@ -217,6 +242,60 @@
     }
 }
 
+/// Longest wait at a peer that passes records on.
+const AT_PEER: Duration = Duration::from_millis(400);
+
+/// A way to the log through a peer that passes on what it has. Where the peer can't, a reload is due, and
+/// is made without it.
+struct Passing {
+    way: Way,
+    peer: Rc<Freshness>,
+    is_partial: Cell<bool>,
+}
+
+#[async_trait(?Send)]
+impl Store for Passing {
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        self.way.append(topic, records, fence).await
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let sent = Instant::now();
+        let at_peer = wait.min(AT_PEER);
+        self.way.dawdle().await;
+        let passed = self.peer.pass_on(from, at_peer, None).await;
+        self.way.dawdle().await;
+        match passed {
+            Ok(batch) => {
+                self.is_partial.set(true);
+                Ok(batch.after_wait(sent, at_peer))
+            }
+            Err(_) if self.is_partial.get() => Err(ReadError::Trimmed),
+            Err(_) => self.way.read(topic, from, wait).await,
+        }
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        self.is_partial.set(false);
+        self.way.newest(topic).await
+    }
+
+    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
+        self.way.stand(member, generation).await
+    }
+
+    async fn resign(&self, _: &str) {}
+
+    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
+        self.way.holder().await
+    }
+}
+
 /// A way that waits less than it is asked to says nothing about the rest of the time, however late its
 /// answer comes.
 #[test]
@@ -302,3 +381,65 @@
         }
     });
 }
+
+/// A peer that hasn't run for a while tells the age as of its answer, not as of the call.
+#[test]
+fn pass_on_after_stop() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        way.log.put("a");
+        let peer = Reader::start(way);
+        sleep(Duration::from_millis(100)).await;
+        peer.stop();
+        let followed = Rc::clone(&peer.freshness);
+        let call = async move { followed.pass_on(1, AT_PEER, None).await };
+        let call = tokio::task::spawn_local(call);
+        sleep(AT_PEER / 2).await;
+        tokio::time::advance(Duration::from_secs(5)).await;
+        let batch = call.await.expect("no panic").expect("an answer");
+        assert!(batch.records.is_empty());
+        assert_eq!(Some(batch.age), peer.freshness.age());
+        assert!(batch.age > Duration::from_secs(5));
+    });
+}
+
+/// Whatever a read through a peer takes on its way there, at the peer and on its way back, and whatever
+/// the peer's own reads take: no view of the chain is older than it says.
+#[rstest]
+#[case::quick(5)]
+#[case::slow(300)]
+#[case::very_slow(1500)]
+fn chain_of_late_answers(#[case] jitter_ms: u64, #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    on_virtual_time(async move {
+        let log = Rc::new(Log::default());
+        let way = |salt| Way {
+            log: Rc::clone(&log),
+            jitter: Cell::new(Duration::from_millis(jitter_ms)),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed * 10 + salt)),
+            page_delay: Cell::new(PAGE_DELAY),
+            most_records: Cell::new(3),
+            ..Way::default()
+        };
+        let own_way = Rc::new(way(1));
+        let peer = Reader::start(own_way.clone());
+        let followed = Rc::clone(&peer.freshness);
+        let passing = Passing { way: way(2), peer: followed, is_partial: Cell::new(false) };
+        let reader = Reader::start(Rc::new(passing));
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        for _ in 0..200 {
+            let pause = if rng.random_bool(0.1) { 3000 } else { 100 };
+            let pause = Duration::from_millis(rng.random_range(0..pause));
+            let end = Instant::now() + pause;
+            while Instant::now() < end {
+                sleep(Duration::from_millis(5)).await;
+                peer.check(&log);
+                reader.check(&log);
+            }
+            let key = ["a", "b", "y", "z"][rng.random_range(0..4)];
+            log.put(key);
+            own_way.trims_next.set(rng.random_bool(0.05));
+        }
+        sleep(Duration::from_secs(600)).await;
+        assert_eq!((peer.freshness.position(), reader.freshness.position()), (200, 200));
+    });
+}
