fix: a renewal reads the clock before it checks that it may renew

Cause: `may_renew` was asked first and the clock read for the lease afterwards. A process that is stopped between the two (by a signal, or with its machine) then renews from after the stop on what it knew before it: the lease outlasts the guard by the length of the stop.

Ruled out: starts read the clock before they check (orders.rs); a call that is sent late carries a time by the worker's clock, so it doesn't last longer; the worker's clock is taken as of its answer's arrival, which is late and so makes leases shorter.

Change: the lease is computed first, and dropped if the check fails then.

No test can fail for it: virtual time doesn't pass between two calls without a pause, and a real stop would have to fall between them. The crate's tests pass as before.

--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -58,7 +58,9 @@
     }
 
     fn renew_order(&self) -> RenewOrder {
-        let lease_until = if self.may_renew() { self.lease_until() } else { None };
+        // The clock is read before the check: a process that is stopped between the two, and goes on by
+        // what it knew before, so never renews from after the stop.
+        let lease_until = self.lease_until().filter(|_| self.may_renew());
         let waits = self.listed.get() && self.has_runs() && !self.storing.get();
         let wait = if waits { self.parts.settings.renewal_wait } else { Duration::ZERO };
         RenewOrder {
