--- /dev/null
+++ b/crates/rampbay-jobs/tests/ages.rs
@@ -0,0 +1,445 @@
+//! The age of a view against what the store had acknowledged: a view may be younger than it is taken to
+//! be, and never older.
+
+mod support;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rampbay_jobs::echo::EchoStore;
+use rampbay_jobs::follower::{Pace, Sink, follow};
+use rampbay_jobs::freshness::Freshness;
+use rampbay_jobs::job::NodeName;
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC};
+use rampbay_jobs::store::{
+    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use support::{on_virtual_time, worker_record};
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// How a reader reads: as processes read the state.
+const PACE: Pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(25) };
+
+/// First key of the second part in which the newest records are told.
+const PAGE_END: &str = "m";
+/// Time between two parts.
+const PAGE_DELAY: Duration = Duration::from_millis(100);
+
+/// A log that knows when it has acknowledged each record. The value of a record is its offset.
+#[derive(Default)]
+struct Log {
+    records: RefCell<Vec<(KeyedRecord, Instant)>>,
+    appended: Notify,
+}
+
+impl Log {
+    fn end(&self) -> Offset {
+        self.records.borrow().len() as Offset
+    }
+
+    fn put(&self, key: &str) {
+        let value = self.end().to_be_bytes().to_vec();
+        self.push(KeyedRecord { key: key.to_owned(), value });
+    }
+
+    fn push(&self, record: KeyedRecord) {
+        self.records.borrow_mut().push((record, Instant::now()));
+        self.appended.notify_waiters();
+    }
+
+    fn slice(&self, from: Offset, end: Offset) -> Vec<KeyedRecord> {
+        let records = self.records.borrow();
+        let range = (from.min(end) as usize)..(end as usize);
+        records[range].iter().map(|(record, _)| record.clone()).collect()
+    }
+
+    /// Lists the newest record of each key within a range of keys.
+    fn newest(&self, keys: impl std::ops::RangeBounds<String>) -> Vec<KeyedRecord> {
+        let all = self.slice(0, self.end()).into_iter();
+        let all: BTreeMap<String, KeyedRecord> =
+            all.map(|record| (record.key.clone(), record)).collect();
+        all.range(keys).map(|(_, record)| record.clone()).collect()
+    }
+
+    async fn reaches_past(&self, from: Offset, wait: Duration) {
+        let deadline = Instant::now() + wait;
+        while self.end() <= from && Instant::now() < deadline {
+            let appended = self.appended.notified();
+            let _ = tokio::time::timeout_at(deadline, appended).await;
+        }
+    }
+}
+
+/// What a reader has taken in, by key.
+type Taken = Rc<RefCell<BTreeMap<String, KeyedRecord>>>;
+
+struct TakenSink(Taken);
+
+impl Sink for TakenSink {
+    fn reset(&mut self) {
+        self.0.borrow_mut().clear();
+    }
+
+    fn apply(&mut self, record: &KeyedRecord) {
+        self.0.borrow_mut().insert(record.key.clone(), record.clone());
+    }
+}
+
+/// A reader that follows a store.
+struct Reader {
+    taken: Taken,
+    freshness: Rc<Freshness>,
+    following: JoinHandle<()>,
+}
+
+impl Reader {
+    fn start(store: Rc<dyn Store>) -> Self {
+        let (taken, freshness) = (Taken::default(), Rc::<Freshness>::default());
+        freshness.keep_recent();
+        let (sink, followed) = (TakenSink(taken.clone()), Rc::clone(&freshness));
+        let following = tokio::task::spawn_local(async move {
+            follow(store, STATE_TOPIC, PACE, followed, sink).await;
+        });
+        Self { taken, freshness, following }
+    }
+
+    /// Stops following for good: the view stays as it is.
+    fn stop(&self) {
+        self.following.abort();
+    }
+
+    /// Checks that all is there that the log had acknowledged as long ago as the view is old.
+    fn check(&self, log: &Log) {
+        let Some(age) = self.freshness.age() else { return };
+        let taken = self.taken.borrow();
+        for (record, acknowledged) in log.records.borrow().iter() {
+            if acknowledged.elapsed() <= age {
+                continue;
+            }
+            let held = taken.get(&record.key).map(|held| &held.value);
+            assert!(
+                held >= Some(&record.value),
+                "a view of age {age:?} lacks a record that is {:?} old",
+                acknowledged.elapsed()
+            );
+        }
+    }
+
+    async fn check_for(&self, log: &Log, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            sleep(Duration::from_millis(5)).await;
+            self.check(log);
+        }
+    }
+}
+
+/// A way to the log: no longer than its limit does it wait for a record, and its answers are late.
+struct Way {
+    log: Rc<Log>,
+    wait_limit: Cell<Duration>,
+    answer_delay: Cell<Duration>,
+    /// Most time that is added to each answer, and what draws it.
+    jitter: Cell<Duration>,
+    rng: RefCell<ChaCha8Rng>,
+    /// Time between the two parts in which the newest records are told, and after them.
+    page_delay: Cell<Duration>,
+    /// Where a view ends that isn't kept current any more, and when it was; reads go through it.
+    stale_view: Cell<Option<(Offset, Instant)>>,
+    /// Most records of one answer.
+    most_records: Cell<usize>,
+    /// Whether the next read is told that its records are gone.
+    trims_next: Cell<bool>,
+}
+
+impl Default for Way {
+    fn default() -> Self {
+        Self {
+            log: Rc::default(),
+            wait_limit: Cell::new(PACE.wait),
+            answer_delay: Cell::default(),
+            jitter: Cell::default(),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(0)),
+            page_delay: Cell::default(),
+            stale_view: Cell::default(),
+            most_records: Cell::new(usize::MAX),
+            trims_next: Cell::default(),
+        }
+    }
+}
+
+impl Way {
+    /// Takes the time that is drawn for a part of a call.
+    async fn dawdle(&self) {
+        let share = self.rng.borrow_mut().random::<f64>();
+        sleep(self.jitter.get().mul_f64(share)).await;
+    }
+
+    /// Returns the end of what reads see, and its age.
+    fn view(&self) -> (Offset, Duration) {
+        let stale = self.stale_view.get();
+        stale.map_or((self.log.end(), Duration::ZERO), |(end, at)| (end, at.elapsed()))
+    }
+}
+
+#[async_trait(?Send)]
+impl Store for Way {
+    async fn append(
+        &self,
+        _: &str,
+        records: &[KeyedRecord],
+        _: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        records.iter().for_each(|record| self.log.push(record.clone()));
+        Ok(self.log.end())
+    }
+
+    async fn read(&self, _: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        if self.trims_next.take() {
+            return Err(ReadError::Trimmed);
+        }
+        let sent = Instant::now();
+        self.dawdle().await;
+        let wait = wait.min(self.wait_limit.get());
+        self.log.reaches_past(from, wait).await;
+        let (end, age) = self.view();
+        let mut records = self.log.slice(from, end);
+        records.truncate(self.most_records.get());
+        let next = from + records.len() as Offset;
+        sleep(self.answer_delay.get()).await;
+        self.dawdle().await;
+        Ok(Batch { end, next, records, age, ..Batch::default() }.after_wait(sent, wait))
+    }
+
+    async fn newest(&self, _: &str) -> Result<Snapshot, ReadError> {
+        let read_from = self.log.end();
+        let mut records = self.log.newest(..PAGE_END.to_owned());
+        sleep(self.page_delay.get()).await;
+        self.dawdle().await;
+        records.extend(self.log.newest(PAGE_END.to_owned()..));
+        let end = self.log.end();
+        sleep(self.page_delay.get()).await;
+        Ok(Snapshot { records, read_from, end })
+    }
+
+    async fn stand(&self, _: &str, _: u64) -> Result<Candidacy, ReadError> {
+        Err(ReadError::Unavailable)
+    }
+
+    async fn resign(&self, _: &str) {}
+
+    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
+        Err(ReadError::Unavailable)
+    }
+}
+
+/// Longest wait at a peer that passes records on.
+const AT_PEER: Duration = Duration::from_millis(400);
+
+/// A way to the log through a peer that passes on what it has. Where the peer can't, a reload is due, and
+/// is made without it.
+struct Passing {
+    way: Way,
+    peer: Rc<Freshness>,
+    is_partial: Cell<bool>,
+}
+
+#[async_trait(?Send)]
+impl Store for Passing {
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        self.way.append(topic, records, fence).await
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let sent = Instant::now();
+        let at_peer = wait.min(AT_PEER);
+        self.way.dawdle().await;
+        let passed = self.peer.pass_on(from, at_peer, None).await;
+        self.way.dawdle().await;
+        match passed {
+            Ok(batch) => {
+                self.is_partial.set(true);
+                Ok(batch.after_wait(sent, at_peer))
+            }
+            Err(_) if self.is_partial.get() => Err(ReadError::Trimmed),
+            Err(_) => self.way.read(topic, from, wait).await,
+        }
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        self.is_partial.set(false);
+        self.way.newest(topic).await
+    }
+
+    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
+        self.way.stand(member, generation).await
+    }
+
+    async fn resign(&self, _: &str) {}
+
+    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
+        self.way.holder().await
+    }
+}
+
+/// A way that waits less than it is asked to says nothing about the rest of the time, however late its
+/// answer comes.
+#[test]
+fn late_empty_answer_after_shorter_wait() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        way.wait_limit.set(Duration::from_millis(400));
+        way.answer_delay.set(Duration::from_millis(700));
+        let log = Rc::clone(&way.log);
+        log.put("a");
+        let reader = Reader::start(way);
+        sleep(Duration::from_millis(500)).await;
+        log.put("b");
+        reader.check_for(&log, Duration::from_secs(5)).await;
+        assert_eq!(reader.freshness.position(), 2, "it does come in");
+    });
+}
+
+/// What was written while the parts of a reload were read has to come from a view that shows it: one that
+/// ends before leaves the reader without it, and isn't as young as the call.
+#[test]
+fn reload_through_stale_view() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        let log = Rc::clone(&way.log);
+        ["a", "z"].iter().for_each(|key| log.put(key));
+        way.page_delay.set(PAGE_DELAY);
+        way.stale_view.set(Some((log.end(), Instant::now())));
+        let reader = Reader::start(way.clone());
+        sleep(PAGE_DELAY / 2).await;
+        log.put("a");
+        reader.check_for(&log, Duration::from_secs(2)).await;
+        way.stale_view.set(None);
+        reader.check_for(&log, Duration::from_secs(2)).await;
+        assert_eq!(reader.freshness.position(), 3, "it does come in");
+    });
+}
+
+/// A read that covers the parts of a reload, but ends before the log does, says nothing of the rest.
+#[test]
+fn reload_by_cut_read() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        let log = Rc::clone(&way.log);
+        ["a", "z"].iter().for_each(|key| log.put(key));
+        way.page_delay.set(PAGE_DELAY);
+        way.most_records.set(2);
+        way.answer_delay.set(Duration::from_millis(20));
+        let reader = Reader::start(way);
+        sleep(PAGE_DELAY / 2).await;
+        log.put("a");
+        sleep(PAGE_DELAY).await;
+        ["b", "c", "d"].iter().for_each(|key| log.put(key));
+        reader.check_for(&log, Duration::from_secs(2)).await;
+        assert_eq!(reader.freshness.position(), 6, "all come in");
+    });
+}
+
+/// A process appends while it reloads: what it has taken in already stays, and the view is as old as the
+/// records that it was made of.
+#[test]
+fn reload_keeps_own_append() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        way.log
+            .push(Record::Worker("i-1".to_owned(), Box::new(worker_record("a", "r", 8))).encode());
+        let live = LiveTable::default();
+        let store: Rc<dyn Store> = Rc::new(EchoStore::new(way.clone(), live.clone()));
+        tokio::task::spawn_local(live.clone().follow(Rc::clone(&store), PACE));
+        sleep(PACE.wait / 2).await;
+        way.page_delay.set(PAGE_DELAY);
+        way.answer_delay.set(Duration::from_millis(20));
+        way.trims_next.set(true);
+        // The read that is under way ends, and the last part of the reload has been read.
+        sleep(PACE.wait / 2 + PAGE_DELAY * 2).await;
+        let other = Record::Worker("i-2".to_owned(), Box::new(worker_record("b", "r", 8)));
+        let end = store.append(STATE_TOPIC, &[other.encode()], None).await.expect("an end");
+        assert_eq!(live.freshness.position(), end, "it is taken in at once");
+        for _ in 0..100 {
+            assert_eq!(live.freshness.position(), end);
+            assert!(live.table.borrow().workers.contains_key("i-2"), "it is gone again");
+            sleep(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+/// A peer that hasn't run for a while tells the age as of its answer, not as of the call.
+#[test]
+fn pass_on_after_stop() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        way.log.put("a");
+        let peer = Reader::start(way);
+        sleep(Duration::from_millis(100)).await;
+        peer.stop();
+        let followed = Rc::clone(&peer.freshness);
+        let call = async move { followed.pass_on(1, AT_PEER, None).await };
+        let call = tokio::task::spawn_local(call);
+        sleep(AT_PEER / 2).await;
+        tokio::time::advance(Duration::from_secs(5)).await;
+        let batch = call.await.expect("no panic").expect("an answer");
+        assert!(batch.records.is_empty());
+        assert_eq!(Some(batch.age), peer.freshness.age());
+        assert!(batch.age > Duration::from_secs(5));
+    });
+}
+
+/// Whatever a read through a peer takes on its way there, at the peer and on its way back, and whatever
+/// the peer's own reads take: no view of the chain is older than it says.
+#[rstest]
+#[case::quick(5)]
+#[case::slow(300)]
+#[case::very_slow(1500)]
+fn chain_of_late_answers(#[case] jitter_ms: u64, #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    on_virtual_time(async move {
+        let log = Rc::new(Log::default());
+        let way = |salt| Way {
+            log: Rc::clone(&log),
+            jitter: Cell::new(Duration::from_millis(jitter_ms)),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed * 10 + salt)),
+            page_delay: Cell::new(PAGE_DELAY),
+            most_records: Cell::new(3),
+            ..Way::default()
+        };
+        let own_way = Rc::new(way(1));
+        let peer = Reader::start(own_way.clone());
+        let followed = Rc::clone(&peer.freshness);
+        let passing = Passing { way: way(2), peer: followed, is_partial: Cell::new(false) };
+        let reader = Reader::start(Rc::new(passing));
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        for _ in 0..200 {
+            let pause = if rng.random_bool(0.1) { 3000 } else { 100 };
+            let pause = Duration::from_millis(rng.random_range(0..pause));
+            let end = Instant::now() + pause;
+            while Instant::now() < end {
+                sleep(Duration::from_millis(5)).await;
+                peer.check(&log);
+                reader.check(&log);
+            }
+            let key = ["a", "b", "y", "z"][rng.random_range(0..4)];
+            log.put(key);
+            own_way.trims_next.set(rng.random_bool(0.05));
+        }
+        sleep(Duration::from_secs(600)).await;
+        assert_eq!((peer.freshness.position(), reader.freshness.position()), (200, 200));
+    });
+}
