fix: a repeated append that is answered again proves nothing about the present

Cause: a fenced append that is repeated gets its first answer again. The view of the process that sent it was proved as of the repeat, though records may have been acknowledged between the two; the leader's view is passed on to others with its age. Ruled out: comparing fences: the peers that pass a call on see a repeat as new. Change: own fenced appends are taken in, and prove no age. Conclusion: ages count only what a read, or an append that is surely the first, has shown.

--- a/crates/rampbay-jobs/src/echo.rs
+++ b/crates/rampbay-jobs/src/echo.rs
@@ -37,7 +37,9 @@
         records: &[KeyedRecord],
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
-        let sent = Instant::now();
+        // A repeat of a fenced append gets its first answer again, also one that came another way: it says
+        // nothing about what came after the first.
+        let sent = fence.is_none().then(Instant::now);
         let end = self.store.append(topic, records, fence).await?;
         if topic == STATE_TOPIC {
             self.live.take_in(end, records, sent);
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -54,8 +54,8 @@
     }
 
     /// Takes in records that this process has appended itself, if they follow on what it holds.
-    /// `end` is the offset after them; `sent` is when they were sent.
-    pub(crate) fn take_in(&self, end: Offset, records: &[KeyedRecord], sent: Instant) {
+    /// `end` is the offset after them; `sent` is when they were sent, if they surely weren't appended before.
+    pub(crate) fn take_in(&self, end: Offset, records: &[KeyedRecord], sent: Option<Instant>) {
         let known = self.freshness.position();
         if self.freshness.age().is_none() || known + records.len() as u64 != end {
             return;
@@ -65,7 +65,9 @@
             take_in(&mut sink, &self.freshness, record);
         }
         // Nothing lies between the table and the append, so the table was current when it was sent.
-        self.freshness.prove(sent);
+        if let Some(sent) = sent {
+            self.freshness.prove(sent);
+        }
         self.freshness.move_to(end);
     }
 
--- a/crates/rampbay-jobs/tests/ages.rs
+++ b/crates/rampbay-jobs/tests/ages.rs
@@ -159,6 +159,8 @@
     most_records: Cell<usize>,
     /// Whether the next read is told that its records are gone.
     trims_next: Cell<bool>,
+    /// The fenced append whose answer was lost, and the answer: it is given to a repeat.
+    first_answer: RefCell<Option<(Fence, Offset)>>,
 }
 
 impl Default for Way {
@@ -173,6 +175,7 @@
             stale_view: Cell::default(),
             most_records: Cell::new(usize::MAX),
             trims_next: Cell::default(),
+            first_answer: RefCell::default(),
         }
     }
 }
@@ -197,10 +200,20 @@
         &self,
         _: &str,
         records: &[KeyedRecord],
-        _: Option<&Fence>,
+        fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
+        let repeated = self.first_answer.borrow().clone();
+        let repeated = repeated.filter(|(known, _)| fence == Some(known));
+        if let Some((_, end)) = repeated {
+            return Ok(end);
+        }
         records.iter().for_each(|record| self.log.push(record.clone()));
-        Ok(self.log.end())
+        let end = self.log.end();
+        if let Some(fence) = fence {
+            *self.first_answer.borrow_mut() = Some((fence.clone(), end));
+            return Err(AppendError::Unknown);
+        }
+        Ok(end)
     }
 
     async fn read(&self, _: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
@@ -443,3 +456,32 @@
         assert_eq!((peer.freshness.position(), reader.freshness.position()), (200, 200));
     });
 }
+
+/// A repeated append gets its first answer again, which says nothing about what came after the first.
+#[test]
+fn own_append_answered_again() {
+    on_virtual_time(async {
+        let way = Rc::new(Way::default());
+        let worker = |name: &str| {
+            Record::Worker(name.to_owned(), Box::new(worker_record(name, "r", 8))).encode()
+        };
+        way.log.push(worker("i-1"));
+        let live = LiveTable::default();
+        let store: Rc<dyn Store> = Rc::new(EchoStore::new(way.clone(), live.clone()));
+        let follower = tokio::task::spawn_local(live.clone().follow(Rc::clone(&store), PACE));
+        sleep(Duration::from_millis(50)).await;
+        follower.abort();
+        let own = worker("i-2");
+        let fence = Fence { writer: "planner".to_owned(), epoch: 1, sequence: 0 };
+        let append = || store.append(STATE_TOPIC, std::slice::from_ref(&own), Some(&fence));
+        assert_eq!(append().await, Err(AppendError::Unknown));
+        sleep(Duration::from_millis(50)).await;
+        way.log.push(worker("i-3"));
+        let acknowledged = Instant::now();
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(append().await, Ok(2));
+        assert!(live.table.borrow().workers.contains_key("i-2"), "it is taken in at once");
+        assert!(!live.table.borrow().workers.contains_key("i-3"));
+        assert!(live.freshness.age() > Some(acknowledged.elapsed()), "{:?}", live.freshness.age());
+    });
+}
