fix: a life keeps its registration's number; a worker comes back only once no account names it

(1) A life that registered anew after an eviction took another number, and its own earlier refusals were passed over as those of an earlier process: a run refused while its agent was cut off for 12 s never started. (2) A leader of the release before takes the removal of the key without a number for the end of the worker. (3) Two processes at the same position of the state took the same number, and each retry raised it. (4) What was assigned before a return was known only to the view that saw the return: a process that started again right then started the run. (5) A registration that lands after its removal brought a worker back that was gone, or took its good-bye back. (6) The state read anew cost workers times tasks. (7) Two processes of one machine took the registration from each other without pause. Ruled out: numbering refusals apart from registrations (two orders to keep); the registration in each account (every account of a release before would be void). Change: a process takes one number for each life, out of its position and the time of day, and keeps it. A refusal counts while its registration is there. A worker whose registration is gone is registered again only when no account names it, so that every decision about its runs is kept first; what is assigned to it meanwhile is stopped unseen and passed back. A run that was reported as never started and shows up is stopped. A good-bye stays. Late registrations of ended lives are removed.

--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -66,6 +66,9 @@
             self.runs.borrow_mut().open.remove(&end.key);
             return;
         }
+        if end.reason == EndReason::NotStarted {
+            self.runs.borrow_mut().never_started.insert(end.key.clone());
+        }
         let life = Rc::clone(self);
         tokio::task::spawn_local(async move { life.store_ends(vec![end]).await });
     }
@@ -110,7 +113,7 @@
             instance: self.instance.clone(),
         };
         let key = if end.reason == EndReason::NotStarted {
-            refusal_key(&end, self.own_registration())
+            refusal_key(&end, self.registration_number().unwrap_or_default())
         } else {
             end_key(&end)
         };
--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -1,6 +1,7 @@
 //! One life of a worker, from the first heartbeat to its certain end.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +13,8 @@
     KeyedRecord, PROGRESS_TOPIC, ProgressReport, Record, RunProgress, STATE_TOPIC, WorkerRecord,
     encode, eviction_key, removal, worker_key,
 };
-use crate::registrations::Registration;
+use crate::registrations::{RegistrationNumber, number_at};
+use crate::store::Offset;
 use crate::table::JobTable;
 use crate::worker::{Worker, WorkerMillis};
 
@@ -24,6 +26,10 @@
 /// Pause before the store is asked again to keep a registration.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 
+/// How long a later process of the same machine is left alone that has registered the worker: more than a process
+/// takes to end, less than the 3.5 s of silence after which a worker gets nothing.
+const YIELD_TIME: Duration = Duration::from_millis(2000);
+
 /// Why a life is certainly over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LifeEnd {
@@ -71,8 +77,8 @@
     /// When the worker answered or was heard last.
     pub(super) heard: Cell<Instant>,
     record: RefCell<WorkerRecord>,
-    /// Number under which this process has registered the worker last.
-    registration: Cell<Option<Registration>>,
+    /// Number under which this process registers the worker, once it has taken one.
+    number: Cell<Option<RegistrationNumber>>,
     /// Whether the state held the worker when it was looked at last.
     was_registered: Cell<bool>,
     sequence: Cell<u64>,
@@ -107,7 +113,7 @@
             lease_sent: Cell::new(now),
             heard: Cell::new(now),
             record: RefCell::new(record),
-            registration: Cell::new(None),
+            number: Cell::new(None),
             was_registered: Cell::new(false),
             sequence: Cell::new(0),
             left_at: Cell::new(left_at),
@@ -252,6 +258,7 @@
         let table = self.parts.table.borrow();
         let mut runs = self.runs.borrow_mut();
         runs.over.retain(|(task, _)| table.jobs.contains_key(&task.job));
+        runs.never_started.retain(|(task, _)| table.jobs.contains_key(&task.job));
     }
 
     /// Returns what the agent sees of its worker.
@@ -310,49 +317,69 @@
                 }
                 continue;
             }
+            self.yield_to_later_process().await;
             let records = self.registration_records();
             match self.parts.store.append(STATE_TOPIC, &records, None).await {
-                Ok(end) => self.parts.freshness.reach(end).await,
+                Ok(end) => {
+                    self.tell_registered(end, records.len());
+                    self.parts.freshness.reach(end).await;
+                }
                 Err(_) => tokio::time::sleep(REGISTER_RETRY).await,
             }
         }
     }
 
-    /// Returns what registers the worker, in place of all earlier registrations. Changes go under the number
-    /// that counts, if it is this process's; otherwise it takes a higher one.
+    /// Returns what registers the worker in place of what other processes wrote. The registration of a release
+    /// that knew no numbers stays until the life ends: to a leader of that release its removal would mean that
+    /// the worker is gone.
     fn registration_records(&self) -> Vec<KeyedRecord> {
         let table = self.parts.table.borrow();
-        let is_evicted = table.evicted.contains(&self.instance);
-        let number = if self.is_registered_in(&table) && !is_evicted {
-            self.registration.get().unwrap_or_default()
-        } else {
-            self.next_registration(&table)
-        };
-        self.registration.set(Some(number));
-        let key = worker_key(&self.instance, number);
+        let number = self.take_number();
         let record = Box::new(self.record.borrow().clone());
         let value = encode(&Record::Worker(self.instance.clone(), record));
-        let mut records = vec![KeyedRecord { key: key.clone(), value }];
-        let earlier = table.registration_keys(&self.instance);
-        records.extend(earlier.into_iter().filter(|known| *known != key).map(removal));
-        if is_evicted {
+        let mut records = vec![KeyedRecord { key: worker_key(&self.instance, number), value }];
+        let others = table.registrations().numbers(&self.instance);
+        let others = others.filter(|other| *other != number && *other > 0);
+        records.extend(others.map(|other| removal(worker_key(&self.instance, other))));
+        if table.evicted.contains(&self.instance) {
             log::info!("event=J164 worker returns after eviction worker={}", self.instance);
             records.push(removal(eviction_key(&self.instance)));
         }
+        records
+    }
+
+    fn tell_registered(&self, position: Offset, records: usize) {
         log::info!(
-            "event=J173 worker registered worker={} registration={number} position={}",
+            "event=J173 worker registered worker={} number={} position={position} records={records}",
             self.instance,
-            self.parts.freshness.position()
+            self.number.get().unwrap_or_default()
         );
-        records
     }
 
-    /// Returns a number above all that were taken for this worker. Earlier processes took theirs at earlier
-    /// positions of the state, also where the store hasn't carried the registration out yet.
-    fn next_registration(&self, table: &JobTable) -> Registration {
-        let known = table.registration(&self.instance);
-        let above = known.max(self.registration.get()).unwrap_or_default() + 1;
-        above.max(self.parts.freshness.position())
+    /// Takes a number for this life, which it keeps: what it has reported under it stays its own.
+    fn take_number(&self) -> RegistrationNumber {
+        let number = self.number.get().unwrap_or_else(|| {
+            number_at(self.parts.freshness.position(), (self.parts.wall_clock)())
+        });
+        self.number.set(Some(number));
+        number
+    }
+
+    /// Waits if a later process of this machine has registered the worker: for a moment two may be there, and
+    /// would take the registration from each other as fast as the store answers.
+    async fn yield_to_later_process(&self) {
+        let newest = {
+            let table = self.parts.table.borrow();
+            table.registrations().newest(&self.instance).map(|(number, _)| number)
+        };
+        let own = self.number.get();
+        if own.is_some() && newest > own {
+            log::warn!(
+                "event=J175 worker registered by another process worker={} number={newest:?} own={own:?}",
+                self.instance
+            );
+            tokio::time::sleep(YIELD_TIME).await;
+        }
     }
 
     /// Returns whether the worker is registered by this process. Before that nothing is started: what an
@@ -362,13 +389,13 @@
     }
 
     fn is_registered_in(&self, table: &JobTable) -> bool {
-        let own = self.registration.get();
-        own.is_some() && own == table.registration(&self.instance)
+        let newest = table.registrations().newest(&self.instance);
+        newest.is_some_and(|(number, _)| Some(number) == self.number.get())
     }
 
-    /// Returns the number under which this process has registered the worker; 0 before it did.
-    pub(super) fn own_registration(&self) -> Registration {
-        self.registration.get().unwrap_or_default()
+    /// Returns the number under which this process has registered the worker, if it has.
+    pub(super) fn registration_number(&self) -> Option<RegistrationNumber> {
+        self.number.get()
     }
 
     /// Tells once when the state no longer holds the worker, though its life goes on here.
@@ -385,40 +412,36 @@
         }
     }
 
-    fn is_evicted(&self) -> bool {
-        self.parts.table.borrow().evicted.contains(&self.instance)
-    }
-
     fn needs_registration(&self) -> bool {
         if self.is_over() || !self.listed.get() || self.parts.freshness.age().is_none() {
             return false;
         }
+        let table = self.parts.table.borrow();
         let is_empty = !self.has_runs() && !self.storing.get();
-        if self.is_evicted() {
+        if table.evicted.contains(&self.instance) {
             return is_empty;
         }
-        let table = self.parts.table.borrow();
         match table.workers.get(&self.instance) {
-            Some(known) => {
-                let is_whole = self.is_registered_in(&table)
-                    && table.registration_keys(&self.instance).len() == 1
-                    && **known == *self.record.borrow();
-                !is_whole
-            }
-            // After its runs were given up, a worker comes back without any.
-            None => is_empty,
+            Some(known) => **known != *self.record.borrow() || !self.is_registered_alone(&table),
+            // Its runs are being given up. It comes back without any, and only once no account names it:
+            // what is still to be given up would be started here as well.
+            None => is_empty && !table.names_worker(&self.instance),
         }
     }
 
+    fn is_registered_alone(&self, table: &JobTable) -> bool {
+        let mut numbers = table.registrations().numbers(&self.instance);
+        let own = self.number.get();
+        own.is_some() && numbers.all(|number| number == 0 || Some(number) == own)
+    }
+
     /// Returns what ends all registrations of the worker that are known.
     fn removal_records(&self) -> Vec<KeyedRecord> {
-        let mut keys = self.parts.table.borrow().registration_keys(&self.instance);
-        let own = worker_key(&self.instance, self.own_registration());
-        if !keys.contains(&own) {
-            keys.push(own);
-        }
-        keys.push(eviction_key(&self.instance));
-        keys.into_iter().map(removal).collect()
+        let table = self.parts.table.borrow();
+        let known = table.registrations().numbers(&self.instance);
+        let numbers: BTreeSet<RegistrationNumber> = known.chain(self.number.get()).collect();
+        let keys = numbers.into_iter().map(|number| worker_key(&self.instance, number));
+        keys.chain([eviction_key(&self.instance)]).map(removal).collect()
     }
 
     async fn unregister(&self) {
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -43,8 +43,8 @@
         while !self.is_over() {
             changes.borrow_and_update();
             if self.listed.get() && self.parts.freshness.age().is_some() {
+                self.settle_given_up();
                 if self.is_registered() {
-                    self.settle_given_up();
                     self.start_wanted();
                 }
                 self.take_up_unknown_stops();
@@ -72,17 +72,17 @@
         }
     }
 
-    /// Settles runs that may have been given up already: assigned before the worker came back after its
-    /// registration was gone, or refused by an earlier process of this agent. The planner may start them
-    /// elsewhere by a decision that is on its way, and a start by an earlier process may still be carried out.
-    /// So each goes through a stop, after which it surely never starts here, and the planner is told so.
+    /// Settles runs that may have been given up already: the worker's registration is gone, or was when they were
+    /// assigned, or an earlier process of this agent has refused them. The planner may start them elsewhere by a
+    /// decision that is on its way, and a start by an earlier process may still be carried out. So each goes
+    /// through a stop, after which it surely never starts here, and the planner is told so.
     fn settle_given_up(&self) {
         for wanted in self.wanted().into_iter().filter(|wanted| self.may_be_given_up(&wanted.key)) {
             let (task, attempt) = &wanted.key;
             log::info!(
-                "event=J174 run passed back task={task} attempt={attempt} worker={} registration={}",
+                "event=J174 run passed back task={task} attempt={attempt} worker={} position={}",
                 self.instance,
-                self.own_registration()
+                self.parts.freshness.position()
             );
             let run = Run::new(Phase::Unanswered(Instant::now()));
             self.runs.borrow_mut().open.insert(wanted.key, run);
@@ -91,7 +91,9 @@
 
     fn may_be_given_up(&self, key: &RunKey) -> bool {
         let table = self.parts.table.borrow();
-        table.was_assigned_before_return(&self.instance, key) || table.has_refusal(&key.0, key.1)
+        !table.workers.contains_key(&self.instance)
+            || table.was_assigned_before_return(&self.instance, key)
+            || table.has_refusal(&key.0, key.1)
     }
 
     /// Returns whether a task fits beside all runs that may exist here, those that are being stopped
@@ -282,7 +284,8 @@
         let runs = self.runs.borrow();
         let unwanted = runs.open.iter().filter(|(key, run)| {
             let (task, attempt) = key;
-            if runs.over.contains(*key) {
+            let shows_up = run.phase == Phase::Running && runs.never_started.contains(*key);
+            if runs.over.contains(*key) && !shows_up {
                 return false;
             }
             if run.stop_in_flight || run.stop_answered.is_some() || run.phase == Phase::Starting {
@@ -290,7 +293,7 @@
             }
             let unanswered = matches!(run.phase, Phase::Unanswered(since)
                 if since.elapsed() > self.parts.settings.unanswered_start);
-            unanswered || evicted || !table.wants_run(&self.instance, task, *attempt)
+            shows_up || unanswered || evicted || !table.wants_run(&self.instance, task, *attempt)
         });
         unwanted.map(|(key, _)| key.clone()).collect()
     }
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -62,4 +62,7 @@
     pub open: BTreeMap<RunKey, Run>,
     /// Runs that have ended, or will never start; never started again.
     pub over: BTreeSet<RunKey>,
+    /// Those of them that were reported as never started. One that shows up all the same is stopped: the planner
+    /// has started it elsewhere.
+    pub never_started: BTreeSet<RunKey>,
 }
--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -6,8 +6,8 @@
 
 use std::collections::BTreeSet;
 
-use crate::job::{InstanceId, NodeName};
-use crate::record::{JobPlan, KeyedRecord, Record, split_worker_name};
+use crate::job::NodeName;
+use crate::record::{JobPlan, KeyedRecord, Record, split_worker_key};
 use crate::table::JobTable;
 
 /// Whom a record concerns.
@@ -131,7 +131,7 @@
             "job" if self.jobs.contains_key(name) => {}
             "plan" => {
                 let plan = self.jobs.get(name).and_then(|job| job.plan.as_deref());
-                let workers = plan.into_iter().flat_map(workers_of);
+                let workers = plan.into_iter().flat_map(JobPlan::workers);
                 workers.for_each(|instance| concerned.extend(self.agent_of(instance)));
             }
             "end" | "refusal" => {
@@ -139,7 +139,7 @@
                 end.for_each(|end| concerned.extend(self.agent_of(&end.instance)));
             }
             "worker" => {
-                let (instance, _) = split_worker_name(name);
+                let (instance, _) = split_worker_key(key);
                 concerned.agents.extend(self.agent_of(instance).cloned());
             }
             _ => return None,
@@ -147,9 +147,3 @@
         Some(concerned)
     }
 }
-
-/// Iterates over the workers where runs of a job may exist.
-fn workers_of(plan: &JobPlan) -> impl Iterator<Item = &InstanceId> {
-    let tasks = plan.open.iter().flat_map(|open| open.steps.iter().flatten());
-    tasks.filter(|task| task.occupies()).map(|task| &task.instance)
-}
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -28,7 +28,8 @@
 }
 
 fn remove_worker(draft: &mut Draft<'_>, instance: &str) {
-    for key in draft.table.registration_keys(instance) {
+    let keys: Vec<String> = draft.table.registrations().keys(instance).collect();
+    for key in keys {
         draft.remove(key);
     }
     draft.remove(eviction_key(instance));
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -20,9 +20,9 @@
 pub fn take_in_ends(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, health: &mut HealthBook) {
     for (key, end) in &inputs.table.ends {
         draft.remove(key.clone());
-        if is_of_earlier_registration(inputs.table, key, end) {
+        if is_refusal_of_earlier_process(inputs.table, key, end) {
             log::info!(
-                "event=J137 refusal of an earlier registration passed over task={} attempt={} worker={}",
+                "event=J137 refusal of an earlier process passed over task={} attempt={} worker={}",
                 end.task,
                 end.attempt,
                 end.instance
@@ -36,12 +36,14 @@
 
 /// Returns whether a start was refused by an agent's process that another one has followed. It may land late, when
 /// the later process has started the run: taken as an end, the run would have been given up while it went on.
-fn is_of_earlier_registration(table: &JobTable, key: &str, end: &RunEnd) -> bool {
-    if end.reason != EndReason::NotStarted {
+fn is_refusal_of_earlier_process(table: &JobTable, key: &str, end: &RunEnd) -> bool {
+    let (_, number) = split_refusal_key(key);
+    // Before it registers a worker, a process refuses only what the worker was told never to start.
+    if end.reason != EndReason::NotStarted || number == 0 {
         return false;
     }
-    let (_, number) = split_refusal_key(key);
-    number > 0 && table.registration(&end.instance).is_some_and(|newest| newest > number)
+    let is_registered = table.workers.contains_key(&end.instance);
+    is_registered && !table.registrations().contains(&end.instance, number)
 }
 
 fn note_health(end: &RunEnd, inputs: &RoundInputs<'_>, health: &mut HealthBook) {
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -7,7 +7,7 @@
     Checkpoint, EpochMillis, InstanceId, JobId, NodeName, Resources, ServiceName, Submission,
     TaskId,
 };
-use crate::registrations::Registration;
+use crate::registrations::RegistrationNumber;
 
 /// Topic of everything that must last.
 pub const STATE_TOPIC: &str = "keyed.rampbay";
@@ -154,11 +154,16 @@
         occurrence.steps.get_mut(id.step as usize)?.get_mut(id.index as usize)
     }
 
+    /// Iterates over the workers where runs of its tasks may exist, once for each.
+    pub fn workers(&self) -> impl Iterator<Item = &InstanceId> {
+        let tasks = self.open.iter().flat_map(|open| open.steps.iter().flatten());
+        tasks.filter(|task| task.occupies()).map(|task| &task.instance)
+    }
+
     /// Returns whether a run of one of its tasks may exist.
     #[must_use]
     pub fn occupies(&self) -> bool {
-        let mut tasks = self.open.iter().flat_map(|open| open.steps.iter().flatten());
-        tasks.any(TaskPlan::occupies)
+        self.workers().next().is_some()
     }
 }
 
@@ -358,13 +363,13 @@
 
 /// Returns the key of a start that failed, as the agent reports it under a registration of its worker.
 #[must_use]
-pub fn refusal_key(end: &RunEnd, registration: Registration) -> String {
+pub fn refusal_key(end: &RunEnd, registration: RegistrationNumber) -> String {
     numbered(end_key(end), registration)
 }
 
 /// Splits the key of a refusal into its run's key and the registration under which it was reported.
 #[must_use]
-pub fn split_refusal_key(key: &str) -> (&str, Registration) {
+pub fn split_refusal_key(key: &str) -> (&str, RegistrationNumber) {
     // Before the number stand the kind, the task and the attempt.
     let is_numbered = key.split('/').count() > 3;
     if is_numbered { split_number(key) } else { (key, 0) }
@@ -372,21 +377,21 @@
 
 /// Returns the key of a worker's registration.
 #[must_use]
-pub fn worker_key(instance: &str, registration: Registration) -> String {
+pub fn worker_key(instance: &str, registration: RegistrationNumber) -> String {
     numbered(format!("worker/{instance}"), registration)
 }
 
-/// Splits what follows the kind in the key of a registration into the worker's id and the number.
+/// Splits the key of a registration into the worker's id and the number.
 #[must_use]
-pub fn split_worker_name(name: &str) -> (&str, Registration) {
-    split_number(name)
+pub fn split_worker_key(key: &str) -> (&str, RegistrationNumber) {
+    split_number(key.strip_prefix("worker/").unwrap_or(key))
 }
 
-fn numbered(key: String, number: Registration) -> String {
+fn numbered(key: String, number: RegistrationNumber) -> String {
     if number == 0 { key } else { format!("{key}/{number}") }
 }
 
-fn split_number(text: &str) -> (&str, Registration) {
+fn split_number(text: &str) -> (&str, RegistrationNumber) {
     let split = text.rsplit_once('/');
     let numbered = split.and_then(|(rest, number)| Some((rest, number.parse().ok()?)));
     numbered.unwrap_or((text, 0))
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -7,9 +7,9 @@
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
 use crate::record::{
     EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
-    TaskStatus, WorkerRecord, split_refusal_key, split_worker_name,
+    TaskStatus, WorkerRecord, split_refusal_key, split_worker_key,
 };
-use crate::registrations::{Registration, Registrations};
+use crate::registrations::{RegistrationNumber, Registrations};
 
 /// One job.
 #[derive(Clone, Debug)]
@@ -41,7 +41,10 @@
     }
 }
 
-/// Everything that the store's records say.
+/// Workers that are gone and whose agents are remembered, beside twice as many as are there.
+const MOST_GONE_AGENTS: usize = 256;
+
+/// Everything that the store's records say, and what came before something else among them.
 #[derive(Clone, Debug, Default)]
 pub struct JobTable {
     /// All known jobs.
@@ -72,14 +75,14 @@
 
 impl JobTable {
     /// Takes in the newest record of each key in place of all that was known, whatever their order: jobs go
-    /// before their accounts, which would be passed over without them.
+    /// before their accounts, which would be passed over without them, and so do workers, which haven't returned.
     pub fn load(&mut self, records: &[KeyedRecord]) {
         *self = Self::default();
-        let is_job = |record: &&KeyedRecord| record.key.starts_with("job/");
-        records.iter().filter(is_job).for_each(|record| self.apply(record));
-        records.iter().filter(|record| !is_job(record)).for_each(|record| self.apply(record));
-        // Nothing tells whether a worker had been gone before.
-        self.assigned_before_return.clear();
+        let goes_first = |record: &&KeyedRecord| {
+            record.key.starts_with("job/") || record.key.starts_with("worker/")
+        };
+        records.iter().filter(goes_first).for_each(|record| self.apply(record));
+        records.iter().filter(|record| !goes_first(record)).for_each(|record| self.apply(record));
     }
 
     /// Takes in one record. Records that can't be read are passed over: a newer release may
@@ -90,26 +93,23 @@
             return;
         }
         match Record::decode(record) {
-            Ok(Record::Worker(instance, worker)) => {
-                let (_, number) = split_worker_name(&record.key);
-                self.insert_worker(instance, number, *worker);
-            }
-            // A refusal's key has the registration under which it was reported.
-            Ok(Record::Ended(end)) => {
-                self.ends.insert(record.key.clone(), Rc::new(*end));
-            }
-            Ok(record) => self.insert(record),
+            Ok(value) => self.insert(&record.key, value),
             Err(error) => log::warn!("event=J104 record unreadable {error}"),
         }
     }
 
-    fn insert(&mut self, record: Record) {
+    fn insert(&mut self, key: &str, record: Record) {
         match record {
             Record::Submitted(submission) => self.insert_submission(*submission),
             Record::Cancelled(id) => self.insert_cancel(id),
             Record::Plan(id, plan) => self.insert_plan(&id, *plan),
-            // These go by their keys.
-            Record::Ended(_) | Record::Worker(..) => {}
+            Record::Ended(end) => {
+                self.ends.insert(key.to_owned(), Rc::new(*end));
+            }
+            Record::Worker(instance, worker) => {
+                let (_, number) = split_worker_key(key);
+                self.insert_worker(&instance, number, *worker);
+            }
             Record::Evicted(instance) => {
                 self.evicted.insert(instance);
             }
@@ -129,18 +129,20 @@
         }
     }
 
-    fn insert_worker(&mut self, instance: InstanceId, number: Registration, worker: WorkerRecord) {
-        if !self.workers.contains_key(&instance) {
-            let assigned = self.runs_assigned_to(&instance);
-            self.assigned_before_return.insert(instance.clone(), assigned);
+    fn insert_worker(&mut self, instance: &str, number: RegistrationNumber, worker: WorkerRecord) {
+        if !self.workers.contains_key(instance) {
+            let assigned = self.runs_assigned_to(instance);
+            if !assigned.is_empty() {
+                self.assigned_before_return.insert(instance.to_owned(), assigned);
+            }
         }
-        self.agents.insert(instance.clone(), worker.node.clone());
-        self.registrations.insert(&instance, number, Rc::new(worker));
-        self.show_newest(&instance);
+        self.agents.insert(instance.to_owned(), worker.node.clone());
+        self.registrations.insert(instance, number, worker);
+        self.show_newest(instance);
     }
 
-    fn remove_worker(&mut self, name: &str) {
-        let (instance, number) = split_worker_name(name);
+    fn remove_worker(&mut self, key: &str) {
+        let (instance, number) = split_worker_key(key);
         self.registrations.remove(instance, number);
         self.show_newest(instance);
     }
@@ -151,27 +153,48 @@
         } else {
             self.workers.remove(instance);
             self.assigned_before_return.remove(instance);
+            self.forget_agents();
         }
     }
 
+    /// Forgets the agents of workers that are gone and that no account names, once there are many.
+    fn forget_agents(&mut self) {
+        if self.agents.len() < MOST_GONE_AGENTS + 2 * self.workers.len() {
+            return;
+        }
+        let named: BTreeSet<&InstanceId> = self.active_plans().flat_map(JobPlan::workers).collect();
+        let named: BTreeSet<InstanceId> = named.into_iter().cloned().collect();
+        let workers = &self.workers;
+        self.agents.retain(|known, _| workers.contains_key(known) || named.contains(known));
+    }
+
+    fn active_plans(&self) -> impl Iterator<Item = &JobPlan> {
+        self.active.iter().filter_map(|id| self.jobs.get(id)?.plan.as_deref())
+    }
+
     fn runs_assigned_to(&self, instance: &str) -> BTreeSet<(TaskId, u32)> {
-        let plans =
-            self.active.iter().filter_map(|id| Some((id, self.jobs.get(id)?.plan.as_ref()?)));
-        let tasks = plans.flat_map(|(id, plan)| plan.tasks(id));
-        let assigned = tasks.filter(|(_, task)| task.occupies() && task.instance == instance);
-        assigned.map(|(id, task)| (id, task.attempt)).collect()
+        let is_there = |task: &TaskPlan| task.occupies() && task.instance == instance;
+        let mut runs = BTreeSet::new();
+        for id in &self.active {
+            let Some(plan) = self.jobs.get(id).and_then(|job| job.plan.as_ref()) else { continue };
+            for task in plan.tasks_where(id, is_there) {
+                let attempt = plan.task(&task).map_or(0, |found| found.attempt);
+                runs.insert((task, attempt));
+            }
+        }
+        runs
     }
 
-    /// Returns the registration of a worker that counts.
+    /// Returns whether an account says that a run may exist at a worker.
     #[must_use]
-    pub fn registration(&self, instance: &str) -> Option<Registration> {
-        self.registrations.newest(instance).map(|(number, _)| number)
+    pub fn names_worker(&self, instance: &str) -> bool {
+        self.active_plans().flat_map(JobPlan::workers).any(|named| named == instance)
     }
 
-    /// Lists the keys of all registrations of a worker.
+    /// Returns the registrations of the workers.
     #[must_use]
-    pub fn registration_keys(&self, instance: &str) -> Vec<String> {
-        self.registrations.keys(instance).collect()
+    pub const fn registrations(&self) -> &Registrations {
+        &self.registrations
     }
 
     /// Returns the agent of a worker that is there or was; `None` if it was gone before the state was read as a
@@ -231,7 +254,7 @@
             "end" | "refusal" => {
                 self.ends.remove(key);
             }
-            "worker" => self.remove_worker(name),
+            "worker" => self.remove_worker(key),
             "evicted" => {
                 self.evicted.remove(name);
             }
--- a/crates/rampbay-jobs/tests/late_writes.rs
+++ b/crates/rampbay-jobs/tests/late_writes.rs
@@ -15,8 +15,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::record::{EndReason, Record, STATE_TOPIC, TaskPlan};
+use rampbay_jobs::record::{
+    EndReason, JobStatus, KeyedRecord, Record, STATE_TOPIC, TaskPlan, worker_key,
+};
+use rampbay_jobs::store::Store;
 use rstest::rstest;
+use support::entry::ThroughEntry;
 use support::leader::start_leader;
 use support::store::MemoryStore;
 use support::worker::{FakeWorker, StartTrouble};
@@ -61,7 +65,17 @@
 /// Starts an agent whose worker was silent until its life was ended, is heard again and has a run. Returns it with
 /// the offsets of what was written about the end of its life.
 async fn returned_worker() -> (AgentRig, usize, usize) {
-    let rig = AgentRig::start(MemoryStore::new(), FakeWorker::new(WORKER));
+    returned_worker_of(|store| store.clone()).await
+}
+
+/// The same, with the agent's way to the store.
+async fn returned_worker_of(
+    way: impl Fn(&Rc<MemoryStore>) -> Rc<dyn Store>,
+) -> (AgentRig, usize, usize) {
+    let store = MemoryStore::new();
+    let shared = way(&store);
+    sleep(Duration::from_millis(100)).await;
+    let rig = AgentRig::start_over(store, shared, FakeWorker::new(WORKER));
     rig.heartbeat(WORKER, 1);
     sleep(STARTS).await;
     let from = rig.store.all(STATE_TOPIC).len();
@@ -131,21 +145,205 @@
     });
 }
 
-/// A worker that comes back after its registration was gone isn't given what was assigned to it before: it may
-/// have been started elsewhere by a decision that is on its way.
+/// A worker that comes back after its registration was gone isn't given what was assigned to it before: the
+/// decision that starts it elsewhere may be on its way. It isn't registered before that decision is kept.
 #[test]
 fn run_assigned_before_return_not_started() {
     on_virtual_time(async {
         let store = MemoryStore::new();
         store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
         store.put(&Record::Plan(JOB.to_owned(), Box::new(running_plan(1, WORKER, 1))));
-        let rig = AgentRig::start(store, FakeWorker::new(WORKER));
+        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        assert_eq!(rig.worker.starts(), vec![]);
+        assert!(table_of(&store).workers.is_empty(), "an account names it still");
+        start_leader(&store, "entry-1", 1, None);
+        sleep(STARTS).await;
+        assert_eq!(rig.worker.starts(), vec![(task(JOB, 0), 2)], "given up, then assigned anew");
+    });
+}
+
+/// A run that was reported as never started shows up at the worker all the same.
+#[test]
+fn refused_run_that_shows_up_stopped() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        seed_running_job(&store, JOB, 1, WORKER);
+        let worker = FakeWorker::new(WORKER);
+        worker.start_trouble.set(StartTrouble::Unhealthy);
+        let rig = AgentRig::start(Rc::clone(&store), worker);
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        rig.worker.start_unheard(&task(JOB, 0), 1);
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(rig.worker.running(), vec![]);
+    });
+}
+
+/// The same for a process that starts again just as the worker has come back.
+#[test]
+fn run_assigned_before_return_not_started_by_successor() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        add_other_worker(&store);
+        submit(&store);
+        store.put(&Record::Plan(JOB.to_owned(), Box::new(running_plan(1, WORKER, 1))));
+        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(Duration::from_millis(40)).await;
+        let worker = Rc::clone(&rig.worker);
+        rig.kill();
+        let rig = AgentRig::start(Rc::clone(&store), worker);
+        rig.heartbeat(WORKER, 2);
+        sleep(STARTS).await;
+        store.put(&Record::Plan(JOB.to_owned(), Box::new(running_plan(1, OTHER, 2))));
+        sleep(STARTS).await;
+        assert_eq!(rig.worker.starts(), vec![]);
+        assert!(table_of(&store).workers.contains_key(WORKER), "no account names it any more");
+    });
+}
+
+/// A life that registers anew, after an eviction, stands by what it has refused before.
+#[test]
+fn refusal_before_return_from_eviction_kept() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        seed_running_job(&store, JOB, 1, WORKER);
+        let worker = FakeWorker::new(WORKER);
+        worker.start_trouble.set(StartTrouble::Unhealthy);
+        let rig = AgentRig::start(Rc::clone(&store), worker);
         rig.heartbeat(WORKER, 1);
         sleep(STARTS).await;
         assert_eq!(rig.worker.starts(), vec![]);
-        let ends: Vec<EndReason> =
-            table_of(&rig.store).ends.values().map(|end| end.reason).collect();
-        assert_eq!(ends, vec![EndReason::NotStarted], "the planner learns that it never starts");
+        store.put(&Record::Evicted(WORKER.to_owned()));
+        sleep(STARTS).await;
+        rig.worker.start_trouble.set(StartTrouble::None);
+        assert!(table_of(&store).evicted.is_empty(), "it has returned");
+        start_leader(&store, "entry-1", 1, None);
+        sleep(Duration::from_secs(10)).await;
+        assert_eq!(rig.worker.starts().len(), 1, "{:?}", plan_of(&store));
+    });
+}
+
+/// A process whose registration the store hasn't carried out leaves the same view to the next one, which takes
+/// another number all the same.
+#[test]
+fn number_of_predecessor_not_taken_again() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        store.holds_appends.set(true);
+        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        rig.worker.silent.set(true);
+        sleep(LAPSES).await;
+        rig.worker.silent.set(false);
+        let worker = Rc::clone(&rig.worker);
+        rig.kill();
+        store.holds_appends.set(false);
+        let rig = AgentRig::start(Rc::clone(&store), worker);
+        rig.heartbeat(WORKER, 9);
+        sleep(STARTS).await;
+        start_leader(&store, "entry-1", 1, None);
+        submit(&store);
+        sleep(STARTS).await;
+        assert_runs_once(&rig);
+        add_other_worker(&store);
+        store.land_held();
+        sleep(SETTLES).await;
+        assert_runs_once(&rig);
+    });
+}
+
+/// The whole of what was seen: a worker returns, a removal lands late, and its agent reads through an entry.
+#[test]
+fn late_removal_behind_entry_starts_nothing_elsewhere() {
+    on_virtual_time(async {
+        let (rig, from, to) = returned_worker_of(|store| ThroughEntry::start(store)).await;
+        add_other_worker(&rig.store);
+        rig.store.land_again(from, to);
+        sleep(SETTLES).await;
+        assert_runs_once(&rig);
+        rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
+        sleep(SETTLES).await;
+        assert_eq!(rig.worker.seen(), 1);
+        assert_eq!(table_of(&rig.store).status(JOB), Some(JobStatus::Succeeded));
+    });
+}
+
+/// A registration that lands after its worker has left is removed again by the agent, which knows better.
+#[test]
+fn late_registration_of_worker_that_left_removed() {
+    on_virtual_time(async {
+        let rig = AgentRig::start(MemoryStore::new(), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        let registered = rig.store.all(STATE_TOPIC).len();
+        rig.host.deregister(WORKER);
+        rig.worker.gone.set(true);
+        sleep(STARTS).await;
+        assert!(table_of(&rig.store).workers.is_empty());
+        rig.store.land_again(0, registered);
+        sleep(SETTLES).await;
+        assert!(table_of(&rig.store).workers.is_empty());
+    });
+}
+
+/// A worker has said good-bye and its machine is gone; an account of it from before lands late.
+#[test]
+fn late_registration_takes_no_departure_back() {
+    on_virtual_time(async {
+        let rig = AgentRig::start(MemoryStore::new(), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        let store = Rc::clone(&rig.store);
+        let registered = store.all(STATE_TOPIC).len();
+        start_leader(&store, "entry-1", 1, None);
+        sleep(STARTS).await;
+        rig.host.deregister(WORKER);
+        sleep(Duration::from_millis(60)).await;
+        rig.kill();
+        store.land_again(0, registered);
+        assert!(table_of(&store).workers[WORKER].departed);
+        sleep(Duration::from_secs(9)).await;
+        assert!(table_of(&store).workers.is_empty(), "given up after its last lease");
+    });
+}
+
+/// To a leader of a release that knew no numbers, the removal of the key without one means that the worker is gone.
+#[test]
+fn registration_without_number_stays_until_life_ends() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        seed_running_job(&store, JOB, 1, WORKER);
+        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        let key = worker_key(WORKER, 0);
+        let is_removal = |record: &KeyedRecord| record.key == key && record.value.is_empty();
+        assert!(!store.all(STATE_TOPIC).iter().any(is_removal));
+        rig.host.deregister(WORKER);
+        rig.worker.gone.set(true);
+        sleep(STARTS).await;
+        assert!(store.all(STATE_TOPIC).iter().any(is_removal));
+    });
+}
+
+/// Two processes of one machine at a time don't flood the store.
+#[test]
+fn two_processes_take_turns() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let worker = FakeWorker::new(WORKER);
+        let first = AgentRig::start(Rc::clone(&store), Rc::clone(&worker));
+        first.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        let second = AgentRig::start(Rc::clone(&store), worker);
+        second.heartbeat(WORKER, 2);
+        sleep(Duration::from_secs(10)).await;
+        let count = store.all(STATE_TOPIC).len();
+        assert!(count < 30, "{count} records in 10 s");
     });
 }
 
--- a/crates/rampbay-jobs/tests/partial_views.rs
+++ b/crates/rampbay-jobs/tests/partial_views.rs
@@ -57,7 +57,7 @@
 fn give_up(store: &MemoryStore, instance: &str) {
     let mut table = JobTable::default();
     table.load(&store.all(STATE_TOPIC));
-    table.registration_keys(instance).iter().for_each(|key| store.remove(key));
+    table.registrations().keys(instance).for_each(|key| store.remove(&key));
 }
 
 #[test]
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -111,6 +111,14 @@
     }
 }
 
+/// Tells the time of day, which goes on with virtual time.
+fn virtual_wall_clock() -> u64 {
+    thread_local! {
+        static START: tokio::time::Instant = tokio::time::Instant::now();
+    }
+    1_000_000 + START.with(tokio::time::Instant::elapsed).as_millis() as u64
+}
+
 /// An agent over fakes, with its follower.
 pub struct AgentRig {
     pub store: Rc<MemoryStore>,
@@ -143,7 +151,7 @@
             connect: Box::new(move |_, instance| -> Rc<dyn Worker> {
                 Rc::new(worker::Client::new(Rc::clone(&connected), instance))
             }),
-            wall_clock: || 1_000_000,
+            wall_clock: virtual_wall_clock,
             settings: settings().agent(),
         });
         let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(25) };
