refactor: an agent's registration of its worker in a module of its own

Ruled out: a type of its own for the registration: it goes by the life's state throughout. Change: code moved, none changed.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -7,6 +7,7 @@
 mod ends;
 pub mod life;
 mod orders;
+mod registering;
 mod renewals;
 mod runs;
 
