--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -1,7 +1,7 @@
 //! Which peers a process goes through, for what.
 //!
 //! Whoever serves many others needs room: a wide link and a good share of a core. Such processes are
-//! called ample ([`Member::is_ample`]). They read through the leader; small entries read through ample
+//! called ample ([`Member::is_ample`]). Ample entries read through the leader; small ones read through ample
 //! ones, and so do agents. The leader so serves a handful of processes however many there are.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -60,18 +60,14 @@
     pub fn writers(self) -> Writers {
         Box::new(move || {
             let table = self.live.table.borrow();
-            let entries = table.members.values().filter(|member| member.passes_on);
-            entries.count() as u32 + 1
+            entries(&table).count() as u32 + 1
         })
     }
 
     /// Lists the ample entries, or all where none is ample.
     fn ample_entries<'a>(&self, table: &'a JobTable) -> Vec<&'a Member> {
-        let entries = table.members.values().filter(|member| member.passes_on);
-        let entries: Vec<&Member> = entries.collect();
-        let ample: Vec<&Member> =
-            entries.iter().copied().filter(|member| member.is_ample()).collect();
-        if ample.is_empty() { entries } else { ample }
+        let ample: Vec<&Member> = ample(table).collect();
+        if ample.is_empty() { entries(table).collect() } else { ample }
     }
 
     /// Lists what an entry reads the state through: the leader for ample ones, other ample ones for
@@ -89,8 +85,7 @@
                 let leader = leader.filter(|leader| leader.is_ample());
                 return leader.map(|leader| self.peer(leader)).into_iter().collect();
             }
-            let ample = table.members.values().filter(|member| member.is_ample());
-            self.near_first(ample.collect(), &table.leader.node)
+            self.near_first(ample(&table).collect(), &table.leader.node)
         })
     }
 
@@ -147,6 +142,17 @@
     }
 }
 
+/// Iterates over the entries. Only their views are whole, and only they stand for leadership: an agent
+/// follows what concerns its own worker, however much room its machine has.
+fn entries(table: &JobTable) -> impl Iterator<Item = &Member> {
+    table.members.values().filter(|member| member.passes_on)
+}
+
+/// Iterates over the ample entries.
+fn ample(table: &JobTable) -> impl Iterator<Item = &Member> {
+    entries(table).filter(|member| member.is_ample())
+}
+
 /// Orders one process's peers unlike those of another.
 fn rank(own: &str, peer: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -154,10 +160,10 @@
     hasher.finish()
 }
 
-/// Ample processes that are asked whether they answer, at most.
+/// Ample entries that are asked whether they answer, at most.
 const MOST_ASKED: usize = 3;
 
-/// The ample processes.
+/// The ample entries.
 struct AmplePeers(Routes);
 
 #[async_trait(?Send)]
@@ -165,8 +171,7 @@
     async fn any_answers(&self) -> bool {
         let ample: Vec<PeerStore> = {
             let table = self.0.live.table.borrow();
-            let ample = table.members.values().filter(|member| member.is_ample());
-            let mut peers = self.0.near_first(ample.collect(), &table.leader.node);
+            let mut peers = self.0.near_first(ample(&table).collect(), &table.leader.node);
             peers.truncate(MOST_ASKED);
             peers
         };
--- a/crates/rampbay-peer/tests/routes.rs
+++ b/crates/rampbay-peer/tests/routes.rs
@@ -1,14 +1,22 @@
 //! Which peers a process reads through.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::{Leader, Member, Record};
 use rampbay_jobs::settings::Settings;
 use rampbay_peer::client::HttpClient;
+use rampbay_peer::direct::DirectStore;
+use rampbay_peer::protocol::{PeerStore, Served, handler};
+use rampbay_peer::relay::GatewayPeer;
 use rampbay_peer::routes::Routes;
+use rampbay_peer::server::{Closing, serve};
 use rampbay_peer::tail::TailPeers;
 use rstest::rstest;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 const LEADER: &str = "a-large-1";
 
@@ -103,3 +111,53 @@
 fn successors_of_small_only(#[case] node: &str, #[case] expected: bool) {
     assert_eq!(routes(node, &SITE).successors().is_some(), expected);
 }
+
+/// A machine with room may hold an agent, whose view has gaps: an entry could lead by it.
+#[test]
+fn tails_of_entry_of_small_entries_only() {
+    let site = ["a-large-1", "b-small-1", "b-side-large-1"];
+    assert_eq!(names(&routes("b-small-1", &site).tails_of_entry()), [LEADER]);
+}
+
+/// An agent never stands, however much room it has: a leader that handed over to it would do so for ever.
+#[rstest]
+#[case::agent("b-side-large-1", false)]
+#[case::entry("b-large-1", true)]
+#[tokio::test]
+async fn successors_entries_only(#[case] node: &str, #[case] expected: bool) {
+    let routes = routes("b-small-1", &[]);
+    let address = free_address().await;
+    let answering = Member { address: address.to_string(), ..member(node) };
+    routes.live.table.borrow_mut().apply(&Record::Member(answering).encode());
+    let client = routes.client.clone();
+    let successors = routes.successors().expect("a process with little room has some");
+    let answers = async {
+        while !PeerStore::new(client.clone(), address.to_string()).responds().await {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        successors.any_answers().await
+    };
+    let never = watch::channel(Closing::Open);
+    let local = tokio::task::LocalSet::new();
+    let answered = local.run_until(async {
+        tokio::select! {
+            served = serve(address, 1 << 20, handler(served(&client)), never.1) => {
+                panic!("the peer serves: {served:?}")
+            }
+            answers = answers => answers,
+        }
+    });
+    assert_eq!(answered.await, expected);
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// What a peer without a store serves: it answers pings.
+fn served(client: &HttpClient) -> Served {
+    let nowhere = PeerStore::new(client.clone(), "127.0.0.1:1".to_owned());
+    let direct = DirectStore::new(Rc::new(nowhere), Duration::from_secs(1));
+    Served { direct: direct.clone(), own: direct, followed: Rc::default() }
+}
