fix: an append that a gateway may still carry out isn't called refused

Cause: after a gateway without answer the other ways were tried with a clean slate; where all of them refused, the append was answered as surely not done, while the gateway's copy could still land. Ruled out: the same among the direct way and peers (one unknown outcome stays, all copies are waited for); a peer's server (a call that it gave up on answers nothing, which counts as unknown). Change: an unknown outcome at a gateway stays one. The comment on repeats says what holds: copies may be done after later appends, which is harmless only while nothing newer was written under their keys.

--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -173,12 +173,14 @@
         }
     }
 
-    /// Appends through a gateway; `None` if another way has to be taken.
+    /// Appends through a gateway. After [`AppendError::Refused`] and [`AppendError::Unknown`] another way
+    /// has to be taken; after the latter a gateway may still bring the records to the store.
     async fn append_through_gateway(
         &self,
         topic: &str,
         records: &[KeyedRecord],
-    ) -> Option<Result<Offset, AppendError>> {
+    ) -> Result<Offset, AppendError> {
+        let mut failure = AppendError::Refused;
         for gateway in self.open_gateways() {
             let started = Instant::now();
             let outcome = tokio::select! {
@@ -188,12 +190,17 @@
             match outcome {
                 Ok(_) | Err(AppendError::Fenced) => {
                     self.note_append(WayKind::Gateway, started.elapsed());
-                    return Some(outcome);
+                    return outcome;
+                }
+                Err(error) => {
+                    self.pass_over(gateway.name(), &error);
+                    if error == AppendError::Unknown {
+                        failure = error;
+                    }
                 }
-                Err(error) => self.pass_over(gateway.name(), &error),
             }
         }
-        None
+        Err(failure)
     }
 
     fn pass_over(&self, gateway: &str, error: &AppendError) {
@@ -239,18 +246,24 @@
 #[async_trait(?Send)]
 impl Store for RelayStore {
     /// Appends over one way, and over the next ones when that fails or loses the call; the first
-    /// that is settled counts. Sending the same records again does no harm: the newest record of a
-    /// key counts, and a fenced append is answered again.
+    /// that is settled counts. It is refused only if every way refused it.
+    ///
+    /// The other copies may still be done, seconds after this one and after later appends. A fenced append is
+    /// then answered again, or turned away. An unfenced one is done again: that does no harm while nothing
+    /// newer was written under its keys. Whoever changes or removes a key later has to tell an old record
+    /// by what it says.
     async fn append(
         &self,
         topic: &str,
         records: &[KeyedRecord],
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
-        if fence.is_none()
-            && let Some(outcome) = self.append_through_gateway(topic, records).await
-        {
-            return outcome;
+        let mut failure = AppendError::Refused;
+        if fence.is_none() {
+            match self.append_through_gateway(topic, records).await {
+                Err(error @ (AppendError::Refused | AppendError::Unknown)) => failure = error,
+                settled => return settled,
+            }
         }
         let send = |way: Way| async move {
             let started = Instant::now();
@@ -260,7 +273,6 @@
         let mut ways = self.append_ways().into_iter();
         let mut sent = FuturesUnordered::new();
         sent.extend(ways.next().map(send));
-        let mut failure = AppendError::Refused;
         while !sent.is_empty() {
             let sent_at = Instant::now();
             let next = tokio::select! {
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -383,3 +383,27 @@
         assert_eq!(queued.appends.get(), appends);
     });
 }
+
+/// A gateway that gave no answer may still bring the append to the store: ways that refuse it afterwards
+/// don't make it one that surely isn't kept.
+#[rstest]
+#[case::gateway_unanswered(UNKNOWN, true, UNKNOWN)]
+#[case::gateway_gone(Ok(2), false, UNKNOWN)]
+#[case::gateway_refuses(REFUSED, true, REFUSED)]
+fn gateway_then_refused_elsewhere(
+    #[case] gateway: Result<Offset, AppendError>,
+    #[case] responds: bool,
+    #[case] expected: Result<Offset, AppendError>,
+) {
+    on_virtual_time(async move {
+        let gateway = Scripted::answering(gateway);
+        gateway.readable.set(responds);
+        if !responds {
+            gateway.delay.set(Duration::from_secs(60));
+        }
+        let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
+        let store = relay(&Scripted::answering(REFUSED), &[Scripted::answering(REFUSED)])
+            .through(Box::new(move || vec![Rc::clone(&way)]));
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, expected);
+    });
+}
