fix: a cancellation is answered as of no such job only by a view that is as young as the call

Cause: a table up to visible_ms / 2 old was proof that a job isn't there. A job that another entry had just accepted was then answered with 410, which acknowledges the cancellation, and ran on. Ruled out: reads of a job's state: they may be behind by visible_ms. Change: where the table doesn't hold the job, the call waits until it does, or until the table holds all that the store had acknowledged when the call came; where that can't be learnt in the call's time, the caller is told to come back. Measured: cancel_job_just_accepted_elsewhere_kept (reads 0.7 s late) and cancel_store_away_not_current failed before, pass after; a job that nobody knows is still told of within 1.3 s. Conclusion: costs a wait of up to a second for jobs that aren't known, none for others.

--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -21,6 +21,8 @@
 const LAST_WAIT: Duration = Duration::from_millis(1500);
 /// How long a caller who can come back waits while the store is known to be away.
 const AWAY_WAIT: Duration = Duration::from_millis(100);
+/// Time between two looks whether a table has become current: as long as the shortest gap between reads.
+const TABLE_LOOK: Duration = Duration::from_millis(20);
 /// Pause before an append that the store didn't take is sent again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(150);
 
@@ -257,9 +259,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Refusal::NoJob`] if there is no such job, or it has ended.
+    /// Returns [`Refusal::NoJob`] if there is no such job, or it has ended, and [`Refusal::NotCurrent`] if
+    /// that couldn't be learnt in the call's time.
     pub async fn cancel(&self, id: &JobId, patience: Patience) -> Result<(), Refusal> {
-        match self.known_status(id)? {
+        let known = self.table.borrow().status(id);
+        let status = match known {
+            Some(status) => status,
+            None => self.current_status(id, patience).await?,
+        };
+        match status {
             JobStatus::Cancelled => Ok(()),
             JobStatus::Succeeded | JobStatus::Failed => Err(Refusal::NoJob),
             JobStatus::Queued | JobStatus::Running => {
@@ -268,6 +276,26 @@
         }
     }
 
+    /// Returns what became of a job, as of a moment after the call came. A caller who is told that there
+    /// is no such job takes it as cancelled: in a table from before the call it may be missing although
+    /// another entry has accepted it, and it would run on.
+    async fn current_status(&self, id: &JobId, patience: Patience) -> Result<JobStatus, Refusal> {
+        let asked = Instant::now();
+        let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
+        loop {
+            if let Some(status) = self.table.borrow().status(id) {
+                return Ok(status);
+            }
+            if self.table_freshness.is_within(asked.elapsed()) {
+                return Err(Refusal::NoJob);
+            }
+            if Instant::now() >= patience.until {
+                return Err(Refusal::NotCurrent);
+            }
+            tokio::time::sleep_until((Instant::now() + TABLE_LOOK).min(patience.until)).await;
+        }
+    }
+
     /// Returns what became of a job.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/rampbay-jobs/tests/cancels.rs
@@ -0,0 +1,84 @@
+//! Cancellations of jobs that an entry's table doesn't hold yet.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rampbay_jobs::follower::Pace;
+use rampbay_jobs::intake::{CurrentRouting, Intake, IntakeLimits, Refusal};
+use rampbay_jobs::job::JobId;
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::record::{JobStatus, Record};
+use rampbay_jobs::store::Store;
+use support::store::{MemoryStore, Trouble};
+use support::{job, on_virtual_time, step, table_of};
+use tokio::time::{Instant, sleep};
+
+const JOB: &str = "00000000000000aa";
+/// How long callers wait.
+const PATIENCE: Duration = Duration::from_millis(2000);
+/// How late an entry's reads of the store are; less than the age up to which a table may say that there
+/// is no such job.
+const LATENESS: Duration = Duration::from_millis(700);
+
+/// An intake whose table is followed.
+fn intake(store: &Rc<MemoryStore>) -> Intake {
+    let shared: Rc<dyn Store> = store.clone();
+    let live = LiveTable::default();
+    let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
+    tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
+    let limits = IntakeLimits {
+        configuration_age: Duration::from_millis(2750),
+        usual_wait: Duration::from_millis(1300),
+        store_age: Duration::from_millis(2200),
+        most_waiting: 8,
+        table_age: Duration::from_millis(1500),
+    };
+    let routing = Rc::new(CurrentRouting::default());
+    Intake::new(shared, Rc::clone(&live.table), live.freshness, routing, limits)
+}
+
+async fn cancel(intake: &Intake) -> Result<(), Refusal> {
+    intake.cancel(&JobId::from(JOB), intake.patience(Some(PATIENCE))).await
+}
+
+/// Another entry has accepted the job a moment ago: saying that there is none would acknowledge the
+/// cancellation, and the job would run on.
+#[test]
+fn cancel_job_just_accepted_elsewhere_kept() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let intake = intake(&store);
+        sleep(Duration::from_millis(100)).await;
+        store.read_delay.set(LATENESS);
+        store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(cancel(&intake).await, Ok(()));
+        assert_eq!(table_of(&store).jobs[JOB].status(), JobStatus::Cancelled);
+    });
+}
+
+#[test]
+fn cancel_job_unknown_told_in_time() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let intake = intake(&store);
+        sleep(Duration::from_millis(100)).await;
+        let started = Instant::now();
+        assert_eq!(cancel(&intake).await, Err(Refusal::NoJob));
+        assert!(started.elapsed() < Duration::from_millis(1300), "{:?}", started.elapsed());
+    });
+}
+
+/// While the store is away nobody knows whether there is such a job.
+#[test]
+fn cancel_store_away_not_current() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let intake = intake(&store);
+        sleep(Duration::from_millis(100)).await;
+        store.trouble.set(Trouble::Refuses);
+        assert_eq!(cancel(&intake).await, Err(Refusal::NotCurrent));
+    });
+}
