fix: two leaders whose salts agree in their low bits no longer share an epoch

Cause: an epoch told processes apart by 12 bits of the clock's milliseconds and the process's id. Two that agree there, the second of which hasn't read the first one's term yet, lead under one epoch: the store answers the second's first appends as repeats of the first's, without doing them, and then takes in turns what both decide. Ruled out: 409 for a sequence number that doesn't follow (taken as fenced): the writer gives up and comes back under a higher epoch, nothing is written; an epoch that one process uses again: only its first record, of the same content, can stand under it, since it plans only once its table has that record. Change: 20 bits of a random number. Epochs rise across both layouts, so releases may be mixed. Measured: epochs_of_two_processes_differ failed before (the second leader's record was swallowed), passes after. Conclusion: with 60 processes some two shared 12 bits in 35% of all deployments (computed); it also takes a leader that lags behind the whole of another's term.

--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -19,8 +19,11 @@
 
 /// Writer name that all leaders share, so that a newer one fences the older ones.
 const WRITER: &str = "planner";
-/// Bits of an epoch that tell apart processes which saw the same generation.
-const EPOCH_SALT_BITS: u32 = 12;
+/// Bits of an epoch that tell apart processes which saw the same term. Under one epoch the store would
+/// take the decisions of one for repeats of the other's. Of 60 processes some two share 12 bits in a third
+/// of all deployments, and 20 bits in one of 600; more would leave less for the term, since fencing tokens
+/// may be read as floating-point numbers (53 bits).
+const EPOCH_SALT_BITS: u32 = 20;
 /// Longest time between two rounds, for what is due by time alone.
 const IDLE_ROUND: Duration = Duration::from_millis(200);
 /// Least time between two rounds, so that records come in groups.
@@ -47,7 +50,7 @@
     pub progress_pace: Pace,
     /// Reads the clock for due times.
     pub wall_clock: fn() -> u64,
-    /// A number that differs between processes and starts.
+    /// A random number, which differs between processes and starts.
     pub salt: u64,
 }
 
--- a/crates/rampbay-jobs/tests/leader.rs
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -8,6 +8,7 @@
 
 use async_trait::async_trait;
 use rampbay_jobs::candidacy::Successors;
+use rampbay_jobs::record::{Leader, Record, STATE_TOPIC};
 use support::leader::start_leader;
 use support::store::{MemoryStore, Trouble};
 use support::{on_virtual_time, table_of};
@@ -180,3 +181,36 @@
         assert_eq!(holder(&store).as_deref(), Some(SMALL));
     });
 }
+
+/// Two processes whose salts agree in their low bits, the second of which hasn't read the first one's term
+/// yet: under one epoch the store would take the second's first decisions for repeats of the first's.
+#[test]
+fn epochs_of_two_processes_differ() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let before = Leader { node: "entry-before".to_owned(), epoch: 9 << 20 };
+        store.put(&Record::Leader(before.clone()));
+        let deal = |node: &str, generation| {
+            *store.leader.borrow_mut() = Some((node.to_owned(), generation));
+        };
+        deal(&before.node, 1);
+        start_leader(&store, "entry-1", 1, None);
+        start_leader(&store, "entry-2", 1 + (1 << 12), None);
+        sleep(Duration::from_secs(1)).await;
+        store.read_delay.set(Duration::from_secs(2));
+        deal("entry-1", 2);
+        sleep(Duration::from_millis(500)).await;
+        deal("entry-2", 3);
+        sleep(Duration::from_millis(500)).await;
+        let records = store.all(STATE_TOPIC);
+        let leaders = records.iter().map(|record| Record::decode(record).expect("a record"));
+        let epochs = leaders.map(|leader| match leader {
+            Record::Leader(leader) => (leader.node, leader.epoch),
+            other => panic!("a record of who leads: {other:?}"),
+        });
+        let epochs: Vec<(String, u64)> = epochs.collect();
+        let names: Vec<&str> = epochs.iter().map(|(node, _)| node.as_str()).collect();
+        assert_eq!(names, ["entry-before", "entry-1", "entry-2"]);
+        assert_ne!(epochs[1].1, epochs[2].1);
+    });
+}
