fix: an append that rode in a group is answered with its own end

Cause: every caller of a batch was told the end of the whole batch, though an append's answer is the offset after its own records. A process takes its own records in where nothing lies between its table and them; with an end that covers others' records behind its own, and a table that ends within the batch (a read cut at its size), it would take its own in a second time in their place and pass over the others. Ruled out: the answer to a fenced append, which goes alone. Change: the end of the batch less the records that follow. Measured: append_in_group_own_end failed before, passes after. Conclusion: a way to a table with a gap is closed; it needs a read that is cut within a batch, and wasn't seen.

--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -117,9 +117,13 @@
     let records: Vec<KeyedRecord> =
         batch.iter().flat_map(|entry| entry.records.iter().cloned()).collect();
     let outcome = store.append(topic, &records, None).await;
+    let mut following = records.len();
     for entry in batch {
+        following -= entry.records.len();
+        // Where its own records end: whoever took the end of the batch for it would pass over the others'.
+        let own = outcome.clone().map(|end| end.saturating_sub(following as Offset));
         // A caller that has given up needs no answer.
-        let _ = entry.outcome.send(outcome.clone());
+        let _ = entry.outcome.send(own);
     }
 }
 
--- a/crates/rampbay-peer/tests/group.rs
+++ b/crates/rampbay-peer/tests/group.rs
@@ -169,3 +169,25 @@
         assert!(store.appends.get() < 100, "appends went together");
     });
 }
+
+/// Each caller is told where its own records end: with the end of the whole batch, a process whose table
+/// ends within it would take its records for the last ones, and pass over those of others.
+#[test]
+fn append_in_group_own_end() {
+    on_virtual_time(async {
+        let store = Rc::new(SerialStore::default());
+        let group = process(&store);
+        let appends = (0..5).map(|number| {
+            let group = Rc::clone(&group);
+            let records = [record(number), record(100 + number)];
+            async move { group.append(STATE_TOPIC, &records, None).await }
+        });
+        let outcomes = futures_util::future::join_all(appends).await;
+        assert!(store.appends.get() <= 2, "they go together");
+        let kept = store.kept.borrow();
+        for (number, outcome) in (0..).zip(outcomes) {
+            let end = outcome.expect("kept") as usize;
+            assert_eq!(kept[end - 2..end], [record(number), record(100 + number)]);
+        }
+    });
+}
