fix: a gateway that was stopped leaves out what its callers have gone past meanwhile

Cause: a process that goes on after a stop found calls to gather and the ends of their connections side by side, and sent the records before it noticed the ends; the same for what waited behind an append under way. Its agents had gone to another gateway after half a second and may have written newer records since: a removal of a worker's key then lands after the worker's new registration (hypothesis A). Ruled out: a caller that gave up inside the same process: it was left out before. Change: before each batch the task yields once, so that connections are polled and callers that have gone are noticed. Conclusion: narrows A, doesn't end it: a batch under way, and a caller whose link is cut (its end never comes), still land late. Records have to tell themselves that they are old.

--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -103,6 +103,9 @@
         let topic = topic.to_owned();
         tokio::task::spawn_local(async move {
             loop {
+                // Callers that have gone are noticed first: after a stop of this process their connections'
+                // ends wait beside their calls, and what they have written elsewhere since is newer.
+                tokio::task::yield_now().await;
                 let batch = busy.0.next_batch();
                 if batch.is_empty() {
                     return;
