--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -103,6 +103,9 @@
         let topic = topic.to_owned();
         tokio::task::spawn_local(async move {
             loop {
+                // Callers that have gone are noticed first: after a stop of this process their connections'
+                // ends wait beside their calls, and what they have written elsewhere since is newer.
+                tokio::task::yield_now().await;
                 let batch = busy.0.next_batch();
                 if batch.is_empty() {
                     return;
@@ -117,9 +120,13 @@
     let records: Vec<KeyedRecord> =
         batch.iter().flat_map(|entry| entry.records.iter().cloned()).collect();
     let outcome = store.append(topic, &records, None).await;
+    let mut following = records.len();
     for entry in batch {
+        following -= entry.records.len();
+        // Where its own records end: whoever took the end of the batch for it would pass over the others'.
+        let own = outcome.clone().map(|end| end.saturating_sub(following as Offset));
         // A caller that has given up needs no answer.
-        let _ = entry.outcome.send(outcome.clone());
+        let _ = entry.outcome.send(own);
     }
 }
 
