fix: the next attempt of a task waits at its worker until the one before has ended

Cause: seen in the soak on the code before the mends: a run was given up, and its next attempt was assigned to the same worker while the first one ran on or was being stopped; both ran at once. Ruled out: a refusal, which would keep the worker out of use for the task for 4 s. Change: such a start waits for the end of the other attempt. Measured: next_attempt_waits_for_end_of_first failed before (both listed as running), passes after.

--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -59,6 +59,9 @@
             return;
         }
         for wanted in self.wanted() {
+            if self.has_other_attempt(&wanted.key) {
+                continue;
+            }
             let is_kept_off = self.is_draining() || self.is_in_drained_domain();
             if is_kept_off || !self.has_room_for(&wanted.key.0) {
                 self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
@@ -72,10 +75,19 @@
         }
     }
 
+    /// Returns whether another attempt of a task may run here still. It is looked at again once that has ended:
+    /// two attempts at one worker are two runs of the task.
+    fn has_other_attempt(&self, key: &RunKey) -> bool {
+        let runs = self.runs.borrow();
+        let mut others =
+            runs.open.keys().filter(|(task, attempt)| *task == key.0 && *attempt != key.1);
+        others.any(|other| !runs.over.contains(other))
+    }
+
     /// Settles runs that may have been given up already: the worker is evicted, or its registration is gone or was
-    /// when they were assigned, or an earlier process of this agent has refused them. The planner may start them elsewhere by a
-    /// decision that is on its way, and a start by an earlier process may still be carried out. So each goes
-    /// through a stop, after which it surely never starts here, and the planner is told so.
+    /// when they were assigned, or an earlier process of this agent has refused them. The planner may start them
+    /// elsewhere by a decision that is on its way, and a start by an earlier process may still be carried out. So
+    /// each goes through a stop, after which it surely never starts here, and the planner is told so.
     fn settle_given_up(&self) {
         for wanted in self.wanted().into_iter().filter(|wanted| self.may_be_given_up(&wanted.key)) {
             let (task, attempt) = &wanted.key;
--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -223,6 +223,22 @@
     });
 }
 
+/// Seen in the soak: a run was given up, and its next attempt came to the same worker while the first one was
+/// still being stopped.
+#[test]
+fn next_attempt_waits_for_end_of_first() {
+    on_virtual_time(async {
+        let rig = running_rig(1).await;
+        rig.worker.stops_hang.set(true);
+        rig.store.put(&Record::Plan(JOB.to_owned(), Box::new(running_plan(1, "i-1", 2))));
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1)]);
+        rig.worker.end(&task(JOB, 0), 1, EndReason::Stopped);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 2)]);
+    });
+}
+
 #[test]
 fn superseded_attempt_stopped() {
     on_virtual_time(async {
