--- a/crates/rampbay-jobs/tests/returns.rs
+++ b/crates/rampbay-jobs/tests/returns.rs
@@ -69,8 +69,8 @@
     store.put_into(STATE_TOPIC, &key, &value);
 }
 
-/// A run is to be stopped that the agent's new process never heard of. Its first registration is turned away once
-/// (429), so that the refusal lands before it.
+/// A run is to be stopped that the agent's new process never heard of. Its first registration is turned away, so
+/// that the refusal lands before it.
 #[test]
 fn refusal_before_own_registration_counts() {
     on_virtual_time(async {
@@ -246,6 +246,40 @@
     });
 }
 
+/// What runs at a worker without a registration is given up, whether the account says so yet or not.
+#[test]
+fn run_of_worker_without_registration_stopped() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        seed_running_job(&store, JOB, 1, WORKER);
+        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(STARTS).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1)]);
+        let keys: Vec<String> = table_of(&store).registrations().keys(WORKER).collect();
+        keys.iter().for_each(|key| store.remove(key));
+        sleep(STARTS).await;
+        assert_eq!(rig.worker.running(), vec![]);
+        assert!(table_of(&store).workers.is_empty(), "an account names it still");
+    });
+}
+
+/// Only what was assigned while the worker's registration was gone is suspect.
+#[rstest]
+#[case::gone_as_it_was_assigned(false, true)]
+#[case::there_all_the_while(true, false)]
+fn run_assigned_before_return_known(#[case] is_there: bool, #[case] expected: bool) {
+    let store = MemoryStore::new();
+    seed_with_predecessor(&store);
+    if !is_there {
+        store.remove(&worker_key(WORKER, PREDECESSOR));
+    }
+    let back = Record::Worker(WORKER.to_owned(), Box::new(worker_record("side-1", "r1", 8)));
+    store.put_into(STATE_TOPIC, &worker_key(WORKER, PREDECESSOR + 1), &back.encode().value);
+    let run = (task(JOB, 0), 1);
+    assert_eq!(table_of(&store).was_assigned_before_return(WORKER, &run), expected);
+}
+
 /// A worker's client whose looks (renewals without lease and wait, beside others) are answered late.
 struct SlowLooks {
     inner: Client,
