fix: an answer with gaps is never taken for a whole one

An agent that had just taken in records of its own got the answer to a read from before. Where the answer had as many records as offsets, it was taken for one without gaps, and what the agent seemed to know was passed over. A job that came along with its account was so passed over, and the account without it. Ruled out: the introduction of the job (the account names the agent's worker for the first time), the registration (unchanged). Change: whoever asks for what concerns it says so of the answer. Measured: answer_with_as_many_records_as_offsets, partial: failed before, passes after. Conclusion: traced from the store's and the agent's lines: seven ends of its own and the account at the same moment.

--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -148,7 +148,14 @@
             Some(agent) => new.flat_map(|passed| passed.records_for(agent)).collect(),
             None => new.map(|passed| passed.record.clone()).collect(),
         };
-        Ok(Some(Batch { end, next: end, records, age, waited: Duration::ZERO }))
+        Ok(Some(Batch {
+            end,
+            next: end,
+            records,
+            age,
+            is_partial: agent.is_some(),
+            ..Batch::default()
+        }))
     }
 
     /// Keeps the record that follows on the kept ones, to pass it on.
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -65,6 +65,10 @@
     /// so ([`Self::after_wait`]): a way may wait less than its reader asked for, or be the second one.
     #[serde(skip)]
     pub waited: Duration,
+    /// Whether only what concerns the reader was asked for. Whoever made the call says so: an answer with gaps
+    /// may have as many records as one without, since jobs come along with their accounts.
+    #[serde(skip)]
+    pub is_partial: bool,
 }
 
 impl Batch {
@@ -89,7 +93,7 @@
     /// newest record of a key counts.
     #[must_use]
     pub fn new_since(&self, from: Offset, known: Offset) -> &[KeyedRecord] {
-        let is_whole = from + self.records.len() as Offset == self.next;
+        let is_whole = !self.is_partial && from + self.records.len() as Offset == self.next;
         let known = if is_whole { known.saturating_sub(from) as usize } else { 0 };
         &self.records[known.min(self.records.len())..]
     }
--- a/crates/rampbay-jobs/tests/partial_views.rs
+++ b/crates/rampbay-jobs/tests/partial_views.rs
@@ -14,7 +14,7 @@
 
 use rampbay_jobs::audience::Audience;
 use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC, worker_key};
-use rampbay_jobs::store::Store;
+use rampbay_jobs::store::{Batch, Store};
 use rampbay_jobs::table::JobTable;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
@@ -147,6 +147,19 @@
     assert_eq!(passed.records_for(AGENT).count(), 0);
 }
 
+/// Seen in the soak: an agent had just taken in an end of its own when a read that began before came back. Its answer
+/// held a job and its account, two records for two offsets, and was taken for a whole one: the job was passed over
+/// as known, and so was its account without it. The run never started.
+#[rstest]
+#[case::whole(false, 1)]
+#[case::partial(true, 0)]
+fn answer_with_as_many_records_as_offsets(#[case] is_partial: bool, #[case] passed_over: usize) {
+    let job = Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))).encode();
+    let records = vec![job, plan(WORKER, 1).encode()];
+    let batch = Batch { end: 2, next: 2, records, is_partial, ..Batch::default() };
+    assert_eq!(batch.new_since(0, 1), &batch.records[passed_over..]);
+}
+
 /// What the store answers as the newest record of each key has an order of its own: a job that was written again
 /// stands behind its account.
 #[rstest]
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -209,8 +209,10 @@
         agent: Option<NodeName>,
     ) -> Result<Batch, ReadError> {
         let wait_ms = wait.as_millis() as u64;
+        let is_partial = agent.is_some();
         let request = StoreRequest::Tail { from, wait_ms, agent };
-        self.call_to_read(&request, wait_ms, wait + TAIL_SLACK).await
+        let batch = self.call_to_read(&request, wait_ms, wait + TAIL_SLACK).await?;
+        Ok(Batch { is_partial, ..batch })
     }
 
     /// Makes a call that reads. What it proves counts from when it was sent, and by the wait that was
