fix: new jobs go to every agent again

An agent whose worker turned starts away never started runs of three new jobs, for 60 s, while it ordered those of jobs that it knew; its view went on. So the job that should come along with its first account hadn't come, or had gone. Not traced further. Ruled out: a restart or a reload of the agent, an eviction, a lost registration (its log and the store's records hold none); an answer with as many records as offsets (eight for seven). An account for an agent that isn't known still brings its job.

--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -95,13 +95,9 @@
         let before = self.concerned(&record.key);
         self.apply(record);
         let after = self.concerned(&record.key);
-        let is_removed_job = record.key.starts_with("job/") && record.value.is_empty();
         let (Some(before), Some(after)) = (before, after) else {
             return Passed::to_all(record.clone());
         };
-        if is_removed_job {
-            return Passed::to_all(record.clone());
-        }
         let introduction = self.introduction(&record.key, &before, &after);
         let audience = if before.others || after.others {
             Audience::All
@@ -132,8 +128,8 @@
         let (kind, name) = key.split_once('/')?;
         let mut concerned = Concerned::default();
         match kind {
-            // An agent gets a job with the first account that concerns it.
-            "job" => {}
+            // New jobs and removals go to all; what an agent has, it isn't sent again.
+            "job" if self.jobs.contains_key(name) => {}
             "plan" => {
                 let plan = self.jobs.get(name).and_then(|job| job.plan.as_deref());
                 let workers = plan.into_iter().flat_map(JobPlan::workers);
