--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -326,7 +326,7 @@
     });
 }
 
-/// Seen on the bench: a gang of ten lost 40% of its work when one member, whose start was carried out without an
+/// Seen: a gang of ten lost 40% of its work when one member, whose start was carried out without an
 /// answer, was stopped before anybody looked whether it ran.
 #[test]
 fn unanswered_start_that_runs_kept() {
