feat: logs tell what ran at a worker that went, and how

Cause: of a worker's end the log told a number of runs, and of a run given up only that its worker wasn't registered. Whether a task crashes its workers, or a worker what it runs, couldn't be told.

Ruled out: a metric for it; the question is always about one task.

Change: J163 names up to eight runs with attempt, phase and age, whether the worker was draining, and when it was heard last. J135 counts the other runs there. No decision changes.

Conclusion: with these lines the account of a task's ends can be read from one log.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -159,11 +159,14 @@
             return;
         }
         self.over.set(Some(why));
-        let runs = self.runs.borrow().open.len();
+        let names = self.runs.borrow().describe_open();
         log::warn!(
-            "event=J163 worker life over worker={} runs={runs} why={}",
+            "event=J163 worker life over worker={} runs={} why={} draining={} heard_ms={} names={names:?}",
             self.instance,
-            why.word()
+            self.runs.borrow().open.len(),
+            why.word(),
+            self.is_draining(),
+            self.heard.get().elapsed().as_millis()
         );
         self.wake.notify_waiters();
         self.parts.freshness.notify();
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -69,3 +69,18 @@
     /// has started it elsewhere.
     pub never_started: BTreeSet<RunKey>,
 }
+
+/// Most runs that one line of the log names.
+const MOST_NAMED: usize = 8;
+
+impl Runs {
+    /// Describes runs that may exist, for the log: task, attempt, phase, and milliseconds since it was heard of.
+    pub fn describe_open(&self) -> Vec<String> {
+        let runs = self.open.iter().take(MOST_NAMED);
+        let describe = |((task, attempt), run): (&RunKey, &Run)| {
+            let age_ms = run.known_since.elapsed().as_millis();
+            format!("{task}/{attempt} {:?} {age_ms}", run.phase)
+        };
+        runs.map(describe).collect()
+    }
+}
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -129,9 +129,10 @@
             let Some(current) = draft.plan(id).and_then(|plan| plan.task(&task)) else { continue };
             let report = inputs.progress.report(&current.instance, Instant::now());
             log::warn!(
-                "event=J135 run given up, its worker isn't registered task={task} attempt={} worker={} report_age_ms={} reported={}",
+                "event=J135 run given up, its worker isn't registered task={task} attempt={} worker={} beside={} report_age_ms={} reported={}",
                 current.attempt,
                 current.instance,
+                runs_beside(draft, &task, &current.instance),
                 report.age.as_millis(),
                 report.is_heard
             );
@@ -148,6 +149,16 @@
     }
 }
 
+/// Counts the other runs that the store's accounts name at a worker.
+fn runs_beside(draft: &Draft<'_>, task: &TaskId, instance: &str) -> usize {
+    let is_there = |other: &TaskPlan| other.occupies() && other.instance == instance;
+    let plans = draft.table.active.iter().filter_map(|id| {
+        let plan = draft.table.jobs.get(id)?.plan.as_ref()?;
+        Some(plan.tasks_where(id, is_there))
+    });
+    plans.flatten().filter(|other| other != task).count()
+}
+
 fn lost_runs(draft: &Draft<'_>, id: &JobId) -> Vec<TaskId> {
     let Some(plan) = draft.plan(id) else { return Vec::new() };
     let is_lost =
