fix: a task that crashes every worker it is started on is given up

Cause: a run that goes with its worker was taken as lapsed, counted nothing, and was placed again in the next round. The agent knew how the life had ended; the leader was told only that a registration was gone.

Ruled out: counting such ends like failures (all that stands beside the crashing task would fail with it); backoff alone (slows the loop, ends nothing); a count in the leader's memory (gone with the leader); fields in the account of a task (records of the release before couldn't be read).

Change: agents report with the end of a life whether notice was given, and which runs may have begun there, with their ages. The leader keeps each loss under a key of its own, before the account that no longer names the run, once for each run; a gang counts as one. A task is given up after three losses, two of them with nothing else at the worker, or after five. After the first loss what was started last gets a worker of its own where one is idle within a second; from the third on it runs alone only. Losses at a worker that comes back, on notice, or of runs that were never ordered don't count, and three workers that go at one moment accuse nobody.

--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -217,6 +217,9 @@
                 self.parts.freshness.position(),
                 self.parts.freshness.age().unwrap_or_default().as_millis()
             );
+            if may_have_begun_by(&outcome) {
+                self.note_may_have_begun(&wanted.key);
+            }
             match outcome {
                 Ok(Started::Yes) => {
                     self.set_phase(&wanted.key, Phase::Running);
@@ -280,6 +283,12 @@
         }
     }
 
+    fn note_may_have_begun(&self, key: &RunKey) {
+        if let Some(run) = self.runs.borrow_mut().open.get_mut(key) {
+            run.may_have_begun = true;
+        }
+    }
+
     fn still_wants(&self, key: &RunKey) -> bool {
         let table = self.parts.table.borrow();
         !self.is_draining()
@@ -367,3 +376,9 @@
         self.wake.notify_waiters();
     }
 }
+
+/// Returns whether a run may have begun by an order. A worker that answers otherwise has done nothing, and one that
+/// nobody listens for hasn't got the order: what was only assigned to a crashed worker isn't suspected for it.
+const fn may_have_begun_by(outcome: &Result<Started, WorkerError>) -> bool {
+    matches!(outcome, Ok(Started::Yes) | Err(WorkerError::NoAnswer))
+}
--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::losses::LifeOver;
 use crate::record::{
     KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC, encode, eviction_key, removal, worker_key,
 };
@@ -159,8 +160,17 @@
         let numbers: BTreeSet<RegistrationNumber> = known.chain(self.number.get()).collect();
         let newest = numbers.last().copied();
         let over = newest.map(|number| Record::Over(self.instance.clone(), number).encode());
+        // It goes when that end goes.
+        let life = || Record::LifeOver(self.instance.clone(), Box::new(self.life_over())).encode();
+        let life = over.is_some().then(life);
         let keys = numbers.into_iter().map(|number| worker_key(&self.instance, number));
-        keys.chain([eviction_key(&self.instance)]).map(removal).chain(over).collect()
+        keys.chain([eviction_key(&self.instance)]).map(removal).chain(over).chain(life).collect()
+    }
+
+    /// Returns how the life ended, for the leader: what may have crashed it.
+    fn life_over(&self) -> LifeOver {
+        let runs = self.listed.get().then(|| self.runs.borrow().begun());
+        LifeOver { gave_notice: self.is_draining(), runs }
     }
 
     /// Ends all registrations of the worker, and waits until the table shows it.
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -119,6 +119,7 @@
             }
             let run = runs.open.entry(key).or_insert_with(|| Run::new(Phase::Running));
             run.phase = Phase::Running;
+            run.may_have_begun = true;
             run.percent = progress.percent;
             run.listed_at = Instant::now();
             run.checkpoint.clone_from(&progress.checkpoint);
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::job::{Checkpoint, TaskId};
+use crate::losses::LastRun;
 
 /// Names a run: the task and its attempt.
 pub type RunKey = (TaskId, u32);
@@ -25,6 +26,8 @@
 pub struct Run {
     /// Where it stands.
     pub phase: Phase,
+    /// Whether it may have begun: an order was sent whose fate isn't known, or the worker has shown it.
+    pub may_have_begun: bool,
     /// Whether the worker is being looked at for it, before a start without answer is given up.
     pub look_in_flight: bool,
     /// Whether a stop is on its way.
@@ -47,6 +50,7 @@
         let now = Instant::now();
         Self {
             phase,
+            may_have_begun: phase != Phase::Starting,
             known_since: now,
             listed_at: now,
             look_in_flight: false,
@@ -74,6 +78,18 @@
 const MOST_NAMED: usize = 8;
 
 impl Runs {
+    /// Lists the runs that may have begun and whose end isn't known, with their ages.
+    pub fn begun(&self) -> Vec<LastRun> {
+        let begun =
+            self.open.iter().filter(|(key, run)| run.may_have_begun && !self.over.contains(*key));
+        let begun = begun.map(|((task, attempt), run)| LastRun {
+            task: task.clone(),
+            attempt: *attempt,
+            age_ms: run.known_since.elapsed().as_millis() as u64,
+        });
+        begun.collect()
+    }
+
     /// Describes runs that may exist, for the log: task, attempt, phase, and milliseconds since it was heard of.
     pub fn describe_open(&self) -> Vec<String> {
         let runs = self.open.iter().take(MOST_NAMED);
--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -139,6 +139,8 @@
                 let end = self.ends.get(key).into_iter();
                 end.for_each(|end| concerned.extend(self.agent_of(&end.instance)));
             }
+            // Only whoever leads goes by them.
+            "life" | "losses" => {}
             "over" => concerned.agents.extend(self.agent_of(name).cloned()),
             "worker" => {
                 let (instance, _) = split_worker_key(key);
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod intake;
 pub mod job;
 pub mod leader;
+pub mod losses;
 pub mod metrics;
 pub mod planner;
 pub mod process;
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -14,6 +14,8 @@
 mod forecast;
 mod gang;
 pub mod health;
+mod isolate;
+mod lost;
 mod make_room;
 mod pace;
 mod place;
@@ -45,6 +47,7 @@
 use fold::SettledPlans;
 use forecast::Forecasts;
 use health::HealthBook;
+use lost::RecentlyLost;
 use pace::PaceBook;
 use waits::WaitBook;
 use workers::WorkerViews;
@@ -114,6 +117,8 @@
     settled: SettledPlans,
     /// State of the progress at which runs were last looked at.
     watched: Option<u64>,
+    /// Workers that went lately without notice.
+    recently_lost: RecentlyLost,
     /// Whether runs on workers that are gone have been looked for since the workers changed.
     lost_runs_checked: bool,
 }
@@ -157,6 +162,7 @@
             expires_next: Duration::ZERO,
             settled: SettledPlans::default(),
             watched: None,
+            recently_lost: RecentlyLost::default(),
             lost_runs_checked: false,
         }
     }
@@ -171,8 +177,9 @@
         let mut draft = Draft::new(inputs.table);
         fold::take_in_ends(&mut draft, inputs, &mut self.health);
         if !std::mem::replace(&mut self.lost_runs_checked, true) {
-            fold::give_up_lost_runs(&mut draft, inputs);
+            lost::give_up_lost_runs(self, &mut draft, inputs);
         }
+        lost::give_up_crashing(&mut draft);
         fold::cancel(&mut draft);
         fold::settle(&mut draft, inputs, &mut self.settled);
         drain::record(&mut draft, inputs);
@@ -209,6 +216,18 @@
         }
     }
 
+    fn note_lost_workers(&mut self, inputs: &RoundInputs<'_>) {
+        let table = inputs.table;
+        let gave_notice = |instance: &InstanceId| {
+            table.lives_over.get(instance).is_some_and(|over| over.gave_notice)
+        };
+        let gone = self
+            .known_since
+            .keys()
+            .filter(|instance| !table.workers.contains_key(*instance) && !gave_notice(instance));
+        self.recently_lost.note(gone.cloned(), inputs.now);
+    }
+
     fn note_workers(&mut self, inputs: &RoundInputs<'_>) {
         let workers = &inputs.table.workers;
         if self.known_since.keys().eq(workers.keys()) {
@@ -216,6 +235,7 @@
         }
         self.lost_runs_checked = false;
         log_changed_workers(&self.known_since, inputs.table);
+        self.note_lost_workers(inputs);
         self.known_since.retain(|instance, _| workers.contains_key(instance));
         self.health.keep_only(|instance| workers.contains_key(instance));
         for instance in workers.keys() {
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use crate::job::{JobId, Submission, TaskId};
+use crate::losses::JobLosses;
 use crate::record::{JobPlan, KeyedRecord, Occurrence, Record, TaskPlan, TaskStatus, removal};
 use crate::table::JobTable;
 
@@ -12,13 +13,14 @@
     /// The table at the round's start.
     pub table: &'a JobTable,
     changed: BTreeMap<JobId, JobPlan>,
+    losses: BTreeMap<JobId, JobLosses>,
     others: Vec<KeyedRecord>,
 }
 
 impl<'a> Draft<'a> {
     /// Starts without changes.
     pub fn new(table: &'a JobTable) -> Self {
-        Self { table, changed: BTreeMap::new(), others: Vec::new() }
+        Self { table, changed: BTreeMap::new(), losses: BTreeMap::new(), others: Vec::new() }
     }
 
     /// Returns the account of a job, with the changes so far.
@@ -43,6 +45,23 @@
         self.changed.entry(id.clone()).or_insert_with(|| kept.cloned().unwrap_or_default())
     }
 
+    /// Returns what a job has lost with its workers, with the changes so far.
+    pub fn losses(&self, id: &JobId) -> Option<&JobLosses> {
+        self.losses.get(id).or_else(|| self.table.losses.get(id).map(Rc::as_ref))
+    }
+
+    /// Iterates over the jobs whose losses this round has looked at to change them.
+    pub fn changed_losses(&self) -> impl Iterator<Item = &JobId> {
+        self.losses.keys()
+    }
+
+    /// Returns what a job has lost with its workers, to change it.
+    pub fn edit_losses(&mut self, id: &JobId) -> &mut JobLosses {
+        let kept = self.table.losses.get(id);
+        let known = || kept.map(|losses| losses.as_ref().clone()).unwrap_or_default();
+        self.losses.entry(id.clone()).or_insert_with(known)
+    }
+
     /// Returns what was submitted as a job.
     pub fn submission(&self, id: &JobId) -> Option<Rc<Submission>> {
         self.table.jobs.get(id).map(|job| Rc::clone(&job.submission))
@@ -88,7 +107,9 @@
         self.others.push(removal(key));
     }
 
-    /// Returns the records of all changes: accounts before the removals of ends that they hold.
+    /// Returns the records of all changes: accounts before the removals of ends that they hold, and losses before
+    /// the accounts that no longer name the lost runs. A leader that goes between the two leaves a loss that the
+    /// next one finds again, and counts once.
     pub fn into_records(self) -> Vec<KeyedRecord> {
         let table = self.table;
         let is_new = |id: &JobId, plan: &JobPlan| {
@@ -96,7 +117,11 @@
         };
         let plans = self.changed.into_iter().filter(|(id, plan)| is_new(id, plan));
         let plans = plans.map(|(id, plan)| Record::Plan(id, Box::new(plan)).encode());
-        plans.chain(self.others).collect()
+        let is_new_loss =
+            |id: &JobId, new: &JobLosses| table.losses.get(id).map(Rc::as_ref) != Some(new);
+        let losses = self.losses.into_iter().filter(|(id, new)| is_new_loss(id, new));
+        let losses = losses.map(|(id, new)| Record::Losses(id, Box::new(new)).encode());
+        losses.chain(plans).chain(self.others).collect()
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -1,5 +1,6 @@
 //! Gives up the runs of workers whose agents are silent, once none of them can exist any more.
 
+use crate::losses::LifeOver;
 use crate::metrics::metrics;
 use crate::record::{Record, eviction_key};
 
@@ -23,11 +24,11 @@
             continue;
         }
         log::warn!("event=J141 worker given up worker={instance}");
-        remove_worker(draft, instance);
+        remove_worker(draft, instance, LifeOver::default());
     }
 }
 
-fn remove_worker(draft: &mut Draft<'_>, instance: &str) {
+fn remove_worker(draft: &mut Draft<'_>, instance: &str, over: LifeOver) {
     let registrations = draft.table.registrations();
     let newest = registrations.newest(instance).map(|(number, _)| number);
     let keys: Vec<String> = registrations.keys(instance).collect();
@@ -38,6 +39,7 @@
         draft.add(Record::Over(instance.to_owned(), number).encode());
     }
     draft.remove(eviction_key(instance));
+    draft.add(Record::LifeOver(instance.to_owned(), Box::new(over)).encode());
 }
 
 /// Removes workers that have said good-bye and whose agents went before they could say that it is
@@ -57,7 +59,7 @@
             "event=J144 departed worker given up worker={instance} waited_ms={}",
             waited.as_millis()
         );
-        remove_worker(draft, instance);
+        remove_worker(draft, instance, LifeOver { gave_notice: true, runs: None });
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/expire.rs
+++ b/crates/rampbay-jobs/src/planner/expire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::job::JobId;
-use crate::record::{Record, over_key, worker_key};
+use crate::record::{Record, life_key, losses_key, over_key, worker_key};
 
 use super::draft::Draft;
 use super::{Planner, RoundInputs};
@@ -61,12 +61,18 @@
         }
     }
     let old = known.iter().filter(|(_, since)| inputs.now.saturating_sub(**since) >= KEEP_OVER);
-    old.for_each(|(instance, _)| draft.remove(over_key(instance)));
+    for (instance, _) in old {
+        draft.remove(over_key(instance));
+        draft.remove(life_key(instance));
+    }
 }
 
 fn remove(draft: &mut Draft<'_>, id: &JobId) {
     log::info!("event=J134 job removed job={id}");
     draft.remove(Record::Cancelled(id.clone()).key());
     draft.remove(Record::Plan(id.clone(), Box::default()).key());
+    if draft.table.losses.contains_key(id) {
+        draft.remove(losses_key(id));
+    }
     draft.remove(format!("job/{id}"));
 }
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -3,10 +3,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use tokio::time::Instant;
-
 use crate::job::{JobId, Step, Submission, TaskId};
-use crate::metrics::metrics;
 use crate::record::{
     EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus, split_refusal_key,
 };
@@ -55,7 +52,8 @@
     }
 }
 
-fn take_in_end(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, end: &RunEnd) {
+/// Takes one end into the account of its task.
+pub fn take_in_end(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, end: &RunEnd) {
     let Some(submission) = draft.submission(&end.task.job) else { return };
     let Some(step) = submission.steps.get(end.task.step as usize) else { return };
     let current = draft.plan(&end.task.job).and_then(|plan| plan.task(&end.task));
@@ -122,50 +120,6 @@
     }
 }
 
-/// Takes runs on workers that are gone as lapsed.
-pub fn give_up_lost_runs(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
-    for id in &inputs.table.active {
-        for task in lost_runs(draft, id) {
-            let Some(current) = draft.plan(id).and_then(|plan| plan.task(&task)) else { continue };
-            let report = inputs.progress.report(&current.instance, Instant::now());
-            log::warn!(
-                "event=J135 run given up, its worker isn't registered task={task} attempt={} worker={} beside={} report_age_ms={} reported={}",
-                current.attempt,
-                current.instance,
-                runs_beside(draft, &task, &current.instance),
-                report.age.as_millis(),
-                report.is_heard
-            );
-            metrics().decided("give_up");
-            let end = RunEnd {
-                attempt: current.attempt,
-                reason: EndReason::Lapsed,
-                checkpoint: String::new(),
-                instance: current.instance.clone(),
-                task,
-            };
-            take_in_end(draft, inputs, &end);
-        }
-    }
-}
-
-/// Counts the other runs that the store's accounts name at a worker.
-fn runs_beside(draft: &Draft<'_>, task: &TaskId, instance: &str) -> usize {
-    let is_there = |other: &TaskPlan| other.occupies() && other.instance == instance;
-    let plans = draft.table.active.iter().filter_map(|id| {
-        let plan = draft.table.jobs.get(id)?.plan.as_ref()?;
-        Some(plan.tasks_where(id, is_there))
-    });
-    plans.flatten().filter(|other| other != task).count()
-}
-
-fn lost_runs(draft: &Draft<'_>, id: &JobId) -> Vec<TaskId> {
-    let Some(plan) = draft.plan(id) else { return Vec::new() };
-    let is_lost =
-        |task: &TaskPlan| task.occupies() && !draft.table.workers.contains_key(&task.instance);
-    plan.tasks_where(id, is_lost).collect()
-}
-
 /// Ends jobs that their callers have cancelled, and stops what runs of jobs that have ended.
 pub fn cancel(draft: &mut Draft<'_>) {
     for id in &draft.table.active {
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -56,6 +56,12 @@
         Self { step, demand: step.charge(), key, priority, allowed, failed_at }
     }
 
+    /// Returns the same need of some places only.
+    #[must_use]
+    pub fn at(&self, places: Vec<Place>) -> Self {
+        Self { allowed: places, ..self.clone() }
+    }
+
     /// Returns how fast a worker's machine is, where that matters: time is short for urgent work only.
     pub fn speed_of(&self, room: &Room) -> MachineSpeed {
         if self.priority == 0 { room.speed } else { MachineSpeed::Usual }
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/lost.rs
@@ -0,0 +1,226 @@
+//! Takes in the runs that went with their workers, and gives up tasks that crash every worker they are started on.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::job::{InstanceId, JobId, TaskId};
+use crate::losses::{LastRun, LostRun, UnitKey};
+use crate::metrics::metrics;
+use crate::record::{EndReason, RunEnd, TaskPlan, TaskStatus};
+
+use super::draft::Draft;
+use super::fold::take_in_end;
+use super::{Planner, RoundInputs};
+
+/// Runs that were started within this time of each other, in milliseconds, are equally young: more than the orders
+/// of one round take to get to a worker.
+const SAME_AGE_MS: u64 = 100;
+/// Time within which workers that go have gone at one moment: agents notice within the second between heartbeats.
+const ONE_MOMENT: Duration = Duration::from_millis(1000);
+/// Workers that go at one moment by a common cause, such as a loss of power. Two may be two tasks that crash theirs.
+const COMMON_CAUSE_WORKERS: usize = 3;
+
+/// Workers that went lately without notice, and when this planner learned of it.
+#[derive(Debug, Default)]
+pub struct RecentlyLost(BTreeMap<InstanceId, Duration>);
+
+impl RecentlyLost {
+    /// Takes note that workers are gone.
+    pub fn note(&mut self, gone: impl Iterator<Item = InstanceId>, now: Duration) {
+        self.0.retain(|_, at| now.saturating_sub(*at) < ONE_MOMENT);
+        self.0.extend(gone.map(|instance| (instance, now)));
+    }
+
+    fn has_common_cause(&self) -> bool {
+        self.0.len() >= COMMON_CAUSE_WORKERS
+    }
+}
+
+/// A run whose worker is gone.
+#[derive(Clone, Debug)]
+struct Lost {
+    task: TaskId,
+    attempt: u32,
+    instance: InstanceId,
+}
+
+/// Takes runs on workers that are gone as over, and counts each against its task.
+pub fn give_up_lost_runs(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    forgive(draft, inputs);
+    let mut by_worker: BTreeMap<InstanceId, Vec<Lost>> = BTreeMap::new();
+    for id in &inputs.table.active {
+        for lost in lost_runs(draft, id) {
+            by_worker.entry(lost.instance.clone()).or_default().push(lost);
+        }
+    }
+    for (instance, lost) in &by_worker {
+        for run in lost {
+            log_given_up(run, lost.len() - 1, inputs);
+        }
+        count_losses(planner, draft, inputs, instance, lost);
+    }
+    if planner.recently_lost.has_common_cause() {
+        excuse(&planner.recently_lost, draft, inputs);
+    }
+    for run in by_worker.into_values().flatten() {
+        give_up(draft, inputs, run);
+    }
+}
+
+fn lost_runs(draft: &Draft<'_>, id: &JobId) -> Vec<Lost> {
+    let Some(plan) = draft.plan(id) else { return Vec::new() };
+    let is_lost =
+        |task: &TaskPlan| task.occupies() && !draft.table.workers.contains_key(&task.instance);
+    let lost = plan.tasks_where(id, is_lost).filter_map(|task| {
+        let known = plan.task(&task)?;
+        Some(Lost { attempt: known.attempt, instance: known.instance.clone(), task })
+    });
+    lost.collect()
+}
+
+fn log_given_up(run: &Lost, beside: usize, inputs: &RoundInputs<'_>) {
+    let report = inputs.progress.report(&run.instance, Instant::now());
+    log::warn!(
+        "event=J135 run given up, its worker isn't registered task={} attempt={} worker={} beside={beside} report_age_ms={} reported={}",
+        run.task,
+        run.attempt,
+        run.instance,
+        report.age.as_millis(),
+        report.is_heard
+    );
+    metrics().decided("give_up");
+}
+
+fn give_up(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>, run: Lost) {
+    let end = RunEnd {
+        attempt: run.attempt,
+        reason: EndReason::Lapsed,
+        checkpoint: String::new(),
+        instance: run.instance,
+        task: run.task,
+    };
+    take_in_end(draft, inputs, &end);
+}
+
+/// Forgets losses at workers that are registered again: their lives went on.
+fn forgive(draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    let workers = &inputs.table.workers;
+    let is_back = |instance: &str| workers.contains_key(instance);
+    for (id, losses) in &inputs.table.losses {
+        if losses.iter().any(|lost| is_back(&lost.instance)) {
+            log::info!("event=J139 loss forgiven, its worker is back job={id}");
+            draft.edit_losses(id).forgive(is_back);
+        }
+    }
+}
+
+/// Counts the losses at one worker against the tasks that may have caused them.
+fn count_losses(
+    planner: &Planner,
+    draft: &mut Draft<'_>,
+    inputs: &RoundInputs<'_>,
+    instance: &InstanceId,
+    lost: &[Lost],
+) {
+    let over = inputs.table.lives_over.get(instance);
+    if over.is_some_and(|over| over.gave_notice) {
+        return;
+    }
+    let begun = over.and_then(|over| over.runs.as_deref());
+    let youngest = begun.and_then(|runs| runs.iter().map(|run| run.age_ms).min());
+    let node = inputs.table.agent_of(instance).cloned().unwrap_or_default();
+    let may_have_begun = |run: &&Lost| begun.is_none_or(|runs| find(runs, run).is_some());
+    let begun_here: Vec<&Lost> = lost.iter().filter(may_have_begun).collect();
+    let units: BTreeSet<(JobId, UnitKey)> =
+        begun_here.iter().map(|run| unit_of(draft, &run.task)).collect();
+    // Runs that no account names any more stand beside the others all the same.
+    let others = begun.map_or(0, |runs| runs.len().saturating_sub(begun_here.len()));
+    let is_alone = units.len() == 1 && others == 0;
+    for run in begun_here {
+        let age_ms = begun.and_then(|runs| find(runs, run)).map(|run| run.age_ms);
+        let is_youngest =
+            age_ms.zip(youngest).is_some_and(|(age, least)| age <= least + SAME_AGE_MS);
+        let (id, unit) = unit_of(draft, &run.task);
+        let lost_run = LostRun {
+            attempt: run.attempt,
+            instance: instance.clone(),
+            node: node.clone(),
+            at: inputs.wall,
+            was_alone: is_alone,
+            was_youngest: is_youngest,
+        };
+        let losses = draft.edit_losses(&id).0.entry(unit).or_default();
+        if losses.add(lost_run) {
+            log::warn!(
+                "event=J138 loss counted task={} attempt={} worker={instance} losses={} alone={is_alone} youngest={is_youngest} age_ms={age_ms:?} gone_together={}",
+                run.task,
+                run.attempt,
+                losses.0.len(),
+                planner.recently_lost.0.len()
+            );
+        }
+    }
+}
+
+fn find<'a>(runs: &'a [LastRun], lost: &Lost) -> Option<&'a LastRun> {
+    runs.iter().find(|run| run.task == lost.task && run.attempt == lost.attempt)
+}
+
+/// Returns the job of a task, and what is suspected together with it.
+pub fn unit_of(draft: &Draft<'_>, task: &TaskId) -> (JobId, UnitKey) {
+    let submission = draft.submission(&task.job);
+    let step = submission.as_ref().and_then(|known| known.steps.get(task.step as usize));
+    (task.job.clone(), UnitKey::of(task, step.is_some_and(|step| step.gang)))
+}
+
+/// Takes note of a common cause in all losses of this moment, also those that were counted before it showed.
+fn excuse(lost: &RecentlyLost, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    let is_recent = |instance: &str| lost.0.contains_key(instance);
+    for id in &inputs.table.active {
+        let is_concerned = draft
+            .losses(id)
+            .is_some_and(|losses| losses.iter().any(|run| is_recent(&run.instance)));
+        if !is_concerned {
+            continue;
+        }
+        let units = draft.edit_losses(id).0.values_mut().flat_map(|unit| &mut unit.0);
+        units.filter(|run| is_recent(&run.instance)).for_each(LostRun::excuse);
+    }
+}
+
+/// Gives up the tasks and gangs whose losses speak against them. A member that is still being stopped is looked at
+/// again: its gang doesn't start before.
+pub fn give_up_crashing(draft: &mut Draft<'_>) {
+    let table = draft.table;
+    let known = table.losses.keys().chain(draft.changed_losses());
+    let ids: BTreeSet<JobId> = known.filter(|id| table.active.contains(*id)).cloned().collect();
+    for id in ids {
+        let Some(losses) = draft.losses(&id) else { continue };
+        let convicted = losses.0.iter().filter(|(_, unit)| unit.is_convicted());
+        let convicted: Vec<UnitKey> = convicted.map(|(key, _)| key.clone()).collect();
+        convicted.iter().for_each(|unit| judge(draft, &id, unit));
+    }
+}
+
+/// Gives up a task, or a gang by its first member, once it has no run.
+fn judge(draft: &mut Draft<'_>, id: &JobId, unit: &UnitKey) {
+    let Some(losses) = draft.losses(id).and_then(|losses| losses.0.get(unit)) else { return };
+    let alone = losses.0.iter().filter(|lost| lost.was_alone).count();
+    let task =
+        TaskId { job: id.clone(), occurrence: unit.occurrence, step: unit.step, index: unit.index };
+    let known = draft.plan(id).and_then(|plan| plan.task(&task));
+    if known.is_none_or(|known| known.status != TaskStatus::Waiting) {
+        return;
+    }
+    log::warn!(
+        "event=J147 task given up, its workers crash under it task={task} losses={} alone={alone} at={:?}",
+        losses.0.len(),
+        losses.0.iter().map(|lost| &lost.node).collect::<Vec<_>>()
+    );
+    metrics().decided("give_up_crashing");
+    if let Some(task) = draft.edit(id).task_mut(&task) {
+        task.status = TaskStatus::Failed;
+    }
+}
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -1,11 +1,13 @@
 //! Starts what waits where it fits.
 
-use crate::job::{Checkpoint, InstanceId, TaskId};
+use crate::job::{Checkpoint, InstanceId};
+use crate::losses::Isolation;
 use crate::metrics::metrics;
 use crate::record::{JobPlan, JobStatus, TaskStatus};
 
 use super::draft::{Draft, unbegun};
 use super::gang::{Need, place_all, place_in_rack, place_one};
+use super::isolate::{Part, Tried, find_apart, parts};
 use super::make_room::{Within, allowed_for, find_room, hold_room, make_room};
 use super::queue::{WaitingStep, waiting_steps};
 use super::rack::insists_on_rack;
@@ -32,29 +34,69 @@
     let mut waits = Vec::new();
     let mut rooms = Rooms::survey(planner, draft, workers, inputs);
     choose_reserve(&mut rooms);
-    for step in &waiting {
-        let uses_reserve = may_use_reserve(step, inputs.wall);
-        let need = Need::of(step, failed_workers(draft, step), uses_reserve, &rooms);
-        if need.step.gang {
-            waits.extend(place_gang(draft, &mut rooms, step, &need, inputs));
-        } else {
-            waits.extend(place_tasks(draft, &mut rooms, step, &need, inputs));
-        }
+    let parts = waiting.iter().flat_map(|step| parts(draft, step));
+    // What may run alone only goes first: it holds up nothing but an idle worker, and waits for one the longer the
+    // busier the others are.
+    let (first, then): (Vec<Part>, Vec<Part>) =
+        parts.partition(|part| part.isolation == Isolation::Required);
+    for part in first.iter().chain(&then) {
+        waits.extend(place_part(draft, &mut rooms, part, inputs));
     }
     waits
 }
 
+fn place_part(
+    draft: &mut Draft<'_>,
+    rooms: &mut Rooms,
+    part: &Part,
+    inputs: &RoundInputs<'_>,
+) -> Option<Wait> {
+    let step = &part.waiting;
+    let uses_reserve = may_use_reserve(step, inputs.wall) || part.isolation == Isolation::Required;
+    let need = Need::of(step, failed_workers(draft, step), uses_reserve, rooms);
+    if part.isolation != Isolation::None {
+        match find_apart(draft, rooms, part, &need, inputs) {
+            Tried::Found(places) => {
+                start_apart(draft, rooms, step, &need, &places);
+                return None;
+            }
+            Tried::Waits => {
+                return Some(Wait::new(step, step.tasks.len(), WaitReason::NoIdleWorker, inputs));
+            }
+            Tried::Beside => {}
+        }
+    }
+    if need.step.gang {
+        place_gang(draft, rooms, step, &need, inputs)
+    } else {
+        place_tasks(draft, rooms, step, &need, inputs)
+    }
+}
+
+fn start_apart(
+    draft: &mut Draft<'_>,
+    rooms: &mut Rooms,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    places: &[Place],
+) {
+    if need.step.gang {
+        start_gang(draft, rooms, waiting, need, places);
+        return;
+    }
+    for (&index, &place) in waiting.tasks.iter().zip(places) {
+        rooms.occupy(place, need.step, &need.key);
+        start_task(draft, waiting, index, &rooms.rooms[place].instance, None);
+    }
+}
+
 fn failed_workers(draft: &Draft<'_>, waiting: &WaitingStep) -> Vec<InstanceId> {
     let Some(plan) = draft.plan(&waiting.job) else { return Vec::new() };
-    let tasks = waiting.tasks.iter().filter_map(|&index| plan.task(&task_id(waiting, index)));
+    let tasks = waiting.tasks.iter().filter_map(|&index| plan.task(&waiting.task(index)));
     let failed = tasks.filter(|task| !task.failed_at.is_empty());
     failed.map(|task| task.failed_at.clone()).collect()
 }
 
-fn task_id(waiting: &WaitingStep, index: u32) -> TaskId {
-    TaskId { job: waiting.job.clone(), occurrence: waiting.occurrence, step: waiting.step, index }
-}
-
 fn place_gang(
     draft: &mut Draft<'_>,
     rooms: &mut Rooms,
@@ -162,7 +204,7 @@
     places: &[Place],
 ) {
     let plan = draft.plan(&waiting.job);
-    let members = waiting.tasks.iter().filter_map(|&index| plan?.task(&task_id(waiting, index)));
+    let members = waiting.tasks.iter().filter_map(|&index| plan?.task(&waiting.task(index)));
     let members: Vec<_> = members.collect();
     let attempt = members.iter().map(|task| task.attempt).max().unwrap_or(0) + 1;
     let checkpoint = members.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
@@ -180,7 +222,7 @@
     instance: &str,
     joint: Option<(u32, Checkpoint)>,
 ) {
-    let id = task_id(waiting, index);
+    let id = waiting.task(index);
     let plan = draft.edit(&waiting.job);
     open_until(plan, waiting);
     plan.status = JobStatus::Running;
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use crate::job::{EpochMillis, JobId, Step, Submission, WorkspaceName};
+use crate::job::{EpochMillis, JobId, Step, Submission, TaskId, WorkspaceName};
 use crate::record::{JobStatus, Occurrence, TaskPlan, TaskStatus};
 
 use super::RoundInputs;
@@ -42,6 +42,11 @@
         &self.submission.steps[self.step as usize]
     }
 
+    /// Names one of its tasks.
+    pub fn task(&self, index: u32) -> TaskId {
+        TaskId { job: self.job.clone(), occurrence: self.occurrence, step: self.step, index }
+    }
+
     /// Returns whether it goes before all that isn't urgent.
     pub fn is_urgent(&self) -> bool {
         self.guaranteed || self.submission.priority == 0
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -8,6 +8,7 @@
 
 use super::draft::Draft;
 use super::drain::keeps_off;
+use super::isolate::is_isolated;
 use super::pace::MachineSpeed;
 use super::running::RunningTask;
 use super::units::Units;
@@ -52,6 +53,10 @@
     pub running: Vec<RunningTask>,
     /// What may be stopped; worked out once something has to be.
     pub units: Option<Units>,
+    /// Runs at each worker, those that are being stopped among them.
+    runs: Vec<u32>,
+    /// Workers that nothing may join: a task runs there alone, or is to.
+    closed: Vec<bool>,
     /// Tasks at each worker, of the steps that limit them.
     limited: BTreeMap<StepKey, Vec<u32>>,
 }
@@ -73,11 +78,19 @@
             rooms: workers.views.iter().map(room).collect(),
             free: workers.views.iter().map(|view| view.record.capacity).collect(),
             racks,
+            runs: vec![0; workers.views.len()],
+            closed: vec![false; workers.views.len()],
             ..Self::default()
         };
         for id in &inputs.table.active {
             let Some(submission) = draft.submission(id) else { continue };
             survey.charge_job(draft, id, &submission, workers);
+            survey.close_for_job(draft, id, workers, inputs);
+        }
+        for place in 0..survey.rooms.len() {
+            if survey.closed[place] {
+                survey.close(place);
+            }
         }
         survey
     }
@@ -98,6 +111,7 @@
                     let Some(place) = workers.place(&task.instance) else { continue };
                     let held = step.charge();
                     self.free[place].take(&held);
+                    self.runs[place] += 1;
                     self.count_limited((id, occurrence.number, number as u32), step, place);
                     if task.status == TaskStatus::Stopping {
                         self.rooms[place].freed_soon.give(&held);
@@ -123,6 +137,45 @@
         }
     }
 
+    /// Closes the workers where runs of a job are kept apart from others.
+    fn close_for_job(
+        &mut self,
+        draft: &Draft<'_>,
+        id: &JobId,
+        workers: &WorkerViews<'_>,
+        inputs: &RoundInputs<'_>,
+    ) {
+        if draft.losses(id).is_none() {
+            return;
+        }
+        let Some(plan) = draft.plan(id) else { return };
+        for (task_id, task) in plan.tasks(id).filter(|(_, task)| task.occupies()) {
+            let Some(place) = workers.place(&task.instance) else { continue };
+            self.closed[place] |= is_isolated(draft, &task_id, task.attempt, inputs);
+        }
+    }
+
+    /// Lets nothing join what runs at a worker.
+    pub fn close(&mut self, place: Place) {
+        self.closed[place] = true;
+        self.free[place] = Resources::default();
+    }
+
+    /// Returns whether nothing may join what runs at a worker.
+    pub fn is_closed(&self, place: Place) -> bool {
+        self.closed[place]
+    }
+
+    /// Counts the workers that nothing may join.
+    pub fn closed(&self) -> usize {
+        self.closed.iter().filter(|closed| **closed).count()
+    }
+
+    /// Returns whether nothing runs at a worker, and something may.
+    pub fn is_idle(&self, place: Place) -> bool {
+        self.runs[place] == 0 && !self.closed[place]
+    }
+
     /// Counts a task of a step that limits how many of its tasks a worker takes.
     fn count_limited(&mut self, key: (&JobId, u32, u32), step: &Step, place: Place) {
         if step.max_per_worker > 0 {
@@ -140,6 +193,7 @@
     /// Takes one task's room at a worker.
     pub fn occupy(&mut self, place: Place, step: &Step, key: &StepKey) {
         self.free[place].take(&step.charge());
+        self.runs[place] += 1;
         self.count_limited((&key.0, key.1, key.2), step, place);
     }
 
--- a/crates/rampbay-jobs/src/planner/waits.rs
+++ b/crates/rampbay-jobs/src/planner/waits.rs
@@ -16,6 +16,8 @@
     StopsUnderWay,
     /// It goes into one rack, and none has room for it.
     NoRack,
+    /// It is suspected to crash its workers, and waits for one of its own.
+    NoIdleWorker,
     /// There is no room, and what would have to be stopped is worth more.
     NoRoom,
 }
@@ -27,6 +29,7 @@
         match self {
             Self::StopsUnderWay => "stops_under_way",
             Self::NoRack => "no_rack",
+            Self::NoIdleWorker => "no_idle_worker",
             Self::NoRoom => "no_room",
         }
     }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -7,6 +7,7 @@
     Checkpoint, EpochMillis, InstanceId, JobId, NodeName, Resources, ServiceName, Submission,
     TaskId,
 };
+use crate::losses::{JobLosses, LifeOver};
 use crate::registrations::RegistrationNumber;
 
 /// Topic of everything that must last.
@@ -271,6 +272,10 @@
     Drained(DrainedDomains),
     /// A worker's registrations are over up to this number, also those that land later.
     Over(InstanceId, RegistrationNumber),
+    /// How a worker's life ended; kept as long as the end of its registrations.
+    LifeOver(InstanceId, Box<LifeOver>),
+    /// The runs of a job that went with their workers.
+    Losses(JobId, Box<JobLosses>),
 }
 
 /// The planner in charge.
@@ -389,6 +394,18 @@
     format!("over/{instance}")
 }
 
+/// Returns the key under which it is kept how a worker's life ended.
+#[must_use]
+pub fn life_key(instance: &str) -> String {
+    format!("life/{instance}")
+}
+
+/// Returns the key of what a job has lost.
+#[must_use]
+pub fn losses_key(job: &str) -> String {
+    format!("losses/{job}")
+}
+
 /// Splits the key of a registration into the worker's id and the number.
 #[must_use]
 pub fn split_worker_key(key: &str) -> (&str, RegistrationNumber) {
@@ -426,6 +443,8 @@
             Self::Member(member) => format!("member/{}", member.node),
             Self::Drained(_) => "drained".to_owned(),
             Self::Over(instance, _) => over_key(instance),
+            Self::LifeOver(instance, _) => life_key(instance),
+            Self::Losses(job, _) => losses_key(job),
         }
     }
 
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -5,6 +5,7 @@
 
 use crate::drained::DrainedDomains;
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
+use crate::losses::{JobLosses, LifeOver};
 use crate::record::{
     EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
     TaskStatus, WorkerRecord, split_refusal_key, split_worker_key,
@@ -63,6 +64,10 @@
     pub drained: DrainedDomains,
     /// The processes, by their names.
     pub members: BTreeMap<NodeName, Member>,
+    /// How workers' lives ended, for a while after.
+    pub lives_over: BTreeMap<InstanceId, Rc<LifeOver>>,
+    /// The runs that went with their workers, of the jobs that have any.
+    pub losses: BTreeMap<JobId, Rc<JobLosses>>,
     /// All registrations, those that a newer one has followed among them.
     registrations: Registrations,
     /// Agents of all workers that were there since the state was read as a whole, also of those that are gone.
@@ -117,6 +122,12 @@
                 self.registrations.end(&instance, number);
                 self.show_newest(&instance);
             }
+            Record::LifeOver(instance, over) => {
+                self.lives_over.insert(instance, Rc::new(*over));
+            }
+            Record::Losses(job, losses) => {
+                self.losses.insert(job, Rc::new(*losses));
+            }
             Record::Evicted(instance) => {
                 self.evicted.insert(instance);
             }
@@ -263,6 +274,12 @@
             }
             "worker" => self.remove_worker(key),
             "over" => self.registrations.forget_end(name),
+            "life" => {
+                self.lives_over.remove(name);
+            }
+            "losses" => {
+                self.losses.remove(name);
+            }
             "evicted" => {
                 self.evicted.remove(name);
             }
--- a/crates/rampbay-jobs/tests/crashes.rs
+++ b/crates/rampbay-jobs/tests/crashes.rs
@@ -11,17 +11,23 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::job::Step;
 use rampbay_jobs::record::JobStatus;
+use rstest::rstest;
+use support::planner::gang;
 use support::site::{Site, Work};
 use support::worker::StartTrouble;
-use support::{on_virtual_time, step};
+use support::{on_virtual_time, step, table_of};
 use tokio::time::sleep;
 
 const KILLER: &str = "00000000000000aa";
+const SECOND_KILLER: &str = "00000000000000ab";
 /// Time in which all agents are registered and a leader is there.
 const BEGINS: Duration = Duration::from_millis(1500);
 /// Long enough for 50 starts, one after each return of a worker.
 const LONG: Duration = Duration::from_secs(180);
+/// Time from a worker's crash until its agent is sure of it.
+const CRASH_IS_KNOWN: Duration = Duration::from_millis(4500);
 /// Most starts after three workers have crashed.
 const MOST_STARTS_MORE: usize = 2;
 
@@ -38,7 +44,21 @@
     on_virtual_time(async {
         let site = Site::start(4);
         sleep(BEGINS).await;
-        site.submit(KILLER, step(1, 1), Work::CrashesAfter(Duration::from_millis(10)));
+        site.submit(KILLER, step(1, 1), Work::Crashes(Duration::from_millis(10)));
+        sleep(LONG).await;
+        assert_given_up(&site, KILLER);
+    });
+}
+
+#[rstest]
+fn crashing_task_is_given_up_whenever_it_crashes(
+    #[values(10, 500, 3000, 8000)] after_ms: u64,
+    #[values(1, 4)] machines: usize,
+) {
+    on_virtual_time(async move {
+        let site = Site::start(machines);
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(1, 1), Work::Crashes(Duration::from_millis(after_ms)));
         sleep(LONG).await;
         assert_given_up(&site, KILLER);
     });
@@ -53,20 +73,219 @@
             machine.worker.start_trouble.set(StartTrouble::AnswerLost);
         }
         sleep(BEGINS).await;
-        site.submit(KILLER, step(1, 1), Work::CrashesAfter(Duration::from_millis(10)));
+        site.submit(KILLER, step(1, 1), Work::Crashes(Duration::from_millis(10)));
         sleep(LONG).await;
         assert_given_up(&site, KILLER);
     });
 }
 
+#[test]
+fn crashing_task_is_given_up_by_the_third_leader() {
+    on_virtual_time(async {
+        let site = Site::start(4);
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(1, 1), Work::Crashes(Duration::from_millis(10)));
+        for _ in 0..40 {
+            let known = site.crashes_by(KILLER);
+            while site.crashes_by(KILLER) == known && site.status(KILLER) != JobStatus::Failed {
+                sleep(Duration::from_millis(100)).await;
+            }
+            site.lead_anew();
+            sleep(CRASH_IS_KNOWN).await;
+        }
+        assert_given_up(&site, KILLER);
+    });
+}
+
 /// Its agent's process goes with the worker, and knows nothing of the run when it is back.
 #[test]
 fn task_that_crashes_its_machine_is_given_up() {
     on_virtual_time(async {
         let site = Site::start(4);
         sleep(BEGINS).await;
-        site.submit(KILLER, step(1, 1), Work::CrashesMachineAfter(Duration::from_millis(10)));
+        site.submit(KILLER, step(1, 1), Work::CrashesMachine(Duration::from_millis(10)));
+        sleep(LONG).await;
+        assert_given_up(&site, KILLER);
+    });
+}
+
+/// One member crashes its worker, and its gang goes with it.
+#[test]
+fn gang_with_a_crashing_member_is_given_up() {
+    on_virtual_time(async {
+        let site = Site::start(6);
+        sleep(BEGINS).await;
+        site.submit(KILLER, gang(3, 8), Work::GangCrashes(Duration::from_millis(10)));
+        sleep(LONG).await;
+        let killer_starts = site.starts_of(KILLER);
+        let killer_starts: Vec<_> = killer_starts.iter().filter(|s| s.task.index == 0).collect();
+        assert!(killer_starts.len() <= 3 + MOST_STARTS_MORE, "{killer_starts:?}");
+        assert_eq!(site.status(KILLER), JobStatus::Failed, "{killer_starts:?}");
+    });
+}
+
+#[test]
+fn lasting_task_that_crashes_its_worker_is_given_up() {
+    on_virtual_time(async {
+        let site = Site::start(4);
+        sleep(BEGINS).await;
+        let lasting = Step { long_running: true, ..step(1, 1) };
+        site.submit(KILLER, lasting, Work::Crashes(Duration::from_millis(300)));
+        sleep(LONG).await;
+        assert_given_up(&site, KILLER);
+    });
+}
+
+/// All tasks of a job crash their workers, several at one moment: that they go together excuses none of them.
+#[test]
+fn job_whose_tasks_crash_several_workers_at_a_time_is_given_up() {
+    on_virtual_time(async {
+        let site = Site::start(6);
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(4, 8), Work::AllCrash(Duration::from_millis(10)));
+        sleep(LONG).await;
+        let starts = site.starts_of(KILLER);
+        for index in 0..4 {
+            let own = starts.iter().filter(|start| start.task.index == index).count();
+            assert!(own <= 3 + MOST_STARTS_MORE, "task {index}: {starts:?}");
+        }
+        assert_eq!(site.status(KILLER), JobStatus::Failed);
+    });
+}
+
+/// Two jobs at a time crash what they run on; all that stands beside them ends well, and as a single run of each.
+#[rstest]
+fn innocent_jobs_beside_crashing_ones_end_well(#[values(10, 500, 3000)] after_ms: u64) {
+    on_virtual_time(async move {
+        let site = Site::start(5);
+        sleep(BEGINS).await;
+        let innocent = |number: usize| format!("{number:016x}");
+        let crashes = Work::Crashes(Duration::from_millis(after_ms));
+        for number in 1..=30 {
+            let work = Work::Ends(Duration::from_millis(1000 + number as u64 * 150));
+            site.submit(&innocent(number), step(2, 1), work);
+            match number {
+                4 => site.submit(KILLER, step(1, 1), crashes),
+                9 => site.submit(SECOND_KILLER, step(1, 1), crashes),
+                _ => {}
+            }
+            sleep(Duration::from_millis(900)).await;
+        }
         sleep(LONG).await;
         assert_given_up(&site, KILLER);
+        assert_given_up(&site, SECOND_KILLER);
+        for number in 1..=30 {
+            let id = innocent(number);
+            assert_eq!(site.status(&id), JobStatus::Succeeded, "{:?}", site.starts_of(&id));
+        }
+    });
+}
+
+/// A workers' failure domain loses power twice while a job runs there: nothing was wrong with the job.
+#[test]
+fn job_that_loses_power_twice_ends_well() {
+    on_virtual_time(async {
+        let site = Site::start(3);
+        sleep(BEGINS).await;
+        let work = Work::Ends(Duration::from_secs(9));
+        site.submit(KILLER, step(3, 8), work);
+        for _ in 0..2 {
+            sleep(CRASH_IS_KNOWN + Duration::from_millis(700)).await;
+            assert!(!site.starts_of(KILLER).is_empty());
+            for machine in &site.machines {
+                site.restart_agent(machine);
+                site.crash(machine);
+            }
+        }
+        sleep(LONG).await;
+        assert_eq!(site.status(KILLER), JobStatus::Succeeded, "{:?}", site.starts_of(KILLER));
+    });
+}
+
+/// A crashing task's next starts stand alone where there is room for that, and nothing joins them.
+#[test]
+fn crashing_task_is_tried_alone() {
+    on_virtual_time(async {
+        let site = Site::start(5);
+        sleep(BEGINS).await;
+        for number in 1..=3 {
+            let work = Work::Ends(Duration::from_secs(20));
+            site.submit(&format!("{number:016x}"), step(1, 1), work);
+        }
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(1, 1), Work::Crashes(Duration::from_millis(500)));
+        sleep(LONG).await;
+        let starts = site.starts_of(KILLER);
+        assert!(starts.iter().skip(1).all(|start| start.beside == 0), "{starts:?}");
+        assert_eq!(starts.len(), 3, "{starts:?}");
+    });
+}
+
+/// A worker whose life goes on was cut off, not crashed: what ran there isn't suspected for it.
+#[test]
+fn cut_off_worker_is_no_crash() {
+    on_virtual_time(async {
+        let site = Site::start(2);
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(1, 1), Work::Ends(Duration::from_secs(25)));
+        for _ in 0..7 {
+            sleep(Duration::from_secs(2)).await;
+            let starts = site.starts_of(KILLER);
+            let machine = &site.machines[starts.last().expect("it has started").machine];
+            machine.worker.silent.set(true);
+            sleep(Duration::from_secs(11)).await;
+            machine.worker.silent.set(false);
+        }
+        sleep(LONG).await;
+        assert_eq!(site.status(KILLER), JobStatus::Succeeded, "{:?}", site.starts_of(KILLER));
+    });
+}
+
+/// What went with a worker whose life turns out to go on is forgiven once the worker is registered again.
+#[test]
+fn loss_at_a_worker_that_comes_back_is_forgiven() {
+    on_virtual_time(async {
+        let site = Site::start(2);
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(1, 1), Work::Ends(Duration::from_secs(25)));
+        sleep(Duration::from_secs(2)).await;
+        let machine = &site.machines[site.starts_of(KILLER)[0].machine];
+        machine.worker.silent.set(true);
+        sleep(Duration::from_secs(9)).await;
+        assert_eq!(table_of(&site.store).losses[KILLER].iter().count(), 1);
+        machine.worker.silent.set(false);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(table_of(&site.store).losses[KILLER].iter().count(), 0);
+    });
+}
+
+/// A worker that gives notice, and then goes, leaves no suspicion behind.
+#[test]
+fn run_that_goes_with_a_leaving_worker_is_not_counted() {
+    on_virtual_time(async {
+        let site = Site::start(2);
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(1, 1), Work::Ends(Duration::from_secs(9)));
+        sleep(Duration::from_secs(2)).await;
+        let machine = &site.machines[site.starts_of(KILLER)[0].machine];
+        site.deregister(machine);
+        site.crash(machine);
+        sleep(CRASH_IS_KNOWN).await;
+        assert!(site.starts_of(KILLER).len() > 1, "it goes on elsewhere");
+        assert!(!table_of(&site.store).losses.contains_key(KILLER));
+    });
+}
+
+/// A run that was only assigned to a worker that had crashed before, and whose order nobody took, isn't counted.
+#[test]
+fn run_that_was_never_ordered_is_not_counted() {
+    on_virtual_time(async {
+        let site = Site::start(1);
+        sleep(BEGINS).await;
+        site.crash(&site.machines[0]);
+        site.submit(KILLER, step(1, 1), Work::Ends(Duration::from_secs(1)));
+        sleep(LONG).await;
+        assert!(!table_of(&site.store).losses.contains_key(KILLER));
+        assert_eq!(site.status(KILLER), JobStatus::Succeeded);
     });
 }
--- a/crates/rampbay-jobs/tests/support/site.rs
+++ b/crates/rampbay-jobs/tests/support/site.rs
@@ -25,15 +25,15 @@
 #[derive(Clone, Copy, Debug)]
 pub enum Work {
     /// They end well after this time.
-    EndsAfter(Duration),
+    Ends(Duration),
     /// The first of them crashes its worker after this time; the others end well after a second.
-    CrashesAfter(Duration),
+    Crashes(Duration),
     /// The first of them crashes its worker and the machine's agent after this time.
-    CrashesMachineAfter(Duration),
+    CrashesMachine(Duration),
     /// All of them crash their workers after this time.
-    AllCrashAfter(Duration),
+    AllCrash(Duration),
     /// A gang, whose first member crashes its worker after this time, and whose others end broken then.
-    GangCrashesAfter(Duration),
+    GangCrashes(Duration),
 }
 
 /// A start that a worker carried out.
@@ -190,6 +190,14 @@
         self.start_agent(machine);
     }
 
+    /// Lets a machine's worker say good-bye.
+    pub fn deregister(&self, machine: &Machine) {
+        let instance = machine.worker.instance.borrow().clone();
+        if let Some(agent) = machine.agent.borrow().as_ref() {
+            agent.host.deregister(&instance);
+        }
+    }
+
     /// Crashes a machine's worker; another life follows.
     pub fn crash(&self, machine: &Rc<Machine>) {
         let life = machine.lives.get() + 1;
@@ -217,15 +225,15 @@
     async fn work(&self, work: Work) {
         let is_first = self.task.index == 0;
         match work {
-            Work::EndsAfter(after) => self.end_after(after).await,
-            Work::AllCrashAfter(after) => self.crash_after(after, false).await,
-            Work::CrashesAfter(after) if is_first => self.crash_after(after, false).await,
-            Work::CrashesMachineAfter(after) if is_first => self.crash_after(after, true).await,
-            Work::GangCrashesAfter(after) if is_first => {
+            Work::Ends(after) => self.end_after(after).await,
+            Work::AllCrash(after) => self.crash_after(after, false).await,
+            Work::Crashes(after) if is_first => self.crash_after(after, false).await,
+            Work::CrashesMachine(after) if is_first => self.crash_after(after, true).await,
+            Work::GangCrashes(after) if is_first => {
                 self.crash_after(after, false).await;
                 self.site.break_gang(&self.task, self.attempt);
             }
-            Work::GangCrashesAfter(_) => {}
+            Work::GangCrashes(_) => {}
             _ => self.end_after(Duration::from_secs(1)).await,
         }
     }
@@ -258,7 +266,7 @@
 
 async fn send_heartbeats(machine: Rc<Machine>) {
     for sequence in 1.. {
-        if !machine.worker.gone.get() {
+        if !machine.worker.gone.get() && !machine.worker.silent.get() {
             let instance = machine.worker.instance.borrow().clone();
             if let Some(agent) = machine.agent.borrow().as_ref() {
                 agent.heartbeat(&instance, sequence);
