fix: starts go by the worker's present room, and stops by what it holds beyond that

Cause: a worker's room may shrink while it runs. A start that was turned away for its fencing token, or whose order was lost, was ordered again without another look at the room: with a newer token it went beyond it. A run of a job that isn't known counted as nothing. The planner's free room ended at zero, so on a worker that holds more than it has a stop was taken for more room than it makes: one run stopped in vain, and the next one in the next round.

Ruled out: stopping what no longer fits (a stop throws its work away, and nobody asks for it); leaving such a worker out altogether (guaranteed work would wait until all else there has ended).

Change: the agent looks before each order, also a repeated one, and starts nothing beside a run whose size it can't tell until that is stopped. What a worker holds beyond its room is paid off first by what becomes free.

Conclusion: no start goes beyond the room that the worker's latest heartbeat told.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod registering;
 mod renewals;
+mod room;
 mod runs;
 
 use std::cell::RefCell;
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -5,13 +5,13 @@
 
 use tokio::time::Instant;
 
-use crate::job::{Step, TaskId};
 use crate::metrics::metrics;
 use crate::record::{EndReason, TaskStatus};
 use crate::worker::{Refusal, StartOrder, Started, StopOrder, WorkerError};
 
 use super::ends::PendingEnd;
 use super::life::{Life, LifeEnd};
+use super::room::Fit;
 use super::runs::{Phase, Run, RunKey};
 
 /// Longest time between two looks at what has to be done.
@@ -63,7 +63,11 @@
                 continue;
             }
             let is_kept_off = self.is_draining() || self.is_in_drained_domain();
-            if is_kept_off || !self.has_room_for(&wanted.key.0) {
+            let fit = self.room_for(&wanted.key);
+            if fit == Fit::Unknown {
+                continue;
+            }
+            if is_kept_off || fit == Fit::No {
                 self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
                 continue;
             }
@@ -113,31 +117,6 @@
             || table.has_refusal(&key.0, key.1)
     }
 
-    /// Returns whether a task fits beside all runs that may exist here, those that are being stopped
-    /// among them. Workers may start whatever they are told.
-    fn has_room_for(&self, task: &TaskId) -> bool {
-        let table = self.parts.table.borrow();
-        let charge = |task: &TaskId| {
-            let job = table.jobs.get(&task.job)?;
-            job.submission.steps.get(task.step as usize).map(Step::charge)
-        };
-        let Some(demand) = charge(task) else { return false };
-        let mut free = self.capacity();
-        let runs = self.runs.borrow();
-        // An end that is listed has freed its room, also while it is on its way to the store.
-        for (held, _) in runs.open.keys().filter(|key| !runs.over.contains(*key)) {
-            free.take(&charge(held).unwrap_or_default());
-        }
-        let fits = free.fits(&demand);
-        if !fits {
-            log::warn!(
-                "event=J170 start refused for want of room task={task} worker={} free={free:?} demand={demand:?}",
-                self.instance
-            );
-        }
-        fits
-    }
-
     /// Lists the runs that the table wants and that this life has never had.
     fn wanted(&self) -> Vec<Wanted> {
         let table = self.parts.table.borrow();
@@ -192,7 +171,7 @@
                 tokio::time::sleep(START_RETRY).await;
                 continue;
             };
-            if !self.still_wants(&wanted.key) {
+            if !self.still_wants(&wanted.key) || self.room_for(&wanted.key) != Fit::Yes {
                 self.give_up_start(wanted.key, unanswered);
                 return;
             }
--- /dev/null
+++ b/crates/rampbay-jobs/src/agent/room.rs
@@ -0,0 +1,49 @@
+//! Whether a run fits beside what may run at the worker. Workers may start whatever they are told.
+
+use crate::job::{Resources, Step, TaskId};
+use crate::table::JobTable;
+
+use super::life::Life;
+use super::runs::RunKey;
+
+/// Whether there is room for a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Fit {
+    /// There is.
+    Yes,
+    /// There isn't, by the worker's latest account of itself.
+    No,
+    /// Something runs there whose job isn't known, and so what it holds. It is being stopped.
+    Unknown,
+}
+
+impl Life {
+    /// Looks whether a run fits beside all others that may exist here, those that are being stopped among them. Asked
+    /// before each order, also a repeated one: the room may have shrunk since the one before.
+    pub(super) fn room_for(&self, key: &RunKey) -> Fit {
+        let table = self.parts.table.borrow();
+        let Some(demand) = charge_of(&table, &key.0) else { return Fit::No };
+        let mut free = self.capacity();
+        let runs = self.runs.borrow();
+        // An end that is listed has freed its room, also while it is on its way to the store.
+        let others = runs.open.keys().filter(|other| *other != key && !runs.over.contains(*other));
+        for (held, _) in others {
+            let Some(charge) = charge_of(&table, held) else { return Fit::Unknown };
+            free.take(&charge);
+        }
+        if free.fits(&demand) {
+            return Fit::Yes;
+        }
+        log::warn!(
+            "event=J170 start refused for want of room task={} worker={} free={free:?} demand={demand:?}",
+            key.0,
+            self.instance
+        );
+        Fit::No
+    }
+}
+
+fn charge_of(table: &JobTable, task: &TaskId) -> Option<Resources> {
+    let job = table.jobs.get(&task.job)?;
+    job.submission.steps.get(task.step as usize).map(Step::charge)
+}
--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -61,6 +61,24 @@
         self.devices = self.devices.saturating_sub(demand.devices);
     }
 
+    /// Returns what these resources lack of `demand`.
+    #[must_use]
+    pub const fn missing_for(&self, demand: &Self) -> Self {
+        Self {
+            cpu_milli: demand.cpu_milli.saturating_sub(self.cpu_milli),
+            memory_mb: demand.memory_mb.saturating_sub(self.memory_mb),
+            devices: demand.devices.saturating_sub(self.devices),
+        }
+    }
+
+    /// Gives `demand` back, less what it takes of `owed`.
+    pub const fn give_less(&mut self, demand: &Self, owed: &mut Self) {
+        let mut left = *demand;
+        left.take(owed);
+        owed.take(demand);
+        self.give(&left);
+    }
+
     /// Gives `demand` back.
     pub const fn give(&mut self, demand: &Self) {
         self.cpu_milli += demand.cpu_milli;
--- a/crates/rampbay-jobs/src/planner/make_room.rs
+++ b/crates/rampbay-jobs/src/planner/make_room.rs
@@ -78,7 +78,7 @@
     preemption: &Preemption,
     allowed: u64,
 ) {
-    let Some(units) = &mut rooms.units else { return };
+    let Some(mut units) = rooms.units.take() else { return };
     let priority = waiting.submission.priority;
     for &victim in &preemption.victims {
         let unit = &mut units.units[victim];
@@ -95,9 +95,10 @@
         );
         draft.stop_unit(&unit.first);
         for (place, held) in &unit.held {
-            rooms.rooms[*place].freed_soon.give(held);
+            rooms.free_soon(*place, held);
         }
     }
+    rooms.units = Some(units);
 }
 
 /// Keeps less urgent work away from the workers where a gang will fit once that work has ended.
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -80,6 +80,8 @@
     places: &'a [Place],
     /// What is free at each worker, now or by stops that are under way or chosen.
     free: Vec<Resources>,
+    /// What each worker holds beyond what it has.
+    owed: Vec<Resources>,
     members: Option<Vec<u32>>,
     chosen: BTreeSet<UnitIndex>,
     /// Offers of the places, worked out once and again after each change there.
@@ -94,7 +96,8 @@
         }
         let members = rooms.members(need.step, &need.key);
         let chosen = BTreeSet::new();
-        Self { rooms, units, need, places, free, members, chosen, offers: Vec::new() }
+        let owed = rooms.owed.clone();
+        Self { rooms, units, need, places, free, owed, members, chosen, offers: Vec::new() }
     }
 
     fn there(&self, place: Place) -> u32 {
@@ -105,9 +108,9 @@
     fn could_hold(&self, count: usize) -> bool {
         let mut left = count as u64;
         for &place in self.places {
-            let mut free = self.free[place];
+            let (mut free, mut owed) = (self.free[place], self.owed[place]);
             for unit in self.units.at(place, self.need.priority) {
-                self.units.held_at(unit, place).for_each(|held| free.give(held));
+                self.units.held_at(unit, place).for_each(|held| free.give_less(held, &mut owed));
             }
             left = left.saturating_sub(u64::from(self.need.most_at(&free, self.there(place))));
             if left == 0 {
@@ -130,7 +133,7 @@
         for unit in stops {
             self.chosen.insert(unit);
             for (at, held) in &self.units.units[unit].held {
-                self.free[*at].give(held);
+                self.free[*at].give_less(held, &mut self.owed[*at]);
                 changed.push(*at);
             }
         }
@@ -165,7 +168,7 @@
     /// Returns the cheapest units to stop so that one task fits at a worker.
     fn stops_at(&self, place: Place) -> Option<Vec<UnitIndex>> {
         let demand = &self.need.demand;
-        let mut free = self.free[place];
+        let (mut free, mut owed) = (self.free[place], self.owed[place]);
         let mut stops = Vec::new();
         for unit in self.units.at(place, self.need.priority) {
             if free.fits(demand) {
@@ -182,7 +185,7 @@
             if !helps {
                 continue;
             }
-            self.units.held_at(unit, place).for_each(|held| free.give(held));
+            self.units.held_at(unit, place).for_each(|held| free.give_less(held, &mut owed));
             stops.push(unit);
         }
         free.fits(demand).then_some(stops)
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -53,6 +53,8 @@
     pub running: Vec<RunningTask>,
     /// What may be stopped; worked out once something has to be.
     pub units: Option<Units>,
+    /// What each worker holds beyond what it has: its room has shrunk. What becomes free pays that off first.
+    pub owed: Vec<Resources>,
     /// Runs at each worker, those that are being stopped among them.
     runs: Vec<u32>,
     /// Workers that nothing may join: a task runs there alone, or is to.
@@ -78,6 +80,7 @@
             rooms: workers.views.iter().map(room).collect(),
             free: workers.views.iter().map(|view| view.record.capacity).collect(),
             racks,
+            owed: vec![Resources::default(); workers.views.len()],
             runs: vec![0; workers.views.len()],
             closed: vec![false; workers.views.len()],
             ..Self::default()
@@ -88,6 +91,8 @@
             survey.close_for_job(draft, id, workers, inputs);
         }
         for place in 0..survey.rooms.len() {
+            let freed = std::mem::take(&mut survey.rooms[place].freed_soon);
+            survey.free_soon(place, &freed);
             if survey.closed[place] {
                 survey.close(place);
             }
@@ -110,6 +115,8 @@
                 for (index, task) in tasks.iter().enumerate().filter(|(_, task)| task.occupies()) {
                     let Some(place) = workers.place(&task.instance) else { continue };
                     let held = step.charge();
+                    let missing = self.free[place].missing_for(&held);
+                    self.owed[place].give(&missing);
                     self.free[place].take(&held);
                     self.runs[place] += 1;
                     self.count_limited((id, occurrence.number, number as u32), step, place);
@@ -137,6 +144,11 @@
         }
     }
 
+    /// Takes note that something becomes free by a stop.
+    pub fn free_soon(&mut self, place: Place, held: &Resources) {
+        self.rooms[place].freed_soon.give_less(held, &mut self.owed[place]);
+    }
+
     /// Closes the workers where runs of a job are kept apart from others.
     fn close_for_job(
         &mut self,
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -174,10 +174,15 @@
 
     /// Lets the worker send a heartbeat.
     pub fn heartbeat(&self, instance: &str, sequence: u64) {
+        self.heartbeat_with_devices(instance, sequence, 8);
+    }
+
+    /// Lets the worker send a heartbeat that says how many accelerators it has.
+    pub fn heartbeat_with_devices(&self, instance: &str, sequence: u64, devices: u64) {
         self.host.heartbeat(Heartbeat {
             instance: instance.to_owned(),
             sequence,
-            record: worker_record("", "r1", 8),
+            record: worker_record("", "r1", devices),
             remaining: None,
         });
     }
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -93,6 +93,11 @@
         self.state.borrow_mut().running.insert((task.clone(), attempt), Instant::now());
     }
 
+    /// Takes a fencing token, after which lower ones are turned away.
+    pub fn see_fence(&self, token: u64) {
+        self.state.borrow_mut().fence = token;
+    }
+
     /// Lists all starts that it has carried out.
     pub fn starts(&self) -> Vec<(TaskId, u32)> {
         self.state.borrow().starts.clone()
