--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -354,10 +354,23 @@
 
 /// Errors of decoding a record.
 #[derive(Debug, thiserror::Error)]
-#[error("a record under the key {key} can't be read: {source}")]
-pub struct RecordError {
-    key: String,
-    source: postcard::Error,
+pub enum RecordError {
+    /// The bytes aren't a record.
+    #[error("a record under the key {key} can't be read: {source}")]
+    Unreadable {
+        /// The key.
+        key: String,
+        /// What is wrong.
+        source: postcard::Error,
+    },
+    /// The bytes are a record of something else.
+    #[error("a record under the key {key} belongs under {own}")]
+    Misplaced {
+        /// The key.
+        key: String,
+        /// The key of what the record is about.
+        own: String,
+    },
 }
 
 /// Returns the key of a run's end. A start that failed has a key of its own, so that it can't
@@ -458,10 +471,19 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the bytes aren't a record.
+    /// Returns an error if the bytes aren't a record of what the key names. Bytes of another writer may read like a
+    /// record by chance; hardly one of this key.
     pub fn decode(record: &KeyedRecord) -> Result<Self, RecordError> {
-        postcard::from_bytes(&record.value)
-            .map_err(|source| RecordError { key: record.key.clone(), source })
+        let key = &record.key;
+        let value: Self = postcard::from_bytes(&record.value)
+            .map_err(|source| RecordError::Unreadable { key: key.clone(), source })?;
+        let own = value.key();
+        let is_numbered =
+            |base: &str| base == own && matches!(value, Self::Worker(..) | Self::Ended(_));
+        if *key == own || is_numbered(split_number(key).0) {
+            return Ok(value);
+        }
+        Err(RecordError::Misplaced { key: key.clone(), own })
     }
 }
 
--- /dev/null
+++ b/crates/rampbay-jobs/tests/foreign_records.rs
@@ -0,0 +1,77 @@
+//! Records of another writer in the topic of the state: each costs only itself.
+
+mod support;
+
+use rampbay_jobs::record::{
+    EndReason, KeyedRecord, Record, RunEnd, end_key, refusal_key, worker_key,
+};
+use rampbay_jobs::table::JobTable;
+use rstest::rstest;
+use support::{job, running_plan, step, task, worker_record};
+
+const JOB: &str = "00000000000000aa";
+
+fn table() -> JobTable {
+    let mut table = JobTable::default();
+    table.apply(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))).encode());
+    let worker = Record::Worker("i-1".to_owned(), Box::new(worker_record("side-1", "r1", 8)));
+    table.apply(&worker.encode());
+    table.apply(&Record::Plan(JOB.to_owned(), Box::new(running_plan(1, "i-1", 1))).encode());
+    table
+}
+
+fn assert_unchanged(table: &JobTable) {
+    assert_eq!(format!("{table:?}"), format!("{:?}", self::table()));
+}
+
+#[rstest]
+#[case::unknown_key("note/1", b"text")]
+#[case::no_key("", b"text")]
+#[case::no_bytes_under_no_key("", b"")]
+#[case::job_of_text("job/00000000000000bb", b"{\"spec\":\"text\"}")]
+#[case::worker_of_text("worker/i-2", b"{\"service\":7}")]
+#[case::worker_cut_short("worker/i-1/77", &[4, 3, b'i'])]
+#[case::end_of_zeros("end/00000000000000aa.0.0.0/1", &[0; 40])]
+#[case::plan_of_ones("plan/00000000000000aa", &[1; 40])]
+#[case::drained_of_ones("drained", &[0xff; 12])]
+#[case::losses_of_zeros("losses/00000000000000aa", &[0; 5])]
+fn unreadable_record_passed_over(#[case] key: &str, #[case] value: &[u8]) {
+    let mut table = table();
+    table.apply(&KeyedRecord { key: key.to_owned(), value: value.to_vec() });
+    assert_unchanged(&table);
+}
+
+/// Bytes that read like a record of something else than their key names.
+#[rstest]
+#[case::cancellation_as_worker("worker/i-1/9", &Record::Cancelled(JOB.to_owned()))]
+#[case::cancellation_of_another_job("cancel/00000000000000bb", &Record::Cancelled(JOB.to_owned()))]
+#[case::eviction_of_another_worker("evicted/i-7", &Record::Evicted("i-1".to_owned()))]
+#[case::end_of_registrations_elsewhere("over/i-7", &Record::Over("i-1".to_owned(), 99))]
+#[case::numbered_like_a_registration("evicted/i-1/3", &Record::Evicted("i-1".to_owned()))]
+fn misplaced_record_passed_over(#[case] key: &str, #[case] record: &Record) {
+    let mut table = table();
+    table.apply(&KeyedRecord { key: key.to_owned(), value: record.encode().value });
+    assert_unchanged(&table);
+}
+
+/// Registrations and refusals stand under keys with a number besides.
+#[test]
+fn numbered_records_read() {
+    let mut table = table();
+    let worker = Record::Worker("i-2".to_owned(), Box::new(worker_record("side-2", "r1", 8)));
+    table.apply(&KeyedRecord { key: worker_key("i-2", 256), value: worker.encode().value });
+    assert!(table.workers.contains_key("i-2"));
+    let end = RunEnd {
+        task: task(JOB, 0),
+        attempt: 1,
+        reason: EndReason::NotStarted,
+        checkpoint: String::new(),
+        instance: "i-1".to_owned(),
+    };
+    let value = Record::Ended(Box::new(end.clone())).encode().value;
+    for key in [refusal_key(&end, 512), refusal_key(&end, 0), end_key(&end)] {
+        let mut table = self::table();
+        table.apply(&KeyedRecord { key, value: value.clone() });
+        assert_eq!(table.ends.len(), 1);
+    }
+}
