fix: ages that prove something count the time for which a machine was suspended

Cause: the runtime's clock stands still while a machine is suspended, so a process that wakes took its view of the store, the configuration and its worker's last sign for younger than they were.

Ruled out: the time of day (it jumps); the same clock for leases and for the leader's waits. Workers measure leases by a clock that stands still, so those are over no sooner than the steady clock says, and waiting longer is safe.

Change: one clock (CLOCK_BOOTTIME, by nix) in one place; ages of views, the times that answers speak for, a worker's last sign and the moment of a caller's question go by it. Tests on virtual time give it their own source.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::clock::Moment;
 use crate::job::{InstanceId, Resources};
 use crate::record::{ProgressReport, RunProgress, WorkerRecord};
 use crate::registrations::RegistrationNumber;
@@ -60,10 +61,10 @@
     pub(super) storing: Cell<bool>,
     /// Number of appends of ends that the store hasn't answered.
     pub(super) storing_ends: Cell<usize>,
-    /// When a call that renews was sent last.
+    /// When a call that renews was sent last, by a clock that stands still while the worker's may.
     pub(super) lease_sent: Cell<Instant>,
     /// When the worker answered or was heard last.
-    pub(super) heard: Cell<Instant>,
+    pub(super) heard: Cell<Moment>,
     pub(super) record: RefCell<WorkerRecord>,
     /// Number under which the store has kept a registration by this process last.
     pub(super) kept_number: Cell<Option<RegistrationNumber>>,
@@ -101,7 +102,7 @@
             storing: Cell::new(false),
             storing_ends: Cell::new(0),
             lease_sent: Cell::new(now),
-            heard: Cell::new(now),
+            heard: Cell::new(Moment::now()),
             record: RefCell::new(record),
             kept_number: Cell::new(None),
             number: Cell::new(None),
@@ -116,7 +117,7 @@
 
     /// Takes in a heartbeat, unless a later one has come.
     pub(super) fn hear(&self, sequence: u64, record: WorkerRecord) {
-        self.heard.set(Instant::now());
+        self.heard.set(Moment::now());
         if sequence < self.sequence.get() {
             return;
         }
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use crate::clock::Moment;
 use crate::record::EndReason;
 use crate::worker::{Listing, RenewOrder, WorkerError};
 
@@ -97,7 +98,7 @@
 
     fn take_in(self: &Rc<Self>, listing: &Listing, sent: Instant) {
         let now = Instant::now();
-        self.heard.set(now);
+        self.heard.set(Moment::now());
         self.clock.set(Some((listing.clock, now)));
         self.take_in_running(listing);
         self.finish_vanished(listing, sent);
--- a/crates/rampbay-jobs/src/echo.rs
+++ b/crates/rampbay-jobs/src/echo.rs
@@ -7,13 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_trait::async_trait;
-use tokio::time::Instant;
-
+use crate::clock::Moment;
 use crate::job::NodeName;
 use crate::process::LiveTable;
 use crate::record::{KeyedRecord, STATE_TOPIC};
 use crate::store::{AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store};
+use async_trait::async_trait;
 
 /// A store whose appends go into a table at once.
 pub struct EchoStore {
@@ -39,7 +38,7 @@
     ) -> Result<Offset, AppendError> {
         // A repeat of a fenced append gets its first answer again, also one that came another way: it says
         // nothing about what came after the first.
-        let sent = fence.is_none().then(Instant::now);
+        let sent = fence.is_none().then(Moment::now);
         let end = self.store.append(topic, records, fence).await?;
         if topic == STATE_TOPIC {
             self.live.take_in(end, records, sent);
--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::audience::Passed;
+use crate::clock::Moment;
 use crate::freshness::Freshness;
 use crate::record::KeyedRecord;
 use crate::store::{Batch, Offset, ReadError, Store};
@@ -117,12 +118,12 @@
     freshness: &Freshness,
     sink: &mut impl Sink,
 ) -> Result<(), ReadError> {
-    let mut proven_at = Instant::now();
+    let mut proven_at = Moment::now();
     let snapshot = store.newest(topic).await?;
     let mut later = Vec::new();
     let mut position = snapshot.read_from;
     while position < snapshot.end.max(freshness.position()) {
-        let started = Instant::now();
+        let started = Moment::now();
         let batch = store.read(topic, position, wait).await?;
         if batch.next <= position {
             // Read through a view that is older than the parts, this one would have gaps.
@@ -144,7 +145,7 @@
 
 /// Returns the time up to which an answer proves a view that has come to `position`: none if the log goes
 /// on behind it.
-fn proven_by(batch: &Batch, position: Offset, started: Instant) -> Option<Instant> {
+fn proven_by(batch: &Batch, position: Offset, started: Moment) -> Option<Moment> {
     if position < batch.end {
         return None;
     }
@@ -158,7 +159,7 @@
     freshness: &Freshness,
     sink: &mut impl Sink,
 ) -> Result<(), ReadError> {
-    let started = Instant::now();
+    let started = Moment::now();
     let from = freshness.position();
     let batch = store.read(topic, from, wait).await?;
     let count = batch.records.len() as u64;
--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -8,12 +8,13 @@
 use tokio::time::Instant;
 
 use crate::audience::Passed;
+use crate::clock::Moment;
 use crate::store::{Batch, Offset, ReadError};
 
 /// How current the view is.
 #[derive(Debug)]
 pub struct Freshness {
-    proven_at: Cell<Option<Instant>>,
+    proven_at: Cell<Option<Moment>>,
     position: Cell<Offset>,
     changed: watch::Sender<u64>,
     recent: RefCell<Recent>,
@@ -177,7 +178,7 @@
 
     /// Takes note that the view holds all that the store had acknowledged at this time. Whoever
     /// waits for a view that is current is told.
-    pub(crate) fn prove(&self, at: Instant) {
+    pub(crate) fn prove(&self, at: Moment) {
         let was_stale = !self.is_within(STALE_AFTER);
         if self.proven_at.get().is_none_or(|before| before < at) {
             self.proven_at.set(Some(at));
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 
+use crate::clock::Moment;
 use crate::drained::DrainOrders;
 use crate::freshness::Freshness;
 use crate::job::{JobId, Submission, WorkspaceName};
@@ -280,7 +281,7 @@
     /// is no such job takes it as cancelled: in a table from before the call it may be missing although
     /// another entry has accepted it, and it would run on.
     async fn current_status(&self, id: &JobId, patience: Patience) -> Result<JobStatus, Refusal> {
-        let asked = Instant::now();
+        let asked = Moment::now();
         let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
         loop {
             if let Some(status) = self.table.borrow().status(id) {
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod agent;
 pub mod audience;
 pub mod candidacy;
+pub mod clock;
 pub mod drained;
 pub mod echo;
 pub mod follower;
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -4,9 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::Instant;
-
 use crate::audience::Passed;
+use crate::clock::Moment;
 use crate::follower::{Pace, Sink, follow, take_in};
 use crate::freshness::Freshness;
 use crate::planner::ProgressTable;
@@ -55,7 +54,7 @@
 
     /// Takes in records that this process has appended itself, if they follow on what it holds.
     /// `end` is the offset after them; `sent` is when they were sent, if they surely weren't appended before.
-    pub(crate) fn take_in(&self, end: Offset, records: &[KeyedRecord], sent: Option<Instant>) {
+    pub(crate) fn take_in(&self, end: Offset, records: &[KeyedRecord], sent: Option<Moment>) {
         let known = self.freshness.position();
         if self.freshness.age().is_none() || known + records.len() as u64 != end {
             return;
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::clock::Moment;
 use crate::job::NodeName;
 use crate::record::KeyedRecord;
 
@@ -84,7 +85,7 @@
     /// Returns the time for which the answer speaks, to a reader whose call began at `started`: all that
     /// the store had acknowledged by then lies before `end`. `None` if that is too long ago to be told.
     #[must_use]
-    pub fn speaks_for(&self, started: Instant) -> Option<Instant> {
+    pub fn speaks_for(&self, started: Moment) -> Option<Moment> {
         (started + self.waited).checked_sub(self.age)
     }
 
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -10,7 +10,7 @@
 pub mod way;
 pub mod worker;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,9 +36,29 @@
         .start_paused(true)
         .build()
         .expect("a runtime");
+    rampbay_jobs::clock::use_source(time_with_suspension);
+    SUSPENDED.set(Duration::ZERO);
     tokio::task::LocalSet::new().block_on(&runtime, test);
 }
 
+thread_local! {
+    static SUSPENDED: Cell<Duration> = const { Cell::new(Duration::ZERO) };
+}
+
+/// Lets a time pass for which all machines are suspended: the steady clock, and with it all timers, stand still.
+pub fn suspend(time: Duration) {
+    SUSPENDED.set(SUSPENDED.get() + time);
+}
+
+fn time_with_suspension() -> Duration {
+    thread_local! {
+        static START: tokio::time::Instant = tokio::time::Instant::now();
+    }
+    // Beyond any age that is subtracted.
+    const BOOTED: Duration = Duration::from_secs(1_000_000);
+    BOOTED + START.with(tokio::time::Instant::elapsed) + SUSPENDED.get()
+}
+
 /// Settings like those of the first deployments.
 pub fn settings() -> Settings {
     let text = serde_json::json!({
