fix: a worker that goes after its notice is given up by its last lease

The leader evicted it after 7 s of silence and gave it up 15.7 s after that.

Ruled out: a refused call as proof that its runs are over (they may outlive the listener); a shorter guard for all (outages of the store would cost work).

Change: once the time of its notice is over and nobody listens at its address, the agent stops renewing its leases and tells the store that it departs. The rule for departures then ends it by the last lease, 6.7 s, also without the agent. A refused call counts as proof only after a good-bye, as before.

Measured: the new test (agent gone 1.5 s after the worker) fails on the code before, passes now: elsewhere within 8 s instead of 22.7.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -73,7 +73,10 @@
     /// Whether the state held the worker when it was looked at last.
     pub(super) was_registered: Cell<bool>,
     sequence: Cell<u64>,
+    /// When it was taken to leave. Its leases are never renewed again.
     left_at: Cell<Option<Instant>>,
+    /// Whether it has told this process that it ends now.
+    said_goodbye: Cell<bool>,
     over: Cell<Option<LifeEnd>>,
     is_abandoned: Cell<bool>,
     abandoned: Notify,
@@ -109,6 +112,7 @@
             was_registered: Cell::new(false),
             sequence: Cell::new(0),
             left_at: Cell::new(left_at),
+            said_goodbye: Cell::new(false),
             over: Cell::new(None),
             is_abandoned: Cell::new(false),
             abandoned: Notify::new(),
@@ -145,6 +149,29 @@
     /// Takes in that the worker ends now.
     pub(super) fn leave(&self) {
         log::info!("event=J162 worker leaves worker={}", self.instance);
+        self.said_goodbye.set(true);
+        self.depart();
+    }
+
+    /// Takes in that nobody listens at the worker's address. Once the time of its notice is over, it has most likely
+    /// gone without good-bye. Its leases are renewed no more then, and the store is told so: should this machine go as
+    /// well, the leader gives its runs up by their last lease (6.7 s), not by the agent's silence (22.7 s).
+    pub(super) fn note_refused(&self) {
+        let is_over = {
+            let record = self.record.borrow();
+            record.draining && record.leaves_at <= (self.parts.wall_clock)()
+        };
+        if is_over && self.left_at.get().is_none() {
+            log::warn!(
+                "event=J178 worker gone after its notice worker={} runs={}",
+                self.instance,
+                self.runs.borrow().open.len()
+            );
+            self.depart();
+        }
+    }
+
+    fn depart(&self) {
         self.left_at.set(Some(Instant::now()));
         {
             let mut record = self.record.borrow_mut();
@@ -283,8 +310,8 @@
         self.unregister().await;
     }
 
-    /// Ends the life of a worker that has said good-bye once nobody listens at its address, or its
-    /// leases have surely lapsed.
+    /// Ends the life of a worker that leaves once its leases have surely lapsed, or nobody listens at its address
+    /// any more after its good-bye. Without that a refused call is no proof: its runs may outlive its listener.
     async fn watch_leaving(self: &Rc<Self>) {
         while !self.is_over() {
             if self.left_at.get().is_none() {
@@ -292,7 +319,7 @@
                 continue;
             }
             let lapsed = self.lease_sent.get().elapsed() > self.parts.settings.lapse;
-            if lapsed || self.nobody_listens().await {
+            if lapsed || (self.said_goodbye.get() && self.nobody_listens().await) {
                 self.end(LifeEnd::Left);
                 return;
             }
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -43,7 +43,10 @@
                     }
                 }
                 Err(WorkerError::OtherLife) => self.end(LifeEnd::Replaced),
-                Err(WorkerError::NoAnswer | WorkerError::Refused) => {
+                Err(error @ (WorkerError::NoAnswer | WorkerError::Refused)) => {
+                    if error == WorkerError::Refused {
+                        self.note_refused();
+                    }
                     self.judge_silence();
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
--- a/crates/rampbay-jobs/tests/departures.rs
+++ b/crates/rampbay-jobs/tests/departures.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use rstest::rstest;
+use support::site::{Site, Work};
 use support::store::{MemoryStore, Trouble};
 use support::worker::FakeWorker;
-use support::{AgentRig, on_virtual_time, seed_running_job, table_of, task};
+use support::{AgentRig, on_virtual_time, seed_running_job, step, table_of, task};
 use tokio::time::sleep;
 
 const JOB: &str = "00000000000000aa";
@@ -105,3 +106,45 @@
         assert!(!rig.host.is_settled());
     });
 }
+
+/// Seen on the bench: workers got two seconds' notice and went without good-bye, and their machines 3.4 s later, before
+/// the agents could be sure that all leases had lapsed. The leader evicted them after 7 s, and gave them up 15.7 s
+/// after that; their tasks had nothing running for 22.7 s.
+#[test]
+fn worker_gone_after_notice_given_up_by_its_last_lease() {
+    on_virtual_time(async {
+        let site = Site::start(3);
+        sleep(Duration::from_millis(1500)).await;
+        site.submit(JOB, step(1, 1), Work::Ends(Duration::from_secs(30)));
+        sleep(Duration::from_millis(500)).await;
+        let machine = &site.machines[site.starts_of(JOB)[0].machine];
+        // It is stopped, to go elsewhere, and hasn't ended when the worker goes.
+        machine.worker.stops_hang.set(true);
+        site.give_notice(machine, Duration::from_secs(2));
+        sleep(Duration::from_secs(2)).await;
+        site.take_worker(machine);
+        sleep(Duration::from_millis(1500)).await;
+        site.take_agent(machine);
+        sleep(Duration::from_secs(8)).await;
+        assert_eq!(site.starts_of(JOB).len(), 2, "it goes on elsewhere within a lease");
+    });
+}
+
+/// A worker that has given notice, and whose listener refuses calls before its time is over, isn't taken as leaving;
+/// nor is one that answers after it.
+#[rstest]
+#[case::refuses_before(Duration::from_secs(60), true)]
+#[case::answers_after(Duration::from_millis(500), false)]
+fn worker_after_notice_kept(#[case] notice: Duration, #[case] refuses: bool) {
+    on_virtual_time(async move {
+        let site = Site::start(1);
+        sleep(Duration::from_millis(1500)).await;
+        let machine = &site.machines[0];
+        site.give_notice(machine, notice);
+        sleep(Duration::from_millis(1100)).await;
+        machine.worker.gone.set(refuses);
+        sleep(Duration::from_secs(2)).await;
+        let table = table_of(&site.store);
+        assert!(table.workers.values().all(|worker| worker.draining && !worker.departed));
+    });
+}
--- a/crates/rampbay-jobs/tests/support/site.rs
+++ b/crates/rampbay-jobs/tests/support/site.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::agent::Heartbeat;
 use rampbay_jobs::job::{JobId, Step, TaskId};
-use rampbay_jobs::record::{EndReason, JobStatus, Record};
+use rampbay_jobs::record::{EndReason, JobStatus, Record, WorkerRecord};
 use rampbay_jobs::store::Store;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -14,7 +15,7 @@
 use super::leader::start_leader;
 use super::store::MemoryStore;
 use super::worker::FakeWorker;
-use super::{AgentRig, job, table_of};
+use super::{AgentRig, job, table_of, worker_record};
 
 /// Time after which a crashed worker is back, as another life.
 const BACK_AFTER: Duration = Duration::from_secs(3);
@@ -58,6 +59,8 @@
     pub worker: Rc<FakeWorker>,
     agent: RefCell<Option<AgentRig>>,
     lives: Cell<u32>,
+    /// When its worker leaves, once that has given notice.
+    leaves_at: Cell<Option<Instant>>,
 }
 
 /// The machines, and what happened there.
@@ -85,6 +88,7 @@
                 worker: FakeWorker::new(&format!("i-{index}-0")),
                 agent: RefCell::default(),
                 lives: Cell::new(0),
+                leaves_at: Cell::new(None),
             })
         };
         let site = Rc::new(Self {
@@ -190,6 +194,25 @@
         self.start_agent(machine);
     }
 
+    /// Lets a machine's worker give notice that it leaves.
+    pub fn give_notice(&self, machine: &Machine, time: Duration) {
+        machine.leaves_at.set(Some(Instant::now() + time));
+    }
+
+    /// Ends a machine's worker for good, without good-bye.
+    pub fn take_worker(&self, machine: &Machine) {
+        machine.lives.set(machine.lives.get() + 1);
+        machine.worker.gone.set(true);
+        machine.worker.replace("none");
+    }
+
+    /// Ends the process of a machine's agent for good.
+    pub fn take_agent(&self, machine: &Machine) {
+        if let Some(agent) = machine.agent.borrow_mut().take() {
+            agent.kill();
+        }
+    }
+
     /// Lets a machine's worker say good-bye.
     pub fn deregister(&self, machine: &Machine) {
         let instance = machine.worker.instance.borrow().clone();
@@ -212,6 +235,15 @@
     }
 }
 
+impl Machine {
+    fn account(&self, instance: String, sequence: u64) -> Heartbeat {
+        let leaves_in = self.leaves_at.get().map(|at| at.saturating_duration_since(Instant::now()));
+        let draining = leaves_in.is_some();
+        let record = WorkerRecord { draining, ..worker_record("", "r1", 8) };
+        Heartbeat { instance, sequence, record, remaining: leaves_in }
+    }
+}
+
 /// A run at a life of a worker.
 struct StartedRun {
     site: Rc<Site>,
@@ -269,7 +301,7 @@
         if !machine.worker.gone.get() && !machine.worker.silent.get() {
             let instance = machine.worker.instance.borrow().clone();
             if let Some(agent) = machine.agent.borrow().as_ref() {
-                agent.heartbeat(&instance, sequence);
+                agent.host.heartbeat(machine.account(instance, sequence));
             }
         }
         sleep(HEARTBEAT).await;
