fix: the removal of an eviction names the eviction that it ends

Cause: one key held all evictions of a worker, so a removal without answer that landed late, after the worker had come back and was evicted again, undid the newer eviction: its agent went on with runs that were being given up.

Ruled out: a rule that newer registrations end evictions (a leader's records have an order, registrations have none beside it).

Change: evictions have the number of the registration that they evict in their key, as refusals do, and a return removes just those that its process knows.

On the code before it can't be built, since keys have no number there; by reading, the copy removed the one key there was.

--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -5,7 +5,7 @@
 
 use crate::losses::LifeOver;
 use crate::record::{
-    KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC, encode, eviction_key, removal, worker_key,
+    KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC, encode, removal, worker_key,
 };
 use crate::registrations::{RegistrationNumber, number_after, number_at};
 use crate::store::Offset;
@@ -59,7 +59,7 @@
         records.extend(others.map(|other| removal(worker_key(&self.instance, other))));
         if table.evicted.contains(&self.instance) {
             log::info!("event=J164 worker returns after eviction worker={}", self.instance);
-            records.push(removal(eviction_key(&self.instance)));
+            records.extend(table.eviction_keys(&self.instance).map(removal));
         }
         records
     }
@@ -164,7 +164,11 @@
         let life = || Record::LifeOver(self.instance.clone(), Box::new(self.life_over())).encode();
         let life = over.is_some().then(life);
         let keys = numbers.into_iter().map(|number| worker_key(&self.instance, number));
-        keys.chain([eviction_key(&self.instance)]).map(removal).chain(over).chain(life).collect()
+        keys.chain(table.eviction_keys(&self.instance))
+            .map(removal)
+            .chain(over)
+            .chain(life)
+            .collect()
     }
 
     /// Returns how the life ended, for the leader: what may have crashed it.
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -2,7 +2,7 @@
 
 use crate::losses::LifeOver;
 use crate::metrics::metrics;
-use crate::record::{Record, eviction_key};
+use crate::record::{KeyedRecord, Record, eviction_key};
 
 use super::draft::Draft;
 use super::workers::WorkerViews;
@@ -38,7 +38,8 @@
     if let Some(number) = newest {
         draft.add(Record::Over(instance.to_owned(), number).encode());
     }
-    draft.remove(eviction_key(instance));
+    let evictions: Vec<String> = draft.table.eviction_keys(instance).collect();
+    evictions.into_iter().for_each(|key| draft.remove(key));
     draft.add(Record::LifeOver(instance.to_owned(), Box::new(over)).encode());
 }
 
@@ -82,6 +83,9 @@
             view.report_age.as_millis()
         );
         metrics().decided("evict");
-        draft.add(Record::Evicted(view.instance.clone()).encode());
+        let newest = inputs.table.registrations().newest(view.instance);
+        let number = newest.map_or(0, |(number, _)| number);
+        let value = Record::Evicted(view.instance.clone()).encode().value;
+        draft.add(KeyedRecord { key: eviction_key(view.instance, number), value });
     }
 }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -419,10 +419,11 @@
     format!("losses/{job}")
 }
 
-/// Splits the key of a registration into the worker's id and the number.
+/// Splits the key of a registration, or of an eviction, into the worker's id and the number.
 #[must_use]
 pub fn split_worker_key(key: &str) -> (&str, RegistrationNumber) {
-    split_number(key.strip_prefix("worker/").unwrap_or(key))
+    let rest = key.strip_prefix("worker/").or_else(|| key.strip_prefix("evicted/"));
+    split_number(rest.unwrap_or(key))
 }
 
 fn numbered(key: String, number: RegistrationNumber) -> String {
@@ -435,14 +436,14 @@
     numbered.unwrap_or((text, 0))
 }
 
-/// Returns the key of an eviction.
+/// Returns the key of the eviction of a worker under a registration.
 #[must_use]
-pub fn eviction_key(instance: &str) -> String {
-    format!("evicted/{instance}")
+pub fn eviction_key(instance: &str, registration: RegistrationNumber) -> String {
+    numbered(format!("evicted/{instance}"), registration)
 }
 
 impl Record {
-    /// Returns the key under which it is kept. Those of registrations and refusals get a number besides.
+    /// Returns the key under which it is kept. Those of registrations, refusals and evictions get a number besides.
     #[must_use]
     pub fn key(&self) -> String {
         match self {
@@ -451,7 +452,7 @@
             Self::Plan(job, _) => format!("plan/{job}"),
             Self::Ended(end) => end_key(end),
             Self::Worker(instance, _) => worker_key(instance, 0),
-            Self::Evicted(instance) => eviction_key(instance),
+            Self::Evicted(instance) => eviction_key(instance, 0),
             Self::Leader(_) => "leader".to_owned(),
             Self::Member(member) => format!("member/{}", member.node),
             Self::Drained(_) => "drained".to_owned(),
@@ -478,8 +479,8 @@
         let value: Self = postcard::from_bytes(&record.value)
             .map_err(|source| RecordError::Unreadable { key: key.clone(), source })?;
         let own = value.key();
-        let is_numbered =
-            |base: &str| base == own && matches!(value, Self::Worker(..) | Self::Ended(_));
+        let may_be_numbered = matches!(value, Self::Worker(..) | Self::Ended(_) | Self::Evicted(_));
+        let is_numbered = |base: &str| base == own && may_be_numbered;
         if *key == own || is_numbered(split_number(key).0) {
             return Ok(value);
         }
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -8,7 +8,7 @@
 use crate::losses::{JobLosses, LifeOver};
 use crate::record::{
     EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
-    TaskStatus, WorkerRecord, split_refusal_key, split_worker_key,
+    TaskStatus, WorkerRecord, eviction_key, split_refusal_key, split_worker_key,
 };
 use crate::registrations::{RegistrationNumber, Registrations};
 
@@ -56,6 +56,8 @@
     pub workers: BTreeMap<InstanceId, Rc<WorkerRecord>>,
     /// Workers whose runs are given up.
     pub evicted: BTreeSet<InstanceId>,
+    /// The registrations under which they were evicted.
+    evictions: BTreeMap<InstanceId, BTreeSet<RegistrationNumber>>,
     /// Ends that no account holds yet, by their keys.
     pub ends: BTreeMap<String, Rc<RunEnd>>,
     /// The planner in charge.
@@ -129,6 +131,8 @@
                 self.losses.insert(job, Rc::new(*losses));
             }
             Record::Evicted(instance) => {
+                let (_, number) = split_worker_key(key);
+                self.evictions.entry(instance.clone()).or_default().insert(number);
                 self.evicted.insert(instance);
             }
             Record::Leader(leader) => {
@@ -165,6 +169,23 @@
         self.show_newest(instance);
     }
 
+    fn remove_eviction(&mut self, key: &str) {
+        let (instance, number) = split_worker_key(key);
+        let Some(numbers) = self.evictions.get_mut(instance) else { return };
+        numbers.remove(&number);
+        if numbers.is_empty() {
+            self.evictions.remove(instance);
+            self.evicted.remove(instance);
+        }
+    }
+
+    /// Lists the keys of a worker's evictions. A call that removes them may land late, when the worker has come back
+    /// and is evicted again, under another registration: that eviction stands.
+    pub fn eviction_keys<'a>(&'a self, instance: &'a str) -> impl Iterator<Item = String> + 'a {
+        let numbers = self.evictions.get(instance).into_iter().flatten();
+        numbers.map(move |number| eviction_key(instance, *number))
+    }
+
     fn show_newest(&mut self, instance: &str) {
         if let Some((_, record)) = self.registrations.newest(instance) {
             self.workers.insert(instance.to_owned(), Rc::clone(record));
@@ -280,9 +301,7 @@
             "losses" => {
                 self.losses.remove(name);
             }
-            "evicted" => {
-                self.evicted.remove(name);
-            }
+            "evicted" => self.remove_eviction(key),
             "member" => {
                 self.members.remove(name);
             }
--- a/crates/rampbay-jobs/tests/late_writes.rs
+++ b/crates/rampbay-jobs/tests/late_writes.rs
@@ -15,8 +15,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::record::{EndReason, JobStatus, KeyedRecord, Record, STATE_TOPIC, worker_key};
+use rampbay_jobs::record::{
+    EndReason, JobStatus, KeyedRecord, Record, STATE_TOPIC, eviction_key, worker_key,
+};
 use rampbay_jobs::store::Store;
+use rampbay_jobs::table::JobTable;
 use rstest::rstest;
 use support::entry::ThroughEntry;
 use support::leader::start_leader;
@@ -391,3 +394,23 @@
         assert_runs_once(&rig);
     });
 }
+
+/// The removal of an eviction lands once more, late, when the worker has come back and is evicted again. Without a
+/// number it undid the newer one, and the agent went on with runs that were being given up.
+#[test]
+fn late_removal_of_an_eviction_leaves_a_newer_one() {
+    let mut table = JobTable::default();
+    let worker = Record::Worker(WORKER.to_owned(), Box::new(worker_record("side-1", "r1", 8)));
+    let eviction = Record::Evicted(WORKER.to_owned()).encode().value;
+    let mut apply = |key: String, value: &[u8]| {
+        table.apply(&KeyedRecord { key, value: value.to_vec() });
+        table.evicted.contains(WORKER)
+    };
+    apply(worker_key(WORKER, 256), &worker.encode().value);
+    assert!(apply(eviction_key(WORKER, 256), &eviction));
+    assert!(!apply(eviction_key(WORKER, 256), &[]), "it has returned");
+    apply(worker_key(WORKER, 257), &worker.encode().value);
+    assert!(apply(eviction_key(WORKER, 257), &eviction));
+    assert!(apply(eviction_key(WORKER, 256), &[]), "the late copy");
+    assert!(!apply(eviction_key(WORKER, 257), &[]));
+}
