refactor: keys of the state and stops of an agent stand in modules of their own

Change: moved, nothing else. keys.rs, agent/stops.rs.

Measured: tests of rampbay-jobs and rampbay-peer pass, lint is clean.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -11,6 +11,7 @@
 mod renewals;
 mod room;
 mod runs;
+mod stops;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -4,10 +4,9 @@
 use std::time::Duration;
 
 use crate::job::Checkpoint;
+use crate::keys::{end_key, refusal_key};
 use crate::metrics::metrics;
-use crate::record::{
-    EndReason, KeyedRecord, Record, RunEnd, STATE_TOPIC, encode, end_key, refusal_key,
-};
+use crate::record::{EndReason, KeyedRecord, Record, RunEnd, STATE_TOPIC, encode};
 use crate::worker::Listing;
 
 use super::life::Life;
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -7,7 +7,7 @@
 
 use crate::metrics::metrics;
 use crate::record::{EndReason, TaskStatus};
-use crate::worker::{Refusal, StartOrder, Started, StopOrder, WorkerError};
+use crate::worker::{Refusal, StartOrder, Started, WorkerError};
 
 use super::ends::PendingEnd;
 use super::life::{Life, LifeEnd};
@@ -16,8 +16,6 @@
 
 /// Longest time between two looks at what has to be done.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
-/// Pause between a stop's answer and the look that shows whether a run was there at all.
-const LOOK_PAUSE: Duration = Duration::from_millis(5);
 /// Pause before a start that met a higher fencing token, or a wrong clock, is tried again.
 const START_RETRY: Duration = Duration::from_millis(100);
 /// How often a start without answer is ordered again before it is given up.
@@ -26,12 +24,10 @@
 const REFUSED_REPEATS: u32 = 3;
 /// Pause before such a start is ordered again.
 const REFUSED_RETRY: Duration = Duration::from_millis(60);
-/// Pause before a stop without answer is repeated.
-const STOP_RETRY: Duration = Duration::from_millis(50);
 
 /// A run that the table wants.
-struct Wanted {
-    key: RunKey,
+pub(super) struct Wanted {
+    pub(super) key: RunKey,
     payload: String,
     checkpoint: String,
 }
@@ -88,37 +84,12 @@
         others.any(|other| !runs.over.contains(other))
     }
 
-    /// Settles runs that may have been given up already: the worker is evicted, or its registration is gone or was
-    /// when they were assigned, or an earlier process of this agent has refused them. The planner may start them
-    /// elsewhere by a decision that is on its way, and a start by an earlier process may still be carried out. So
-    /// each goes through a stop, after which it surely never starts here, and the planner is told so.
-    fn settle_given_up(&self) {
-        for wanted in self.wanted().into_iter().filter(|wanted| self.may_be_given_up(&wanted.key)) {
-            let (task, attempt) = &wanted.key;
-            log::info!(
-                "event=J174 run passed back task={task} attempt={attempt} worker={} position={}",
-                self.instance,
-                self.parts.freshness.position()
-            );
-            let run = Run::new(Phase::Unanswered(Instant::now()));
-            self.runs.borrow_mut().open.insert(wanted.key, run);
-        }
-    }
-
-    fn is_evicted(&self) -> bool {
+    pub(super) fn is_evicted(&self) -> bool {
         self.parts.table.borrow().evicted.contains(&self.instance)
     }
 
-    fn may_be_given_up(&self, key: &RunKey) -> bool {
-        let table = self.parts.table.borrow();
-        table.evicted.contains(&self.instance)
-            || !table.workers.contains_key(&self.instance)
-            || table.was_assigned_before_return(&self.instance, key)
-            || table.has_refusal(&key.0, key.1)
-    }
-
     /// Lists the runs that the table wants and that this life has never had.
-    fn wanted(&self) -> Vec<Wanted> {
+    pub(super) fn wanted(&self) -> Vec<Wanted> {
         let table = self.parts.table.borrow();
         let runs = self.runs.borrow();
         let mut wanted = Vec::new();
@@ -145,24 +116,6 @@
         wanted
     }
 
-    /// Takes up runs that the planner wants stopped and this process never heard of. A start by an
-    /// earlier process may still be on its way, so each goes through a stop like any other.
-    fn take_up_unknown_stops(&self) {
-        let table = self.parts.table.borrow();
-        let mut runs = self.runs.borrow_mut();
-        for id in &table.active {
-            let Some(plan) = table.jobs.get(id).and_then(|job| job.plan.as_ref()) else { continue };
-            for (task_id, task) in plan.tasks(id) {
-                let is_mine = task.status == TaskStatus::Stopping && task.instance == self.instance;
-                let key = (task_id, task.attempt);
-                if is_mine && !runs.over.contains(&key) {
-                    let unheard = || Run::new(Phase::Unanswered(Instant::now()));
-                    runs.open.entry(key).or_insert_with(unheard);
-                }
-            }
-        }
-    }
-
     async fn start(self: &Rc<Self>, wanted: Wanted) {
         let mut unanswered = 0;
         let mut refused = 0;
@@ -285,75 +238,6 @@
             }
         }
     }
-
-    fn stop_unwanted(self: &Rc<Self>) {
-        for key in self.unwanted() {
-            if let Some(run) = self.runs.borrow_mut().open.get_mut(&key) {
-                run.stop_in_flight = true;
-            }
-            let life = Rc::clone(self);
-            tokio::task::spawn_local(async move { life.stop(key).await });
-        }
-    }
-
-    /// Lists runs that the table doesn't want, and starts that got no answer for too long.
-    fn unwanted(&self) -> Vec<RunKey> {
-        let table = self.parts.table.borrow();
-        let evicted = table.evicted.contains(&self.instance);
-        let runs = self.runs.borrow();
-        let unwanted = runs.open.iter().filter(|(key, run)| {
-            let (task, attempt) = key;
-            let shows_up = run.phase == Phase::Running && runs.never_started.contains(*key);
-            if runs.over.contains(*key) && !shows_up {
-                return false;
-            }
-            let is_settling = run.stop_in_flight || run.look_in_flight;
-            if is_settling || run.stop_answered.is_some() || run.phase == Phase::Starting {
-                return false;
-            }
-            let unanswered = matches!(run.phase, Phase::Unanswered(since)
-                if since.elapsed() > self.parts.settings.unanswered_start);
-            shows_up || unanswered || evicted || !table.wants_run(&self.instance, task, *attempt)
-        });
-        unwanted.map(|(key, _)| key.clone()).collect()
-    }
-
-    async fn stop(self: &Rc<Self>, key: RunKey) {
-        let order =
-            StopOrder { task: key.0.clone(), attempt: key.1, fencing_token: self.fencing_token() };
-        while !self.is_over() {
-            let order = StopOrder { fencing_token: self.fencing_token(), ..order.clone() };
-            let outcome = self.worker.stop(&order).await;
-            metrics().ordered("stop");
-            log::info!(
-                "event=J167 stop ordered task={} attempt={} worker={} outcome={outcome:?}",
-                key.0,
-                key.1,
-                self.instance
-            );
-            match outcome {
-                Ok(()) => break,
-                Err(WorkerError::OtherLife) => self.end(LifeEnd::Replaced),
-                Err(_) => tokio::time::sleep(STOP_RETRY).await,
-            }
-        }
-        self.settle_as_stopped(&key);
-        let runs = |run: &Run| run.phase == Phase::Running;
-        if !self.runs.borrow().open.get(&key).is_some_and(runs) {
-            // It may never have started: no end will tell.
-            tokio::time::sleep(LOOK_PAUSE).await;
-            self.look().await;
-        }
-    }
-
-    /// Leaves a run to the next listing: it has ended by now, or never starts.
-    fn settle_as_stopped(&self, key: &RunKey) {
-        if let Some(run) = self.runs.borrow_mut().open.get_mut(key) {
-            run.stop_answered = Some(Instant::now());
-            run.stop_in_flight = false;
-        }
-        self.wake.notify_waiters();
-    }
 }
 
 /// Returns whether a run may have begun by an order. A worker that answers otherwise has done nothing, and one that
--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::keys::worker_key;
 use crate::losses::LifeOver;
-use crate::record::{
-    KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC, encode, removal, worker_key,
-};
+use crate::record::{KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC, encode, removal};
 use crate::registrations::{RegistrationNumber, number_after, number_at};
 use crate::store::Offset;
 use crate::table::JobTable;
--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -7,7 +7,8 @@
 use std::collections::BTreeSet;
 
 use crate::job::NodeName;
-use crate::record::{JobPlan, KeyedRecord, Record, split_worker_key};
+use crate::keys::split_worker_key;
+use crate::record::{JobPlan, KeyedRecord, Record};
 use crate::table::JobTable;
 
 /// Whom a record concerns.
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod freshness;
 pub mod intake;
 pub mod job;
+pub mod keys;
 pub mod leader;
 pub mod losses;
 pub mod metrics;
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -1,8 +1,9 @@
 //! Gives up the runs of workers whose agents are silent, once none of them can exist any more.
 
+use crate::keys::eviction_key;
 use crate::losses::LifeOver;
 use crate::metrics::metrics;
-use crate::record::{KeyedRecord, Record, eviction_key};
+use crate::record::{KeyedRecord, Record};
 
 use super::draft::Draft;
 use super::workers::WorkerViews;
--- a/crates/rampbay-jobs/src/planner/expire.rs
+++ b/crates/rampbay-jobs/src/planner/expire.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::job::JobId;
-use crate::record::{Record, life_key, losses_key, over_key, worker_key};
+use crate::keys::{life_key, losses_key, over_key, worker_key};
+use crate::record::Record;
 
 use super::draft::Draft;
 use super::{Planner, RoundInputs};
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -4,9 +4,8 @@
 use std::rc::Rc;
 
 use crate::job::{JobId, Step, Submission, TaskId};
-use crate::record::{
-    EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus, split_refusal_key,
-};
+use crate::keys::split_refusal_key;
+use crate::record::{EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus};
 use crate::table::JobTable;
 
 use super::RoundInputs;
--- a/crates/rampbay-jobs/src/registrations.rs
+++ b/crates/rampbay-jobs/src/registrations.rs
@@ -9,7 +9,8 @@
 use std::rc::Rc;
 
 use crate::job::{EpochMillis, InstanceId};
-use crate::record::{WorkerRecord, worker_key};
+use crate::keys::worker_key;
+use crate::record::WorkerRecord;
 use crate::store::Offset;
 
 /// Names a registration of one worker; the highest counts. An agent's process takes one for each life that it serves,
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -5,10 +5,11 @@
 
 use crate::drained::DrainedDomains;
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
+use crate::keys::{eviction_key, split_refusal_key, split_worker_key};
 use crate::losses::{JobLosses, LifeOver};
 use crate::record::{
     EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
-    TaskStatus, WorkerRecord, eviction_key, split_refusal_key, split_worker_key,
+    TaskStatus, WorkerRecord,
 };
 use crate::registrations::{RegistrationNumber, Registrations};
 
--- a/crates/rampbay-jobs/tests/foreign_records.rs
+++ b/crates/rampbay-jobs/tests/foreign_records.rs
@@ -2,9 +2,8 @@
 
 mod support;
 
-use rampbay_jobs::record::{
-    EndReason, KeyedRecord, Record, RunEnd, end_key, refusal_key, worker_key,
-};
+use rampbay_jobs::keys::{end_key, refusal_key, worker_key};
+use rampbay_jobs::record::{EndReason, KeyedRecord, Record, RunEnd};
 use rampbay_jobs::table::JobTable;
 use rstest::rstest;
 use support::{job, running_plan, step, task, worker_record};
--- a/crates/rampbay-jobs/tests/late_writes.rs
+++ b/crates/rampbay-jobs/tests/late_writes.rs
@@ -15,9 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::record::{
-    EndReason, JobStatus, KeyedRecord, Record, STATE_TOPIC, eviction_key, worker_key,
-};
+use rampbay_jobs::keys::{eviction_key, worker_key};
+use rampbay_jobs::record::{EndReason, JobStatus, KeyedRecord, Record, STATE_TOPIC};
 use rampbay_jobs::store::Store;
 use rampbay_jobs::table::JobTable;
 use rstest::rstest;
--- a/crates/rampbay-jobs/tests/partial_views.rs
+++ b/crates/rampbay-jobs/tests/partial_views.rs
@@ -13,7 +13,8 @@
 use std::time::Duration;
 
 use rampbay_jobs::audience::Audience;
-use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC, worker_key};
+use rampbay_jobs::keys::worker_key;
+use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC};
 use rampbay_jobs::store::{Batch, Store};
 use rampbay_jobs::table::JobTable;
 use rand::SeedableRng;
