fix: a task that is kept apart waits for a worker of its own for a while only

Cause: by reading. From the third loss on a task ran on a worker of its own or not at all: where something that lasts runs on each worker, or a gang needs more workers than are ever idle, it waited for ever, and kept workers from others meanwhile. And of many runs of one age that went with a worker each was taken for the most suspect, and took a worker of its own.

Ruled out: stopping others for it (their work is thrown away for a suspicion).

Change: it waits for 2.5 s, placed first, and then runs beside others; more than two units of one age make none of them stand out.

--- a/crates/rampbay-jobs/src/losses.rs
+++ b/crates/rampbay-jobs/src/losses.rs
@@ -98,8 +98,9 @@
 /// For how long a worker that goes soon after a start may have listed the run, in milliseconds: it lists what it has
 /// once a second at least.
 const SOON_MS: u64 = 1000;
-/// Losses after which a task is given up however they came about. From the third on it runs alone only, so two of
-/// five have no neighbour to blame; after the third crash two more starts are the most that users accept.
+/// Losses after which a task is given up however they came about: after the third crash two more starts are the most
+/// that users accept. From the third loss on it is kept apart before all others, so that it takes nobody with it, and
+/// hardly has a neighbour to blame.
 const MOST_LOSSES: usize = 5;
 /// Time after a loss within which another one of the same unit counts only if the run may have begun, in milliseconds.
 /// Where many machines lose power, what was lost at one is assigned to the next, whose agent doesn't know yet that its
@@ -117,8 +118,8 @@
     None,
     /// It gets a worker of its own where one is idle soon.
     Preferred,
-    /// It runs on a worker of its own, or waits for one.
-    Required,
+    /// It gets one before all others, and waits longer for it.
+    First,
 }
 
 /// What a unit has lost.
@@ -164,7 +165,7 @@
             [] => Isolation::None,
             [only] if !only.was_youngest => Isolation::None,
             [_] | [_, _] => Isolation::Preferred,
-            _ => Isolation::Required,
+            _ => Isolation::First,
         }
     }
 
--- a/crates/rampbay-jobs/src/planner/isolate.rs
+++ b/crates/rampbay-jobs/src/planner/isolate.rs
@@ -1,8 +1,8 @@
 //! Keeps tasks apart that may crash their workers: on a worker of their own they take nothing with them, and a crash
 //! there has no other cause among the tasks.
 //!
-//! A worker with such a task counts as full, so nothing joins it. A task that has lost one or two workers prefers
-//! that, and runs beside others where no worker is idle soon; from the third loss on it waits for one.
+//! A worker with such a task counts as full, so nothing joins it. Where no worker is idle soon, it runs beside others
+//! all the same: something that lasts may run on each of them. From the third loss on it waits longer, and goes first.
 
 use std::time::Duration;
 
@@ -23,6 +23,8 @@
 /// How long a task that prefers a worker of its own waits for an idle one, in milliseconds. It has waited some
 /// seconds already, until its last worker was surely gone.
 const PATIENCE_MS: u64 = 1000;
+/// The same from the third loss on: short enough that no job has nothing running for three quiet seconds.
+const LONGER_PATIENCE_MS: u64 = 2500;
 /// How long a run goes on without a crash before others may join it: ten times the longest time that a crash was
 /// seen to take from a start (500 ms).
 const ISOLATED_FOR: Duration = Duration::from_secs(5);
@@ -98,8 +100,8 @@
 ) -> Tried {
     let Part { waiting, isolation } = part;
     let losses = waiting.tasks.first().and_then(|&index| losses_of(draft, &waiting.task(index)));
-    let is_required = *isolation == Isolation::Required;
-    if !is_required && rooms.closed() * 100 >= rooms.rooms.len() * MOST_ISOLATED_PERCENT {
+    let is_first = *isolation == Isolation::First;
+    if !is_first && rooms.closed() * 100 >= rooms.rooms.len() * MOST_ISOLATED_PERCENT {
         return Tried::Beside;
     }
     let idle: Vec<Place> =
@@ -114,7 +116,8 @@
         }
     }
     let waited = losses.and_then(UnitLosses::latest).map(|at| inputs.wall.saturating_sub(at));
-    if !is_required && waited.is_none_or(|waited| waited > PATIENCE_MS) {
+    let patience = if is_first { LONGER_PATIENCE_MS } else { PATIENCE_MS };
+    if waited.is_none_or(|waited| waited > patience) {
         return Tried::Beside;
     }
     keep_soonest_idle(rooms, need, waiting.tasks.len());
--- a/crates/rampbay-jobs/src/planner/lost.rs
+++ b/crates/rampbay-jobs/src/planner/lost.rs
@@ -17,6 +17,9 @@
 /// Runs that were started within this time of each other, in milliseconds, are equally young: more than the orders
 /// of one round take to get to a worker.
 const SAME_AGE_MS: u64 = 100;
+/// Units of one age at a worker of which each is more suspect than those before them. Of more, none stands out: a worker
+/// of its own for each would take a third of the fleet after a crash that has nothing to do with them.
+const MOST_YOUNGEST: usize = 2;
 /// Time within which workers that go have gone at one moment: agents notice within the second between heartbeats.
 const ONE_MOMENT: Duration = Duration::from_millis(1000);
 /// Workers that go at one moment by a common cause, such as a loss of power. Two may be two tasks that crash theirs.
@@ -129,7 +132,7 @@
         return;
     }
     let begun = over.and_then(|over| over.runs.as_deref());
-    let youngest = begun.and_then(|runs| runs.iter().map(|run| run.age_ms).min());
+    let youngest = begun.and_then(|runs| youngest_age_ms(draft, runs));
     let node = inputs.table.agent_of(instance).cloned().unwrap_or_default();
     let may_have_begun = |run: &&Lost| begun.is_none_or(|runs| find(runs, run).is_some());
     let begun_here: Vec<&Lost> = lost.iter().filter(may_have_begun).collect();
@@ -141,8 +144,7 @@
     for run in begun_here {
         let last = begun.and_then(|runs| find(runs, run));
         let age_ms = last.map(|last| last.age_ms);
-        let is_youngest =
-            age_ms.zip(youngest).is_some_and(|(age, least)| age <= least + SAME_AGE_MS);
+        let is_youngest = age_ms.zip(youngest).is_some_and(|(age, most)| age <= most);
         let is_proof = is_alone && last.is_some_and(LastRun::went_soon);
         let (id, unit) = unit_of(draft, &run.task);
         let lost_run = LostRun {
@@ -168,6 +170,14 @@
     }
 }
 
+/// Returns up to which age a run stands out as the youngest, in milliseconds; `None` where too many are of one age.
+fn youngest_age_ms(draft: &Draft<'_>, runs: &[LastRun]) -> Option<u64> {
+    let age_ms = runs.iter().map(|run| run.age_ms).min()? + SAME_AGE_MS;
+    let youngest = runs.iter().filter(|run| run.age_ms <= age_ms);
+    let units: BTreeSet<(JobId, UnitKey)> = youngest.map(|run| unit_of(draft, &run.task)).collect();
+    (units.len() <= MOST_YOUNGEST).then_some(age_ms)
+}
+
 fn find<'a>(runs: &'a [LastRun], lost: &Lost) -> Option<&'a LastRun> {
     runs.iter().find(|run| run.task == lost.task && run.attempt == lost.attempt)
 }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -35,10 +35,10 @@
     let mut rooms = Rooms::survey(planner, draft, workers, inputs);
     choose_reserve(&mut rooms);
     let parts = waiting.iter().flat_map(|step| parts(draft, step));
-    // What may run alone only goes first: it holds up nothing but an idle worker, and waits for one the longer the
-    // busier the others are.
+    // What has lost most goes first: it holds up nothing but an idle worker, and finds one the more rarely the busier
+    // the others are.
     let (first, then): (Vec<Part>, Vec<Part>) =
-        parts.partition(|part| part.isolation == Isolation::Required);
+        parts.partition(|part| part.isolation == Isolation::First);
     for part in first.iter().chain(&then) {
         waits.extend(place_part(draft, &mut rooms, part, inputs));
     }
@@ -52,7 +52,7 @@
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
     let step = &part.waiting;
-    let uses_reserve = may_use_reserve(step, inputs.wall) || part.isolation == Isolation::Required;
+    let uses_reserve = may_use_reserve(step, inputs.wall) || part.isolation == Isolation::First;
     let need = Need::of(step, failed_workers(draft, step), uses_reserve, rooms);
     if part.isolation != Isolation::None {
         match find_apart(draft, rooms, part, &need, inputs) {
--- a/crates/rampbay-jobs/tests/crashes.rs
+++ b/crates/rampbay-jobs/tests/crashes.rs
@@ -334,3 +334,41 @@
         assert_eq!(site.starts_of(KILLER).len(), 5);
     });
 }
+
+/// A worker of its own isn't to be had where something that lasts runs on each. The task goes on beside others then,
+/// after a while, and is given up all the same.
+#[test]
+fn crashing_task_is_given_up_where_no_worker_is_ever_idle() {
+    on_virtual_time(async {
+        let site = Site::start(4);
+        sleep(BEGINS).await;
+        let lasting = Step { long_running: true, max_per_worker: 1, ..step(4, 1) };
+        site.submit("0000000000000001", lasting, Work::Ends(Duration::from_secs(3600)));
+        sleep(BEGINS).await;
+        site.submit(KILLER, gang(3, 4), Work::GangCrashes(Duration::from_millis(10)));
+        site.submit(SECOND_KILLER, step(1, 1), Work::Crashes(Duration::from_millis(10)));
+        sleep(LONG).await;
+        assert_eq!(site.status(KILLER), JobStatus::Failed, "{:?}", site.starts_of(KILLER));
+        assert_given_up(&site, SECOND_KILLER);
+        assert_eq!(site.status("0000000000000001"), JobStatus::Running);
+    });
+}
+
+/// Many runs of one age go with a worker: none of them is more suspect than the others, and they don't take a worker
+/// each.
+#[test]
+fn runs_of_one_age_are_not_kept_apart() {
+    on_virtual_time(async {
+        let site = Site::start(6);
+        sleep(BEGINS).await;
+        site.submit(KILLER, step(6, 1), Work::Ends(Duration::from_secs(8)));
+        sleep(Duration::from_secs(2)).await;
+        let first = site.starts_of(KILLER);
+        assert!(first.iter().all(|start| start.machine == first[0].machine), "they are packed");
+        site.crash(&site.machines[first[0].machine]);
+        sleep(CRASH_IS_KNOWN).await;
+        let second: Vec<_> = site.starts_of(KILLER).into_iter().skip(6).collect();
+        assert_eq!(second.len(), 6);
+        assert!(second.iter().all(|start| start.machine == second[0].machine), "{second:?}");
+    });
+}
