fix: starts go by an account of the worker that this process has heard lately

Change: nothing is started before this process has heard the worker; by an account over 3 s old starts are refused, so that they go elsewhere. The tests' workers send heartbeats now as long as they are there, and that showed another fault: an idle worker was looked at only while it sent none, so a start that was given up and carried out late went unseen. It is looked at every 2 s.

Measured: both new tests fail on the code before, and with heartbeats the older test of a refused run that shows up; all pass now.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -65,6 +65,12 @@
     pub(super) lease_sent: Cell<Instant>,
     /// When the worker answered or was heard last.
     pub(super) heard: Cell<Moment>,
+    /// When the worker's listing was taken in last.
+    pub(super) looked: Cell<Instant>,
+    /// When this process first knew of the life.
+    pub(super) found: Moment,
+    /// When the worker last gave an account of itself to this process.
+    pub(super) account_heard: Cell<Option<Moment>>,
     pub(super) record: RefCell<WorkerRecord>,
     /// Number under which the store has kept a registration by this process last.
     pub(super) kept_number: Cell<Option<RegistrationNumber>>,
@@ -106,6 +112,9 @@
             storing_ends: Cell::new(0),
             lease_sent: Cell::new(now),
             heard: Cell::new(Moment::now()),
+            looked: Cell::new(now),
+            found: Moment::now(),
+            account_heard: Cell::new(None),
             record: RefCell::new(record),
             kept_number: Cell::new(None),
             number: Cell::new(None),
@@ -126,6 +135,7 @@
             return;
         }
         self.sequence.set(sequence);
+        self.account_heard.set(Some(Moment::now()));
         let mut known = self.record.borrow_mut();
         if !known.draining && record.draining {
             log::info!(
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -17,7 +17,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause while ends are on their way to the store, during which the worker would answer at once.
 const STORING_PAUSE: Duration = Duration::from_millis(100);
-/// Time after which an idle worker that isn't heard is looked at.
+/// Time after which an idle worker is looked at, whether it sends heartbeats or not: a start that was given up may be
+/// carried out late, and a heartbeat doesn't tell what runs.
 const IDLE_LOOK: Duration = Duration::from_millis(2000);
 
 impl Life {
@@ -58,7 +59,7 @@
         !self.listed.get()
             || self.has_runs()
             || self.noted.get() < self.last_seen.get()
-            || self.heard.get().elapsed() > IDLE_LOOK
+            || self.looked.get().elapsed() > IDLE_LOOK
     }
 
     fn renew_order(&self) -> RenewOrder {
@@ -102,6 +103,7 @@
     fn take_in(self: &Rc<Self>, listing: &Listing, sent: Instant) {
         let now = Instant::now();
         self.heard.set(Moment::now());
+        self.looked.set(now);
         self.clock.set(Some((listing.clock, now)));
         self.take_in_running(listing);
         self.finish_vanished(listing, sent);
--- a/crates/rampbay-jobs/src/agent/room.rs
+++ b/crates/rampbay-jobs/src/agent/room.rs
@@ -1,11 +1,17 @@
 //! Whether a run fits beside what may run at the worker. Workers may start whatever they are told.
 
+use std::time::Duration;
+
 use crate::job::{Resources, Step, TaskId};
 use crate::table::JobTable;
 
 use super::life::Life;
 use super::runs::RunKey;
 
+/// Oldest account of a worker by which runs are started there: two heartbeats of the slowest that was seen (1.5 s). A room
+/// may have shrunk since, and a start may take a second more to be carried out.
+const ROOM_AGE: Duration = Duration::from_millis(3000);
+
 /// Whether there is room for a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fit {
@@ -13,7 +19,8 @@
     Yes,
     /// There isn't, by the worker's latest account of itself.
     No,
-    /// Something runs there whose job isn't known, and so what it holds. It is being stopped.
+    /// That can't be told yet: this process hasn't heard the worker, or something runs there whose job isn't known, and
+    /// so what it holds. It is being stopped.
     Unknown,
 }
 
@@ -21,6 +28,9 @@
     /// Looks whether a run fits beside all others that may exist here, those that are being stopped among them. Asked
     /// before each order, also a repeated one: the room may have shrunk since the one before.
     pub(super) fn room_for(&self, key: &RunKey) -> Fit {
+        if let Some(fit) = self.fit_without_account() {
+            return fit;
+        }
         let table = self.parts.table.borrow();
         let Some(demand) = charge_of(&table, &key.0) else { return Fit::No };
         let mut free = self.capacity();
@@ -43,6 +53,23 @@
     }
 }
 
+impl Life {
+    /// Returns what to take the room for while there is no young account of the worker. What the state says of it may be
+    /// of any age: an earlier process of this machine wrote it.
+    fn fit_without_account(&self) -> Option<Fit> {
+        let heard = self.account_heard.get();
+        if heard.unwrap_or(self.found).elapsed() <= ROOM_AGE {
+            return heard.is_none().then_some(Fit::Unknown);
+        }
+        log::warn!(
+            "event=J179 start refused, the worker's heartbeats don't get through worker={} heard={}",
+            self.instance,
+            heard.is_some()
+        );
+        Some(Fit::No)
+    }
+}
+
 fn charge_of(table: &JobTable, task: &TaskId) -> Option<Resources> {
     let job = table.jobs.get(&task.job)?;
     job.submission.steps.get(task.step as usize).map(Step::charge)
--- a/crates/rampbay-jobs/tests/shrinking.rs
+++ b/crates/rampbay-jobs/tests/shrinking.rs
@@ -122,6 +122,39 @@
     });
 }
 
+/// Seen in the soak: an agent's new process took its worker's room from the state, where it was as the process before
+/// had known it, and started runs before it had heard the worker itself. The room had shrunk meanwhile.
+#[test]
+fn agent_that_has_not_heard_its_worker_starts_nothing() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        seed_running_job(&store, JOB, 3, WORKER);
+        let rig = AgentRig::start(store, FakeWorker::new(WORKER));
+        sleep(SETTLES * 4).await;
+        assert!(rig.worker.starts().is_empty(), "the state's account is of unknown age");
+        rig.heartbeat_with_devices(WORKER, 1, 2);
+        sleep(SETTLES).await;
+        assert_eq!(rig.worker.running().len(), 2);
+    });
+}
+
+/// A worker whose heartbeats don't get through gets nothing; what was assigned to it goes elsewhere.
+#[test]
+fn start_at_a_worker_not_heard_for_long_refused() {
+    on_virtual_time(async {
+        let rig = running_rig().await;
+        rig.hush();
+        sleep(Duration::from_secs(4)).await;
+        assign_more(&rig);
+        sleep(SETTLES).await;
+        assert_eq!(starts_of_other(&rig), 0);
+        let ends: Vec<EndReason> =
+            table_of(&rig.store).ends.values().map(|end| end.reason).collect();
+        assert_eq!(ends, vec![EndReason::NotStarted; 2]);
+        assert_eq!(rig.worker.running().len(), 3, "what runs goes on: the worker answers");
+    });
+}
+
 fn with_devices(devices: u64) -> WorkerRecord {
     let whole = worker_record("side", "r0", 8);
     let capacity = Resources { devices, ..whole.capacity };
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -148,6 +148,7 @@
     pub host: Rc<AgentHost>,
     pub live: LiveTable,
     tasks: Vec<tokio::task::JoinHandle<()>>,
+    latest: Rc<RefCell<Option<Heartbeat>>>,
 }
 
 impl AgentRig {
@@ -189,7 +190,10 @@
         let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(25) };
         let follower = tokio::task::spawn_local(live.clone().follow(shared, pace));
         let agent = tokio::task::spawn_local(Rc::clone(&host).run());
-        Self { store, worker, host, live, tasks: vec![follower, agent] }
+        let latest = Rc::default();
+        let beats = repeat_heartbeats(Rc::clone(&host), Rc::clone(&worker), Rc::clone(&latest));
+        let beats = tokio::task::spawn_local(beats);
+        Self { store, worker, host, live, tasks: vec![follower, agent, beats], latest }
     }
 
     /// Lets the worker send a heartbeat.
@@ -199,12 +203,19 @@
 
     /// Lets the worker send a heartbeat that says how many accelerators it has.
     pub fn heartbeat_with_devices(&self, instance: &str, sequence: u64, devices: u64) {
-        self.host.heartbeat(Heartbeat {
+        let heartbeat = Heartbeat {
             instance: instance.to_owned(),
             sequence,
             record: worker_record("", "r1", devices),
             remaining: None,
-        });
+        };
+        *self.latest.borrow_mut() = Some(heartbeat.clone());
+        self.host.heartbeat(heartbeat);
+    }
+
+    /// Lets the worker send no more heartbeats, though it answers.
+    pub fn hush(&self) {
+        *self.latest.borrow_mut() = None;
     }
 
     /// Kills the process. Calls that are under way are never heard of again.
@@ -216,6 +227,24 @@
     }
 }
 
+/// Lets a worker that is there say once more what it said last, again and again.
+async fn repeat_heartbeats(
+    host: Rc<AgentHost>,
+    worker: Rc<FakeWorker>,
+    latest: Rc<RefCell<Option<Heartbeat>>>,
+) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let heartbeat = latest.borrow().clone();
+        let is_there = |beat: &Heartbeat| {
+            !worker.silent.get() && !worker.gone.get() && *worker.instance.borrow() == beat.instance
+        };
+        if let Some(heartbeat) = heartbeat.filter(is_there) {
+            host.heartbeat(heartbeat);
+        }
+    }
+}
+
 /// Returns the table that the records of a store make.
 pub fn table_of(store: &MemoryStore) -> JobTable {
     let mut table = JobTable::default();
