fix: how old an account of a worker may be follows the platform's times

Cause: three seconds fit workers that send heartbeats every 1.5 s; one with slower heartbeats would have been refused most starts.

Change: contact_ms and heartbeat_ms come with the settings; an account may be as old as both together, less what a start takes (1.5 s).

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -38,6 +38,8 @@
     pub guard: Duration,
     /// Oldest table under which runs are started.
     pub start_age: Duration,
+    /// Oldest account of the worker under which runs are started: its room may have shrunk since.
+    pub room_age: Duration,
     /// Time without answer after which a worker's leases are no longer renewed.
     pub silence: Duration,
     /// How long a renewal waits at the worker for an end.
--- a/crates/rampbay-jobs/src/agent/room.rs
+++ b/crates/rampbay-jobs/src/agent/room.rs
@@ -1,17 +1,11 @@
 //! Whether a run fits beside what may run at the worker. Workers may start whatever they are told.
 
-use std::time::Duration;
-
 use crate::job::{Resources, Step, TaskId};
 use crate::table::JobTable;
 
 use super::life::Life;
 use super::runs::RunKey;
 
-/// Oldest account of a worker by which runs are started there: two heartbeats of the slowest that was seen (1.5 s). A room
-/// may have shrunk since, and a start may take a second more to be carried out.
-const ROOM_AGE: Duration = Duration::from_millis(3000);
-
 /// Whether there is room for a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Fit {
@@ -58,7 +52,7 @@
     /// of any age: an earlier process of this machine wrote it.
     fn fit_without_account(&self) -> Option<Fit> {
         let heard = self.account_heard.get();
-        if heard.unwrap_or(self.found).elapsed() <= ROOM_AGE {
+        if heard.unwrap_or(self.found).elapsed() <= self.parts.settings.room_age {
             return heard.is_none().then_some(Fit::Unknown);
         }
         log::warn!(
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -54,6 +54,12 @@
     /// Time after which nothing may be started in a failure domain that operators drain.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
+    /// Time after which a machine that is reached knows what changes.
+    #[serde(default = "default_contact_ms")]
+    pub contact_ms: u64,
+    /// Time between two heartbeats of a worker.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
     /// Age up to which the count of pending jobs may be given.
     pub visible_ms: u64,
     /// How long callers may ask for a job after its end.
@@ -83,6 +89,14 @@
     120
 }
 
+const fn default_contact_ms() -> u64 {
+    3000
+}
+
+const fn default_heartbeat_ms() -> u64 {
+    1500
+}
+
 const fn default_drain_ms() -> u64 {
     5000
 }
@@ -174,6 +188,7 @@
             lapse: self.lapse(),
             guard: GUARD,
             start_age: Duration::from_millis(2000),
+            room_age: self.room_age(),
             silence: Duration::from_millis(2500),
             renewal_wait: Duration::from_millis(1000),
             report_interval: Duration::from_millis(1000),
@@ -182,6 +197,13 @@
         }
     }
 
+    /// Returns the oldest account of a worker under which runs are started. A room that has shrunk counts after
+    /// `contact_ms` and one heartbeat, less what a start takes.
+    fn room_age(&self) -> Duration {
+        let shrunk_ms = self.contact_ms + self.heartbeat_ms;
+        Duration::from_millis(shrunk_ms.saturating_sub(START_TIME_MS).max(self.heartbeat_ms))
+    }
+
     /// Returns the times of a planner.
     #[must_use]
     pub fn planner(&self) -> PlannerSettings {
@@ -198,6 +220,8 @@
     }
 }
 
+/// Longest time that a start takes, with its repeats, in milliseconds: three orders of 300 ms, and their way.
+const START_TIME_MS: u64 = 1500;
 /// Jobs are kept so many times as long as callers may ask for them, since an append without answer
 /// may still come.
 const KEEP_FACTOR: u64 = 2;
--- a/crates/rampbay-jobs/tests/shrinking.rs
+++ b/crates/rampbay-jobs/tests/shrinking.rs
@@ -7,12 +7,14 @@
 
 use rampbay_jobs::job::Resources;
 use rampbay_jobs::record::{EndReason, Leader, Record, TaskStatus, WorkerRecord};
+use rampbay_jobs::settings::Settings;
+use rstest::rstest;
 use support::planner::PlannerRig;
 use support::store::MemoryStore;
 use support::worker::{FakeWorker, StartTrouble};
 use support::{
-    AgentRig, job, on_virtual_time, plan_of, running_plan, seed_running_job, step, table_of, task,
-    worker_record,
+    AgentRig, job, on_virtual_time, plan_of, running_plan, seed_running_job, settings, step,
+    table_of, task, worker_record,
 };
 use tokio::time::sleep;
 
@@ -214,3 +216,14 @@
         assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running; 2]);
     });
 }
+
+/// The oldest account by which a start goes, from the times that the platform names.
+#[rstest]
+#[case::usual(3000, 1500, 3000)]
+#[case::larger(4000, 1500, 4000)]
+#[case::slow_heartbeats(3000, 5000, 6500)]
+#[case::short(500, 400, 400)]
+fn age_of_account(#[case] contact_ms: u64, #[case] heartbeat_ms: u64, #[case] expected_ms: u64) {
+    let settings = Settings { contact_ms, heartbeat_ms, ..settings() };
+    assert_eq!(settings.agent().room_age, Duration::from_millis(expected_ms));
+}
