feat: rampctl losses tells which jobs were given up for crashing their workers

Cause: such a job was told as one that hadn't ended.

Change: J147 makes it a loss of its own, crashed_workers.

--- a/crates/rampctl/src/losses/trail.rs
+++ b/crates/rampctl/src/losses/trail.rs
@@ -16,6 +16,8 @@
     Refused,
     /// Its caller cancelled it.
     Cancelled,
+    /// It was given up: the workers that it was started on crash under it.
+    CrashedWorkers,
     /// It has failed, or hadn't ended when the log did.
     NotEnded,
     /// It waited for room before its first run was assigned.
@@ -47,6 +49,7 @@
     last_ended: Option<EpochMillis>,
     succeeded_at: Option<EpochMillis>,
     cancelled: bool,
+    given_up: bool,
 }
 
 impl Trail {
@@ -57,6 +60,9 @@
         if self.cancelled {
             return Loss::Cancelled;
         }
+        if self.given_up {
+            return Loss::CrashedWorkers;
+        }
         let Some(succeeded) = self.succeeded_at else { return Loss::NotEnded };
         if succeeded.saturating_sub(accepted) <= self.objective_ms {
             return Loss::InTime;
@@ -116,6 +122,11 @@
                     trail.succeeded_at.get_or_insert(line.time);
                 }
             }
+            "J147" => {
+                if let Some(trail) = self.trail(line.job_of_task()) {
+                    trail.given_up = true;
+                }
+            }
             "J150" => {
                 if let Some(trail) = self.trail(line.job_of_task()) {
                     trail.first_assigned.get_or_insert(line.time);
--- a/crates/rampctl/tests/losses.rs
+++ b/crates/rampctl/tests/losses.rs
@@ -5,6 +5,8 @@
 
 const ACCEPTED: &str = "time_ms=1000 level=INFO node=e event=J202 job accepted job=aa config=1 queue=q workspace=w priority=0 steps=1x1 estimate_ms=2000 objective_ms=3000";
 
+const GIVEN_UP: &str = "time_ms=9000 level=WARN node=e event=J147 task given up, its workers crash under it task=aa.0.0.0 losses=3 proofs=2 at=[\"s-1\"]";
+
 fn trails(lines: &[&str]) -> Trails {
     let mut trails = Trails::default();
     let parsed = lines.iter().filter_map(|line| LogLine::parse(line));
@@ -29,6 +31,7 @@
 #[case::long_run(run(1010, 1020, 6000, 6010), Loss::RanLong)]
 #[case::told_late(run(1010, 1020, 3020, 5500), Loss::ToldLate)]
 #[case::never_ended(vec![], Loss::NotEnded)]
+#[case::given_up(vec![GIVEN_UP.to_owned()], Loss::CrashedWorkers)]
 fn loss_of_job(#[case] run: Vec<String>, #[case] expected: Loss) {
     let lines: Vec<&str> =
         std::iter::once(ACCEPTED).chain(run.iter().map(String::as_str)).collect();
