--- a/crates/rampbay-jobs/src/agent/room.rs
+++ b/crates/rampbay-jobs/src/agent/room.rs
@@ -45,9 +45,7 @@
         );
         Fit::No
     }
-}
 
-impl Life {
     /// Returns what to take the room for while there is no young account of the worker. What the state says of it may be
     /// of any age: an earlier process of this machine wrote it.
     fn fit_without_account(&self) -> Option<Fit> {
--- a/crates/rampbay-jobs/src/planner/isolate.rs
+++ b/crates/rampbay-jobs/src/planner/isolate.rs
@@ -4,6 +4,7 @@
 //! A worker with such a task counts as full, so nothing joins it. Where no worker is idle soon, it runs beside others
 //! all the same: something that lasts may run on each of them. From the third loss on it waits longer, and goes first.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use crate::job::{Resources, TaskId};
@@ -18,7 +19,7 @@
 use super::{Place, RoundInputs};
 
 /// Share of all workers that tasks may have of their own while they only prefer it, in percent: the same as gangs
-/// without room may keep others away from. A crash of a full worker leaves a task or two that do.
+/// without room may keep others away from.
 const MOST_ISOLATED_PERCENT: usize = 34;
 /// How long a task that prefers a worker of its own waits for an idle one, in milliseconds. It has waited some
 /// seconds already, until its last worker was surely gone.
@@ -30,29 +31,29 @@
 const ISOLATED_FOR: Duration = Duration::from_secs(5);
 
 /// A part of a waiting step whose tasks are kept apart in the same way.
-pub struct Part {
+pub struct Part<'a> {
     /// The tasks.
-    pub waiting: WaitingStep,
+    pub waiting: Cow<'a, WaitingStep>,
     /// How far they are kept apart.
     pub isolation: Isolation,
 }
 
 /// Parts a waiting step: what runs beside others as one part, each suspected task alone. A gang isn't parted.
-pub fn parts(draft: &Draft<'_>, waiting: &WaitingStep) -> Vec<Part> {
+pub fn parts<'a>(draft: &Draft<'_>, waiting: &'a WaitingStep) -> Vec<Part<'a>> {
     if draft.losses(&waiting.job).is_none() {
-        return vec![Part { waiting: waiting.clone(), isolation: Isolation::None }];
+        return vec![Part { waiting: Cow::Borrowed(waiting), isolation: Isolation::None }];
     }
     let isolation = |index: u32| {
         losses_of(draft, &waiting.task(index)).map_or(Isolation::None, UnitLosses::isolation)
     };
     if waiting.definition().gang {
         let isolation = isolation(0);
-        return vec![Part { waiting: waiting.clone(), isolation }];
+        return vec![Part { waiting: Cow::Borrowed(waiting), isolation }];
     }
     let (apart, beside): (Vec<u32>, Vec<u32>) =
         waiting.tasks.iter().partition(|&&index| isolation(index) != Isolation::None);
     let part = |tasks: Vec<u32>, isolation| Part {
-        waiting: WaitingStep { tasks, ..waiting.clone() },
+        waiting: Cow::Owned(WaitingStep { tasks, ..waiting.clone() }),
         isolation,
     };
     let apart = apart.into_iter().map(|index| part(vec![index], isolation(index)));
@@ -94,7 +95,7 @@
 pub fn find_apart(
     draft: &Draft<'_>,
     rooms: &mut Rooms,
-    part: &Part,
+    part: &Part<'_>,
     need: &Need<'_>,
     inputs: &RoundInputs<'_>,
 ) -> Tried {
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -37,7 +37,7 @@
     let parts = waiting.iter().flat_map(|step| parts(draft, step));
     // What has lost most goes first: it holds up nothing but an idle worker, and finds one the more rarely the busier
     // the others are.
-    let (first, then): (Vec<Part>, Vec<Part>) =
+    let (first, then): (Vec<Part<'_>>, Vec<Part<'_>>) =
         parts.partition(|part| part.isolation == Isolation::First);
     for part in first.iter().chain(&then) {
         waits.extend(place_part(draft, &mut rooms, part, inputs));
@@ -48,10 +48,10 @@
 fn place_part(
     draft: &mut Draft<'_>,
     rooms: &mut Rooms,
-    part: &Part,
+    part: &Part<'_>,
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
-    let step = &part.waiting;
+    let step = part.waiting.as_ref();
     let uses_reserve = may_use_reserve(step, inputs.wall) || part.isolation == Isolation::First;
     let need = Need::of(step, failed_workers(draft, step), uses_reserve, rooms);
     if part.isolation != Isolation::None {
