refactor: the intake of the tests stands once

Cause: the tests of suspended machines had copied it.

Change: moved into the tests' support; no assertion changes.

--- a/crates/rampbay-jobs/tests/intake.rs
+++ b/crates/rampbay-jobs/tests/intake.rs
@@ -5,14 +5,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::follower::Pace;
-use rampbay_jobs::intake::{Admission, CallTarget, CurrentRouting, Intake, IntakeLimits, Refusal};
-use rampbay_jobs::job::Submission;
-use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::intake::{CallTarget, Refusal};
 use rampbay_jobs::record::{JobStatus, Record, STATE_TOPIC};
-use rampbay_jobs::routing::{Queue, Routing, Workspace};
-use rampbay_jobs::store::Store;
+use rampbay_jobs::routing::Routing;
 use rstest::rstest;
+use support::intake::Rig;
 use support::leader::start_leader;
 use support::store::{MemoryStore, Trouble};
 use support::{job, on_virtual_time, step, table_of, worker_record};
@@ -20,82 +17,9 @@
 
 const JOB: &str = "00000000000000aa";
 
-struct Rig {
-    store: Rc<MemoryStore>,
-    live: LiveTable,
-    routing: Rc<CurrentRouting>,
-    intake: Intake,
-}
-
-impl Rig {
-    /// Starts an entry's intake; the configuration is known, and stays as old as the table.
-    fn start() -> Self {
-        let store = MemoryStore::new();
-        let live = LiveTable::default();
-        let routing = Rc::new(CurrentRouting {
-            freshness: Rc::clone(&live.freshness),
-            ..CurrentRouting::default()
-        });
-        routing.set(Routing {
-            version: 1,
-            queues: vec![
-                queue("open", "/open/", true),
-                queue("keyed", "/keyed/", false),
-                queue("deeper", "/keyed/deeper/", false),
-            ],
-            workspaces: vec![Workspace {
-                name: "workspace".to_owned(),
-                keys: vec!["key".to_owned()],
-                guaranteed_devices: 8,
-            }],
-            body_limit: 0,
-        });
-        let shared: Rc<dyn Store> = store.clone();
-        let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
-        tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
-        let limits = IntakeLimits {
-            configuration_age: Duration::from_millis(2750),
-            usual_wait: Duration::from_millis(800),
-            store_age: Duration::from_millis(2200),
-            most_waiting: 2,
-            table_age: Duration::from_millis(3000),
-        };
-        let intake = Intake::new(
-            shared,
-            Rc::clone(&live.table),
-            Rc::clone(&live.freshness),
-            Rc::clone(&routing),
-            limits,
-        );
-        Self { store, live, routing, intake }
-    }
-
-    /// Submits a job whose caller waits so long.
-    async fn submit(&self, job: Submission, waits: Duration) -> Result<(), Refusal> {
-        self.intake.submit(job, self.intake.patience(Some(waits))).await
-    }
-
-    /// Asks for admission with the key, for a caller that waits so long.
-    async fn admit(&self, waits: Duration) -> Result<Admission, Refusal> {
-        let target = CallTarget { host: "host", path: "/keyed/x", key: Some("key") };
-        self.intake.admit(target, self.intake.patience(Some(waits))).await
-    }
-}
-
 /// How long callers wait where nothing else matters.
 const PATIENCE: Duration = Duration::from_millis(1000);
 
-fn queue(name: &str, path_prefix: &str, public: bool) -> Queue {
-    Queue {
-        name: name.to_owned(),
-        host: "host".to_owned(),
-        path_prefix: path_prefix.to_owned(),
-        service: "service".to_owned(),
-        public,
-        ..Queue::default()
-    }
-}
-
 #[rstest]
 #[case::public("host", "/open/x", None, Ok("open"))]
 #[case::keyed("host", "/keyed/x", Some("key"), Ok("keyed"))]
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod entry;
 pub mod fleet;
+pub mod intake;
 pub mod leader;
 pub mod planner;
 pub mod site;
--- a/crates/rampbay-jobs/tests/suspended.rs
+++ b/crates/rampbay-jobs/tests/suspended.rs
@@ -9,12 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::follower::Pace;
-use rampbay_jobs::intake::{CallTarget, CurrentRouting, Intake, IntakeLimits, Refusal};
-use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::intake::Refusal;
 use rampbay_jobs::record::{Leader, Record, TaskStatus};
-use rampbay_jobs::routing::{Queue, Routing, Workspace};
-use rampbay_jobs::store::Store;
+use support::intake::Rig;
 use support::planner::PlannerRig;
 use support::store::{MemoryStore, Trouble};
 use support::way::Way;
@@ -94,51 +91,17 @@
 #[test]
 fn callers_turned_away_by_a_configuration_from_before() {
     on_virtual_time(async {
-        let store = MemoryStore::new();
-        let live = LiveTable::default();
-        let routing = Rc::new(CurrentRouting {
-            freshness: Rc::clone(&live.freshness),
-            ..CurrentRouting::default()
-        });
-        routing.set(Routing {
-            version: 1,
-            queues: vec![Queue {
-                name: "queue".to_owned(),
-                host: "host".to_owned(),
-                path_prefix: "/queue/".to_owned(),
-                service: "service".to_owned(),
-                ..Queue::default()
-            }],
-            workspaces: vec![Workspace {
-                name: "workspace".to_owned(),
-                keys: vec!["key".to_owned()],
-                guaranteed_devices: 8,
-            }],
-            body_limit: 0,
-        });
-        let shared: Rc<dyn Store> = store.clone();
-        let pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(10) };
-        tokio::task::spawn_local(live.clone().follow(Rc::clone(&shared), pace));
-        let limits = IntakeLimits {
-            configuration_age: Duration::from_millis(2750),
-            usual_wait: Duration::from_millis(800),
-            store_age: Duration::from_millis(2200),
-            most_waiting: 2,
-            table_age: Duration::from_millis(1500),
-        };
-        let (table, freshness) = (Rc::clone(&live.table), Rc::clone(&live.freshness));
-        let intake = Intake::new(shared, table, freshness, Rc::clone(&routing), limits);
+        let rig = Rig::start();
         sleep(SETTLES).await;
-        let target = CallTarget { host: "host", path: "/queue/x", key: Some("key") };
-        let patience = || intake.patience(Some(Duration::from_millis(300)));
-        assert!(intake.admit(target, patience()).await.is_ok());
-        assert_eq!(intake.known_status(&JOB.to_owned()), Err(Refusal::NoJob));
-        store.trouble.set(Trouble::Refuses);
+        let waits = Duration::from_millis(300);
+        assert!(rig.admit(waits).await.is_ok());
+        assert_eq!(rig.intake.known_status(&JOB.to_owned()), Err(Refusal::NoJob));
+        rig.store.trouble.set(Trouble::Refuses);
         suspend(SUSPENDED);
-        let status = intake.known_status(&JOB.to_owned());
-        let admitted = intake.admit(target, patience()).await;
-        assert!(matches!(admitted, Err(Refusal::NotCurrent)), "{admitted:?}");
+        let status = rig.intake.known_status(&JOB.to_owned());
         assert_eq!(status, Err(Refusal::NotCurrent), "another entry may have taken it meanwhile");
+        let admitted = rig.admit(waits).await;
+        assert!(matches!(admitted, Err(Refusal::NotCurrent)), "{admitted:?}");
     });
 }
 
