--- a/crates/rampbay-jobs/tests/foreign_records.rs
+++ b/crates/rampbay-jobs/tests/foreign_records.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rampbay_jobs::keys::{end_key, refusal_key, worker_key};
 use rampbay_jobs::record::{EndReason, KeyedRecord, Record, RunEnd};
 use rampbay_jobs::table::JobTable;
@@ -9,6 +11,11 @@
 use support::{job, running_plan, step, task, worker_record};
 
 const JOB: &str = "00000000000000aa";
+/// How the keys of the state start.
+const KINDS: [&str; 12] = [
+    "job/", "cancel/", "plan/", "end/", "refusal/", "worker/", "over/", "evicted/", "life/",
+    "losses/", "member/", "",
+];
 
 fn table() -> JobTable {
     let mut table = JobTable::default();
@@ -74,3 +81,47 @@
         assert_eq!(table.ends.len(), 1);
     }
 }
+
+/// The same cases in every run; `RAMPBAY_SEED` and `RAMPBAY_CASES` draw others.
+fn config(cases: u32) -> ProptestConfig {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let factor = number("RAMPBAY_CASES").unwrap_or(1);
+    ProptestConfig {
+        cases: cases * u32::try_from(factor).unwrap_or(1),
+        rng_seed: RngSeed::Fixed(number("RAMPBAY_SEED").unwrap_or(1)),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(2000))]
+
+    /// Whatever bytes stand under whatever key, nothing panics, and what is taken in is a record of just that key.
+    #[test]
+    fn any_bytes_under_any_key_read(
+        kind in prop::sample::select(KINDS.to_vec()),
+        name in "[a-z0-9.]{0,12}(/[0-9]{1,3})?",
+        value in prop::collection::vec(any::<u8>(), 0..80),
+    ) {
+        let record = KeyedRecord { key: format!("{kind}{name}"), value };
+        if let Ok(read) = Record::decode(&record) {
+            let own = read.key();
+            let is_numbered = record.key.strip_prefix(&own).is_some_and(|rest| rest.starts_with('/'));
+            prop_assert!(record.key == own || is_numbered);
+        }
+        table().apply(&record);
+    }
+
+    /// The same for records of ours with a byte changed, cut short or longer.
+    #[test]
+    fn any_change_of_a_record_read(at in 0_usize..200, byte in any::<u8>(), length in 0_usize..220) {
+        let plan = Record::Plan(JOB.to_owned(), Box::new(running_plan(3, "i-1", 1))).encode();
+        let mut value = plan.value.clone();
+        if let Some(old) = value.get_mut(at) {
+            *old = byte;
+        }
+        value.resize(length.max(1), byte);
+        table().apply(&KeyedRecord { key: plan.key, value });
+    }
+}
