--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -55,8 +55,8 @@
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
     /// Time after which a machine that is reached knows what changes.
-    #[serde(default = "default_contact_ms")]
-    pub contact_ms: u64,
+    #[serde(default = "default_awareness_ms")]
+    pub awareness_ms: u64,
     /// Time between two heartbeats of a worker.
     #[serde(default = "default_heartbeat_ms")]
     pub heartbeat_ms: u64,
@@ -89,7 +89,7 @@
     120
 }
 
-const fn default_contact_ms() -> u64 {
+const fn default_awareness_ms() -> u64 {
     3000
 }
 
@@ -198,9 +198,9 @@
     }
 
     /// Returns the oldest account of a worker under which runs are started. A room that has shrunk counts after
-    /// `contact_ms` and one heartbeat, less what a start takes.
+    /// `awareness_ms` and one heartbeat, less what a start takes.
     fn room_age(&self) -> Duration {
-        let shrunk_ms = self.contact_ms + self.heartbeat_ms;
+        let shrunk_ms = self.awareness_ms + self.heartbeat_ms;
         Duration::from_millis(shrunk_ms.saturating_sub(START_TIME_MS).max(self.heartbeat_ms))
     }
 
--- a/crates/rampbay-jobs/tests/shrinking.rs
+++ b/crates/rampbay-jobs/tests/shrinking.rs
@@ -223,7 +223,7 @@
 #[case::larger(4000, 1500, 4000)]
 #[case::slow_heartbeats(3000, 5000, 6500)]
 #[case::short(500, 400, 400)]
-fn age_of_account(#[case] contact_ms: u64, #[case] heartbeat_ms: u64, #[case] expected_ms: u64) {
-    let settings = Settings { contact_ms, heartbeat_ms, ..settings() };
+fn age_of_account(#[case] awareness_ms: u64, #[case] heartbeat_ms: u64, #[case] expected_ms: u64) {
+    let settings = Settings { awareness_ms, heartbeat_ms, ..settings() };
     assert_eq!(settings.agent().room_age, Duration::from_millis(expected_ms));
 }
