--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -39,8 +39,11 @@
             let run = WatchedRun { id: &task_id, task, step, submission: &submission, worker };
             if run.leaves_too_early(planner, inputs) {
                 log::info!(
-                    "event=J142 run leaves a draining worker task={task_id} worker={}",
-                    task.instance
+                    "event=J142 run leaves a draining worker task={task_id} worker={} remaining_ms={} left_ms={} percent={:?}",
+                    task.instance,
+                    run.remaining_ms(planner, inputs),
+                    worker.record.leaves_at.saturating_sub(inputs.wall),
+                    run.seen(inputs).map(|seen| seen.percent)
                 );
                 moved.push(task_id);
             } else if is_news && let Some(percent) = run.stands_still(planner, inputs) {
