refactor: the ways to the store stand together, over a border to the network

Cause: the stack of ways stood in the adapter, and calls to peers were bound to HTTP, so that nothing but real processes could play how many of them act together. Change: Ways (rampbay-peer) stacks the layers; Transport carries calls to peers; messages, what a process does for peers and the peer as a store stand in modules of their own; the adapter brings its store, serves and spawns.

--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -1,16 +1,21 @@
 //! HTTP between rampbay's processes.
 //!
 //! [`client`] and [`server`] are thin covers over hyper for one thread. The ways to the store are
-//! stores themselves, one around the other: [`direct`] knows whether the process's own way is open,
-//! [`relay`] goes through peers where it isn't, [`group`] lets appends ride together, [`tail`] reads
-//! through peers, [`metered`] counts.
+//! stores themselves, one around the other ([`ways`]): [`direct`] knows whether the process's own way is
+//! open, [`relay`] goes through peers where it isn't, [`group`] lets appends ride together, [`tail`] reads
+//! through peers, [`metered`] counts. A [`peer`] is a store as well, over a [`transport`]; [`served`] is
+//! what a process does for its peers, and [`routes`] whom it goes through.
 
 pub mod client;
 pub mod direct;
 pub mod group;
 pub mod metered;
+pub mod peer;
 pub mod protocol;
 pub mod relay;
 pub mod routes;
+pub mod served;
 pub mod server;
 pub mod tail;
+pub mod transport;
+pub mod ways;
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -16,25 +16,25 @@
 use rampbay_jobs::store::Store;
 use rampbay_jobs::table::JobTable;
 
-use crate::client::HttpClient;
-use crate::protocol::PeerStore;
+use crate::peer::PeerStore;
 use crate::relay::{GatewayPeer, Gateways, PeerList, Writers};
 use crate::tail::TailPeers;
+use crate::transport::Transport;
 
 /// What a process needs to find its peers.
 #[derive(Clone)]
 pub struct Routes {
     /// Its settings.
     pub settings: Rc<Settings>,
-    /// What it calls peers with.
-    pub client: HttpClient,
+    /// Carries its calls to peers.
+    pub transport: Rc<dyn Transport>,
     /// The table, which knows the processes.
     pub live: LiveTable,
 }
 
 impl Routes {
     fn peer(&self, member: &Member) -> PeerStore {
-        PeerStore::new(self.client.clone(), member.address.clone())
+        PeerStore::new(Rc::clone(&self.transport), member.address.clone())
     }
 
     /// Lists the processes that gather an agent's appends: the leader's first, since the planner knows
@@ -128,7 +128,7 @@
             let own_place = addresses.partition_point(|address| *address < own);
             addresses.rotate_left(own_place);
             let stores = addresses.into_iter().map(|address| -> Rc<dyn Store> {
-                Rc::new(PeerStore::new(self.client.clone(), address))
+                Rc::new(PeerStore::new(Rc::clone(&self.transport), address))
             });
             stores.collect()
         })
--- /dev/null
+++ b/crates/rampbay-peer/src/served.rs
@@ -0,0 +1,68 @@
+//! What a process does for its peers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use rampbay_jobs::freshness::Freshness;
+use rampbay_jobs::store::Store;
+
+use crate::protocol::{StoreReply, StoreRequest};
+use crate::server::{Answer, Handler};
+
+/// What a process serves its peers with.
+#[derive(Clone)]
+pub struct Served {
+    /// Its direct way to the store alone, so that a call takes one hop at most.
+    pub direct: Rc<dyn Store>,
+    /// All ways that it has itself, for the appends that it gathers.
+    pub own: Rc<dyn Store>,
+    /// The records of the state that it follows.
+    pub followed: Rc<Freshness>,
+}
+
+/// Makes the handler that serves peers.
+#[must_use]
+pub fn handler(served: Served) -> Handler {
+    Rc::new(move |received| {
+        let served = served.clone();
+        Box::pin(async move {
+            let request: Result<StoreRequest, _> = postcard::from_bytes(&received.body);
+            let Ok(request) = request else { return Answer::status(StatusCode::BAD_REQUEST) };
+            let reply = perform(&served, request).await;
+            match postcard::to_allocvec(&reply) {
+                Ok(body) => Answer::with_body(StatusCode::OK, "application/octet-stream", body),
+                Err(_) => Answer::status(StatusCode::INTERNAL_SERVER_ERROR),
+            }
+        })
+    })
+}
+
+async fn perform(served: &Served, request: StoreRequest) -> StoreReply {
+    let store = served.direct.as_ref();
+    match request {
+        StoreRequest::Tail { from, wait_ms, agent } => {
+            let wait = Duration::from_millis(wait_ms);
+            StoreReply::Read(served.followed.pass_on(from, wait, agent.as_deref()).await)
+        }
+        StoreRequest::Append { topic, records, fence } => {
+            StoreReply::Append(store.append(&topic, &records, fence.as_ref()).await)
+        }
+        StoreRequest::Gather { topic, records } => {
+            StoreReply::Append(served.own.append(&topic, &records, None).await)
+        }
+        StoreRequest::Read { topic, from, wait_ms } => {
+            StoreReply::Read(store.read(&topic, from, Duration::from_millis(wait_ms)).await)
+        }
+        StoreRequest::Newest { topic } => StoreReply::Newest(store.newest(&topic).await),
+        StoreRequest::Stand { member, generation } => {
+            StoreReply::Stand(store.stand(&member, generation).await)
+        }
+        StoreRequest::Holder => StoreReply::Holder(store.holder().await),
+        StoreRequest::Ping => StoreReply::Pong,
+        StoreRequest::Resign { member } => {
+            store.resign(&member).await;
+            StoreReply::Resigned
+        }
+    }
+}
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -21,7 +21,7 @@
 };
 use tokio::time::Instant;
 
-use crate::protocol::PeerStore;
+use crate::peer::PeerStore;
 
 /// Oldest view that is taken from a peer; more than the time that its own reads take.
 const OLDEST_VIEW: Duration = Duration::from_millis(1500);
--- a/crates/rampbay-peer/tests/ages.rs
+++ b/crates/rampbay-peer/tests/ages.rs
@@ -8,9 +8,11 @@
 use rampbay_jobs::record::{KeyedRecord, STATE_TOPIC};
 use rampbay_jobs::store::{Batch, Offset, Store};
 use rampbay_peer::client::HttpClient;
-use rampbay_peer::protocol::{PeerStore, StoreReply, StoreRequest};
+use rampbay_peer::peer::PeerStore;
+use rampbay_peer::protocol::{StoreReply, StoreRequest};
 use rampbay_peer::server::{Answer, Closing, Handler, serve};
 use rampbay_peer::tail::TailStore;
+use rampbay_peer::transport::Transport;
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -67,18 +69,18 @@
         serve(address, 1 << 20, handler(script), state).await.expect("a server");
     });
     tokio::task::yield_now().await;
-    PeerStore::new(HttpClient::default(), address.to_string())
+    PeerStore::new(Rc::new(HttpClient::default()), address.to_string())
 }
 
 /// Makes a store that reads the state through peers, and has none of its own.
 fn tail_of(peers: Vec<PeerStore>) -> TailStore {
     let addresses: Vec<String> = peers.iter().map(|peer| peer.address().to_owned()).collect();
-    let client = HttpClient::default();
+    let transport: Rc<dyn Transport> = Rc::new(HttpClient::default());
     let peers = move || {
         let peers = addresses.iter();
-        peers.map(|address| PeerStore::new(client.clone(), address.clone())).collect()
+        peers.map(|address| PeerStore::new(Rc::clone(&transport), address.clone())).collect()
     };
-    let nowhere = PeerStore::new(HttpClient::default(), "127.0.0.1:1".to_owned());
+    let nowhere = PeerStore::new(Rc::new(HttpClient::default()), "127.0.0.1:1".to_owned());
     TailStore::new(Rc::new(nowhere), Box::new(peers))
 }
 
--- a/crates/rampbay-peer/tests/gathering.rs
+++ b/crates/rampbay-peer/tests/gathering.rs
@@ -13,7 +13,8 @@
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
 use rampbay_peer::group::GroupStore;
-use rampbay_peer::protocol::{Served, StoreRequest, handler};
+use rampbay_peer::protocol::StoreRequest;
+use rampbay_peer::served::{Served, handler};
 use rampbay_peer::server::{Closing, serve};
 use rstest::rstest;
 use tokio::sync::{Notify, watch};
--- a/crates/rampbay-peer/tests/routes.rs
+++ b/crates/rampbay-peer/tests/routes.rs
@@ -9,11 +9,13 @@
 use rampbay_jobs::settings::Settings;
 use rampbay_peer::client::HttpClient;
 use rampbay_peer::direct::DirectStore;
-use rampbay_peer::protocol::{PeerStore, Served, handler};
+use rampbay_peer::peer::PeerStore;
 use rampbay_peer::relay::GatewayPeer;
 use rampbay_peer::routes::Routes;
+use rampbay_peer::served::{Served, handler};
 use rampbay_peer::server::{Closing, serve};
 use rampbay_peer::tail::TailPeers;
+use rampbay_peer::transport::Transport;
 use rstest::rstest;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -50,7 +52,7 @@
     }
     let leader = Record::Leader(Leader { node: LEADER.to_owned(), epoch: 1 });
     live.table.borrow_mut().apply(&leader.encode());
-    Routes { settings: Rc::new(settings), client: HttpClient::default(), live }
+    Routes { settings: Rc::new(settings), transport: Rc::new(HttpClient::default()), live }
 }
 
 fn names(peers: &TailPeers) -> Vec<String> {
@@ -129,10 +131,10 @@
     let address = free_address().await;
     let answering = Member { address: address.to_string(), ..member(node) };
     routes.live.table.borrow_mut().apply(&Record::Member(answering).encode());
-    let client = routes.client.clone();
+    let transport = Rc::clone(&routes.transport);
     let successors = routes.successors().expect("a process with little room has some");
     let answers = async {
-        while !PeerStore::new(client.clone(), address.to_string()).responds().await {
+        while !PeerStore::new(Rc::clone(&transport), address.to_string()).responds().await {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         successors.any_answers().await
@@ -141,7 +143,7 @@
     let local = tokio::task::LocalSet::new();
     let answered = local.run_until(async {
         tokio::select! {
-            served = serve(address, 1 << 20, handler(served(&client)), never.1) => {
+            served = serve(address, 1 << 20, handler(served(&transport)), never.1) => {
                 panic!("the peer serves: {served:?}")
             }
             answers = answers => answers,
@@ -156,8 +158,8 @@
 }
 
 /// What a peer without a store serves: it answers pings.
-fn served(client: &HttpClient) -> Served {
-    let nowhere = PeerStore::new(client.clone(), "127.0.0.1:1".to_owned());
+fn served(transport: &Rc<dyn Transport>) -> Served {
+    let nowhere = PeerStore::new(Rc::clone(transport), "127.0.0.1:1".to_owned());
     let direct = DirectStore::new(Rc::new(nowhere), Duration::from_secs(1));
     Served { direct: direct.clone(), own: direct, followed: Rc::default() }
 }
