test: a model of a whole fleet, with the number of its processes a parameter

What every entry and agent does beside its callers and worker now stands in rampbay-peer (entry, agent), so that model and adapter run the same.

--- /dev/null
+++ b/crates/rampbay-peer/src/entry.rs
@@ -0,0 +1,72 @@
+//! What every entry does beside serving callers: it follows the state and the operators' orders, and stands
+//! for leader.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rampbay_jobs::candidacy::Candidate;
+use rampbay_jobs::follower::{Pace, Sink, follow};
+use rampbay_jobs::intake::CurrentRouting;
+use rampbay_jobs::job::EpochMillis;
+use rampbay_jobs::leader::{self, LeaderParts};
+use rampbay_jobs::planner::Planner;
+use rampbay_jobs::process::LiveTable;
+use rampbay_jobs::settings::Settings;
+use rampbay_jobs::store::Store;
+
+use crate::routes::Routes;
+
+/// How the table is followed: decisions wait for it. Reads are priced, and a shorter gap starts nothing sooner.
+const TABLE_PACE: Pace = Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(30) };
+/// How the operators' orders are followed: their age decides whether calls may be answered.
+const OPERATORS_PACE: Pace =
+    Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(20) };
+/// How the runs' progress is followed.
+const PROGRESS_PACE: Pace =
+    Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(500) };
+
+/// An entry's part in the whole.
+#[derive(Clone)]
+pub struct Entry {
+    /// Its settings.
+    pub settings: Rc<Settings>,
+    /// The store, over all ways.
+    pub store: Rc<dyn Store>,
+    /// How it finds its peers.
+    pub routes: Routes,
+    /// The table that it keeps.
+    pub live: LiveTable,
+    /// What it knows of the operators' orders.
+    pub routing: Rc<CurrentRouting>,
+}
+
+impl Entry {
+    /// Keeps the table and the operators' orders current, for ever.
+    pub async fn follow(self, operators_topic: &str, operators: impl Sink) {
+        let table = self.live.follow(Rc::clone(&self.store), TABLE_PACE);
+        let freshness = Rc::clone(&self.routing.freshness);
+        let orders = follow(self.store, operators_topic, OPERATORS_PACE, freshness, operators);
+        tokio::join!(table, orders);
+    }
+
+    /// Stands for leader, and leads while it is, for ever. `salt` differs between processes and starts.
+    pub async fn lead(self, wall_clock: fn() -> EpochMillis, salt: u64) {
+        let interval = Duration::from_millis(self.settings.leader_ttl_ms) / 3;
+        let parts = LeaderParts {
+            candidate: Candidate {
+                node: self.settings.node.clone(),
+                store: self.store,
+                interval,
+                successors: self.routes.successors(),
+            },
+            table: self.live.table,
+            freshness: self.live.freshness,
+            routing: self.routing,
+            progress_pace: PROGRESS_PACE,
+            wall_clock,
+            salt,
+        };
+        let planner = self.settings.planner();
+        leader::run(parts, || Planner::new(planner)).await;
+    }
+}
--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -4,10 +4,13 @@
 //! stores themselves, one around the other ([`ways`]): [`direct`] knows whether the process's own way is
 //! open, [`relay`] goes through peers where it isn't, [`group`] lets appends ride together, [`tail`] reads
 //! through peers, [`metered`] counts. A [`peer`] is a store as well, over a [`transport`]; [`served`] is
-//! what a process does for its peers, and [`routes`] whom it goes through.
+//! what a process does for its peers, and [`routes`] whom it goes through. [`entry`] and [`agent`] put
+//! the two kinds of processes together.
 
+pub mod agent;
 pub mod client;
 pub mod direct;
+pub mod entry;
 pub mod group;
 pub mod metered;
 pub mod peer;
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 /// An operation on the store that a peer is asked for.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum StoreRequest {
     /// See [`Store::append`].
     Append {
--- a/crates/rampbay-peer/src/served.rs
+++ b/crates/rampbay-peer/src/served.rs
@@ -38,7 +38,8 @@
     })
 }
 
-async fn perform(served: &Served, request: StoreRequest) -> StoreReply {
+/// Does what a peer asks for.
+pub async fn perform(served: &Served, request: StoreRequest) -> StoreReply {
     let store = served.direct.as_ref();
     match request {
         StoreRequest::Tail { from, wait_ms, agent } => {
--- /dev/null
+++ b/crates/rampbay-scale/src/main.rs
@@ -0,0 +1,107 @@
+//! Prints what a fleet asks of its store and of itself, by size.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use comfy_table::Table;
+use rampbay_scale::fleet::{Fleet, Size};
+use rampbay_scale::load::Purpose;
+use rampbay_scale::time;
+use tokio::time::sleep;
+
+/// What a fleet of each size asks of its store and of itself while nothing happens, and what a change takes.
+#[derive(FromArgs)]
+struct Arguments {
+    /// numbers of machines (default 50 200 983)
+    #[argh(positional)]
+    machines: Vec<usize>,
+}
+
+/// Time in which a fleet comes to rest.
+const REST: Duration = Duration::from_secs(8);
+/// Time for which an idle fleet is watched.
+const WATCHED: Duration = Duration::from_secs(10);
+/// Size of a configuration, in bytes.
+const CONFIGURATION_BYTES: usize = 16_000;
+
+struct Column {
+    size: Size,
+    rows: Vec<(String, String)>,
+}
+
+fn main() {
+    let arguments: Arguments = argh::from_env();
+    let machines =
+        if arguments.machines.is_empty() { vec![50, 200, 983] } else { arguments.machines };
+    let columns: Vec<Column> = machines.into_iter().map(column).collect();
+    let mut table = Table::new();
+    let head = columns.iter().map(|column| column.size.machines().to_string());
+    table.set_header(std::iter::once("machines".to_owned()).chain(head));
+    let rows = columns.first().map_or(0, |column| column.rows.len());
+    for row in 0..rows {
+        let name = columns[0].rows[row].0.clone();
+        let values = columns.iter().map(|column| column.rows[row].1.clone());
+        table.add_row(std::iter::once(name).chain(values));
+    }
+    println!("{table}");
+}
+
+fn column(machines: usize) -> Column {
+    let size = Size::of(machines);
+    let mut rows = Vec::new();
+    time::run(async {
+        let fleet = Fleet::start(size).await;
+        watch_start(&fleet, &mut rows).await;
+        watch_idle(&fleet, &mut rows).await;
+        watch_change(&fleet, &mut rows).await;
+    });
+    Column { size, rows }
+}
+
+async fn watch_start(fleet: &Fleet, rows: &mut Vec<(String, String)>) {
+    let known = fleet.until(REST, Fleet::knows_workers).await;
+    let known = known.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string());
+    rows.push(("start: all workers known, ms".to_owned(), known));
+    sleep(REST).await;
+    let counts = fleet.load.take();
+    rows.push(("start: leadership dealt".to_owned(), fleet.store.generation().to_string()));
+    rows.push(("start: calls to the store".to_owned(), counts.calls().to_string()));
+    rows.push(("start: kB of the store".to_owned(), (counts.store_bytes() / 1000).to_string()));
+}
+
+async fn watch_idle(fleet: &Fleet, rows: &mut Vec<(String, String)>) {
+    fleet.load.take();
+    sleep(WATCHED).await;
+    let counts = fleet.load.take();
+    let seconds = WATCHED.as_secs_f64();
+    let rate = |count: u64| format!("{:.1}", count as f64 / seconds);
+    for purpose in Purpose::ALL {
+        let name = format!("idle: calls a second, {}", purpose.word());
+        rows.push((name, rate(counts.calls_for(purpose))));
+    }
+    rows.push(("idle: calls a second".to_owned(), rate(counts.calls())));
+    rows.push(("idle: kB a second of the store".to_owned(), rate(counts.store_bytes() / 1000)));
+    let busiest = counts.busiest();
+    rows.push(("idle: calls a second, busiest peer".to_owned(), rate(busiest.calls)));
+    rows.push(("idle: kB a second, widest peer".to_owned(), rate(counts.widest().bytes / 1000)));
+}
+
+async fn watch_change(fleet: &Fleet, rows: &mut Vec<(String, String)>) {
+    let mut longest = Duration::ZERO;
+    for version in 1..=5 {
+        fleet.publish(version, CONFIGURATION_BYTES);
+        let spread = fleet.until(REST, |fleet| fleet.has_configuration(version)).await;
+        longest = longest.max(spread.unwrap_or(REST));
+        sleep(Duration::from_millis(1700)).await;
+    }
+    rows.push(("configuration everywhere, ms".to_owned(), longest.as_millis().to_string()));
+    let mut oldest = Duration::ZERO;
+    let mut oldest_table = Duration::ZERO;
+    for _ in 0..100 {
+        oldest = oldest.max(fleet.oldest_orders());
+        oldest_table = oldest_table.max(fleet.oldest_table());
+        sleep(Duration::from_millis(37)).await;
+    }
+    rows.push(("oldest view of the orders, ms".to_owned(), oldest.as_millis().to_string()));
+    rows.push(("oldest view of the state, ms".to_owned(), oldest_table.as_millis().to_string()));
+}
