--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -20,7 +20,7 @@
 
 use crate::freshness::Freshness;
 use crate::job::{EpochMillis, InstanceId, NodeName};
-use crate::record::{KeyedRecord, PROGRESS_TOPIC, WorkerRecord, encode};
+use crate::record::{KeyedRecord, WorkerRecord, encode};
 use crate::store::{AppendError, Store};
 use crate::table::JobTable;
 use crate::worker::Worker;
@@ -238,7 +238,7 @@
             .map(|life| KeyedRecord { key: life.instance.clone(), value: encode(&life.report()) })
             .collect();
         if !records.is_empty() {
-            self.parts.store.append(PROGRESS_TOPIC, &records, None).await?;
+            self.parts.store.report(&records).await?;
         }
         Ok(())
     }
--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -5,7 +5,7 @@
 
 use crate::keys::worker_key;
 use crate::losses::LifeOver;
-use crate::record::{KeyedRecord, PROGRESS_TOPIC, Record, STATE_TOPIC, encode, removal};
+use crate::record::{KeyedRecord, Record, STATE_TOPIC, encode, removal};
 use crate::registrations::{RegistrationNumber, number_after, number_at};
 use crate::store::Offset;
 use crate::table::JobTable;
@@ -183,7 +183,7 @@
             if let Ok(end) = self.parts.store.append(STATE_TOPIC, &records, None).await {
                 let report = removal(self.instance.clone());
                 // A report that stays is passed over: its worker is gone.
-                let _ = self.parts.store.append(PROGRESS_TOPIC, &[report], None).await;
+                let _ = self.parts.store.report(&[report]).await;
                 // Until the table shows it, the life would be taken up again.
                 self.parts.freshness.reach(end).await;
                 return;
--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -50,6 +50,13 @@
         Self { record, audience: Audience::All, introduction: None }
     }
 
+    /// Returns about how many bytes it takes to keep.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let job = self.introduction.as_ref().map_or(0, |introduction| introduction.job.size());
+        self.record.size() + job
+    }
+
     /// Iterates over what an agent needs of it, the job before its account.
     pub fn records_for(&self, agent: &str) -> impl Iterator<Item = KeyedRecord> + use<> {
         let introduction = self.introduction.as_ref().filter(|intro| intro.agents.includes(agent));
--- a/crates/rampbay-jobs/src/candidacy.rs
+++ b/crates/rampbay-jobs/src/candidacy.rs
@@ -2,8 +2,12 @@
 //!
 //! Leadership is membership of a group that the store keeps. The store may deal it anew whenever a process
 //! joins or leaves, and unasked; each change costs a second in which nothing is started. So only the leader
-//! stays in the group: the others ask who leads, join once nobody does, and leave again where another one
-//! was first. While the leader is the only member, whatever is dealt is dealt to it.
+//! stays in the group: the others learn whether anybody leads, join once nobody does, and leave again where another
+//! one was first. While the leader is the only member, whatever is dealt is dealt to it.
+//!
+//! A few processes ask the store again and again who leads ([`Vigil`]). The others hear of it with what they read
+//! through peers, and ask only once they haven't for a while: so the calls don't grow with the fleet, and a
+//! leader is found also where all of the few are lost with the last one. Those who stand do so one after the other.
 //!
 //! A leader of hundreds of workers needs a good share of a core and a wide link; a small process that led
 //! would lag behind, and lose its place again and again. So it leaves processes with room time to stand
@@ -15,6 +19,8 @@
 use async_trait::async_trait;
 use tokio::sync::watch;
 
+use crate::clock::Moment;
+use crate::freshness::Freshness;
 use crate::job::NodeName;
 use crate::store::Store;
 
@@ -29,6 +35,20 @@
 /// Time between two looks of such a process, while it leads, for one with more room.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(2000);
 
+/// Age of the last news that somebody leads from which on a process asks the store itself: what the few who ask
+/// need to stand (1.4 s), and what news takes through three hops (1.3 s).
+const NEWS_AGE: Duration = Duration::from_millis(2700);
+/// Time between the standing of one process and of the next: a call to the store takes a sixth of it.
+const STANDING_GAP: Duration = Duration::from_millis(30);
+/// Places over which processes that aren't among the few spread their standing.
+const OTHER_PLACES: u64 = 20;
+
+/// Who asks the store again and again who leads.
+pub trait Vigil {
+    /// Returns this process's place among the few who ask; `None` if it isn't one of them.
+    fn place(&self) -> Option<usize>;
+}
+
 /// Processes that have more room to lead than this one.
 #[async_trait(?Send)]
 pub trait Successors {
@@ -46,6 +66,29 @@
     pub interval: Duration,
     /// Processes with more room, where this one has little.
     pub successors: Option<Rc<dyn Successors>>,
+    /// Who asks the store again and again who leads.
+    pub vigil: Rc<dyn Vigil>,
+    /// What this process hears of who leads with what it reads.
+    pub freshness: Rc<Freshness>,
+    /// A random number, which differs between processes and starts.
+    pub salt: u64,
+}
+
+impl Candidate {
+    fn note_led(&self) {
+        self.freshness.note_led(Moment::now());
+    }
+
+    /// Returns whether this process has to ask the store who leads.
+    fn has_to_ask(&self) -> bool {
+        self.vigil.place().is_some() || self.freshness.led_age().is_none_or(|age| age > NEWS_AGE)
+    }
+
+    /// Returns how long after the others this process stands.
+    fn standing_delay(&self) -> Duration {
+        let place = self.vigil.place().map_or(self.salt % OTHER_PLACES, |place| place as u64);
+        STANDING_GAP * place as u32
+    }
 }
 
 /// The term of a process that leads: the generation under which it began.
@@ -86,6 +129,9 @@
         let is_sure_to_lead = match joined {
             Ok(Ok(answer)) => {
                 let held = *term.borrow();
+                if answer.leads {
+                    candidate.note_led();
+                }
                 // A leader keeps the generation under which it began.
                 let next = if answer.leads { held.or(Some(answer.generation)) } else { None };
                 term.send_if_modified(|current| std::mem::replace(current, next) != next);
@@ -106,30 +152,53 @@
     holder.is_ok_and(|holder| holder.is_some_and(|holder| holder != candidate.node))
 }
 
-/// Waits until the store says that nobody leads, to a process with little room several times in a row.
+/// Waits until the store says that nobody leads, to a process with little room several times in a row, and until
+/// the processes before this one have had time to stand.
 async fn wait_for_vacancy(candidate: &Candidate) {
-    if candidate.successors.is_none() {
-        while nobody_leads(candidate).await != Some(true) {
-            tokio::time::sleep(candidate.interval).await;
-        }
-        return;
-    }
-    let mut vacant = 0;
-    while vacant < SMALL_VACANT_ANSWERS {
+    let (interval, answers) = if candidate.successors.is_some() {
         tokio::time::sleep(SMALL_VACANCY_INTERVAL).await;
-        match nobody_leads(candidate).await {
-            Some(true) => vacant += 1,
-            Some(false) => vacant = 0,
-            None => {}
+        (SMALL_VACANCY_INTERVAL, SMALL_VACANT_ANSWERS)
+    } else {
+        (candidate.interval, 1)
+    };
+    let mut vacant = 0;
+    loop {
+        if vacant > 0 || candidate.has_to_ask() {
+            match nobody_leads(candidate).await {
+                Some(true) => vacant += 1,
+                Some(false) => vacant = 0,
+                None => {}
+            }
         }
+        if vacant >= answers {
+            if nobody_stands_first(candidate).await {
+                return;
+            }
+            vacant = 0;
+        }
+        tokio::time::sleep(interval).await;
+    }
+}
+
+/// Leaves the processes before this one the time to stand, and returns whether none of them has.
+async fn nobody_stands_first(candidate: &Candidate) -> bool {
+    let delay = candidate.standing_delay();
+    if delay.is_zero() {
+        return true;
     }
+    tokio::time::sleep(delay).await;
+    nobody_leads(candidate).await == Some(true)
 }
 
 /// Returns whether nobody leads, or this process by its name from before a restart; `None` where the store
 /// is away, which says nothing about who leads.
 async fn nobody_leads(candidate: &Candidate) -> Option<bool> {
     let holder = candidate.store.holder().await.ok()?;
-    Some(holder.is_none_or(|holder| holder == candidate.node))
+    let is_led = holder.is_some_and(|holder| holder != candidate.node);
+    if is_led {
+        candidate.note_led();
+    }
+    Some(!is_led)
 }
 
 /// Waits until a process with more room answers while this one leads.
--- a/crates/rampbay-jobs/src/echo.rs
+++ b/crates/rampbay-jobs/src/echo.rs
@@ -46,6 +46,10 @@
         Ok(end)
     }
 
+    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
+        self.store.report(reports).await
+    }
+
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         self.store.read(topic, from, wait).await
     }
--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -162,6 +162,9 @@
     let started = Moment::now();
     let from = freshness.position();
     let batch = store.read(topic, from, wait).await?;
+    if let Some(at) = batch.led_at(started) {
+        freshness.note_led(at);
+    }
     let count = batch.records.len() as u64;
     // This process may have taken in records of its own meanwhile.
     let known = freshness.position();
--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -18,6 +18,8 @@
     position: Cell<Offset>,
     changed: watch::Sender<u64>,
     recent: RefCell<Recent>,
+    /// When somebody surely led last, as far as this process has heard.
+    led_at: Cell<Option<Moment>>,
 }
 
 impl Default for Freshness {
@@ -27,6 +29,7 @@
             position: Cell::new(0),
             changed: watch::channel(0).0,
             recent: RefCell::default(),
+            led_at: Cell::new(None),
         }
     }
 }
@@ -35,15 +38,44 @@
 const STALE_AFTER: Duration = Duration::from_millis(1500);
 /// Most records that are kept to be passed on.
 const MOST_RECENT: usize = 2048;
+/// Most bytes of them, but for the latest record: a configuration may be a quarter of a megabyte, and an entry with
+/// little memory has 160 MB. Whoever reads more slowly than so much comes reads from the store.
+const MOST_RECENT_BYTES: usize = 4 << 20;
 
 /// The latest records, to be passed on.
 #[derive(Debug, Default)]
 struct Recent {
     first: Offset,
     records: VecDeque<Passed>,
+    bytes: usize,
     kept: bool,
 }
 
+impl Recent {
+    fn push(&mut self, passed: Passed) {
+        self.bytes += passed.size();
+        self.records.push_back(passed);
+        while self.records.len() > MOST_RECENT
+            || (self.bytes > MOST_RECENT_BYTES && self.records.len() > 1)
+        {
+            self.pop();
+        }
+    }
+
+    fn pop(&mut self) {
+        if let Some(oldest) = self.records.pop_front() {
+            self.bytes -= oldest.size();
+            self.first += 1;
+        }
+    }
+
+    fn restart(&mut self, first: Offset) {
+        self.records.clear();
+        self.bytes = 0;
+        self.first = first;
+    }
+}
+
 impl Freshness {
     /// Returns the age of the view: all that the store had acknowledged so long ago is in it.
     /// `None` before the first read of the whole topic.
@@ -58,6 +90,19 @@
         self.age().is_some_and(|age| age <= limit)
     }
 
+    /// Returns how long ago somebody surely led, as far as this process has heard; `None` before it has.
+    #[must_use]
+    pub fn led_age(&self) -> Option<Duration> {
+        self.led_at.get().map(|at| at.elapsed())
+    }
+
+    /// Takes note that somebody led at this time.
+    pub fn note_led(&self, at: Moment) {
+        if self.led_at.get().is_none_or(|before| before < at) {
+            self.led_at.set(Some(at));
+        }
+    }
+
     /// Returns the offset up to which records are taken in.
     #[must_use]
     pub fn position(&self) -> Offset {
@@ -154,6 +199,7 @@
             next: end,
             records,
             age,
+            led_age: self.led_age(),
             is_partial: agent.is_some(),
             ..Batch::default()
         }))
@@ -161,19 +207,12 @@
 
     /// Keeps the record that follows on the kept ones, to pass it on.
     pub(crate) fn keep(&self, passed: Passed) {
-        let mut recent = self.recent.borrow_mut();
-        recent.records.push_back(passed);
-        if recent.records.len() > MOST_RECENT {
-            recent.records.pop_front();
-            recent.first += 1;
-        }
+        self.recent.borrow_mut().push(passed);
     }
 
     /// Forgets the kept records; the next ones begin at `position`.
     pub(crate) fn restart(&self, position: Offset) {
-        let mut recent = self.recent.borrow_mut();
-        recent.records.clear();
-        recent.first = position;
+        self.recent.borrow_mut().restart(position);
     }
 
     /// Takes note that the view holds all that the store had acknowledged at this time. Whoever
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -8,13 +8,12 @@
 
 use crate::candidacy::{Candidate, Term, stand_for_ever};
 use crate::follower::Pace;
-use crate::freshness::Freshness;
 use crate::intake::CurrentRouting;
 use crate::metrics::metrics;
 use crate::planner::{Planner, ProgressTable, RoundInputs};
 use crate::process::follow_progress;
 use crate::record::{KeyedRecord, Leader, Record, STATE_TOPIC};
-use crate::store::{AppendError, Fence, Offset, Store};
+use crate::store::{AppendError, Fence, Offset, Store, appends};
 use crate::table::JobTable;
 
 /// Writer name that all leaders share, so that a newer one fences the older ones.
@@ -33,8 +32,6 @@
 const ROUND_SHARE: u32 = 4;
 /// Pause before an append without answer is repeated.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
-/// Most records of one append.
-const RECORDS_PER_APPEND: usize = 64;
 
 /// What a leader works with.
 pub struct LeaderParts {
@@ -42,16 +39,12 @@
     pub candidate: Candidate,
     /// The table, which a follower keeps current.
     pub table: Rc<RefCell<JobTable>>,
-    /// Age and position of the table.
-    pub freshness: Rc<Freshness>,
     /// What operators want.
     pub routing: Rc<CurrentRouting>,
     /// How the runs' progress is followed. Only whoever leads needs it.
     pub progress_pace: Pace,
     /// Reads the clock for due times.
     pub wall_clock: fn() -> u64,
-    /// A random number, which differs between processes and starts.
-    pub salt: u64,
 }
 
 /// A leader that has lost its place.
@@ -136,23 +129,23 @@
     mut planner: Planner,
     progress: &RefCell<ProgressTable>,
 ) -> Result<std::convert::Infallible, Deposed> {
-    let epoch = next_epoch(generation, parts.table.borrow().leader.epoch, parts.salt);
+    let epoch = next_epoch(generation, parts.table.borrow().leader.epoch, parts.candidate.salt);
     let fence = Fence { writer: WRITER.to_owned(), epoch, sequence: 0 };
     let mut writer = Writer { store: parts.candidate.store.as_ref(), fence };
     let leader = Record::Leader(Leader { node: parts.candidate.node.clone(), epoch });
     let end = writer.append(&[leader.encode()]).await?;
-    parts.freshness.reach(end).await;
+    parts.candidate.freshness.reach(end).await;
     log::info!("event=J120 leadership gained generation={generation} epoch={epoch} position={end}");
     let started = Instant::now();
     loop {
         let round_started = Instant::now();
-        let mut changes = parts.freshness.subscribe();
+        let mut changes = parts.candidate.freshness.subscribe();
         let records = decide(parts, &mut planner, progress, started.elapsed());
         let gap = ROUND_GAP.max(round_started.elapsed() * ROUND_SHARE);
         let idle = records.is_empty();
-        for group in records.chunks(RECORDS_PER_APPEND) {
+        for group in appends(&records) {
             let end = writer.append(group).await?;
-            parts.freshness.reach(end).await;
+            parts.candidate.freshness.reach(end).await;
         }
         if idle {
             let _ = tokio::time::timeout(IDLE_ROUND, changes.changed()).await;
--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -25,8 +25,12 @@
 /// Labels of a call to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct StoreLabels {
+    /// Which calls these are: `direct` ones reach the store itself, `any` are what the process asks of all ways.
+    pub way: &'static str,
     /// The operation.
     pub operation: &'static str,
+    /// The topic, if the operation has one.
+    pub topic: String,
     /// What came of it.
     pub outcome: &'static str,
 }
@@ -45,7 +49,7 @@
     pub calls: Family<CallLabels, Counter>,
     /// Time to answer a caller.
     pub call_seconds: Histogram,
-    /// Calls to the store by operation and outcome.
+    /// Calls to the store by way, operation, topic and outcome.
     pub store_calls: Family<StoreLabels, Counter>,
     /// Time of an append, whichever way it took.
     pub append_seconds: Histogram,
@@ -132,8 +136,8 @@
     }
 
     /// Counts a call to the store.
-    pub fn stored(&self, operation: &'static str, outcome: &'static str) {
-        self.store_calls.get_or_create(&StoreLabels { operation, outcome }).inc();
+    pub fn stored(&self, labels: &StoreLabels) {
+        self.store_calls.get_or_create(labels).inc();
     }
 
     /// Writes all metrics in the Prometheus text format.
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -355,6 +355,14 @@
     pub value: Vec<u8>,
 }
 
+impl KeyedRecord {
+    /// Returns how many bytes of key and value it has.
+    #[must_use]
+    pub const fn size(&self) -> usize {
+        self.key.len() + self.value.len()
+    }
+}
+
 /// Errors of decoding a record.
 #[derive(Debug, thiserror::Error)]
 pub enum RecordError {
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -8,11 +8,27 @@
 
 use crate::clock::Moment;
 use crate::job::NodeName;
-use crate::record::KeyedRecord;
+use crate::record::{KeyedRecord, PROGRESS_TOPIC};
 
 /// Offset of a record in its topic.
 pub type Offset = u64;
 
+/// Most bytes of one append: a quarter of what the store takes in one call, and 25 ms of a partition's time. A limit
+/// by number would bind what a slow store takes: 64 records an append were 270 a second at one 60 times slower.
+pub const BYTES_PER_APPEND: usize = 512 << 10;
+
+/// Divides records into appends, each of [`BYTES_PER_APPEND`] at most or of a single record.
+pub fn appends(records: &[KeyedRecord]) -> impl Iterator<Item = &[KeyedRecord]> {
+    let mut bytes = 0;
+    records.chunk_by(move |before, next| {
+        bytes = if bytes == 0 { before.size() } else { bytes };
+        bytes += next.size();
+        let fits = bytes <= BYTES_PER_APPEND;
+        bytes = if fits { bytes } else { 0 };
+        fits
+    })
+}
+
 /// Marks the appends of one writer, so that the store refuses older writers and answers a
 /// repeated append again without doing it twice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +78,8 @@
     pub records: Vec<KeyedRecord>,
     /// How old the answer's view of the store was when it was given; zero from the store itself.
     pub age: Duration,
+    /// How long ago somebody surely led, as far as whoever gave the answer has heard; `None` from the store itself.
+    pub led_age: Option<Duration>,
     /// How long the answer surely waited for a record before it found none. Whoever made the call says
     /// so ([`Self::after_wait`]): a way may wait less than its reader asked for, or be the second one.
     #[serde(skip)]
@@ -89,6 +107,12 @@
         (started + self.waited).checked_sub(self.age)
     }
 
+    /// Returns when somebody surely led, to a reader whose call began at `started`.
+    #[must_use]
+    pub fn led_at(&self, started: Moment) -> Option<Moment> {
+        (started + self.waited).checked_sub(self.led_age?)
+    }
+
     /// Returns the records that a reader who asked from `from` on and has come to `known` meanwhile
     /// hasn't taken in yet. Where some are left out, offsets say nothing, and all are returned: the
     /// newest record of a key counts.
@@ -135,6 +159,15 @@
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError>;
 
+    /// Hands in reports of the runs' progress; the newest of each key counts. They may be lost on the way.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if nobody took them.
+    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
+        self.append(PROGRESS_TOPIC, reports, None).await.map(|_| ())
+    }
+
     /// Reads from an offset on; waits up to `wait` for a record.
     ///
     /// # Errors
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use crate::drained::DrainedDomains;
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
@@ -43,6 +44,10 @@
     }
 }
 
+/// Numbers of states of the processes that were given out: no two states have the same, also of tables that were
+/// loaded anew.
+static PROCESS_STATES: AtomicU64 = AtomicU64::new(0);
+
 /// Workers that are gone and whose agents are remembered, beside twice as many as are there.
 const MOST_GONE_AGENTS: usize = 256;
 
@@ -79,6 +84,8 @@
     assigned_before_return: BTreeMap<InstanceId, BTreeSet<(TaskId, u32)>>,
     /// Cancellations of jobs that aren't known.
     early_cancels: BTreeSet<JobId>,
+    /// Number of the present state of the processes.
+    process_state: u64,
 }
 
 impl JobTable {
@@ -139,10 +146,12 @@
             Record::Leader(leader) => {
                 if leader.epoch >= self.leader.epoch {
                     self.leader = leader;
+                    self.note_process_change();
                 }
             }
             Record::Member(member) => {
                 self.members.insert(member.node.clone(), member);
+                self.note_process_change();
             }
             Record::Drained(drained) => {
                 if drained.read_to >= self.drained.read_to {
@@ -152,6 +161,17 @@
         }
     }
 
+    fn note_process_change(&mut self) {
+        self.process_state = PROCESS_STATES.fetch_add(1, Ordering::Relaxed) + 1;
+    }
+
+    /// Returns a number that stands for the processes that are known and who leads: another one after each change.
+    /// What is worked out from them needs to be worked out again only then.
+    #[must_use]
+    pub const fn process_state(&self) -> u64 {
+        self.process_state
+    }
+
     fn insert_worker(&mut self, instance: &str, number: RegistrationNumber, worker: WorkerRecord) {
         if !self.workers.contains_key(instance) {
             let assigned = self.runs_assigned_to(instance);
@@ -305,6 +325,7 @@
             "evicted" => self.remove_eviction(key),
             "member" => {
                 self.members.remove(name);
+                self.note_process_change();
             }
             _ => {}
         }
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::candidacy::{Candidate, Successors};
+use rampbay_jobs::candidacy::{Candidate, Successors, Vigil};
 use rampbay_jobs::follower::{Pace, Sink, follow};
 use rampbay_jobs::intake::CurrentRouting;
 use rampbay_jobs::leader::{self, LeaderParts};
@@ -36,6 +36,15 @@
     }
 }
 
+/// Asks the store who leads, and stands at once.
+struct Asks;
+
+impl Vigil for Asks {
+    fn place(&self) -> Option<usize> {
+        Some(0)
+    }
+}
+
 /// Starts a process that stands for leadership and plans while it leads. One with `successors` has
 /// little room itself.
 pub fn start_leader(
@@ -63,13 +72,14 @@
             store: shared,
             interval: Duration::from_millis(333),
             successors,
+            vigil: Rc::new(Asks),
+            freshness: live.freshness,
+            salt,
         },
         table: live.table,
-        freshness: live.freshness,
         routing,
         progress_pace: pace,
         wall_clock: super::virtual_wall_clock,
-        salt,
     };
     tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
 }
--- a/crates/rampbay-peer/src/entry.rs
+++ b/crates/rampbay-peer/src/entry.rs
@@ -21,9 +21,9 @@
 /// How the operators' orders are followed: their age decides whether calls may be answered.
 const OPERATORS_PACE: Pace =
     Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(20) };
-/// How the runs' progress is followed.
+/// How the runs' progress is followed: it comes in groups, some seven a second.
 const PROGRESS_PACE: Pace =
-    Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(500) };
+    Pace { wait: Duration::from_millis(1000), gap: Duration::from_millis(300) };
 
 /// An entry's part in the whole.
 #[derive(Clone)]
@@ -57,14 +57,15 @@
                 node: self.settings.node.clone(),
                 store: self.store,
                 interval,
-                successors: self.routes.successors(),
+                successors: self.routes.clone().successors(),
+                vigil: self.routes.vigil(),
+                freshness: self.live.freshness,
+                salt,
             },
             table: self.live.table,
-            freshness: self.live.freshness,
             routing: self.routing,
             progress_pace: PROGRESS_PACE,
             wall_clock,
-            salt,
         };
         let planner = self.settings.planner();
         leader::run(parts, || Planner::new(planner)).await;
--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -13,15 +13,10 @@
 use rampbay_jobs::job::NodeName;
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
-    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
+    AppendError, BYTES_PER_APPEND, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
 use tokio::sync::oneshot;
 
-/// Most records of one batch; as many as a leader's own appends hold.
-const RECORDS_PER_BATCH: usize = 64;
-/// Most bytes of one batch, a quarter of what the store takes in one call.
-const BYTES_PER_BATCH: usize = 512 << 10;
-
 type Outcome = Result<Offset, AppendError>;
 
 /// Records that wait for the next batch.
@@ -32,7 +27,7 @@
 
 impl Waiting {
     fn bytes(&self) -> usize {
-        self.records.iter().map(|record| record.key.len() + record.value.len()).sum()
+        self.records.iter().map(KeyedRecord::size).sum()
     }
 }
 
@@ -50,11 +45,10 @@
         let mut waiting = self.waiting.borrow_mut();
         waiting.retain(|entry| !entry.outcome.is_closed());
         let mut batch = Vec::new();
-        let (mut records, mut bytes) = (0, 0);
+        let mut bytes = 0;
         while let Some(entry) = waiting.front() {
-            records += entry.records.len();
             bytes += entry.bytes();
-            if !batch.is_empty() && (records > RECORDS_PER_BATCH || bytes > BYTES_PER_BATCH) {
+            if !batch.is_empty() && bytes > BYTES_PER_APPEND {
                 break;
             }
             batch.extend(waiting.pop_front());
@@ -143,6 +137,10 @@
         rx.await.unwrap_or(Err(AppendError::Unknown))
     }
 
+    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
+        self.store.report(reports).await
+    }
+
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         self.store.read(topic, from, wait).await
     }
--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -3,8 +3,9 @@
 //! [`client`] and [`server`] are thin covers over hyper for one thread. The ways to the store are
 //! stores themselves, one around the other ([`ways`]): [`direct`] knows whether the process's own way is
 //! open, [`relay`] goes through peers where it isn't, [`group`] lets appends ride together, [`tail`] reads
-//! through peers, [`metered`] counts. A [`peer`] is a store as well, over a [`transport`]; [`served`] is
-//! what a process does for its peers, and [`routes`] whom it goes through. [`entry`] and [`agent`] put
+//! through peers, [`metered`] counts. [`reports`] gathers what agents report. A [`peer`] is a store as well, over a [`transport`]; [`served`] is
+//! what a process does for its peers, and [`routes`] whom it goes through, by the [`tree`] of
+//! all entries. [`entry`] and [`agent`] put
 //! the two kinds of processes together.
 
 pub mod agent;
@@ -16,9 +17,11 @@
 pub mod peer;
 pub mod protocol;
 pub mod relay;
+pub mod reports;
 pub mod routes;
 pub mod served;
 pub mod server;
 pub mod tail;
 pub mod transport;
+pub mod tree;
 pub mod ways;
--- a/crates/rampbay-peer/src/metered.rs
+++ b/crates/rampbay-peer/src/metered.rs
@@ -5,15 +5,43 @@
 
 use async_trait::async_trait;
 use rampbay_jobs::job::NodeName;
-use rampbay_jobs::metrics::metrics;
+use rampbay_jobs::metrics::{StoreLabels, metrics};
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
 use tokio::time::Instant;
 
+/// Which calls are counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counted {
+    /// Those that reach the store itself; they are priced.
+    Direct,
+    /// What the process asks of all its ways. The time of an append counts here.
+    Any,
+}
+
 /// A store whose calls are counted.
-pub struct MeteredStore(pub Rc<dyn Store>);
+pub struct MeteredStore {
+    store: Rc<dyn Store>,
+    counted: Counted,
+}
+
+impl MeteredStore {
+    /// Counts the calls to a store.
+    #[must_use]
+    pub fn new(store: Rc<dyn Store>, counted: Counted) -> Self {
+        Self { store, counted }
+    }
+
+    fn note(&self, operation: &'static str, topic: &str, outcome: &'static str) {
+        let way = match self.counted {
+            Counted::Direct => "direct",
+            Counted::Any => "any",
+        };
+        metrics().stored(&StoreLabels { way, operation, topic: topic.to_owned(), outcome });
+    }
+}
 
 fn read_outcome<T>(outcome: &Result<T, ReadError>) -> &'static str {
     match outcome {
@@ -23,6 +51,15 @@
     }
 }
 
+const fn append_outcome<T>(outcome: &Result<T, AppendError>) -> &'static str {
+    match outcome {
+        Ok(_) => "served",
+        Err(AppendError::Refused) => "refused",
+        Err(AppendError::Fenced) => "fenced",
+        Err(AppendError::Unknown) => "unknown",
+    }
+}
+
 #[async_trait(?Send)]
 impl Store for MeteredStore {
     async fn append(
@@ -32,45 +69,48 @@
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
         let started = Instant::now();
-        let outcome = self.0.append(topic, records, fence).await;
-        metrics().append_seconds.observe(started.elapsed().as_secs_f64());
-        let word = match outcome {
-            Ok(_) => "served",
-            Err(AppendError::Refused) => "refused",
-            Err(AppendError::Fenced) => "fenced",
-            Err(AppendError::Unknown) => "unknown",
-        };
-        metrics().stored("append", word);
+        let outcome = self.store.append(topic, records, fence).await;
+        if self.counted == Counted::Any {
+            metrics().append_seconds.observe(started.elapsed().as_secs_f64());
+        }
+        self.note("append", topic, append_outcome(&outcome));
         outcome
     }
 
+    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
+        self.store.report(reports).await
+    }
+
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        let outcome = self.0.read(topic, from, wait).await;
-        metrics().stored("read", read_outcome(&outcome));
+        let outcome = self.store.read(topic, from, wait).await;
+        self.note("read", topic, read_outcome(&outcome));
         outcome
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        let outcome = self.0.newest(topic).await;
-        metrics().stored("newest", read_outcome(&outcome));
+        let outcome = self.store.newest(topic).await;
+        self.note("newest", topic, read_outcome(&outcome));
         outcome
     }
 
     async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        let outcome = self.0.stand(member, generation).await;
-        metrics().stored("stand", read_outcome(&outcome));
+        let outcome = self.store.stand(member, generation).await;
+        self.note("stand", "", read_outcome(&outcome));
         outcome
     }
 
     async fn resign(&self, member: &str) {
-        self.0.resign(member).await;
+        self.store.resign(member).await;
+        self.note("resign", "", "sent");
     }
 
     async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.0.holder().await
+        let outcome = self.store.holder().await;
+        self.note("holder", "", read_outcome(&outcome));
+        outcome
     }
 
     async fn regained(&self) {
-        self.0.regained().await;
+        self.store.regained().await;
     }
 }
--- a/crates/rampbay-peer/src/peer.rs
+++ b/crates/rampbay-peer/src/peer.rs
@@ -21,7 +21,7 @@
 /// Longest time of an append through a gateway: more than the outages of the store that are worth
 /// waiting for. Until then the gateway is pinged.
 const GATEWAY_TIMEOUT: Duration = Duration::from_secs(12);
-/// Longest time for the answer to a ping: a process that takes longer is frozen, cut off or gone.
+/// Longest time for the answer to a ping, or to reports: a process that takes longer is frozen, cut off or gone.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
 /// Added to a read's wait at the store.
 const READ_SLACK: Duration = Duration::from_millis(950);
@@ -56,20 +56,21 @@
         self
     }
 
-    /// Reads records that the peer follows itself: all, or those that an agent needs.
+    /// Reads records of a topic that the peer follows itself: all, or those that an agent needs.
     ///
     /// # Errors
     ///
     /// Returns an error if the peer can't be reached or doesn't keep them.
     pub async fn tail(
         &self,
+        topic: &str,
         from: Offset,
         wait: Duration,
         agent: Option<NodeName>,
     ) -> Result<Batch, ReadError> {
         let wait_ms = wait.as_millis() as u64;
         let is_partial = agent.is_some();
-        let request = StoreRequest::Tail { from, wait_ms, agent };
+        let request = StoreRequest::Tail { topic: topic.to_owned(), from, wait_ms, agent };
         let batch = self.call_to_read(&request, wait_ms, wait + TAIL_SLACK).await?;
         Ok(Batch { is_partial, ..batch })
     }
@@ -122,6 +123,14 @@
         }
     }
 
+    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
+        let request = StoreRequest::Report { reports: reports.to_vec() };
+        match self.call(&request, PING_TIMEOUT).await {
+            Ok(StoreReply::Report(outcome)) => outcome,
+            Ok(_) | Err(_) => Err(AppendError::Unknown),
+        }
+    }
+
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         let wait_ms = wait.as_millis() as u64;
         let request = StoreRequest::Read { topic: topic.to_owned(), from, wait_ms };
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -35,6 +35,8 @@
     },
     /// See [`Freshness::pass_on`].
     Tail {
+        /// Topic.
+        topic: String,
         /// Offset.
         from: Offset,
         /// Longest wait, in milliseconds.
@@ -63,6 +65,11 @@
         /// Candidate.
         member: String,
     },
+    /// See [`Store::report`]: gathered with those of others.
+    Report {
+        /// The reports.
+        reports: Vec<KeyedRecord>,
+    },
 }
 
 /// What came of an operation.
@@ -82,4 +89,6 @@
     Pong,
     /// Of a resignation.
     Resigned,
+    /// Of reports.
+    Report(Result<(), AppendError>),
 }
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -45,7 +45,7 @@
 const GATEWAYS_PER_APPEND: usize = 2;
 
 /// Lists the ways through peers, the nearest first.
-pub type PeerList = Box<dyn Fn() -> Vec<Rc<dyn Store>>>;
+pub type PeerList = Box<dyn Fn() -> Rc<[Rc<dyn Store>]>>;
 
 /// A peer that gathers the appends of others, and sees to it that they get to the store.
 #[async_trait(?Send)]
@@ -57,7 +57,7 @@
 }
 
 /// Lists the peers that gather the appends of others, the best first.
-pub type Gateways = Box<dyn Fn() -> Vec<Rc<dyn GatewayPeer>>>;
+pub type Gateways = Box<dyn Fn() -> Rc<[Rc<dyn GatewayPeer>]>>;
 
 /// Counts the processes that may append on their own.
 pub type Writers = Box<dyn Fn() -> u32>;
@@ -83,7 +83,7 @@
         Self {
             direct,
             peers,
-            gateways: Box::new(Vec::new),
+            gateways: Box::new(|| Rc::from([])),
             gateways_paused: RefCell::default(),
             writers: Box::new(|| 0),
             preferred: Cell::new(0),
@@ -114,6 +114,27 @@
         order.take(PEERS_PER_CALL).map(|place| (place, Rc::clone(&peers[place]))).collect()
     }
 
+    /// Makes a call that reads through peers in turn, where the direct way is broken.
+    async fn or_through_peers<T>(
+        &self,
+        direct: Result<T, ReadError>,
+        call: impl AsyncFn(&dyn Store) -> Result<T, ReadError>,
+    ) -> Result<T, ReadError> {
+        let mut outcome = direct;
+        if !matches!(outcome, Err(ReadError::Unavailable)) {
+            return outcome;
+        }
+        for (place, peer) in self.candidates() {
+            outcome = call(peer.as_ref()).await;
+            if !matches!(outcome, Err(ReadError::Unavailable)) {
+                self.prefer(place);
+                break;
+            }
+            self.prefer(place + 1);
+        }
+        outcome
+    }
+
     fn prefer(&self, place: usize) {
         self.preferred.set(place);
     }
@@ -139,10 +160,9 @@
         let now = Instant::now();
         let mut paused = self.gateways_paused.borrow_mut();
         paused.retain(|_, until| now < *until);
-        let mut gateways = (self.gateways)();
-        gateways.retain(|gateway| !paused.contains_key(gateway.name()));
-        gateways.truncate(GATEWAYS_PER_APPEND);
-        gateways
+        let gateways = (self.gateways)();
+        let open = gateways.iter().filter(|gateway| !paused.contains_key(gateway.name()));
+        open.take(GATEWAYS_PER_APPEND).map(Rc::clone).collect()
     }
 
     /// Waits until an append without answer should be sent once more. Slowness is no reason: a
@@ -297,39 +317,18 @@
     }
 
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        let mut outcome = self.direct.read(topic, from, wait).await;
-        for (place, peer) in self.candidates() {
-            if !matches!(outcome, Err(ReadError::Unavailable)) {
-                break;
-            }
-            outcome = peer.read(topic, from, wait).await;
-            self.prefer(if outcome.is_ok() { place } else { place + 1 });
-        }
-        outcome
+        let direct = self.direct.read(topic, from, wait).await;
+        self.or_through_peers(direct, async |peer| peer.read(topic, from, wait).await).await
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        let mut outcome = self.direct.newest(topic).await;
-        for (place, peer) in self.candidates() {
-            if outcome.is_ok() {
-                break;
-            }
-            outcome = peer.newest(topic).await;
-            self.prefer(if outcome.is_ok() { place } else { place + 1 });
-        }
-        outcome
+        let direct = self.direct.newest(topic).await;
+        self.or_through_peers(direct, async |peer| peer.newest(topic).await).await
     }
 
     async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        let mut outcome = self.direct.stand(member, generation).await;
-        for (place, peer) in self.candidates() {
-            if outcome.is_ok() {
-                break;
-            }
-            outcome = peer.stand(member, generation).await;
-            self.prefer(if outcome.is_ok() { place } else { place + 1 });
-        }
-        outcome
+        let direct = self.direct.stand(member, generation).await;
+        self.or_through_peers(direct, async |peer| peer.stand(member, generation).await).await
     }
 
     async fn resign(&self, member: &str) {
@@ -337,15 +336,8 @@
     }
 
     async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        let mut outcome = self.direct.holder().await;
-        for (place, peer) in self.candidates() {
-            if outcome.is_ok() {
-                break;
-            }
-            outcome = peer.holder().await;
-            self.prefer(if outcome.is_ok() { place } else { place + 1 });
-        }
-        outcome
+        let direct = self.direct.holder().await;
+        self.or_through_peers(direct, async |peer| peer.holder().await).await
     }
 
     async fn regained(&self) {
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -1,15 +1,14 @@
 //! Which peers a process goes through, for what.
 //!
-//! Whoever serves many others needs room: a wide link and a good share of a core. Such processes are
-//! called ample ([`Member::is_ample`]). Ample entries read through the leader; small ones read through ample
-//! ones, and so do agents. The leader so serves a handful of processes however many there are.
+//! Records travel down the [`Tree`] of the entries. Agents' appends go up to the leader, or else to an ample
+//! entry nearby. Whoever is turned away by the store goes through any peer.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use async_trait::async_trait;
-use rampbay_jobs::candidacy::Successors;
+use rampbay_jobs::candidacy::{Successors, Vigil};
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::Member;
 use rampbay_jobs::settings::Settings;
@@ -18,8 +17,13 @@
 
 use crate::peer::PeerStore;
 use crate::relay::{GatewayPeer, Gateways, PeerList, Writers};
-use crate::tail::TailPeers;
+use crate::tail::{Sources, TailSources};
 use crate::transport::Transport;
+use crate::tree::{Tree, ample, entries, rank, watch};
+
+/// Peers that a process knows to go through while the store turns it away. Some calls go wrong until one of them is
+/// found that the store serves; where a third of the fleet is turned away, all of these are once in 40 million.
+const MOST_RELAYS: usize = 16;
 
 /// What a process needs to find its peers.
 #[derive(Clone)]
@@ -37,101 +41,132 @@
         PeerStore::new(Rc::clone(&self.transport), member.address.clone())
     }
 
+    /// Works a list of peers out once, and again after the processes or the leader have changed: each call asks for
+    /// one, and a fleet has hundreds of processes.
+    fn remembered<T: Clone + 'static>(
+        self,
+        list: impl Fn(&Self, &JobTable) -> T + 'static,
+    ) -> impl Fn() -> T {
+        let known: RefCell<Option<(u64, T)>> = RefCell::default();
+        move || {
+            let table = self.live.table.borrow();
+            let state = table.process_state();
+            let mut known = known.borrow_mut();
+            if let Some((_, list)) = known.as_ref().filter(|(of, _)| *of == state) {
+                return list.clone();
+            }
+            let list = list(&self, &table);
+            *known = Some((state, list.clone()));
+            list
+        }
+    }
+
     /// Lists the processes that gather an agent's appends: the leader's first, since the planner knows
     /// at once what passes through it; then ample ones, or all entries where none is ample.
     #[must_use]
     pub fn gateways(self) -> Gateways {
-        Box::new(move || {
-            let table = self.live.table.borrow();
-            let leader = table.members.get(&table.leader.node).map(|leader| self.peer(leader));
-            let others = self.near_first(self.ample_entries(&table), &table.leader.node);
-            let others = others.into_iter().filter(|other| {
-                leader.as_ref().is_none_or(|leader| leader.address() != other.address())
-            });
-            let others: Vec<PeerStore> = others.collect();
-            let gateway = |peer: PeerStore| -> Rc<dyn GatewayPeer> { Rc::new(peer.as_gateway()) };
+        Box::new(self.remembered(|routes, table| {
+            let leader = table.members.get(&table.leader.node);
+            let others = routes.near_first(routes.ample_or_all(table), &table.leader.node);
+            let others = others.into_iter().filter(|other| other.node != table.leader.node);
+            let gateway = |member: &Member| -> Rc<dyn GatewayPeer> {
+                Rc::new(routes.peer(member).as_gateway())
+            };
             leader.into_iter().chain(others).map(gateway).collect()
-        })
+        }))
     }
 
     /// Counts the processes that append on their own: all entries, and a second time the leader, whose
     /// decisions go beside what it gathers.
     #[must_use]
     pub fn writers(self) -> Writers {
-        Box::new(move || {
-            let table = self.live.table.borrow();
-            entries(&table).count() as u32 + 1
-        })
+        Box::new(self.remembered(|_, table| entries(table).count() as u32 + 1))
     }
 
     /// Lists the ample entries, or all where none is ample.
-    fn ample_entries<'a>(&self, table: &'a JobTable) -> Vec<&'a Member> {
+    fn ample_or_all<'a>(&self, table: &'a JobTable) -> Vec<&'a Member> {
         let ample: Vec<&Member> = ample(table).collect();
         if ample.is_empty() { entries(table).collect() } else { ample }
     }
 
-    /// Lists what an entry reads the state through: the leader for ample ones, other ample ones for
-    /// the rest. An entry that leads itself, or finds nobody ample, reads from the store.
+    /// Lists what an entry reads through, by its place in the tree. An entry that leads itself, or finds nobody
+    /// ample, reads from the store.
     #[must_use]
-    pub fn tails_of_entry(self) -> TailPeers {
-        Box::new(move || {
-            let table = self.live.table.borrow();
-            let own = &self.settings.node;
-            if table.leader.node == *own {
-                return Vec::new();
-            }
-            if self.settings.member(true).is_ample() {
-                let leader = table.members.get(&table.leader.node);
-                let leader = leader.filter(|leader| leader.is_ample());
-                return leader.map(|leader| self.peer(leader)).into_iter().collect();
-            }
-            self.near_first(ample(&table).collect(), &table.leader.node)
-        })
+    pub fn sources_of_entry(self) -> TailSources {
+        Box::new(self.remembered(|routes, table| {
+            let own = &routes.settings.node;
+            let is_root = table.leader.node == *own;
+            let above = if is_root { Vec::new() } else { routes.above(table) };
+            let peers = above.into_iter().map(|member| routes.peer(member)).collect();
+            Sources { peers, is_root }
+        }))
+    }
+
+    /// Lists the entries above this one in the tree, the nearest first.
+    fn above<'a>(&self, table: &'a JobTable) -> Vec<&'a Member> {
+        let tree = Tree::of(table);
+        if !self.settings.member(true).is_ample() {
+            return self.near_first(ample(table).collect(), &table.leader.node);
+        }
+        // One that isn't in the state yet may be either; the leader is sure to have what it needs.
+        let is_outer = tree.outer.iter().any(|member| member.node == self.settings.node);
+        if is_outer {
+            return self.near_first(tree.inner, &table.leader.node);
+        }
+        tree.root.into_iter().collect()
     }
 
     /// Lists what an agent reads the state through: ample entries, or all where none is ample.
     #[must_use]
-    pub fn tails_of_agent(self) -> TailPeers {
-        Box::new(move || {
-            let table = self.live.table.borrow();
-            self.near_first(self.ample_entries(&table), &table.leader.node)
-        })
+    pub fn sources_of_agent(self) -> TailSources {
+        Box::new(self.remembered(|routes, table| {
+            let near = routes.near_first(routes.ample_or_all(table), &table.leader.node);
+            let peers = near.into_iter().map(|member| routes.peer(member)).collect();
+            Sources { peers, is_root: false }
+        }))
     }
 
     /// Sorts members: near ones first, each process with another beginning, the leader last: it has
     /// enough to do.
-    fn near_first(&self, mut members: Vec<&Member>, leader: &str) -> Vec<PeerStore> {
+    fn near_first<'a>(&self, mut members: Vec<&'a Member>, leader: &str) -> Vec<&'a Member> {
         let own = &self.settings;
-        members.sort_by_key(|member| {
+        members.sort_by_cached_key(|member| {
             let is_far = member.failure_domain != own.failure_domain;
             (member.node == leader, is_far, rank(&own.node, &member.node))
         });
-        members.into_iter().map(|member| self.peer(member)).collect()
+        members
     }
 
-    /// Lists the ways to the store through peers.
+    /// Lists some ways to the store through peers, each process with others, so that one peer doesn't serve all.
     #[must_use]
     pub fn relays(self) -> PeerList {
-        Box::new(move || {
-            let table = self.live.table.borrow();
-            let settings = &self.settings;
-            let own = SocketAddr::new(settings.ip, settings.peer_port).to_string();
-            let seeds = settings.seeds.iter();
-            let seeds =
-                seeds.map(|seed| SocketAddr::new(seed.ip(), settings.peer_port).to_string());
+        Box::new(self.remembered(|routes, table| {
+            let settings = &routes.settings;
+            let at = |ip| SocketAddr::new(ip, settings.peer_port).to_string();
+            let own = at(settings.ip);
+            let seeds = settings.seeds.iter().map(|seed| at(seed.ip()));
             let known = table.members.values().map(|member| member.address.clone());
             let mut addresses: Vec<String> = known.chain(seeds).collect();
             addresses.sort();
             addresses.dedup();
             addresses.retain(|address| *address != own);
-            // Processes begin with different peers, so that one peer doesn't serve all.
-            let own_place = addresses.partition_point(|address| *address < own);
-            addresses.rotate_left(own_place);
-            let stores = addresses.into_iter().map(|address| -> Rc<dyn Store> {
-                Rc::new(PeerStore::new(Rc::clone(&self.transport), address))
-            });
-            stores.collect()
-        })
+            addresses.sort_by_cached_key(|address| rank(&own, address));
+            addresses.truncate(MOST_RELAYS);
+            let store = |address: String| -> Rc<dyn Store> {
+                Rc::new(PeerStore::new(Rc::clone(&routes.transport), address))
+            };
+            addresses.into_iter().map(store).collect()
+        }))
+    }
+
+    /// Returns whether this process is among the few that ask the store again and again who leads.
+    #[must_use]
+    pub fn vigil(self) -> Rc<dyn Vigil> {
+        let place = self.remembered(|routes, table| {
+            let mut watch = watch(table);
+            watch.position(|member| member.node == routes.settings.node)
+        });
+        Rc::new(Watch(Box::new(place)))
     }
 
     /// Returns who could lead in place of this process, if it has little room itself.
@@ -142,22 +177,13 @@
     }
 }
 
-/// Iterates over the entries. Only their views are whole, and only they stand for leadership: an agent
-/// follows what concerns its own worker, however much room its machine has.
-fn entries(table: &JobTable) -> impl Iterator<Item = &Member> {
-    table.members.values().filter(|member| member.passes_on)
-}
-
-/// Iterates over the ample entries.
-fn ample(table: &JobTable) -> impl Iterator<Item = &Member> {
-    entries(table).filter(|member| member.is_ample())
-}
+/// This process's place among those that ask who leads.
+struct Watch(Box<dyn Fn() -> Option<usize>>);
 
-/// Orders one process's peers unlike those of another.
-fn rank(own: &str, peer: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    (own, peer).hash(&mut hasher);
-    hasher.finish()
+impl Vigil for Watch {
+    fn place(&self) -> Option<usize> {
+        (self.0)()
+    }
 }
 
 /// Ample entries that are asked whether they answer, at most.
@@ -169,11 +195,11 @@
 #[async_trait(?Send)]
 impl Successors for AmplePeers {
     async fn any_answers(&self) -> bool {
+        let routes = &self.0;
         let ample: Vec<PeerStore> = {
-            let table = self.0.live.table.borrow();
-            let mut peers = self.0.near_first(ample(&table).collect(), &table.leader.node);
-            peers.truncate(MOST_ASKED);
-            peers
+            let table = routes.live.table.borrow();
+            let near = routes.near_first(ample(&table).collect(), &table.leader.node);
+            near.into_iter().take(MOST_ASKED).map(|member| routes.peer(member)).collect()
         };
         for peer in ample {
             if peer.responds().await {
--- a/crates/rampbay-peer/src/served.rs
+++ b/crates/rampbay-peer/src/served.rs
@@ -1,13 +1,15 @@
 //! What a process does for its peers.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use rampbay_jobs::freshness::Freshness;
-use rampbay_jobs::store::Store;
+use rampbay_jobs::store::{AppendError, ReadError, Store};
 
 use crate::protocol::{StoreReply, StoreRequest};
+use crate::reports::Reports;
 use crate::server::{Answer, Handler};
 
 /// What a process serves its peers with.
@@ -17,10 +19,15 @@
     pub direct: Rc<dyn Store>,
     /// All ways that it has itself, for the appends that it gathers.
     pub own: Rc<dyn Store>,
-    /// The records of the state that it follows.
-    pub followed: Rc<Freshness>,
+    /// The topics that it follows whole, by their names.
+    pub followed: Followed,
+    /// Reports that it gathers, if it does.
+    pub reports: Option<Rc<Reports>>,
 }
 
+/// Topics that a process follows whole, and passes on.
+pub type Followed = BTreeMap<String, Rc<Freshness>>;
+
 /// Makes the handler that serves peers.
 #[must_use]
 pub fn handler(served: Served) -> Handler {
@@ -42,9 +49,12 @@
 pub async fn perform(served: &Served, request: StoreRequest) -> StoreReply {
     let store = served.direct.as_ref();
     match request {
-        StoreRequest::Tail { from, wait_ms, agent } => {
+        StoreRequest::Tail { topic, from, wait_ms, agent } => {
             let wait = Duration::from_millis(wait_ms);
-            StoreReply::Read(served.followed.pass_on(from, wait, agent.as_deref()).await)
+            StoreReply::Read(match served.followed.get(&topic) {
+                Some(followed) => followed.pass_on(from, wait, agent.as_deref()).await,
+                None => Err(ReadError::Unavailable),
+            })
         }
         StoreRequest::Append { topic, records, fence } => {
             StoreReply::Append(store.append(&topic, &records, fence.as_ref()).await)
@@ -61,6 +71,10 @@
         }
         StoreRequest::Holder => StoreReply::Holder(store.holder().await),
         StoreRequest::Ping => StoreReply::Pong,
+        StoreRequest::Report { reports } => {
+            let gathered = served.reports.as_ref().map(|gathered| gathered.take_in(reports));
+            StoreReply::Report(gathered.ok_or(AppendError::Refused))
+        }
         StoreRequest::Resign { member } => {
             store.resign(&member).await;
             StoreReply::Resigned
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -1,10 +1,11 @@
-//! Reads of the state through a process that follows it anyway, to spare the store's calls.
+//! Reads of a topic through processes that follow it anyway, to spare the store's calls.
 //!
-//! Every process needs every record of the state soon. A read of its own for each costs a call to the
-//! store, and at a slow store its time too. The leader appends most records itself and reads the
-//! others; entries read through the leader, agents through entries, each with the age of the view.
-//! A view that is too old, or a peer that doesn't answer, sends the reader to the next peer, and where
-//! none answers to the store.
+//! Every process needs every record of the state soon, and every entry the operators' orders. A read of its own for
+//! each costs a call to the store, and at a slow store its time too. So the leader reads from the store, and the
+//! others through the [`tree`](crate::tree) below it, each with the age of the view. A view that is too old, or a
+//! peer that doesn't answer, sends the reader to the next peer, and where none answers to the store.
+//!
+//! Reports of the runs' progress go the other way through the same peers ([`Reports`](crate::reports::Reports)).
 //!
 //! An agent gets only what concerns its worker. Before it reads on from the store itself, it has to
 //! read the newest record of each key: what wasn't sent to it would be missing.
@@ -15,7 +16,7 @@
 
 use async_trait::async_trait;
 use rampbay_jobs::job::NodeName;
-use rampbay_jobs::record::{KeyedRecord, STATE_TOPIC};
+use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
@@ -27,36 +28,55 @@
 const OLDEST_VIEW: Duration = Duration::from_millis(1500);
 /// Longest wait for a record at a peer: so late is a peer that says nothing noticed, and a little more.
 const LONGEST_WAIT: Duration = Duration::from_millis(400);
-/// How long peers are left alone after none of them could pass records on.
+/// Longest wait for a record of the process that all others read through. By so much each view below it is older;
+/// it costs three calls a second and topic, whatever the fleet's size.
+const ROOT_WAIT: Duration = Duration::from_millis(300);
+/// How long peers are left alone after none of them could pass records on, and the longest where that happens again
+/// and again: to try two that have no power costs 1.2 s in which the view grows older.
 const PEERS_PAUSE: Duration = Duration::from_millis(1000);
+const LONGEST_PAUSE: Duration = Duration::from_millis(8000);
 /// Peers that are asked for one read, at most.
 const PEERS_PER_READ: usize = 2;
 
-/// Lists the peers that pass records on, the nearest first.
-pub type TailPeers = Box<dyn Fn() -> Vec<PeerStore>>;
+/// What a process reads through.
+#[derive(Clone)]
+pub struct Sources {
+    /// The peers that pass records on, the nearest first; none where it reads from the store.
+    pub peers: Rc<[PeerStore]>,
+    /// Whether all others read through this process.
+    pub is_root: bool,
+}
+
+/// Tells what a process reads through now.
+pub type TailSources = Box<dyn Fn() -> Sources>;
 
-/// A store whose reads of the state go through peers where they can.
+/// A store whose reads of one topic go through peers where they can.
 pub struct TailStore {
     store: Rc<dyn Store>,
-    peers: TailPeers,
+    topic: String,
+    sources: TailSources,
     /// The agent that reads, if it wants only what concerns it.
     agent: Option<NodeName>,
     preferred: Cell<usize>,
     paused_until: Cell<Option<Instant>>,
+    /// How long peers are left alone when none of them can pass records on the next time.
+    pause: Cell<Duration>,
     /// Whether records may have been left out since the newest of each key were read.
     is_partial: Cell<bool>,
 }
 
 impl TailStore {
-    /// Makes a store over peers and the ways to the store itself.
+    /// Makes a store over peers that follow a topic, and the ways to the store itself.
     #[must_use]
-    pub fn new(store: Rc<dyn Store>, peers: TailPeers) -> Self {
+    pub fn new(store: Rc<dyn Store>, topic: &str, sources: TailSources) -> Self {
         Self {
             store,
-            peers,
+            topic: topic.to_owned(),
+            sources,
             agent: None,
             preferred: Cell::new(0),
             paused_until: Cell::new(None),
+            pause: Cell::new(PEERS_PAUSE),
             is_partial: Cell::new(false),
         }
     }
@@ -70,20 +90,20 @@
 
     /// Reads from the first peer whose view is current. An agent takes an older one where no better
     /// is at hand; its age is told.
-    async fn read_from_peers(&self, from: Offset, wait: Duration) -> Option<Batch> {
-        if self.paused_until.get().is_some_and(|until| Instant::now() < until) {
-            return None;
-        }
-        let peers = (self.peers)();
-        if peers.is_empty() {
-            return None;
-        }
+    async fn read_from_peers(
+        &self,
+        peers: &[PeerStore],
+        from: Offset,
+        wait: Duration,
+    ) -> Option<Batch> {
         let wait = wait.min(LONGEST_WAIT);
         let mut older = None;
-        for _ in 0..PEERS_PER_READ.min(peers.len()) {
-            let peer = &peers[self.preferred.get() % peers.len()];
-            match peer.tail(from, wait, self.agent.clone()).await {
-                Ok(batch) if batch.age <= OLDEST_VIEW => return Some(batch),
+        for peer in self.preferred_first(peers) {
+            match peer.tail(&self.topic, from, wait, self.agent.clone()).await {
+                Ok(batch) if batch.age <= OLDEST_VIEW => {
+                    self.pause.set(PEERS_PAUSE);
+                    return Some(batch);
+                }
                 Ok(batch) => older = Some(batch),
                 Err(_) => {}
             }
@@ -92,19 +112,52 @@
         if self.agent.is_some() && older.is_some() {
             return older;
         }
-        self.paused_until.set(Some(Instant::now() + PEERS_PAUSE));
+        self.leave_peers_alone();
         None
     }
 
-    async fn read_state(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        if let Some(batch) = self.read_from_peers(from, wait).await {
+    fn leave_peers_alone(&self) {
+        let pause = self.pause.get();
+        self.paused_until.set(Some(Instant::now() + pause));
+        self.pause.set((pause * 2).min(LONGEST_PAUSE));
+    }
+
+    fn are_paused(&self) -> bool {
+        self.paused_until.get().is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Iterates over some peers, the one that served last first.
+    fn preferred_first<'a>(
+        &self,
+        peers: &'a [PeerStore],
+    ) -> impl Iterator<Item = &'a PeerStore> + use<'a> {
+        let first = self.preferred.get();
+        let count = PEERS_PER_READ.min(peers.len());
+        (first..first + count).map(|place| &peers[place % peers.len()])
+    }
+
+    async fn read_followed(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let Sources { peers, is_root } = (self.sources)();
+        if peers.is_empty() {
+            let wait = if is_root { wait.min(ROOT_WAIT) } else { wait };
+            return self.read_from_store(from, wait).await;
+        }
+        if self.are_paused() {
+            return self.read_from_store(from, wait.min(LONGEST_WAIT)).await;
+        }
+        if let Some(batch) = self.read_from_peers(&peers, from, wait).await {
             self.is_partial.set(self.agent.is_some());
             return Ok(batch);
         }
+        // The view has grown old meanwhile, and others read through this process: an answer at once proves it.
+        self.read_from_store(from, Duration::ZERO).await
+    }
+
+    async fn read_from_store(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         if self.is_partial.get() {
             return Err(ReadError::Trimmed);
         }
-        self.store.read(STATE_TOPIC, from, wait).await
+        self.store.read(&self.topic, from, wait).await
     }
 }
 
@@ -119,16 +172,26 @@
         self.store.append(topic, records, fence).await
     }
 
+    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
+        let peers = (self.sources)().peers;
+        for peer in self.preferred_first(&peers) {
+            if peer.report(reports).await.is_ok() {
+                return Ok(());
+            }
+        }
+        self.store.report(reports).await
+    }
+
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        if topic == STATE_TOPIC {
-            return self.read_state(from, wait).await;
+        if topic == self.topic {
+            return self.read_followed(from, wait).await;
         }
         self.store.read(topic, from, wait).await
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
         let snapshot = self.store.newest(topic).await?;
-        if topic == STATE_TOPIC {
+        if topic == self.topic {
             self.is_partial.set(false);
         }
         Ok(snapshot)
--- a/crates/rampbay-peer/src/ways.rs
+++ b/crates/rampbay-peer/src/ways.rs
@@ -6,36 +6,42 @@
 use rampbay_jobs::echo::EchoStore;
 use rampbay_jobs::freshness::Freshness;
 use rampbay_jobs::process::LiveTable;
-use rampbay_jobs::record::Member;
+use rampbay_jobs::record::{Member, STATE_TOPIC};
 use rampbay_jobs::settings::Settings;
 use rampbay_jobs::store::Store;
 
 use crate::direct::DirectStore;
 use crate::group::GroupStore;
-use crate::metered::MeteredStore;
+use crate::metered::{Counted, MeteredStore};
 use crate::relay::{PeerList, RelayStore};
 use crate::routes::Routes;
-use crate::served::Served;
+use crate::served::{Followed, Served};
 use crate::tail::TailStore;
 use crate::transport::Transport;
 
-/// Whether a process passes the records on that it follows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Tail {
-    /// It reads through the leader and passes records on.
-    PassesOn,
-    /// It reads through those that pass records on.
-    ReadsThrough,
+/// What a process follows, and for whom.
+#[derive(Clone)]
+pub enum Follows {
+    /// All of the state, and the operators' orders: an entry, which passes them on.
+    Everything {
+        /// Topic of the operators' orders.
+        orders_topic: String,
+        /// Age and latest records of what it knows of them.
+        orders: Rc<Freshness>,
+    },
+    /// What concerns its worker: an agent.
+    OwnWorker,
 }
 
-impl Tail {
+impl Follows {
+    const fn is_entry(&self) -> bool {
+        matches!(self, Self::Everything { .. })
+    }
+
     /// Returns the time between two probes of a broken way to the store. Callers wait for entries, and
     /// entries are few; agents are many, and what they send goes through the leader.
-    const fn probe_interval(self) -> Duration {
-        match self {
-            Self::PassesOn => Duration::from_millis(100),
-            Self::ReadsThrough => Duration::from_millis(1000),
-        }
+    const fn probe_interval(&self) -> Duration {
+        if self.is_entry() { Duration::from_millis(100) } else { Duration::from_millis(1000) }
     }
 }
 
@@ -49,8 +55,8 @@
     pub live: LiveTable,
     /// The store itself.
     pub store: Rc<dyn Store>,
-    /// Whether it passes on what it follows.
-    pub tail: Tail,
+    /// What it follows.
+    pub follows: Follows,
 }
 
 /// The ways of a process to the store.
@@ -70,54 +76,76 @@
     /// Opens all ways to the store.
     #[must_use]
     pub fn open(parts: WaysParts) -> Self {
-        let WaysParts { settings, transport, live, store, tail } = parts;
-        let direct = DirectStore::new(store, tail.probe_interval());
+        let WaysParts { settings, transport, live, store, follows } = parts;
+        let counted = MeteredStore::new(store, Counted::Direct);
+        let direct = DirectStore::new(Rc::new(counted), follows.probe_interval());
         let routes = Routes { settings: Rc::clone(&settings), transport, live: live.clone() };
         let echo = |store: Rc<dyn Store>| -> Rc<dyn Store> {
             Rc::new(GroupStore::new(Rc::new(EchoStore::new(store, live.clone()))))
         };
         // Peers are served out of the direct way alone, so that a call takes one hop at most.
-        let no_peers: PeerList = Box::new(Vec::new);
+        let no_peers: PeerList = Box::new(|| Rc::from([]));
         let alone = RelayStore::new(Rc::clone(&direct), no_peers).among(routes.clone().writers());
         let relay = RelayStore::new(Rc::clone(&direct), routes.clone().relays());
         let mut relay = relay.among(routes.clone().writers());
         // An entry's callers wait for its appends: a stop on the way would double their time.
-        if tail == Tail::ReadsThrough {
+        if !follows.is_entry() {
             relay = relay.through(routes.clone().gateways());
         }
-        let own = echo(Rc::new(MeteredStore(Rc::new(relay))));
+        let own = echo(Rc::new(MeteredStore::new(Rc::new(relay), Counted::Any)));
         let served = Served {
             direct: echo(Rc::new(alone)),
             own: Rc::clone(&own),
-            followed: passed_on(&settings, &live, tail),
+            followed: followed(&settings, &live, &follows),
+            reports: follows.is_entry().then(Rc::default),
         };
         let announced = Rc::clone(&own);
-        let store = match tail {
-            Tail::PassesOn => TailStore::new(own, routes.clone().tails_of_entry()),
-            Tail::ReadsThrough => TailStore::new(own, routes.clone().tails_of_agent())
-                .for_agent(settings.node.clone()),
-        };
-        let member = settings.member(tail == Tail::PassesOn);
-        Self { store: Rc::new(store), served, routes, direct, announced, member }
+        let store = read_through_peers(own, &settings, &routes, &follows);
+        let member = settings.member(follows.is_entry());
+        Self { store, served, routes, direct, announced, member }
     }
 
-    /// Probes the direct way while it is broken, and keeps the process's address in the state, for ever.
+    /// Probes the direct way while it is broken, keeps the process's address in the state, and passes on the
+    /// reports that it gathers, for ever.
     pub async fn maintain(self) {
         let announce = self.routes.live.announce(self.announced, self.member);
-        tokio::join!(self.direct.probe_for_ever(), announce);
+        let pass_on = async {
+            if let Some(reports) = &self.served.reports {
+                reports.pass_on(self.store.as_ref()).await;
+            }
+        };
+        tokio::join!(self.direct.probe_for_ever(), announce, pass_on);
     }
 }
 
-/// Returns the view that a process passes on: its own if that is whole. What an agent reads has gaps, and
-/// whoever took it for the state would miss records; nothing is ever read into the view that stands in
-/// for it, so that peers are told no.
-fn passed_on(settings: &Settings, live: &LiveTable, tail: Tail) -> Rc<Freshness> {
-    if tail == Tail::ReadsThrough {
-        return Rc::default();
+/// Sends reads of what is followed through peers.
+fn read_through_peers(
+    store: Rc<dyn Store>,
+    settings: &Settings,
+    routes: &Routes,
+    follows: &Follows,
+) -> Rc<dyn Store> {
+    match follows {
+        Follows::Everything { orders_topic, .. } => {
+            let sources = || routes.clone().sources_of_entry();
+            let state = Rc::new(TailStore::new(store, STATE_TOPIC, sources()));
+            Rc::new(TailStore::new(state, orders_topic, sources()))
+        }
+        Follows::OwnWorker => {
+            let tail = TailStore::new(store, STATE_TOPIC, routes.clone().sources_of_agent());
+            Rc::new(tail.for_agent(settings.node.clone()))
+        }
     }
-    let followed = Rc::clone(&live.freshness);
+}
+
+/// Returns the views that a process passes on: those that are whole. What an agent reads has gaps, and whoever
+/// took it for the state would miss records.
+fn followed(settings: &Settings, live: &LiveTable, follows: &Follows) -> Followed {
+    let Follows::Everything { orders_topic, orders } = follows else { return Followed::new() };
+    let state = (STATE_TOPIC.to_owned(), Rc::clone(&live.freshness));
+    let followed = Followed::from([state, (orders_topic.clone(), Rc::clone(orders))]);
     if settings.member(true).is_ample() {
-        followed.keep_recent();
+        followed.values().for_each(|freshness| freshness.keep_recent());
     }
     followed
 }
--- a/crates/rampbay-peer/tests/ages.rs
+++ b/crates/rampbay-peer/tests/ages.rs
@@ -11,7 +11,7 @@
 use rampbay_peer::peer::PeerStore;
 use rampbay_peer::protocol::{StoreReply, StoreRequest};
 use rampbay_peer::server::{Answer, Closing, Handler, serve};
-use rampbay_peer::tail::TailStore;
+use rampbay_peer::tail::{Sources, TailStore};
 use rampbay_peer::transport::Transport;
 use rstest::rstest;
 use tokio::net::TcpListener;
@@ -76,12 +76,13 @@
 fn tail_of(peers: Vec<PeerStore>) -> TailStore {
     let addresses: Vec<String> = peers.iter().map(|peer| peer.address().to_owned()).collect();
     let transport: Rc<dyn Transport> = Rc::new(HttpClient::default());
-    let peers = move || {
+    let sources = move || {
         let peers = addresses.iter();
-        peers.map(|address| PeerStore::new(Rc::clone(&transport), address.clone())).collect()
+        let peers = peers.map(|address| PeerStore::new(Rc::clone(&transport), address.clone()));
+        Sources { peers: peers.collect(), is_root: false }
     };
     let nowhere = PeerStore::new(Rc::new(HttpClient::default()), "127.0.0.1:1".to_owned());
-    TailStore::new(Rc::new(nowhere), Box::new(peers))
+    TailStore::new(Rc::new(nowhere), STATE_TOPIC, Box::new(sources))
 }
 
 fn on_loopback<F: Future<Output = ()>>(test: F) {
--- a/crates/rampbay-peer/tests/gathering.rs
+++ b/crates/rampbay-peer/tests/gathering.rs
@@ -14,7 +14,7 @@
 };
 use rampbay_peer::group::GroupStore;
 use rampbay_peer::protocol::StoreRequest;
-use rampbay_peer::served::{Served, handler};
+use rampbay_peer::served::{Followed, Served, handler};
 use rampbay_peer::server::{Closing, serve};
 use rstest::rstest;
 use tokio::sync::{Notify, watch};
@@ -90,7 +90,7 @@
         let store = Rc::new(NotingStore::default());
         let shared: Rc<dyn Store> = store.clone();
         let own: Rc<dyn Store> = Rc::new(GroupStore::new(Rc::clone(&shared)));
-        let served = Served { direct: shared, own, followed: Rc::default() };
+        let served = Served { direct: shared, own, followed: Followed::new(), reports: None };
         let never = watch::channel(Closing::Open);
         tokio::select! {
             served = serve(address, 1 << 20, handler(served), never.1) => {
--- a/crates/rampbay-peer/tests/group.rs
+++ b/crates/rampbay-peer/tests/group.rs
@@ -92,7 +92,7 @@
 /// One process's way to the store.
 fn process(store: &Rc<SerialStore>) -> Rc<dyn Store> {
     let direct = DirectStore::new(Rc::clone(store) as Rc<dyn Store>, APPEND_TIME * 25);
-    Rc::new(GroupStore::new(Rc::new(RelayStore::new(direct, Box::new(Vec::new)))))
+    Rc::new(GroupStore::new(Rc::new(RelayStore::new(direct, Box::new(|| Rc::from([]))))))
 }
 
 fn record(number: u32) -> KeyedRecord {
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -250,7 +250,7 @@
     on_virtual_time(async {
         let (direct, gateway) = (Scripted::answering(Ok(1)), Scripted::answering(Ok(2)));
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || vec![Rc::clone(&way)]));
+        let store = relay(&direct, &[]).through(Box::new(move || Rc::from([Rc::clone(&way)])));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
         let fence = Fence { writer: "planner".to_owned(), epoch: 1, sequence: 0 };
         assert_eq!(store.append(STATE_TOPIC, &[], Some(&fence)).await, Ok(1));
@@ -298,7 +298,7 @@
         let (direct, gateway) = (Scripted::answering(Ok(1)), Scripted::answering(Ok(2)));
         gateway.delay.set(Duration::from_millis(3500));
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || vec![Rc::clone(&way)]));
+        let store = relay(&direct, &[]).through(Box::new(move || Rc::from([Rc::clone(&way)])));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
         assert_eq!((direct.appends.get(), gateway.appends.get()), (0, 1));
     });
@@ -311,7 +311,7 @@
         gateway.delay.set(Duration::from_secs(60));
         gateway.readable.set(false);
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || vec![Rc::clone(&way)]));
+        let store = relay(&direct, &[]).through(Box::new(move || Rc::from([Rc::clone(&way)])));
         let started = Instant::now();
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(1));
         assert!(started.elapsed() < Duration::from_millis(200));
@@ -403,7 +403,7 @@
         }
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
         let store = relay(&Scripted::answering(REFUSED), &[Scripted::answering(REFUSED)])
-            .through(Box::new(move || vec![Rc::clone(&way)]));
+            .through(Box::new(move || Rc::from([Rc::clone(&way)])));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, expected);
     });
 }
--- a/crates/rampbay-peer/tests/routes.rs
+++ b/crates/rampbay-peer/tests/routes.rs
@@ -12,9 +12,9 @@
 use rampbay_peer::peer::PeerStore;
 use rampbay_peer::relay::GatewayPeer;
 use rampbay_peer::routes::Routes;
-use rampbay_peer::served::{Served, handler};
+use rampbay_peer::served::{Followed, Served, handler};
 use rampbay_peer::server::{Closing, serve};
-use rampbay_peer::tail::TailPeers;
+use rampbay_peer::tail::TailSources;
 use rampbay_peer::transport::Transport;
 use rstest::rstest;
 use tokio::net::TcpListener;
@@ -55,8 +55,8 @@
     Routes { settings: Rc::new(settings), transport: Rc::new(HttpClient::default()), live }
 }
 
-fn names(peers: &TailPeers) -> Vec<String> {
-    peers().iter().map(|peer| peer.address().to_owned()).collect()
+fn names(sources: &TailSources) -> Vec<String> {
+    sources().peers.iter().map(|peer| peer.address().to_owned()).collect()
 }
 
 const SITE: [&str; 6] =
@@ -65,21 +65,21 @@
 #[rstest]
 #[case::leader_reads_from_store("a-large-1", &[])]
 #[case::ample_reads_through_leader("b-large-1", &["a-large-1"])]
-fn tails_of_entry_of_ample(#[case] node: &str, #[case] expected: &[&str]) {
-    assert_eq!(names(&routes(node, &SITE).tails_of_entry()), expected);
+fn sources_of_entry_of_ample(#[case] node: &str, #[case] expected: &[&str]) {
+    assert_eq!(names(&routes(node, &SITE).sources_of_entry()), expected);
 }
 
 #[test]
-fn tails_of_entry_of_small_near_and_ample_without_leader_first() {
-    let found = names(&routes("b-small-1", &SITE).tails_of_entry());
+fn sources_of_entry_of_small_near_and_ample_without_leader_first() {
+    let found = names(&routes("b-small-1", &SITE).sources_of_entry());
     assert_eq!(found.len(), 3);
     assert!(found[..2].iter().all(|node| node.starts_with("b-large")), "{found:?}");
     assert_eq!(found[2], LEADER);
 }
 
 #[test]
-fn tails_of_agent_ample_only() {
-    let found = names(&routes("b-side-1", &SITE).tails_of_agent());
+fn sources_of_agent_ample_only() {
+    let found = names(&routes("b-side-1", &SITE).sources_of_agent());
     assert!(found.iter().all(|node| node.contains("large")), "{found:?}");
     assert!(found[0].starts_with("b-"));
 }
@@ -101,10 +101,10 @@
 
 /// Where no machine has room, agents read through all entries, and entries from the store.
 #[test]
-fn tails_without_ample_ones() {
+fn sources_without_ample_ones() {
     let site = ["a-small-1", "b-small-1", "b-side-1"];
-    assert_eq!(names(&routes("b-side-1", &site).tails_of_agent()), ["b-small-1", "a-small-1"]);
-    assert!(names(&routes("b-small-1", &site).tails_of_entry()).is_empty());
+    assert_eq!(names(&routes("b-side-1", &site).sources_of_agent()), ["b-small-1", "a-small-1"]);
+    assert!(names(&routes("b-small-1", &site).sources_of_entry()).is_empty());
 }
 
 #[rstest]
@@ -116,9 +116,9 @@
 
 /// A machine with room may hold an agent, whose view has gaps: an entry could lead by it.
 #[test]
-fn tails_of_entry_of_small_entries_only() {
+fn sources_of_entry_of_small_entries_only() {
     let site = ["a-large-1", "b-small-1", "b-side-large-1"];
-    assert_eq!(names(&routes("b-small-1", &site).tails_of_entry()), [LEADER]);
+    assert_eq!(names(&routes("b-small-1", &site).sources_of_entry()), [LEADER]);
 }
 
 /// An agent never stands, however much room it has: a leader that handed over to it would do so for ever.
@@ -161,5 +161,5 @@
 fn served(transport: &Rc<dyn Transport>) -> Served {
     let nowhere = PeerStore::new(Rc::clone(transport), "127.0.0.1:1".to_owned());
     let direct = DirectStore::new(Rc::new(nowhere), Duration::from_secs(1));
-    Served { direct: direct.clone(), own: direct, followed: Rc::default() }
+    Served { direct: direct.clone(), own: direct, followed: Followed::new(), reports: None }
 }
--- a/crates/rampbay-scale/src/fleet.rs
+++ b/crates/rampbay-scale/src/fleet.rs
@@ -17,7 +17,8 @@
 use rampbay_jobs::worker::Worker;
 use rampbay_peer::agent::Agent;
 use rampbay_peer::entry::Entry;
-use rampbay_peer::ways::{Tail, Ways, WaysParts};
+use rampbay_peer::tree::Tree;
+use rampbay_peer::ways::{Follows, Ways, WaysParts};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -180,14 +181,19 @@
         let settings = Rc::new(settings(place, role, &self.seeds));
         let live = LiveTable::default();
         let connection = Connection::new(&self.store, role);
-        let tail = if role == Role::Agent { Tail::ReadsThrough } else { Tail::PassesOn };
         let routing = Rc::new(CurrentRouting::default());
+        let follows = if role == Role::Agent {
+            Follows::OwnWorker
+        } else {
+            let orders = Rc::clone(&routing.freshness);
+            Follows::Everything { orders_topic: OPERATOR_TOPIC.to_owned(), orders }
+        };
         let ways = Ways::open(WaysParts {
             settings: Rc::clone(&settings),
             transport: self.network.clone(),
             live: live.clone(),
             store: connection.clone(),
-            tail,
+            follows,
         });
         let store = Rc::clone(&ways.store);
         let name = settings.node.clone();
@@ -259,6 +265,14 @@
         self.processes.iter().find(|process| process.name == leader)
     }
 
+    /// Names the entries that read through the leader, as it sees them.
+    #[must_use]
+    pub fn inner(&self) -> Vec<NodeName> {
+        let Some(leader) = self.leader() else { return Vec::new() };
+        let table = leader.live.table.borrow();
+        Tree::of(&table).inner.iter().map(|member| member.node.clone()).collect()
+    }
+
     /// Waits until something holds. Returns how long that took, or `None` if it took longer than `limit`.
     pub async fn until(&self, limit: Duration, holds: impl Fn(&Self) -> bool) -> Option<Duration> {
         let began = Instant::now();
--- a/crates/rampbay-scale/src/store.rs
+++ b/crates/rampbay-scale/src/store.rs
@@ -12,7 +12,7 @@
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use crate::load::{Load, Purpose, Role};
 
@@ -25,6 +25,9 @@
 const LONGEST_QUEUE: Duration = Duration::from_secs(2);
 /// Time without a call of its leader after which leadership lapses.
 const TIME_TO_LIVE: Duration = Duration::from_secs(1);
+/// Time after which a call without answer is given up, beside what a read waits; as the adapters of real stores do.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2000);
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// Most records of one page of a snapshot.
 const PAGE: usize = 500;
 /// Bytes of a call beside its records.
@@ -232,14 +235,17 @@
 
     /// Waits until the store has taken a call in. Returns whether it serves it.
     async fn reach(&self) -> bool {
-        if self.way.get() == Way::Silent {
-            std::future::pending::<()>().await;
-        }
+        self.silence().await;
         sleep(self.store.time(ANSWER)).await;
+        self.silence().await;
+        self.way.get() == Way::Open
+    }
+
+    /// Waits for ever if the store is silent.
+    async fn silence(&self) {
         if self.way.get() == Way::Silent {
             std::future::pending::<()>().await;
         }
-        self.way.get() == Way::Open
     }
 }
 
@@ -251,9 +257,8 @@
     }
 }
 
-#[async_trait(?Send)]
-impl Store for Connection {
-    async fn append(
+impl Connection {
+    async fn append_in_time(
         &self,
         topic: &str,
         records: &[KeyedRecord],
@@ -262,9 +267,7 @@
         let purpose =
             if topic == STATE_TOPIC { Purpose::AppendState } else { Purpose::AppendProgress };
         self.note(purpose, size_of(records));
-        if self.way.get() == Way::Silent {
-            std::future::pending::<()>().await;
-        }
+        self.silence().await;
         if self.way.get() == Way::Refused {
             sleep(ANSWER).await;
             return Err(AppendError::Refused);
@@ -284,13 +287,16 @@
             let _ = tx.send(outcome);
         });
         let outcome = rx.await.unwrap_or(Err(AppendError::Unknown));
-        if self.way.get() == Way::Silent {
-            std::future::pending::<()>().await;
-        }
+        self.silence().await;
         outcome
     }
 
-    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+    async fn read_in_time(
+        &self,
+        topic: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<Batch, ReadError> {
         let sent = Instant::now();
         if !self.reach().await {
             self.note(read_purpose(topic), OVERHEAD);
@@ -313,16 +319,14 @@
             };
             if is_over || !batch.records.is_empty() {
                 self.note(read_purpose(topic), size_of(&batch.records));
-                if self.way.get() == Way::Silent {
-                    std::future::pending::<()>().await;
-                }
+                self.silence().await;
                 return Ok(batch.after_wait(sent, wait));
             }
             let _ = timeout_at(deadline, appended).await;
         }
     }
 
-    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+    async fn newest_in_time(&self, topic: &str) -> Result<Snapshot, ReadError> {
         if !self.reach().await {
             self.note(Purpose::Snapshot, OVERHEAD);
             return Err(ReadError::Unavailable);
@@ -344,27 +348,50 @@
         }
         Ok(Snapshot { records, read_from: end, end })
     }
+}
+
+#[async_trait(?Send)]
+impl Store for Connection {
+    async fn append(
+        &self,
+        topic: &str,
+        records: &[KeyedRecord],
+        fence: Option<&Fence>,
+    ) -> Result<Offset, AppendError> {
+        let append = self.append_in_time(topic, records, fence);
+        timeout(CALL_TIMEOUT, append).await.unwrap_or(Err(AppendError::Unknown))
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let read = self.read_in_time(topic, from, wait);
+        timeout(wait + READ_TIMEOUT, read).await.unwrap_or(Err(ReadError::Unavailable))
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        let newest = self.newest_in_time(topic);
+        timeout(CALL_TIMEOUT, newest).await.unwrap_or(Err(ReadError::Unavailable))
+    }
 
     async fn stand(&self, member: &str, _: u64) -> Result<Candidacy, ReadError> {
         self.note(Purpose::Stand, OVERHEAD);
-        if !self.reach().await {
-            return Err(ReadError::Unavailable);
+        match timeout(CALL_TIMEOUT, self.reach()).await {
+            Ok(true) => Ok(self.store.group.borrow_mut().join(member)),
+            Ok(false) | Err(_) => Err(ReadError::Unavailable),
         }
-        Ok(self.store.group.borrow_mut().join(member))
     }
 
     async fn resign(&self, member: &str) {
         self.note(Purpose::Stand, OVERHEAD);
-        if self.reach().await {
+        if timeout(CALL_TIMEOUT, self.reach()).await == Ok(true) {
             self.store.group.borrow_mut().leave(member);
         }
     }
 
     async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
         self.note(Purpose::Holder, OVERHEAD);
-        if !self.reach().await {
-            return Err(ReadError::Unavailable);
+        match timeout(READ_TIMEOUT, self.reach()).await {
+            Ok(true) => Ok(self.store.leader()),
+            Ok(false) | Err(_) => Err(ReadError::Unavailable),
         }
-        Ok(self.store.leader())
     }
 }
