perf: a run stays at a worker that gives notice where that loses less

Cause: a run left as soon as its rest was above four fifths of the notice. With the fleet the chance grows that one worker of a wide gang gives notice, and so does what one stop throws away. Change: a run stays where the chance that it ends in time outweighs what it loses more otherwise (planner/notice.rs); its rest goes on between two reports. Ruled out: a smaller margin alone, which keeps runs that have just begun and can't end.

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -17,6 +17,7 @@
 mod isolate;
 mod lost;
 mod make_room;
+mod notice;
 mod pace;
 mod place;
 mod preempt;
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -2,18 +2,18 @@
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::job::{Step, Submission, TaskId};
 use crate::metrics::metrics;
 use crate::record::{TaskPlan, TaskStatus};
 
 use super::draft::Draft;
+use super::notice::{NoticedRun, Rest};
 use super::progress::{FULL_PERCENT, Seen};
 use super::workers::{WorkerView, WorkerViews};
 use super::{Planner, RoundInputs};
 
-/// Share of the remaining time on a leaving worker that a run may be estimated to need.
-const LEAVING_MARGIN_PERMILLE: u64 = 800;
-
 /// Stops runs that are better off elsewhere. What an agent has reported is looked at once.
 pub fn move_runs(
     planner: &mut Planner,
@@ -41,7 +41,7 @@
                 log::info!(
                     "event=J142 run leaves a draining worker task={task_id} worker={} remaining_ms={} left_ms={} percent={:?}",
                     task.instance,
-                    run.remaining_ms(planner, inputs),
+                    run.rest(planner, inputs).ms,
                     worker.record.leaves_at.saturating_sub(inputs.wall),
                     run.seen(inputs).map(|seen| seen.percent)
                 );
@@ -76,18 +76,20 @@
         inputs.progress.run(&self.task.instance, self.id, self.task.attempt)
     }
 
-    /// Returns the time that it is expected to need still, in milliseconds, by its own rate if that
-    /// is known.
-    fn remaining_ms(&self, planner: &Planner, inputs: &RoundInputs<'_>) -> u64 {
-        let duration_ms = planner.forecasts.duration_ms(self.submission, self.step);
-        let Some(seen) = self.seen(inputs) else { return duration_ms };
-        remaining_by_rate_ms(seen).unwrap_or_else(|| {
-            let elapsed = seen.first_seen.elapsed();
-            duration_ms.saturating_sub(elapsed.as_millis() as u64)
-        })
+    /// Returns what it is expected to need still, by its own rate if that is known.
+    fn rest(&self, planner: &Planner, inputs: &RoundInputs<'_>) -> Rest {
+        let ms = planner.forecasts.duration_ms(self.submission, self.step);
+        let Some(seen) = self.seen(inputs) else { return Rest { ms, is_by_rate: false } };
+        if let Some(ms) = remaining_by_rate_ms(seen) {
+            // It has gone on since its agent reported it.
+            let since = inputs.progress.report(&self.task.instance, Instant::now()).age;
+            return Rest { ms: ms.saturating_sub(since.as_millis() as u64), is_by_rate: true };
+        }
+        let elapsed = seen.first_seen.elapsed().as_millis() as u64;
+        Rest { ms: ms.saturating_sub(elapsed), is_by_rate: false }
     }
 
-    /// Returns whether its worker leaves before it ends.
+    /// Returns whether it is better off elsewhere than at its worker, which leaves.
     fn leaves_too_early(&self, planner: &Planner, inputs: &RoundInputs<'_>) -> bool {
         let worker = self.worker.record;
         if !worker.draining {
@@ -96,8 +98,14 @@
         if self.step.long_running {
             return true;
         }
-        let left = worker.leaves_at.saturating_sub(inputs.wall) * LEAVING_MARGIN_PERMILLE / 1000;
-        self.remaining_ms(planner, inputs) > left
+        let ran = self.seen(inputs).map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
+        let run = NoticedRun {
+            ran,
+            saves: self.step.checkpointing,
+            rest: self.rest(planner, inputs),
+            left_ms: worker.leaves_at.saturating_sub(inputs.wall),
+        };
+        !run.stays()
     }
 
     /// Returns how far it is, in percent, if it gets on no more.
