fix: a process that the store is silent to goes through a peer within some tenths of a second

Cause: the store fell silent to the leader's machine alone. Its joins hung for a second and were given up, its place lapsed, and its appends each took 0.8 s; several of 50 candidates joined at once and took the place from each other. The larger the fleet, the more passes through the leader alone. Change: a call that takes long is compared with a small one over the own way and through a peer; where the peer is served and the own way says nothing, that way is closed, and all calls go through peers until a probe finds it open. Peers that didn't answer are left alone longer (2 s to 8 s), and at once tried again where others have come; nobody reads first through the leader before the present one, which may be gone. Ruled out: shorter time-outs of calls alone (a store that is 60 times slower answers in 0.24 s; repeats fill its queue). A test's stand-in was wrong: in slow_store_not_repeated the peer answered at once, though it goes to the same slow store; it is as slow now, and two tests more hold the new rule from both sides.

--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -68,6 +68,8 @@
     pub ends: BTreeMap<String, Rc<RunEnd>>,
     /// The planner in charge.
     pub leader: Leader,
+    /// The process that was in charge before; it may be gone.
+    pub former_leader: NodeName,
     /// Failure domains in which nothing is started.
     pub drained: DrainedDomains,
     /// The processes, by their names.
@@ -145,6 +147,9 @@
             }
             Record::Leader(leader) => {
                 if leader.epoch >= self.leader.epoch {
+                    if leader.node != self.leader.node {
+                        self.former_leader.clone_from(&self.leader.node);
+                    }
                     self.leader = leader;
                     self.note_process_change();
                 }
--- a/crates/rampbay-peer/src/direct.rs
+++ b/crates/rampbay-peer/src/direct.rs
@@ -38,6 +38,7 @@
     /// Time between two probes.
     probe_interval: Duration,
     regained: Notify,
+    closed: Notify,
 }
 
 impl DirectStore {
@@ -54,6 +55,7 @@
             doubted: Cell::new(false),
             probe_interval,
             regained: Notify::new(),
+            closed: Notify::new(),
         })
     }
 
@@ -71,7 +73,7 @@
     }
 
     /// Asks the store for something small. Returns how long the answer took, if one came.
-    async fn probe(&self) -> Option<Duration> {
+    pub(crate) async fn probe(&self) -> Option<Duration> {
         let sent = Instant::now();
         let call = self.store.holder();
         tokio::pin!(call);
@@ -103,14 +105,37 @@
         }
     }
 
+    /// Takes the way to be broken: peers are served, and this process isn't.
+    pub(crate) fn close(&self) {
+        if self.open.replace(false) {
+            log::info!("event=J106 direct way to the store open=false");
+        }
+        self.doubted.set(true);
+        self.closed.notify_waiters();
+    }
+
+    /// Returns whether the way is taken to be open.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open.get()
+    }
+
+    /// Waits until the way is taken to be broken.
+    pub(crate) async fn closed(&self) {
+        let closed = self.closed.notified();
+        if self.open.get() {
+            closed.await;
+        }
+    }
+
     /// Takes note of a call. One lost answer says little; several in a row close the way.
     fn note(&self, served: bool) {
         let failures = if served { 0 } else { self.failures.get() + 1 };
         self.failures.set(failures);
         let open = failures < FAILURES_TO_CLOSE && (served || self.open.get());
-        if self.open.replace(open) != open {
-            let number = if open { "J105" } else { "J106" };
-            log::info!("event={number} direct way to the store open={open}");
+        if !open {
+            self.close();
+        } else if !self.open.replace(true) {
+            log::info!("event=J105 direct way to the store open=true");
         }
         if !served {
             self.doubted.set(true);
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -39,6 +39,12 @@
 const LONGEST_QUEUE: Duration = Duration::from_millis(2000);
 /// Time from which on an append is told of: a hundred times the usual.
 const SLOW_APPEND: Duration = Duration::from_millis(400);
+/// A peer's answer counts against the own way once that hasn't answered in so many times the peer's time, and a
+/// little more: of two machines at one store neither is so much slower by chance.
+const CUT_OFF_FACTOR: u32 = 3;
+const CUT_OFF_SLACK: Duration = Duration::from_millis(30);
+/// Time between two questions whether peers are served.
+const COMPARISON_PAUSE: Duration = Duration::from_millis(100);
 /// How long a gateway that failed is passed over.
 const GATEWAY_PAUSE: Duration = Duration::from_millis(1000);
 /// Gateways that are tried for one append, at most.
@@ -114,6 +120,63 @@
         order.take(PEERS_PER_CALL).map(|place| (place, Rc::clone(&peers[place]))).collect()
     }
 
+    /// Waits until the direct way is broken: a store may be silent to one machine alone, which would learn it only by
+    /// its own time-outs (2 s an append). So a call that takes long is compared: the store is asked for something
+    /// small over the own way and through a peer. Where it is slow, both ways show it.
+    async fn cut_off(&self) {
+        loop {
+            let Some((place, peer)) = self.candidates().into_iter().next() else {
+                return std::future::pending().await;
+            };
+            let own = self.direct.probe();
+            tokio::pin!(own);
+            let sent = Instant::now();
+            let is_served = tokio::select! {
+                () = self.direct.closed() => return,
+                answer = &mut own => match answer {
+                    // The way is open. A call that was lost on it is its caller's matter.
+                    Some(_) => return std::future::pending().await,
+                    None => false,
+                },
+                holder = peer.holder() => holder.is_ok(),
+            };
+            if !is_served {
+                self.prefer(place + 1);
+                tokio::time::sleep(COMPARISON_PAUSE).await;
+                continue;
+            }
+            let patience = sent.elapsed() * (CUT_OFF_FACTOR - 1) + CUT_OFF_SLACK;
+            if let Ok(Some(_)) = tokio::time::timeout(patience, own).await {
+                return std::future::pending().await;
+            }
+            self.prefer(place);
+            self.direct.close();
+            return;
+        }
+    }
+
+    /// Waits until the direct way is broken, or is found to be after some time.
+    async fn cut_off_after(&self, time: Duration) {
+        tokio::select! {
+            () = self.direct.closed() => return,
+            () = tokio::time::sleep(time) => {}
+        }
+        self.cut_off().await;
+    }
+
+    /// Makes a call over the direct way, and gives it up where only that way is broken. `wait` is how long the store
+    /// is asked to wait.
+    async fn unless_cut_off<T>(
+        &self,
+        wait: Duration,
+        call: impl Future<Output = Result<T, ReadError>>,
+    ) -> Result<T, ReadError> {
+        tokio::select! {
+            outcome = call => outcome,
+            () = self.cut_off_after(wait + self.patience()) => Err(ReadError::Unavailable),
+        }
+    }
+
     /// Makes a call that reads through peers in turn, where the direct way is broken.
     async fn or_through_peers<T>(
         &self,
@@ -293,6 +356,7 @@
         let mut ways = self.append_ways().into_iter();
         let mut sent = FuturesUnordered::new();
         sent.extend(ways.next().map(send));
+        let mut is_compared = self.direct.is_open();
         while !sent.is_empty() {
             let sent_at = Instant::now();
             let next = tokio::select! {
@@ -310,6 +374,10 @@
                 () = self.repeat_due(sent_at, ways.len() > 0) => {
                     ways.next().or_else(|| Some(self.direct_again()))
                 }
+                () = self.cut_off_after(self.patience()), if is_compared => {
+                    is_compared = false;
+                    ways.next()
+                }
             };
             sent.extend(next.map(send));
         }
@@ -317,17 +385,18 @@
     }
 
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        let direct = self.direct.read(topic, from, wait).await;
+        let direct = self.unless_cut_off(wait, self.direct.read(topic, from, wait)).await;
         self.or_through_peers(direct, async |peer| peer.read(topic, from, wait).await).await
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        let direct = self.direct.newest(topic).await;
+        let direct = self.unless_cut_off(Duration::ZERO, self.direct.newest(topic)).await;
         self.or_through_peers(direct, async |peer| peer.newest(topic).await).await
     }
 
     async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        let direct = self.direct.stand(member, generation).await;
+        let direct =
+            self.unless_cut_off(Duration::ZERO, self.direct.stand(member, generation)).await;
         self.or_through_peers(direct, async |peer| peer.stand(member, generation).await).await
     }
 
@@ -336,7 +405,7 @@
     }
 
     async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        let direct = self.direct.holder().await;
+        let direct = self.unless_cut_off(Duration::ZERO, self.direct.holder()).await;
         self.or_through_peers(direct, async |peer| peer.holder().await).await
     }
 
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -67,7 +67,7 @@
     pub fn gateways(self) -> Gateways {
         Box::new(self.remembered(|routes, table| {
             let leader = table.members.get(&table.leader.node);
-            let others = routes.near_first(routes.ample_or_all(table), &table.leader.node);
+            let others = routes.near_first(routes.ample_or_all(table), table);
             let others = others.into_iter().filter(|other| other.node != table.leader.node);
             let gateway = |member: &Member| -> Rc<dyn GatewayPeer> {
                 Rc::new(routes.peer(member).as_gateway())
@@ -106,12 +106,12 @@
     fn above<'a>(&self, table: &'a JobTable) -> Vec<&'a Member> {
         let tree = Tree::of(table);
         if !self.settings.member(true).is_ample() {
-            return self.near_first(ample(table).collect(), &table.leader.node);
+            return self.near_first(ample(table).collect(), table);
         }
         // One that isn't in the state yet may be either; the leader is sure to have what it needs.
         let is_outer = tree.outer.iter().any(|member| member.node == self.settings.node);
         if is_outer {
-            return self.near_first(tree.inner, &table.leader.node);
+            return self.near_first(tree.inner, table);
         }
         tree.root.into_iter().collect()
     }
@@ -120,19 +120,21 @@
     #[must_use]
     pub fn sources_of_agent(self) -> TailSources {
         Box::new(self.remembered(|routes, table| {
-            let near = routes.near_first(routes.ample_or_all(table), &table.leader.node);
+            let near = routes.near_first(routes.ample_or_all(table), table);
             let peers = near.into_iter().map(|member| routes.peer(member)).collect();
             Sources { peers, is_root: false }
         }))
     }
 
-    /// Sorts members: near ones first, each process with another beginning, the leader last: it has
-    /// enough to do.
-    fn near_first<'a>(&self, mut members: Vec<&'a Member>, leader: &str) -> Vec<&'a Member> {
+    /// Sorts members: near ones first, each process with another beginning, the leader after them: it has
+    /// enough to do. The leader before it comes last: it may be gone.
+    fn near_first<'a>(&self, mut members: Vec<&'a Member>, table: &JobTable) -> Vec<&'a Member> {
         let own = &self.settings;
         members.sort_by_cached_key(|member| {
             let is_far = member.failure_domain != own.failure_domain;
-            (member.node == leader, is_far, rank(&own.node, &member.node))
+            let is_former = member.node == table.former_leader;
+            let leads = member.node == table.leader.node;
+            (is_former, leads, is_far, rank(&own.node, &member.node))
         });
         members
     }
@@ -198,7 +200,7 @@
         let routes = &self.0;
         let ample: Vec<PeerStore> = {
             let table = routes.live.table.borrow();
-            let near = routes.near_first(ample(&table).collect(), &table.leader.node);
+            let near = routes.near_first(ample(&table).collect(), &table);
             near.into_iter().take(MOST_ASKED).map(|member| routes.peer(member)).collect()
         };
         for peer in ample {
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -10,7 +10,7 @@
 //! An agent gets only what concerns its worker. Before it reads on from the store itself, it has to
 //! read the newest record of each key: what wasn't sent to it would be missing.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,8 +32,9 @@
 /// it costs three calls a second and topic, whatever the fleet's size.
 const ROOT_WAIT: Duration = Duration::from_millis(300);
 /// How long peers are left alone after none of them could pass records on, and the longest where that happens again
-/// and again: to try two that have no power costs 1.2 s in which the view grows older.
-const PEERS_PAUSE: Duration = Duration::from_millis(1000);
+/// and again: to try two that have no power costs 1.2 s in which the view grows older. The shortest is longer than
+/// a lost leader's place takes to pass on (1.4 s): whoever takes it reads from the store then.
+const PEERS_PAUSE: Duration = Duration::from_millis(2000);
 const LONGEST_PAUSE: Duration = Duration::from_millis(8000);
 /// Peers that are asked for one read, at most.
 const PEERS_PER_READ: usize = 2;
@@ -61,6 +62,8 @@
     paused_until: Cell<Option<Instant>>,
     /// How long peers are left alone when none of them can pass records on the next time.
     pause: Cell<Duration>,
+    /// The peers as they were at the last read.
+    known: RefCell<Option<Rc<[PeerStore]>>>,
     /// Whether records may have been left out since the newest of each key were read.
     is_partial: Cell<bool>,
 }
@@ -77,6 +80,7 @@
             preferred: Cell::new(0),
             paused_until: Cell::new(None),
             pause: Cell::new(PEERS_PAUSE),
+            known: RefCell::default(),
             is_partial: Cell::new(false),
         }
     }
@@ -122,6 +126,18 @@
         self.pause.set((pause * 2).min(LONGEST_PAUSE));
     }
 
+    /// Tries peers at once where there are others now: processes have come, or another one leads.
+    fn note_peers(&self, peers: &Rc<[PeerStore]>) {
+        let mut known = self.known.borrow_mut();
+        if known.as_ref().is_some_and(|known| Rc::ptr_eq(known, peers)) {
+            return;
+        }
+        *known = Some(Rc::clone(peers));
+        self.preferred.set(0);
+        self.paused_until.set(None);
+        self.pause.set(PEERS_PAUSE);
+    }
+
     fn are_paused(&self) -> bool {
         self.paused_until.get().is_some_and(|until| Instant::now() < until)
     }
@@ -142,6 +158,7 @@
             let wait = if is_root { wait.min(ROOT_WAIT) } else { wait };
             return self.read_from_store(from, wait).await;
         }
+        self.note_peers(&peers);
         if self.are_paused() {
             return self.read_from_store(from, wait.min(LONGEST_WAIT)).await;
         }
--- a/crates/rampbay-peer/src/tree.rs
+++ b/crates/rampbay-peer/src/tree.rs
@@ -40,6 +40,8 @@
         let (root, others): (Vec<_>, Vec<_>) =
             ample(table).partition(|member| member.node == table.leader.node);
         let mut inner = by_domain_in_turn(others);
+        // The leader before may be gone: nobody has to read through it.
+        inner.sort_by_key(|member| member.node == table.former_leader);
         let outer = inner.split_off(inner.len().min(FAN_OUT));
         Self { root: root.first().copied(), inner, outer }
     }
@@ -56,9 +58,11 @@
     }
 }
 
-/// Iterates over the entries that watch over who leads, beside the leader: ample ones, or all where none is.
+/// Iterates over the entries that watch over who leads, beside the leader and the one before it: ample ones, or all
+/// where none is.
 pub fn watch(table: &JobTable) -> impl Iterator<Item = &Member> {
-    let is_other = |member: &&Member| member.node != table.leader.node;
+    let is_other =
+        |member: &&Member| member.node != table.leader.node && member.node != table.former_leader;
     let mut watch: Vec<&Member> = ample(table).filter(is_other).collect();
     if watch.is_empty() {
         watch = entries(table).filter(is_other).collect();
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -200,12 +200,52 @@
         slow.delay.set(Duration::from_millis(900));
         slow.read_delay.set(Duration::from_millis(400));
         let peer = Scripted::answering(Ok(6));
+        // It goes to the same store.
+        peer.read_delay.set(Duration::from_millis(400));
         let store = relay(&slow, &[Rc::clone(&peer)]);
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(5));
         assert_eq!((slow.appends.get(), peer.appends.get()), (1, 0));
     });
 }
 
+/// A store that is silent to this process alone is reached through a peer within some tenths of a second, and what
+/// comes after goes there at once. By its own time-outs alone an append took 0.8 s each.
+#[test]
+fn silent_way_left_for_peer_that_is_served() {
+    on_virtual_time(async {
+        let silent = Scripted::answering(Ok(5));
+        silent.delay.set(Duration::from_secs(60));
+        silent.read_delay.set(Duration::from_secs(60));
+        let peer = Scripted::answering(Ok(6));
+        peer.read_delay.set(Duration::from_millis(6));
+        let store = relay(&silent, &[Rc::clone(&peer)]);
+        let started = Instant::now();
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(6));
+        assert!(started.elapsed() < Duration::from_millis(250), "{:?}", started.elapsed());
+        let started = Instant::now();
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(6));
+        assert!(started.elapsed() < Duration::from_millis(20), "{:?}", started.elapsed());
+        let read = store.read(STATE_TOPIC, 3, Duration::from_millis(300)).await;
+        assert_eq!(read.map(|batch| batch.end), Ok(3));
+        assert!(started.elapsed() < Duration::from_millis(40), "{:?}", started.elapsed());
+    });
+}
+
+/// A peer that the store turns away as well says nothing about the own way.
+#[test]
+fn silent_way_kept_while_peers_are_turned_away() {
+    on_virtual_time(async {
+        let silent = Scripted::answering(Ok(5));
+        silent.delay.set(Duration::from_millis(500));
+        silent.read_delay.set(Duration::from_millis(450));
+        let peer = Scripted::answering(Ok(6));
+        peer.readable.set(false);
+        let store = relay(&silent, &[Rc::clone(&peer)]);
+        assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(5));
+        assert_eq!((silent.appends.get(), peer.appends.get()), (1, 0));
+    });
+}
+
 /// A store that answers a probe has lost the append that it doesn't answer.
 #[test]
 fn lost_answer_repeated_soon() {
