perf: processes that start get the state from peers

Cause: each process that starts read the whole state from the store. Before it knows any, a process asks those of its settings which entries there are. After a loss of power of all those read the store at once, other ample entries 0.15 to 0.3 s later unless they have it by then, small ones and agents later still. Peers that say at once that they can't pass records on are asked again after 0.2 s.

--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -5,10 +5,11 @@
 //! agent would delay the orders that they carry.
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 use crate::job::NodeName;
 use crate::keys::split_worker_key;
-use crate::record::{JobPlan, KeyedRecord, Record};
+use crate::record::{JobPlan, KeyedRecord, Member, Record};
 use crate::table::JobTable;
 
 /// Whom a record concerns.
@@ -36,7 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Passed {
     /// The record.
-    pub record: KeyedRecord,
+    pub record: Rc<KeyedRecord>,
     /// Whom it concerns.
     pub audience: Audience,
     /// For an account: the job that it is of, and the agents that haven't had it yet.
@@ -46,8 +47,8 @@
 impl Passed {
     /// Makes a record that concerns every process.
     #[must_use]
-    pub const fn to_all(record: KeyedRecord) -> Self {
-        Self { record, audience: Audience::All, introduction: None }
+    pub fn to_all(record: KeyedRecord) -> Self {
+        Self { record: Rc::new(record), audience: Audience::All, introduction: None }
     }
 
     /// Returns about how many bytes it takes to keep.
@@ -61,7 +62,7 @@
     pub fn records_for(&self, agent: &str) -> impl Iterator<Item = KeyedRecord> + use<> {
         let introduction = self.introduction.as_ref().filter(|intro| intro.agents.includes(agent));
         let job = introduction.map(|introduction| introduction.job.clone());
-        let record = self.audience.includes(agent).then(|| self.record.clone());
+        let record = self.audience.includes(agent).then(|| self.record.as_ref().clone());
         job.into_iter().chain(record)
     }
 }
@@ -112,7 +113,28 @@
         } else {
             Audience::Agents(before.agents.into_iter().chain(after.agents).collect())
         };
-        Passed { record: record.clone(), audience, introduction }
+        Passed { record: Rc::new(record.clone()), audience, introduction }
+    }
+
+    /// Returns whether an agent that begins to follow needs the record under a key: the job before its account, and
+    /// of all processes those that it may read through.
+    #[must_use]
+    pub fn concerns(&self, key: &str, agent: &str) -> bool {
+        match key.split_once('/') {
+            Some(("job", id)) => self.includes_agent(&format!("plan/{id}"), agent),
+            Some(("member", name)) => {
+                let any_ample = || self.members.values().any(Member::passes_on_amply);
+                self.members.get(name).is_some_and(|member| {
+                    member.passes_on_amply() || (member.passes_on && !any_ample())
+                })
+            }
+            _ => self.includes_agent(key, agent),
+        }
+    }
+
+    fn includes_agent(&self, key: &str, agent: &str) -> bool {
+        let concerned = self.concerned(key);
+        concerned.is_none_or(|concerned| concerned.others || concerned.agents.contains(agent))
     }
 
     fn introduction(
--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -118,8 +118,9 @@
     freshness: &Freshness,
     sink: &mut impl Sink,
 ) -> Result<(), ReadError> {
-    let mut proven_at = Moment::now();
+    let started = Moment::now();
     let snapshot = store.newest(topic).await?;
+    let mut proven_at = started.checked_sub(snapshot.age).ok_or(ReadError::Unavailable)?;
     let mut later = Vec::new();
     let mut position = snapshot.read_from;
     while position < snapshot.end.max(freshness.position()) {
@@ -136,7 +137,7 @@
         later.extend(batch.records);
     }
     sink.load(&snapshot.records);
-    freshness.restart(position);
+    freshness.restart(position, &[&snapshot.records, &later]);
     later.iter().for_each(|record| sink.apply(record));
     freshness.prove(proven_at);
     freshness.move_to(position);
--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -1,7 +1,8 @@
 //! How old a view of the store is, and the latest records of it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -9,7 +10,8 @@
 
 use crate::audience::Passed;
 use crate::clock::Moment;
-use crate::store::{Batch, Offset, ReadError};
+use crate::record::KeyedRecord;
+use crate::store::{Batch, Offset, ReadError, Snapshot};
 
 /// How current the view is.
 #[derive(Debug)]
@@ -42,17 +44,20 @@
 /// little memory has 160 MB. Whoever reads more slowly than so much comes reads from the store.
 const MOST_RECENT_BYTES: usize = 4 << 20;
 
-/// The latest records, to be passed on.
+/// The latest records, and the newest of each key, to be passed on.
 #[derive(Debug, Default)]
 struct Recent {
     first: Offset,
     records: VecDeque<Passed>,
     bytes: usize,
     kept: bool,
+    /// The newest record of each key, if all were kept since the topic was read as a whole.
+    newest: Option<BTreeMap<String, Rc<KeyedRecord>>>,
 }
 
 impl Recent {
     fn push(&mut self, passed: Passed) {
+        self.note_newest(&passed.record);
         self.bytes += passed.size();
         self.records.push_back(passed);
         while self.records.len() > MOST_RECENT
@@ -62,6 +67,15 @@
         }
     }
 
+    fn note_newest(&mut self, record: &Rc<KeyedRecord>) {
+        let Some(newest) = &mut self.newest else { return };
+        if record.value.is_empty() {
+            newest.remove(&record.key);
+        } else {
+            newest.insert(record.key.clone(), Rc::clone(record));
+        }
+    }
+
     fn pop(&mut self) {
         if let Some(oldest) = self.records.pop_front() {
             self.bytes -= oldest.size();
@@ -69,10 +83,15 @@
         }
     }
 
-    fn restart(&mut self, first: Offset) {
+    fn restart(&mut self, first: Offset, records: &[&[KeyedRecord]]) {
         self.records.clear();
         self.bytes = 0;
         self.first = first;
+        self.newest = self.kept.then(BTreeMap::new);
+        if self.kept {
+            let records = records.iter().copied().flatten();
+            records.for_each(|record| self.note_newest(&Rc::new(record.clone())));
+        }
     }
 }
 
@@ -192,7 +211,7 @@
         let new = recent.records.iter().skip((from - recent.first) as usize);
         let records = match agent {
             Some(agent) => new.flat_map(|passed| passed.records_for(agent)).collect(),
-            None => new.map(|passed| passed.record.clone()).collect(),
+            None => new.map(|passed| passed.record.as_ref().clone()).collect(),
         };
         Ok(Some(Batch {
             end,
@@ -210,9 +229,28 @@
         self.recent.borrow_mut().push(passed);
     }
 
-    /// Forgets the kept records; the next ones begin at `position`.
-    pub(crate) fn restart(&self, position: Offset) {
-        self.recent.borrow_mut().restart(position);
+    /// Forgets the kept records; the next ones begin at `position`. The newest record of each key up to there is in
+    /// the lists, the later ones behind.
+    pub(crate) fn restart(&self, position: Offset, records: &[&[KeyedRecord]]) {
+        self.recent.borrow_mut().restart(position, records);
+    }
+
+    /// Passes on the newest record of each key that is wanted.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if nothing is known yet, or not all of them were kept.
+    pub fn pass_on_newest(
+        &self,
+        is_wanted: impl Fn(&KeyedRecord) -> bool,
+    ) -> Result<Snapshot, ReadError> {
+        let age = self.age().ok_or(ReadError::Unavailable)?;
+        let recent = self.recent.borrow();
+        let newest = recent.newest.as_ref().ok_or(ReadError::Unavailable)?;
+        let wanted = newest.values().filter(|record| is_wanted(record));
+        let records = wanted.map(|record| record.as_ref().clone()).collect();
+        let end = self.position.get();
+        Ok(Snapshot { records, read_from: end, end, age })
     }
 
     /// Takes note that the view holds all that the store had acknowledged at this time. Whoever
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -10,7 +10,7 @@
 use crate::freshness::Freshness;
 use crate::planner::ProgressTable;
 use crate::record::{KeyedRecord, Member, PROGRESS_TOPIC, Record, STATE_TOPIC};
-use crate::store::{Offset, Store};
+use crate::store::{Offset, ReadError, Snapshot, Store};
 use crate::table::JobTable;
 
 /// Pause before the store is asked again to keep a process's address.
@@ -46,6 +46,18 @@
 }
 
 impl LiveTable {
+    /// Passes on the newest record of each key: all, or those that an agent needs which begins to follow.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if nothing is known yet, or not all records were kept.
+    pub fn pass_on_newest(&self, agent: Option<&str>) -> Result<Snapshot, ReadError> {
+        let table = self.table.borrow();
+        let is_wanted =
+            |record: &KeyedRecord| agent.is_none_or(|agent| table.concerns(&record.key, agent));
+        self.freshness.pass_on_newest(is_wanted)
+    }
+
     /// Keeps the table current for ever.
     pub async fn follow(self, store: Rc<dyn Store>, pace: Pace) {
         let sink = TableSink(Rc::clone(&self.table));
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -320,6 +320,12 @@
     pub const fn is_ample(&self) -> bool {
         self.link_mbps >= AMPLE_LINK_MBPS && self.cpu_milli >= AMPLE_CPU_MILLI
     }
+
+    /// Returns whether it passes records on, and has room to pass them on to many.
+    #[must_use]
+    pub const fn passes_on_amply(&self) -> bool {
+        self.passes_on && self.is_ample()
+    }
 }
 
 /// Progress of one run.
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -133,6 +133,8 @@
     pub read_from: Offset,
     /// The end when the last part was read.
     pub end: Offset,
+    /// How old the view was that it is of; zero from the store itself.
+    pub age: Duration,
 }
 
 /// An answer to a call for leadership.
--- a/crates/rampbay-jobs/tests/ages.rs
+++ b/crates/rampbay-jobs/tests/ages.rs
@@ -241,7 +241,7 @@
         records.extend(self.log.newest(PAGE_END.to_owned()..));
         let end = self.log.end();
         sleep(self.page_delay.get()).await;
-        Ok(Snapshot { records, read_from, end })
+        Ok(Snapshot { records, read_from, end, age: Duration::ZERO })
     }
 
     async fn stand(&self, _: &str, _: u64) -> Result<Candidacy, ReadError> {
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -196,7 +196,7 @@
         let newest: BTreeMap<String, KeyedRecord> =
             records.into_iter().map(|record| (record.key.clone(), record)).collect();
         let records = newest.into_values().filter(|record| !record.value.is_empty()).collect();
-        Ok(Snapshot { records, read_from: end, end })
+        Ok(Snapshot { records, read_from: end, end, age: Duration::ZERO })
     }
 
     async fn stand(&self, member: &str, _: u64) -> Result<Candidacy, ReadError> {
--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`client`] and [`server`] are thin covers over hyper for one thread. The ways to the store are
 //! stores themselves, one around the other ([`ways`]): [`direct`] knows whether the process's own way is
 //! open, [`relay`] goes through peers where it isn't, [`group`] lets appends ride together, [`tail`] reads
-//! through peers, [`metered`] counts. [`reports`] gathers what agents report. A [`peer`] is a store as well, over a [`transport`]; [`served`] is
+//! through peers, [`metered`] counts. [`reports`] gathers what agents report, [`snapshots`]
+//! gives the whole state to those that start. A [`peer`] is a store as well, over a [`transport`]; [`served`] is
 //! what a process does for its peers, and [`routes`] whom it goes through, by the [`tree`] of
 //! all entries. [`entry`] and [`agent`] put
 //! the two kinds of processes together.
@@ -21,6 +22,7 @@
 pub mod routes;
 pub mod served;
 pub mod server;
+pub mod snapshots;
 pub mod tail;
 pub mod transport;
 pub mod tree;
--- a/crates/rampbay-peer/src/peer.rs
+++ b/crates/rampbay-peer/src/peer.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use rampbay_jobs::job::NodeName;
-use rampbay_jobs::record::KeyedRecord;
+use rampbay_jobs::record::{KeyedRecord, Member};
 use rampbay_jobs::store::{
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
@@ -23,6 +23,9 @@
 const GATEWAY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Longest time for the answer to a ping, or to reports: a process that takes longer is frozen, cut off or gone.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time for the state as a whole: the peer asks the store first, and a state of some megabytes goes over a
+/// link of 20 Mbit/s.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Added to a read's wait at the store.
 const READ_SLACK: Duration = Duration::from_millis(950);
 /// Added to the wait for records that a peer follows itself.
@@ -75,6 +78,26 @@
         Ok(Batch { is_partial, ..batch })
     }
 
+    /// Reads the newest record of each key of the state that the peer follows: all, or those that an agent needs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the peer can't be reached, or doesn't know the state well enough.
+    pub async fn snapshot(&self, agent: Option<NodeName>) -> Result<Snapshot, ReadError> {
+        match self.call(&StoreRequest::Snapshot { agent }, SNAPSHOT_TIMEOUT).await {
+            Ok(StoreReply::Newest(outcome)) => outcome,
+            _ => Err(ReadError::Unavailable),
+        }
+    }
+
+    /// Lists the entries that the peer knows to read through; none if it can't be reached.
+    pub async fn entries(&self) -> Vec<Member> {
+        match self.call(&StoreRequest::Entries, PING_TIMEOUT).await {
+            Ok(StoreReply::Entries(entries)) => entries,
+            _ => Vec::new(),
+        }
+    }
+
     /// Makes a call that reads. What it proves counts from when it was sent, and by the wait that was
     /// sent: the peer may be stopped at any moment between.
     async fn call_to_read(
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -1,7 +1,7 @@
 //! What peers ask of each other: the store's operations, as messages.
 
 use rampbay_jobs::job::NodeName;
-use rampbay_jobs::record::KeyedRecord;
+use rampbay_jobs::record::{KeyedRecord, Member};
 use rampbay_jobs::store::{AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot};
 use serde::{Deserialize, Serialize};
 
@@ -65,6 +65,13 @@
         /// Candidate.
         member: String,
     },
+    /// See [`Snapshots::take`](crate::snapshots::Snapshots::take).
+    Snapshot {
+        /// The agent that asks, for the records that it needs; none for all.
+        agent: Option<NodeName>,
+    },
+    /// See [`Snapshots::entries`](crate::snapshots::Snapshots::entries).
+    Entries,
     /// See [`Store::report`]: gathered with those of others.
     Report {
         /// The reports.
@@ -91,4 +98,6 @@
     Resigned,
     /// Of reports.
     Report(Result<(), AppendError>),
+    /// Of a question for the entries.
+    Entries(Vec<Member>),
 }
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -126,6 +126,28 @@
         }))
     }
 
+    /// Asks the processes that the settings name which entries there are, and lists those nearby first: what a process
+    /// goes through before it knows the state.
+    pub async fn first_peers(&self) -> Vec<PeerStore> {
+        let port = self.settings.peer_port;
+        let mut seeds: Vec<String> = self
+            .settings
+            .seeds
+            .iter()
+            .map(|seed| SocketAddr::new(seed.ip(), port).to_string())
+            .collect();
+        seeds.sort_by_cached_key(|seed| rank(&self.settings.node, seed));
+        for seed in seeds {
+            let entries = PeerStore::new(Rc::clone(&self.transport), seed).entries().await;
+            let others = entries.iter().filter(|entry| entry.node != self.settings.node).collect();
+            let near = self.near_first(others, &JobTable::default());
+            if !near.is_empty() {
+                return near.into_iter().map(|member| self.peer(member)).collect();
+            }
+        }
+        Vec::new()
+    }
+
     /// Sorts members: near ones first, each process with another beginning, the leader after them: it has
     /// enough to do. The leader before it comes last: it may be gone.
     fn near_first<'a>(&self, mut members: Vec<&'a Member>, table: &JobTable) -> Vec<&'a Member> {
--- a/crates/rampbay-peer/src/served.rs
+++ b/crates/rampbay-peer/src/served.rs
@@ -11,6 +11,7 @@
 use crate::protocol::{StoreReply, StoreRequest};
 use crate::reports::Reports;
 use crate::server::{Answer, Handler};
+use crate::snapshots::Snapshots;
 
 /// What a process serves its peers with.
 #[derive(Clone)]
@@ -23,6 +24,8 @@
     pub followed: Followed,
     /// Reports that it gathers, if it does.
     pub reports: Option<Rc<Reports>>,
+    /// The state as a whole, if it follows it.
+    pub snapshots: Option<Rc<Snapshots>>,
 }
 
 /// Topics that a process follows whole, and passes on.
@@ -71,6 +74,14 @@
         }
         StoreRequest::Holder => StoreReply::Holder(store.holder().await),
         StoreRequest::Ping => StoreReply::Pong,
+        StoreRequest::Snapshot { agent } => StoreReply::Newest(match &served.snapshots {
+            Some(snapshots) => snapshots.take(agent.as_deref()).await,
+            None => Err(ReadError::Unavailable),
+        }),
+        StoreRequest::Entries => {
+            let entries = served.snapshots.as_ref().map(|snapshots| snapshots.entries());
+            StoreReply::Entries(entries.unwrap_or_default())
+        }
         StoreRequest::Report { reports } => {
             let gathered = served.reports.as_ref().map(|gathered| gathered.take_in(reports));
             StoreReply::Report(gathered.ok_or(AppendError::Refused))
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 
 use crate::peer::PeerStore;
+use crate::routes::Routes;
 
 /// Oldest view that is taken from a peer; more than the time that its own reads take.
 const OLDEST_VIEW: Duration = Duration::from_millis(1500);
@@ -36,6 +37,10 @@
 /// a lost leader's place takes to pass on (1.4 s): whoever takes it reads from the store then.
 const PEERS_PAUSE: Duration = Duration::from_millis(2000);
 const LONGEST_PAUSE: Duration = Duration::from_millis(8000);
+/// The same after peers have said so at once.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before peers are asked again for the state as a whole.
+const STARTING_PAUSE: Duration = Duration::from_millis(60);
 /// Peers that are asked for one read, at most.
 const PEERS_PER_READ: usize = 2;
 
@@ -59,6 +64,8 @@
     /// The agent that reads, if it wants only what concerns it.
     agent: Option<NodeName>,
     preferred: Cell<usize>,
+    /// Up to when the last answer of a peer proved its view.
+    proven: Cell<Option<Instant>>,
     paused_until: Cell<Option<Instant>>,
     /// How long peers are left alone when none of them can pass records on the next time.
     pause: Cell<Duration>,
@@ -66,6 +73,16 @@
     known: RefCell<Option<Rc<[PeerStore]>>>,
     /// Whether records may have been left out since the newest of each key were read.
     is_partial: Cell<bool>,
+    /// Where the newest of each key are read first, if peers pass them on.
+    starting: Option<Starting>,
+}
+
+/// How a process that starts reads the state as a whole.
+pub struct Starting {
+    /// How it finds peers before it knows the state.
+    pub routes: Routes,
+    /// How long it goes to peers before it reads from the store.
+    pub patience: Duration,
 }
 
 impl TailStore {
@@ -78,13 +95,22 @@
             sources,
             agent: None,
             preferred: Cell::new(0),
+            proven: Cell::new(None),
             paused_until: Cell::new(None),
             pause: Cell::new(PEERS_PAUSE),
             known: RefCell::default(),
             is_partial: Cell::new(false),
+            starting: None,
         }
     }
 
+    /// Reads the newest record of each key through peers as well.
+    #[must_use]
+    pub fn starting(mut self, starting: Starting) -> Self {
+        self.starting = Some(starting);
+        self
+    }
+
     /// Reads only what concerns an agent.
     #[must_use]
     pub fn for_agent(mut self, agent: NodeName) -> Self {
@@ -101,11 +127,16 @@
         wait: Duration,
     ) -> Option<Batch> {
         let wait = wait.min(LONGEST_WAIT);
+        let started = Instant::now();
         let mut older = None;
-        for peer in self.preferred_first(peers) {
+        for (tried, peer) in self.preferred_first(peers).enumerate() {
+            if tried > 0 && self.agent.is_none() && self.has_grown_old() {
+                break;
+            }
             match peer.tail(&self.topic, from, wait, self.agent.clone()).await {
                 Ok(batch) if batch.age <= OLDEST_VIEW => {
                     self.pause.set(PEERS_PAUSE);
+                    self.proven.set(Instant::now().checked_sub(batch.age));
                     return Some(batch);
                 }
                 Ok(batch) => older = Some(batch),
@@ -116,11 +147,22 @@
         if self.agent.is_some() && older.is_some() {
             return older;
         }
-        self.leave_peers_alone();
+        self.leave_peers_alone(started.elapsed());
         None
     }
 
-    fn leave_peers_alone(&self) {
+    /// Returns whether the view is so old by now that the store has to be asked.
+    fn has_grown_old(&self) -> bool {
+        self.proven.get().is_some_and(|proven| proven.elapsed() > OLDEST_VIEW)
+    }
+
+    /// Leaves peers alone after a try that took so long. Those that say at once that they can't pass records on, as
+    /// one does that has just started, are asked again soon.
+    fn leave_peers_alone(&self, took: Duration) {
+        if took < LONGEST_WAIT {
+            self.paused_until.set(Some(Instant::now() + REFUSED_PAUSE));
+            return;
+        }
         let pause = self.pause.get();
         self.paused_until.set(Some(Instant::now() + pause));
         self.pause.set((pause * 2).min(LONGEST_PAUSE));
@@ -170,6 +212,35 @@
         self.read_from_store(from, Duration::ZERO).await
     }
 
+    /// Reads the newest record of each key from peers; `None` where none of them knows the state in time.
+    async fn newest_from_peers(&self) -> Option<Snapshot> {
+        let starting = self.starting.as_ref()?;
+        let deadline = Instant::now() + starting.patience;
+        loop {
+            if let Some(snapshot) = self.newest_from_some(&starting.routes).await {
+                return Some(snapshot);
+            }
+            if Instant::now() >= deadline {
+                return None;
+            }
+            tokio::time::sleep_until((Instant::now() + STARTING_PAUSE).min(deadline)).await;
+        }
+    }
+
+    async fn newest_from_some(&self, routes: &Routes) -> Option<Snapshot> {
+        let mut peers = (self.sources)().peers;
+        if peers.is_empty() {
+            peers = Rc::from(routes.first_peers().await);
+        }
+        for peer in self.preferred_first(&peers) {
+            if let Ok(snapshot) = peer.snapshot(self.agent.clone()).await {
+                return Some(snapshot);
+            }
+            self.preferred.set(self.preferred.get() + 1);
+        }
+        None
+    }
+
     async fn read_from_store(&self, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         if self.is_partial.get() {
             return Err(ReadError::Trimmed);
@@ -207,10 +278,15 @@
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        let snapshot = self.store.newest(topic).await?;
-        if topic == self.topic {
-            self.is_partial.set(false);
+        if topic != self.topic {
+            return self.store.newest(topic).await;
         }
+        if let Some(snapshot) = self.newest_from_peers().await {
+            self.is_partial.set(self.agent.is_some());
+            return Ok(snapshot);
+        }
+        let snapshot = self.store.newest(topic).await?;
+        self.is_partial.set(false);
         Ok(snapshot)
     }
 
--- a/crates/rampbay-peer/src/ways.rs
+++ b/crates/rampbay-peer/src/ways.rs
@@ -16,8 +16,10 @@
 use crate::relay::{PeerList, RelayStore};
 use crate::routes::Routes;
 use crate::served::{Followed, Served};
-use crate::tail::TailStore;
+use crate::snapshots::Snapshots;
+use crate::tail::{Starting, TailStore};
 use crate::transport::Transport;
+use crate::tree::rank;
 
 /// What a process follows, and for whom.
 #[derive(Clone)]
@@ -93,11 +95,13 @@
             relay = relay.through(routes.clone().gateways());
         }
         let own = echo(Rc::new(MeteredStore::new(Rc::new(relay), Counted::Any)));
+        let direct_alone: Rc<dyn Store> = Rc::clone(&direct) as Rc<dyn Store>;
         let served = Served {
             direct: echo(Rc::new(alone)),
             own: Rc::clone(&own),
             followed: followed(&settings, &live, &follows),
             reports: follows.is_entry().then(Rc::default),
+            snapshots: follows.is_entry().then(|| Snapshots::new(live.clone(), direct_alone)),
         };
         let announced = Rc::clone(&own);
         let store = read_through_peers(own, &settings, &routes, &follows);
@@ -128,16 +132,40 @@
     match follows {
         Follows::Everything { orders_topic, .. } => {
             let sources = || routes.clone().sources_of_entry();
-            let state = Rc::new(TailStore::new(store, STATE_TOPIC, sources()));
-            Rc::new(TailStore::new(state, orders_topic, sources()))
+            let state = TailStore::new(store, STATE_TOPIC, sources());
+            let state = state.starting(starting(settings, routes, follows));
+            Rc::new(TailStore::new(Rc::new(state), orders_topic, sources()))
         }
         Follows::OwnWorker => {
             let tail = TailStore::new(store, STATE_TOPIC, routes.clone().sources_of_agent());
+            let tail = tail.starting(starting(settings, routes, follows));
             Rc::new(tail.for_agent(settings.node.clone()))
         }
     }
 }
 
+/// How long processes that start go to peers before they read the whole state from the store, and over how much more
+/// that is spread: after a loss of power no peer knows it. Those that the settings of all name read it at once; other
+/// ample entries wait as long as that takes, small ones and agents until those have it. An agent's leases last 6 s.
+const AMPLE_START: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(150));
+const SMALL_START: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(300));
+const AGENT_START: (Duration, Duration) = (Duration::from_millis(1000), Duration::from_millis(500));
+
+/// Returns how a process reads the whole state when it starts.
+fn starting(settings: &Settings, routes: &Routes, follows: &Follows) -> Starting {
+    let is_ample = follows.is_entry() && settings.member(true).is_ample();
+    let (least, spread) = match follows {
+        Follows::OwnWorker => AGENT_START,
+        Follows::Everything { .. } if is_ample => AMPLE_START,
+        Follows::Everything { .. } => SMALL_START,
+    };
+    let share = rank(&settings.node, "") % 1000;
+    let is_known = settings.seeds.iter().any(|seed| seed.ip() == settings.ip);
+    let spread = spread * share as u32 / 1000;
+    let patience = if is_ample && is_known { Duration::ZERO } else { least + spread };
+    Starting { routes: routes.clone(), patience }
+}
+
 /// Returns the views that a process passes on: those that are whole. What an agent reads has gaps, and whoever
 /// took it for the state would miss records.
 fn followed(settings: &Settings, live: &LiveTable, follows: &Follows) -> Followed {
--- a/crates/rampbay-peer/tests/gathering.rs
+++ b/crates/rampbay-peer/tests/gathering.rs
@@ -90,7 +90,13 @@
         let store = Rc::new(NotingStore::default());
         let shared: Rc<dyn Store> = store.clone();
         let own: Rc<dyn Store> = Rc::new(GroupStore::new(Rc::clone(&shared)));
-        let served = Served { direct: shared, own, followed: Followed::new(), reports: None };
+        let served = Served {
+            direct: shared,
+            own,
+            followed: Followed::new(),
+            reports: None,
+            snapshots: None,
+        };
         let never = watch::channel(Closing::Open);
         tokio::select! {
             served = serve(address, 1 << 20, handler(served), never.1) => {
--- a/crates/rampbay-peer/tests/routes.rs
+++ b/crates/rampbay-peer/tests/routes.rs
@@ -161,5 +161,11 @@
 fn served(transport: &Rc<dyn Transport>) -> Served {
     let nowhere = PeerStore::new(Rc::clone(transport), "127.0.0.1:1".to_owned());
     let direct = DirectStore::new(Rc::new(nowhere), Duration::from_secs(1));
-    Served { direct: direct.clone(), own: direct, followed: Followed::new(), reports: None }
+    Served {
+        direct: direct.clone(),
+        own: direct,
+        followed: Followed::new(),
+        reports: None,
+        snapshots: None,
+    }
 }
--- a/crates/rampbay-scale/src/main.rs
+++ b/crates/rampbay-scale/src/main.rs
@@ -54,6 +54,9 @@
         watch_start(&fleet, &mut rows).await;
         watch_idle(&fleet, &mut rows).await;
         watch_change(&fleet, &mut rows).await;
+        let mut fleet = fleet;
+        watch_restart(&mut fleet, Share::Half, &mut rows).await;
+        watch_restart(&mut fleet, Share::All, &mut rows).await;
     });
     Column { size, rows }
 }
@@ -105,3 +108,38 @@
     rows.push(("oldest view of the orders, ms".to_owned(), oldest.as_millis().to_string()));
     rows.push(("oldest view of the state, ms".to_owned(), oldest_table.as_millis().to_string()));
 }
+
+/// How much of a fleet is killed at one moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Share {
+    Half,
+    All,
+}
+
+/// Time after which what was killed starts again.
+const DOWN: Duration = Duration::from_secs(2);
+
+async fn watch_restart(fleet: &mut Fleet, share: Share, rows: &mut Vec<(String, String)>) {
+    let name = if share == Share::Half { "half killed" } else { "all killed" };
+    let leader = fleet.leader().map(|leader| leader.name.clone()).unwrap_or_default();
+    let is_odd = |name: &str| name.bytes().last().is_some_and(|last| last % 2 == 1);
+    fleet.kill(|process| share == Share::All || process.name == leader || is_odd(&process.name));
+    sleep(DOWN).await;
+    fleet.load.take();
+    let dealt = fleet.store.generation();
+    fleet.restart().await;
+    let millis = |time: Option<Duration>| {
+        time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
+    };
+    fleet.submit(&format!("{:016}", share as u32), 4, 1).await;
+    let started = fleet.until(REST, |fleet| fleet.running() > 0).await;
+    rows.push((format!("{name}: first start after restart, ms"), millis(started)));
+    let current = fleet.until(REST, |fleet| fleet.oldest_table() < REST).await;
+    rows.push((format!("{name}: all know the state, ms more"), millis(current)));
+    sleep(REST).await;
+    let counts = fleet.load.take();
+    let dealt = fleet.store.generation() - dealt;
+    rows.push((format!("{name}: leadership dealt"), dealt.to_string()));
+    rows.push((format!("{name}: calls to the store"), counts.calls().to_string()));
+    rows.push((format!("{name}: kB of the store"), (counts.store_bytes() / 1000).to_string()));
+}
--- a/crates/rampbay-scale/src/store.rs
+++ b/crates/rampbay-scale/src/store.rs
@@ -346,7 +346,7 @@
         if records.is_empty() {
             self.note(Purpose::Snapshot, OVERHEAD);
         }
-        Ok(Snapshot { records, read_from: end, end })
+        Ok(Snapshot { records, read_from: end, end, age: Duration::ZERO })
     }
 }
 
--- /dev/null
+++ b/crates/rampbay-scale/tests/restarts.rs
@@ -0,0 +1,107 @@
+//! Many processes start again at one moment.
+//!
+//! Nearly all processes of a whole fleet were killed at once: 0.19 GB were read from the store, which grows with the square
+//! of the fleet since each process read the whole state, and for four seconds nothing was served.
+
+use std::time::Duration;
+
+use rampbay_scale::fleet::{Fleet, Process, Size};
+use rampbay_scale::load::{Counts, Purpose};
+use rampbay_scale::time;
+use rstest::rstest;
+use tokio::time::sleep;
+
+/// Time in which a fleet comes to rest.
+const REST: Duration = Duration::from_secs(6);
+/// Time for which what was killed is down.
+const DOWN: Duration = Duration::from_secs(2);
+/// Time after which work is started again, and each process knows the state.
+const RECOVERED: Duration = Duration::from_millis(2000);
+
+/// What is killed.
+#[derive(Clone, Copy, Debug)]
+enum Killed {
+    /// Every second process, and the leader.
+    Half,
+    /// All entries.
+    Entries,
+    /// Everything.
+    All,
+}
+
+impl Killed {
+    fn strike(self, fleet: &mut Fleet) {
+        let leader = fleet.leader().map(|leader| leader.name.clone()).unwrap_or_default();
+        let is_odd = |name: &str| name.bytes().last().is_some_and(|last| last % 2 == 1);
+        fleet.kill(|process: &Process| match self {
+            Self::Half => process.name == leader || is_odd(&process.name),
+            Self::Entries => process.is_entry(),
+            Self::All => true,
+        });
+    }
+}
+
+/// Kills processes and starts them again; returns what they asked the store for until all was at rest.
+async fn restart(fleet: &mut Fleet, killed: Killed) -> Counts {
+    killed.strike(fleet);
+    sleep(DOWN).await;
+    fleet.load.take();
+    fleet.restart().await;
+    fleet.submit("00000000000000aa", 4, 1).await;
+    let recovered = fleet.until(RECOVERED, |fleet| {
+        fleet.running() > 0 && fleet.knows_workers() && fleet.oldest_table() < RECOVERED
+    });
+    let recovered = recovered.await;
+    assert!(recovered.is_some(), "{killed:?}: not recovered after {RECOVERED:?}");
+    sleep(REST).await;
+    fleet.load.take()
+}
+
+#[rstest]
+fn fleet_recovers_soon(
+    #[values(Killed::Half, Killed::Entries, Killed::All)] killed: Killed,
+    #[values(60, 240)] machines: usize,
+) {
+    time::run(async {
+        let mut fleet = Fleet::start(Size::of(machines)).await;
+        sleep(REST).await;
+        restart(&mut fleet, killed).await;
+    });
+}
+
+/// A fleet of four times the size, whose state is four times as large, reads some four times as much of it: a few
+/// ample entries read it, not each process.
+#[rstest]
+#[case::half(Killed::Half)]
+#[case::all(Killed::All)]
+fn bytes_of_restart_not_as_square_of_size(#[case] killed: Killed) {
+    let bytes_at = |machines: usize| {
+        let mut bytes = 0;
+        time::run(async {
+            let mut fleet = Fleet::start(Size::of(machines)).await;
+            sleep(REST).await;
+            let counts = restart(&mut fleet, killed).await;
+            println!("{machines} {:?}", counts.store);
+            bytes = counts.store_bytes();
+        });
+        bytes
+    };
+    let (small, large) = (bytes_at(120), bytes_at(480));
+    assert!(large < small * 8, "{small} bytes at 120 machines, {large} at 480");
+}
+
+/// One agent that starts reads nothing of the state from the store.
+#[test]
+fn snapshot_of_single_agent_through_peers() {
+    time::run(async {
+        let mut fleet = Fleet::start(Size::of(120)).await;
+        sleep(REST).await;
+        let name = fleet.agents().last().map(|agent| agent.name.clone()).unwrap_or_default();
+        fleet.kill(|process| process.name == name);
+        fleet.load.take();
+        fleet.restart().await;
+        sleep(REST).await;
+        assert!(fleet.knows_workers());
+        assert_eq!(fleet.load.take().calls_for(Purpose::Snapshot), 0);
+    });
+}
