perf: entries hand what they take in to the leader to append

Cause: each of 183 entries appended what its callers brought by itself. A partition takes appends in turn; at a store 60 times slower than usual it takes four a second, so its queue grew to its limit of two seconds, callers were told nothing (49 answers 504 within five seconds on the fleet), and the queue lasted two seconds longer than the slowness. The same number of writers stood in the time after which a lost answer is repeated: 1.1 s with 183 entries. Change: an entry's appends go through the leader, as agents' do, beside which the planner's own go: two under way whatever the fleet's size. A gateway is a layer of its own (gateway.rs); what a process gathers for others it brings to the store itself, so that two that take each other for the leader don't hand it to and fro. The leader counts one other writer, not all entries. Ruled out: gathering at each entry for longer, which delays all and still grows with their number.

--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`client`] and [`server`] are thin covers over hyper for one thread. The ways to the store are
 //! stores themselves, one around the other ([`ways`]): [`direct`] knows whether the process's own way is
-//! open, [`relay`] goes through peers where it isn't, [`group`] lets appends ride together, [`tail`] reads
+//! open, [`relay`] goes through peers where it isn't, [`gateway`] hands appends to the leader, [`group`] lets them
+//! ride together, [`tail`] reads
 //! through peers, [`metered`] counts. [`reports`] gathers what agents report, [`snapshots`]
 //! gives the whole state to those that start. A [`peer`] is a store as well, over a [`transport`]; [`served`] is
 //! what a process does for its peers, and [`routes`] whom it goes through, by the [`tree`] of
@@ -13,6 +14,7 @@
 pub mod client;
 pub mod direct;
 pub mod entry;
+pub mod gateway;
 pub mod group;
 pub mod metered;
 pub mod peer;
--- a/crates/rampbay-peer/src/peer.rs
+++ b/crates/rampbay-peer/src/peer.rs
@@ -12,8 +12,8 @@
 use tokio::time::Instant;
 
 use crate::client::CallError;
+use crate::gateway::GatewayPeer;
 use crate::protocol::{StoreReply, StoreRequest};
-use crate::relay::GatewayPeer;
 use crate::transport::Transport;
 
 /// Longest time for an answer that needn't wait at the store: a peer's own call, and the way there.
--- a/crates/rampbay-peer/src/relay.rs
+++ b/crates/rampbay-peer/src/relay.rs
@@ -4,13 +4,8 @@
 //! first; when that fails it asks peers in turn, and stays with one that serves it, until a probe
 //! finds the direct way open again. A peer serves others out of its direct way only, so that a call
 //! takes one hop at most, and at once says no while that way is broken ([`DirectStore`]).
-//!
-//! Agents are many. Their appends go through a gateway, a peer that puts them together and brings them
-//! to the store over all ways that it has itself. A gateway that fails is followed by another one:
-//! agents that appended one by one would fill the store's queue.
 
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -33,7 +28,7 @@
 const SHORTEST_PATIENCE: Duration = Duration::from_millis(100);
 const LONGEST_PATIENCE: Duration = Duration::from_millis(2000);
 /// An append takes at most so many times as long as a probe where few write: it may have to wait its
-/// turn behind one of each entry and two of the leader.
+/// turn behind two of the leader, and those of a few processes that go past it.
 const LEAST_TURN_FACTOR: u32 = 8;
 /// Longest queue of appends at the store; it turns more away (PROTOCOL: over 2 s waiting).
 const LONGEST_QUEUE: Duration = Duration::from_millis(2000);
@@ -45,26 +40,10 @@
 const CUT_OFF_SLACK: Duration = Duration::from_millis(30);
 /// Time between two questions whether peers are served.
 const COMPARISON_PAUSE: Duration = Duration::from_millis(100);
-/// How long a gateway that failed is passed over.
-const GATEWAY_PAUSE: Duration = Duration::from_millis(1000);
-/// Gateways that are tried for one append, at most.
-const GATEWAYS_PER_APPEND: usize = 2;
 
 /// Lists the ways through peers, the nearest first.
 pub type PeerList = Box<dyn Fn() -> Rc<[Rc<dyn Store>]>>;
 
-/// A peer that gathers the appends of others, and sees to it that they get to the store.
-#[async_trait(?Send)]
-pub trait GatewayPeer: Store {
-    /// Returns its name.
-    fn name(&self) -> &str;
-    /// Returns whether its process answers.
-    async fn responds(&self) -> bool;
-}
-
-/// Lists the peers that gather the appends of others, the best first.
-pub type Gateways = Box<dyn Fn() -> Rc<[Rc<dyn GatewayPeer>]>>;
-
 /// Counts the processes that may append on their own.
 pub type Writers = Box<dyn Fn() -> u32>;
 
@@ -72,9 +51,6 @@
 pub struct RelayStore {
     direct: Rc<DirectStore>,
     peers: PeerList,
-    gateways: Gateways,
-    /// Gateways that failed, by their names, and until when they are passed over.
-    gateways_paused: RefCell<BTreeMap<String, Instant>>,
     writers: Writers,
     /// Place in the list of the peer that served last.
     preferred: Cell<usize>,
@@ -89,21 +65,12 @@
         Self {
             direct,
             peers,
-            gateways: Box::new(|| Rc::from([])),
-            gateways_paused: RefCell::default(),
             writers: Box::new(|| 0),
             preferred: Cell::new(0),
             append_time: Cell::new(Duration::ZERO),
         }
     }
 
-    /// Sends unfenced appends through a peer first, which gathers those of many processes.
-    #[must_use]
-    pub fn through(mut self, gateways: Gateways) -> Self {
-        self.gateways = gateways;
-        self
-    }
-
     /// Knows how many processes append on their own: so many appends may wait at the store before one.
     #[must_use]
     pub fn among(mut self, writers: Writers) -> Self {
@@ -218,16 +185,6 @@
         Way { kind: WayKind::Direct, store: self.direct.unchecked() }
     }
 
-    /// Lists the gateways that haven't failed lately.
-    fn open_gateways(&self) -> Vec<Rc<dyn GatewayPeer>> {
-        let now = Instant::now();
-        let mut paused = self.gateways_paused.borrow_mut();
-        paused.retain(|_, until| now < *until);
-        let gateways = (self.gateways)();
-        let open = gateways.iter().filter(|gateway| !paused.contains_key(gateway.name()));
-        open.take(GATEWAYS_PER_APPEND).map(Rc::clone).collect()
-    }
-
     /// Waits until an append without answer should be sent once more. Slowness is no reason: a
     /// repeat would only make the queue at the store longer. A store that answers a probe, but not
     /// the append within several times as long, has lost it. A store that doesn't answer the probe
@@ -245,56 +202,8 @@
         tokio::time::sleep_until(sent + turn).await;
     }
 
-    /// Waits until the gateway is found to be gone. While its process answers, it sees to the append
-    /// itself; if all whom it serves went past it, they would flood the store.
-    async fn gateway_gone(&self, gateway: &dyn GatewayPeer) {
-        loop {
-            tokio::time::sleep(self.patience()).await;
-            if !gateway.responds().await {
-                return;
-            }
-        }
-    }
-
-    /// Appends through a gateway. After [`AppendError::Refused`] and [`AppendError::Unknown`] another way
-    /// has to be taken; after the latter a gateway may still bring the records to the store.
-    async fn append_through_gateway(
-        &self,
-        topic: &str,
-        records: &[KeyedRecord],
-    ) -> Result<Offset, AppendError> {
-        let mut failure = AppendError::Refused;
-        for gateway in self.open_gateways() {
-            let started = Instant::now();
-            let outcome = tokio::select! {
-                outcome = gateway.append(topic, records, None) => outcome,
-                () = self.gateway_gone(gateway.as_ref()) => Err(AppendError::Unknown),
-            };
-            match outcome {
-                Ok(_) | Err(AppendError::Fenced) => {
-                    self.note_append(WayKind::Gateway, started.elapsed());
-                    return outcome;
-                }
-                Err(error) => {
-                    self.pass_over(gateway.name(), &error);
-                    if error == AppendError::Unknown {
-                        failure = error;
-                    }
-                }
-            }
-        }
-        Err(failure)
-    }
-
-    fn pass_over(&self, gateway: &str, error: &AppendError) {
-        log::info!("event=J108 gateway passed over gateway={gateway} error={error}");
-        let until = Instant::now() + GATEWAY_PAUSE;
-        self.gateways_paused.borrow_mut().insert(gateway.to_owned(), until);
-    }
-
-    /// Returns how long an append may take before it is looked into.
     fn patience(&self) -> Duration {
-        (self.append_time.get() * PATIENCE_FACTOR).clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE)
+        patience_after(self.append_time.get())
     }
 
     fn note_append(&self, way: WayKind, took: Duration) {
@@ -309,11 +218,14 @@
     }
 }
 
+/// Returns how long an append may take before it is looked into, given how long one usually takes.
+pub(crate) fn patience_after(usual: Duration) -> Duration {
+    (usual * PATIENCE_FACTOR).clamp(SHORTEST_PATIENCE, LONGEST_PATIENCE)
+}
+
 /// Which way a call takes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum WayKind {
-    /// Through the peer that gathers appends.
-    Gateway,
     /// Direct.
     Direct,
     /// Through the peer at this place of the list.
@@ -342,12 +254,6 @@
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
         let mut failure = AppendError::Refused;
-        if fence.is_none() {
-            match self.append_through_gateway(topic, records).await {
-                Err(error @ (AppendError::Refused | AppendError::Unknown)) => failure = error,
-                settled => return settled,
-            }
-        }
         let send = |way: Way| async move {
             let started = Instant::now();
             let outcome = way.store.append(topic, records, fence).await;
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -15,8 +15,9 @@
 use rampbay_jobs::store::Store;
 use rampbay_jobs::table::JobTable;
 
+use crate::gateway::{GatewayPeer, Gateways};
 use crate::peer::PeerStore;
-use crate::relay::{GatewayPeer, Gateways, PeerList, Writers};
+use crate::relay::{PeerList, Writers};
 use crate::tail::{Sources, TailSources};
 use crate::transport::Transport;
 use crate::tree::{Tree, ample, entries, rank, watch};
@@ -64,23 +65,37 @@
     /// Lists the processes that gather an agent's appends: the leader's first, since the planner knows
     /// at once what passes through it; then ample ones, or all entries where none is ample.
     #[must_use]
-    pub fn gateways(self) -> Gateways {
+    pub fn gateways_of_agent(self) -> Gateways {
         Box::new(self.remembered(|routes, table| {
-            let leader = table.members.get(&table.leader.node);
             let others = routes.near_first(routes.ample_or_all(table), table);
             let others = others.into_iter().filter(|other| other.node != table.leader.node);
-            let gateway = |member: &Member| -> Rc<dyn GatewayPeer> {
-                Rc::new(routes.peer(member).as_gateway())
-            };
-            leader.into_iter().chain(others).map(gateway).collect()
+            let leader = table.members.get(&table.leader.node);
+            leader.into_iter().chain(others).map(|member| routes.gateway(member)).collect()
         }))
     }
 
-    /// Counts the processes that append on their own: all entries, and a second time the leader, whose
-    /// decisions go beside what it gathers.
+    /// Lists the process that gathers an entry's appends: the leader, or none if it leads itself.
+    #[must_use]
+    pub fn gateways_of_entry(self) -> Gateways {
+        Box::new(self.remembered(|routes, table| {
+            let leader = table.members.get(&table.leader.node);
+            let leader = leader.filter(|leader| leader.node != routes.settings.node);
+            leader.into_iter().map(|member| routes.gateway(member)).collect()
+        }))
+    }
+
+    fn gateway(&self, member: &Member) -> Rc<dyn GatewayPeer> {
+        Rc::new(self.peer(member).as_gateway())
+    }
+
+    /// Counts the processes that append on their own beside this one: hardly any beside the leader; beside another one,
+    /// whose way through the leader must have failed, all other entries.
     #[must_use]
     pub fn writers(self) -> Writers {
-        Box::new(self.remembered(|_, table| entries(table).count() as u32 + 1))
+        Box::new(self.remembered(|routes, table| {
+            let leads = table.leader.node == routes.settings.node;
+            if leads { 1 } else { entries(table).count() as u32 + 1 }
+        }))
     }
 
     /// Lists the ample entries, or all where none is ample.
--- a/crates/rampbay-peer/src/served.rs
+++ b/crates/rampbay-peer/src/served.rs
@@ -18,8 +18,9 @@
 pub struct Served {
     /// Its direct way to the store alone, so that a call takes one hop at most.
     pub direct: Rc<dyn Store>,
-    /// All ways that it has itself, for the appends that it gathers.
-    pub own: Rc<dyn Store>,
+    /// All ways that it has itself but for gateways, for the appends that it gathers: two processes that take each other
+    /// for the leader must not hand them to and fro.
+    pub gathers: Rc<dyn Store>,
     /// The topics that it follows whole, by their names.
     pub followed: Followed,
     /// Reports that it gathers, if it does.
@@ -63,7 +64,7 @@
             StoreReply::Append(store.append(&topic, &records, fence.as_ref()).await)
         }
         StoreRequest::Gather { topic, records } => {
-            StoreReply::Append(served.own.append(&topic, &records, None).await)
+            StoreReply::Append(served.gathers.append(&topic, &records, None).await)
         }
         StoreRequest::Read { topic, from, wait_ms } => {
             StoreReply::Read(store.read(&topic, from, Duration::from_millis(wait_ms)).await)
--- a/crates/rampbay-peer/src/ways.rs
+++ b/crates/rampbay-peer/src/ways.rs
@@ -11,6 +11,7 @@
 use rampbay_jobs::store::Store;
 
 use crate::direct::DirectStore;
+use crate::gateway::GatewayStore;
 use crate::group::GroupStore;
 use crate::metered::{Counted, MeteredStore};
 use crate::relay::{PeerList, RelayStore};
@@ -82,23 +83,24 @@
         let counted = MeteredStore::new(store, Counted::Direct);
         let direct = DirectStore::new(Rc::new(counted), follows.probe_interval());
         let routes = Routes { settings: Rc::clone(&settings), transport, live: live.clone() };
-        let echo = |store: Rc<dyn Store>| -> Rc<dyn Store> {
+        let grouped = |store: Rc<dyn Store>| -> Rc<dyn Store> {
             Rc::new(GroupStore::new(Rc::new(EchoStore::new(store, live.clone()))))
         };
         // Peers are served out of the direct way alone, so that a call takes one hop at most.
         let no_peers: PeerList = Box::new(|| Rc::from([]));
         let alone = RelayStore::new(Rc::clone(&direct), no_peers).among(routes.clone().writers());
         let relay = RelayStore::new(Rc::clone(&direct), routes.clone().relays());
-        let mut relay = relay.among(routes.clone().writers());
-        // An entry's callers wait for its appends: a stop on the way would double their time.
-        if !follows.is_entry() {
-            relay = relay.through(routes.clone().gateways());
-        }
-        let own = echo(Rc::new(MeteredStore::new(Rc::new(relay), Counted::Any)));
+        let relay = relay.among(routes.clone().writers());
+        let relay = grouped(Rc::new(MeteredStore::new(Rc::new(relay), Counted::Any)));
+        let gateways = match &follows {
+            Follows::Everything { .. } => routes.clone().gateways_of_entry(),
+            Follows::OwnWorker => routes.clone().gateways_of_agent(),
+        };
+        let own = grouped(Rc::new(GatewayStore::new(Rc::clone(&relay), gateways)));
         let direct_alone: Rc<dyn Store> = Rc::clone(&direct) as Rc<dyn Store>;
         let served = Served {
-            direct: echo(Rc::new(alone)),
-            own: Rc::clone(&own),
+            direct: grouped(Rc::new(alone)),
+            gathers: relay,
             followed: followed(&settings, &live, &follows),
             reports: follows.is_entry().then(Rc::default),
             snapshots: follows.is_entry().then(|| Snapshots::new(live.clone(), direct_alone)),
--- a/crates/rampbay-peer/tests/gathering.rs
+++ b/crates/rampbay-peer/tests/gathering.rs
@@ -89,10 +89,10 @@
         drop(free);
         let store = Rc::new(NotingStore::default());
         let shared: Rc<dyn Store> = store.clone();
-        let own: Rc<dyn Store> = Rc::new(GroupStore::new(Rc::clone(&shared)));
+        let gathers: Rc<dyn Store> = Rc::new(GroupStore::new(Rc::clone(&shared)));
         let served = Served {
             direct: shared,
-            own,
+            gathers,
             followed: Followed::new(),
             reports: None,
             snapshots: None,
--- a/crates/rampbay-peer/tests/relay.rs
+++ b/crates/rampbay-peer/tests/relay.rs
@@ -11,7 +11,8 @@
     AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
 };
 use rampbay_peer::direct::DirectStore;
-use rampbay_peer::relay::{GatewayPeer, RelayStore};
+use rampbay_peer::gateway::{GatewayPeer, GatewayStore, Gateways};
+use rampbay_peer::relay::RelayStore;
 use rstest::rstest;
 use tokio::time::Instant;
 
@@ -104,6 +105,10 @@
     RelayStore::new(direct, Box::new(list))
 }
 
+fn behind_gateways(store: RelayStore, gateways: Gateways) -> GatewayStore {
+    GatewayStore::new(Rc::new(store), gateways)
+}
+
 fn on_virtual_time<F: Future<Output = ()>>(test: F) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
@@ -290,7 +295,8 @@
     on_virtual_time(async {
         let (direct, gateway) = (Scripted::answering(Ok(1)), Scripted::answering(Ok(2)));
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || Rc::from([Rc::clone(&way)])));
+        let store =
+            behind_gateways(relay(&direct, &[]), Box::new(move || Rc::from([Rc::clone(&way)])));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
         let fence = Fence { writer: "planner".to_owned(), epoch: 1, sequence: 0 };
         assert_eq!(store.append(STATE_TOPIC, &[], Some(&fence)).await, Ok(1));
@@ -338,7 +344,8 @@
         let (direct, gateway) = (Scripted::answering(Ok(1)), Scripted::answering(Ok(2)));
         gateway.delay.set(Duration::from_millis(3500));
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || Rc::from([Rc::clone(&way)])));
+        let store =
+            behind_gateways(relay(&direct, &[]), Box::new(move || Rc::from([Rc::clone(&way)])));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
         assert_eq!((direct.appends.get(), gateway.appends.get()), (0, 1));
     });
@@ -351,7 +358,8 @@
         gateway.delay.set(Duration::from_secs(60));
         gateway.readable.set(false);
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&direct, &[]).through(Box::new(move || Rc::from([Rc::clone(&way)])));
+        let store =
+            behind_gateways(relay(&direct, &[]), Box::new(move || Rc::from([Rc::clone(&way)])));
         let started = Instant::now();
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(1));
         assert!(started.elapsed() < Duration::from_millis(200));
@@ -399,7 +407,7 @@
         let gateways = [Scripted::named("first", REFUSED), Scripted::named("second", Ok(2))];
         let listed = gateways.clone();
         let list = move || listed.iter().map(|g| Rc::clone(g) as Rc<dyn GatewayPeer>).collect();
-        let store = relay(&direct, &[]).through(Box::new(list));
+        let store = behind_gateways(relay(&direct, &[]), Box::new(list));
         for _ in 0..3 {
             assert_eq!(store.append(STATE_TOPIC, &[], None).await, Ok(2));
         }
@@ -442,8 +450,8 @@
             gateway.delay.set(Duration::from_secs(60));
         }
         let way = Rc::clone(&gateway) as Rc<dyn GatewayPeer>;
-        let store = relay(&Scripted::answering(REFUSED), &[Scripted::answering(REFUSED)])
-            .through(Box::new(move || Rc::from([Rc::clone(&way)])));
+        let store = relay(&Scripted::answering(REFUSED), &[Scripted::answering(REFUSED)]);
+        let store = behind_gateways(store, Box::new(move || Rc::from([Rc::clone(&way)])));
         assert_eq!(store.append(STATE_TOPIC, &[], None).await, expected);
     });
 }
--- a/crates/rampbay-peer/tests/routes.rs
+++ b/crates/rampbay-peer/tests/routes.rs
@@ -9,8 +9,8 @@
 use rampbay_jobs::settings::Settings;
 use rampbay_peer::client::HttpClient;
 use rampbay_peer::direct::DirectStore;
+use rampbay_peer::gateway::GatewayPeer;
 use rampbay_peer::peer::PeerStore;
-use rampbay_peer::relay::GatewayPeer;
 use rampbay_peer::routes::Routes;
 use rampbay_peer::served::{Followed, Served, handler};
 use rampbay_peer::server::{Closing, serve};
@@ -87,16 +87,31 @@
 /// What passes through the leader, the planner knows at once; after it come ample ones nearby.
 #[test]
 fn gateways_of_agent_leader_first() {
-    let found = routes("b-side-1", &SITE).gateways()();
+    let found = routes("b-side-1", &SITE).gateways_of_agent()();
     let found: Vec<&str> = found.iter().map(|gateway| gateway.name()).collect();
     assert_eq!(found[0], LEADER);
     assert!(found[1].starts_with("b-large") && found[2].starts_with("b-large"), "{found:?}");
     assert_eq!(found.len(), 3);
 }
 
-#[test]
-fn writers_counts_entries_and_leader() {
-    assert_eq!(routes("b-side-1", &SITE).writers()(), 6);
+#[rstest]
+#[case::ample("b-large-1", &[LEADER])]
+#[case::small("b-small-1", &[LEADER])]
+#[case::leader(LEADER, &[])]
+fn gateways_of_entry_leader_alone(#[case] node: &str, #[case] expected: &[&str]) {
+    let found = routes(node, &SITE).gateways_of_entry()();
+    let found: Vec<&str> = found.iter().map(|gateway| gateway.name()).collect();
+    assert_eq!(found, expected);
+}
+
+/// Whoever appends by itself has found no way through the leader, and so may all entries; the leader's own appends
+/// wait behind those that it gathers.
+#[rstest]
+#[case::agent("b-side-1", 6)]
+#[case::entry("b-small-1", 6)]
+#[case::leader(LEADER, 1)]
+fn writers_beside_a_process(#[case] node: &str, #[case] expected: u32) {
+    assert_eq!(routes(node, &SITE).writers()(), expected);
 }
 
 /// Where no machine has room, agents read through all entries, and entries from the store.
@@ -163,7 +178,7 @@
     let direct = DirectStore::new(Rc::new(nowhere), Duration::from_secs(1));
     Served {
         direct: direct.clone(),
-        own: direct,
+        gathers: direct,
         followed: Followed::new(),
         reports: None,
         snapshots: None,
--- a/crates/rampbay-scale/src/fleet.rs
+++ b/crates/rampbay-scale/src/fleet.rs
@@ -327,13 +327,23 @@
         ages.map(|age| age.unwrap_or(Duration::MAX)).max().unwrap_or_default()
     }
 
-    /// Hands a job of one step of equal tasks in at an entry, until the store has it.
+    /// Hands a job of one step of equal tasks in at the last entry, until the store has it.
     ///
     /// # Panics
     ///
     /// Panics if there are no entries.
     pub async fn submit(&self, id: &str, tasks: u32, devices: u64) {
-        let entry = self.entries().last().expect("an entry");
+        let last = self.entries().count() - 1;
+        self.submit_at(last, id, tasks, devices).await;
+    }
+
+    /// Hands a job of one step of equal tasks in at one of the entries that are there, until the store has it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no such entry.
+    pub async fn submit_at(&self, entry: usize, id: &str, tasks: u32, devices: u64) {
+        let entry = self.entries().nth(entry).expect("an entry");
         let step = Step {
             count: tasks,
             demand: Resources { cpu_milli: 4_000, memory_mb: 4_000, devices },
