fix: a leader whose join's answer gets lost joins again before its place lapses

Change: a join follows each interval while no answer comes; the first answer counts. Ruled out: shorter waits that drop a join (a store 100 times slower answers after 0.4 s).

--- a/crates/rampbay-jobs/src/candidacy.rs
+++ b/crates/rampbay-jobs/src/candidacy.rs
@@ -17,20 +17,21 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::watch;
 
 use crate::clock::Moment;
 use crate::freshness::Freshness;
 use crate::job::NodeName;
-use crate::store::Store;
+use crate::store::{Candidacy, Store};
 
 /// Time between two questions of a process with little room whether anybody leads.
 const SMALL_VACANCY_INTERVAL: Duration = Duration::from_millis(1000);
 /// Answers in a row that nobody leads after which such a process stands: one with room asks three times in
 /// that time.
 const SMALL_VACANT_ANSWERS: u32 = 2;
-/// Intervals after which a join without answer is given up: the leader's time to live, by which its place
-/// has lapsed. What hangs longer could take the place back from whoever leads then.
+/// Joins without answer, an interval apart, after which all of them are given up: the leader's time to live, by which its
+/// place has lapsed. What hangs longer could take the place back from whoever leads then.
 const JOIN_INTERVALS: u32 = 3;
 /// Time between two looks of such a process, while it leads, for one with more room.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(2000);
@@ -124,27 +125,43 @@
 /// Stands until somebody else leads.
 async fn stand(candidate: &Candidate, term: &Term, generation: &mut u64) {
     loop {
-        let join = candidate.store.stand(&candidate.node, *generation);
-        let joined = tokio::time::timeout(candidate.interval * JOIN_INTERVALS, join).await;
-        let is_sure_to_lead = match joined {
-            Ok(Ok(answer)) => {
-                let held = *term.borrow();
-                if answer.leads {
-                    candidate.note_led();
+        let joined = join(candidate, *generation).await;
+        if let Some(answer) = joined {
+            let held = *term.borrow();
+            // A leader keeps the generation under which it began.
+            let next = if answer.leads { held.or(Some(answer.generation)) } else { None };
+            term.send_if_modified(|current| std::mem::replace(current, next) != next);
+            *generation = answer.generation;
+        }
+        if joined.is_some_and(|answer| answer.leads) {
+            candidate.note_led();
+        } else if is_led_by_other(candidate).await {
+            return;
+        }
+        tokio::time::sleep(candidate.interval).await;
+    }
+}
+
+/// Joins, once more each interval while no answer comes: the place lasts from when a join arrives, and answers may get
+/// lost. Waited for until its time was over, a lost answer cost the place.
+async fn join(candidate: &Candidate, generation: u64) -> Option<Candidacy> {
+    let mut joins = FuturesUnordered::new();
+    for _ in 0..JOIN_INTERVALS {
+        joins.push(candidate.store.stand(&candidate.node, generation));
+        let answer = async {
+            loop {
+                match joins.next().await {
+                    Some(Ok(answer)) => return answer,
+                    Some(Err(_)) => {}
+                    None => std::future::pending().await,
                 }
-                // A leader keeps the generation under which it began.
-                let next = if answer.leads { held.or(Some(answer.generation)) } else { None };
-                term.send_if_modified(|current| std::mem::replace(current, next) != next);
-                *generation = answer.generation;
-                answer.leads
             }
-            Ok(Err(_)) | Err(_) => false,
         };
-        if !is_sure_to_lead && is_led_by_other(candidate).await {
-            return;
+        if let Ok(answer) = tokio::time::timeout(candidate.interval, answer).await {
+            return Some(answer);
         }
-        tokio::time::sleep(candidate.interval).await;
     }
+    None
 }
 
 async fn is_led_by_other(candidate: &Candidate) -> bool {
--- a/crates/rampbay-scale/src/store.rs
+++ b/crates/rampbay-scale/src/store.rs
@@ -117,6 +117,9 @@
     load: Rc<Load>,
     /// How many times as long as usual each answer takes.
     pub slowness: Cell<u32>,
+    /// Share of its answers that get lost, in percent.
+    pub lost_percent: Cell<u64>,
+    answers: Cell<u64>,
 }
 
 impl ModelStore {
@@ -129,6 +132,8 @@
             group: RefCell::default(),
             load,
             slowness: Cell::new(1),
+            lost_percent: Cell::new(0),
+            answers: Cell::new(0),
         })
     }
 
@@ -189,6 +194,13 @@
         Ok(end)
     }
 
+    /// Returns whether the next answer gets lost.
+    fn loses_next(&self) -> bool {
+        let number = self.answers.get();
+        self.answers.set(number + 1);
+        number.wrapping_mul(2_654_435_761) % 1_000_003 % 100 < self.lost_percent.get()
+    }
+
     fn time(&self, usual: Duration) -> Duration {
         usual * self.slowness.get()
     }
@@ -247,6 +259,15 @@
             std::future::pending::<()>().await;
         }
     }
+
+    /// Hands an answer over, unless it gets lost.
+    async fn answer<T>(&self, answer: T) -> T {
+        self.silence().await;
+        if self.store.loses_next() {
+            std::future::pending::<()>().await;
+        }
+        answer
+    }
 }
 
 fn read_purpose(topic: &str) -> Purpose {
@@ -358,26 +379,29 @@
         records: &[KeyedRecord],
         fence: Option<&Fence>,
     ) -> Result<Offset, AppendError> {
-        let append = self.append_in_time(topic, records, fence);
+        let append = async { self.answer(self.append_in_time(topic, records, fence).await).await };
         timeout(CALL_TIMEOUT, append).await.unwrap_or(Err(AppendError::Unknown))
     }
 
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        let read = self.read_in_time(topic, from, wait);
+        let read = async { self.answer(self.read_in_time(topic, from, wait).await).await };
         timeout(wait + READ_TIMEOUT, read).await.unwrap_or(Err(ReadError::Unavailable))
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        let newest = self.newest_in_time(topic);
+        let newest = async { self.answer(self.newest_in_time(topic).await).await };
         timeout(CALL_TIMEOUT, newest).await.unwrap_or(Err(ReadError::Unavailable))
     }
 
     async fn stand(&self, member: &str, _: u64) -> Result<Candidacy, ReadError> {
         self.note(Purpose::Stand, OVERHEAD);
-        match timeout(CALL_TIMEOUT, self.reach()).await {
-            Ok(true) => Ok(self.store.group.borrow_mut().join(member)),
-            Ok(false) | Err(_) => Err(ReadError::Unavailable),
-        }
+        let join = async {
+            let is_served = self.reach().await;
+            let joined = is_served.then(|| self.store.group.borrow_mut().join(member));
+            self.answer(joined).await
+        };
+        let joined = timeout(CALL_TIMEOUT, join).await.unwrap_or_default();
+        joined.ok_or(ReadError::Unavailable)
     }
 
     async fn resign(&self, member: &str) {
@@ -389,9 +413,12 @@
 
     async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
         self.note(Purpose::Holder, OVERHEAD);
-        match timeout(READ_TIMEOUT, self.reach()).await {
-            Ok(true) => Ok(self.store.leader()),
-            Ok(false) | Err(_) => Err(ReadError::Unavailable),
-        }
+        let ask = async {
+            let is_served = self.reach().await;
+            let holder = is_served.then(|| self.store.leader());
+            self.answer(holder).await
+        };
+        let holder = timeout(READ_TIMEOUT, ask).await.unwrap_or_default();
+        holder.ok_or(ReadError::Unavailable)
     }
 }
--- a/crates/rampbay-scale/tests/slow_store.rs
+++ b/crates/rampbay-scale/tests/slow_store.rs
@@ -47,3 +47,19 @@
         assert!(slowest < CALLER_WAITS, "{slowest:?}");
     });
 }
+
+/// The leader keeps its place while a third of the store's answers get lost: each change costs a second in which
+/// nothing is started. A join whose answer was lost was waited for until the place had lapsed.
+#[rstest]
+fn leader_kept_while_answers_get_lost(#[values(60, 240)] machines: usize) {
+    time::run(async move {
+        let fleet = Fleet::start(Size::of(machines)).await;
+        sleep(REST).await;
+        let leader = fleet.store.leader();
+        fleet.store.lost_percent.set(35);
+        let slowest = slowest_job(&fleet).await;
+        sleep(REST).await;
+        assert_eq!(fleet.store.leader(), leader);
+        assert!(slowest < CALLER_WAITS, "{slowest:?}");
+    });
+}
