fix: processes stand for leadership further apart where the store takes longer

Cause: right after an outage the store's answers take many times as long, and those that saw at the same moment that nobody leads stood at once: four terms within 1.1 s after a silence of 4.5 s on the fleet; at the start of a fleet the first term ended after 0.1 s and half a second was lost. Change: they stand apart by three times what a call takes now, 30 ms at least; before anything is known those that the settings of all name stand first.

--- a/crates/rampbay-jobs/src/candidacy.rs
+++ b/crates/rampbay-jobs/src/candidacy.rs
@@ -19,6 +19,7 @@
 use async_trait::async_trait;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::clock::Moment;
 use crate::freshness::Freshness;
@@ -39,14 +40,19 @@
 /// Age of the last news that somebody leads from which on a process asks the store itself: what the few who ask
 /// need to stand (1.4 s), and what news takes through three hops (1.3 s).
 const NEWS_AGE: Duration = Duration::from_millis(2700);
-/// Time between the standing of one process and of the next: a call to the store takes a sixth of it.
+/// Least time between the standing of one process and of the next: a call to the store takes a sixth of it.
 const STANDING_GAP: Duration = Duration::from_millis(30);
+/// The same as a multiple of what a call to the store takes now: to join, and to be seen by the next one. Right after
+/// an outage a call takes many times as long as usual, and those who stood at once took the place from each other for
+/// a second.
+const STANDING_CALLS: u32 = 3;
 /// Places over which processes that aren't among the few spread their standing.
 const OTHER_PLACES: u64 = 20;
 
 /// Who asks the store again and again who leads.
 pub trait Vigil {
-    /// Returns this process's place among the few who ask; `None` if it isn't one of them.
+    /// Returns this process's place among the few who ask, by which they stand one after the other; `None` if it
+    /// isn't one of them.
     fn place(&self) -> Option<usize>;
 }
 
@@ -85,10 +91,10 @@
         self.vigil.place().is_some() || self.freshness.led_age().is_none_or(|age| age > NEWS_AGE)
     }
 
-    /// Returns how long after the others this process stands.
-    fn standing_delay(&self) -> Duration {
+    /// Returns how long after the others this process stands, where a call to the store takes so long.
+    fn standing_delay(&self, call: Duration) -> Duration {
         let place = self.vigil.place().map_or(self.salt % OTHER_PLACES, |place| place as u64);
-        STANDING_GAP * place as u32
+        STANDING_GAP.max(call * STANDING_CALLS) * place as u32
     }
 }
 
@@ -180,6 +186,7 @@
     };
     let mut vacant = 0;
     loop {
+        let asked = Instant::now();
         if vacant > 0 || candidate.has_to_ask() {
             match nobody_leads(candidate).await {
                 Some(true) => vacant += 1,
@@ -188,7 +195,7 @@
             }
         }
         if vacant >= answers {
-            if nobody_stands_first(candidate).await {
+            if nobody_stands_first(candidate, asked.elapsed()).await {
                 return;
             }
             vacant = 0;
@@ -198,8 +205,8 @@
 }
 
 /// Leaves the processes before this one the time to stand, and returns whether none of them has.
-async fn nobody_stands_first(candidate: &Candidate) -> bool {
-    let delay = candidate.standing_delay();
+async fn nobody_stands_first(candidate: &Candidate, call: Duration) -> bool {
+    let delay = candidate.standing_delay(call);
     if delay.is_zero() {
         return true;
     }
--- a/crates/rampbay-peer/src/routes.rs
+++ b/crates/rampbay-peer/src/routes.rs
@@ -202,8 +202,12 @@
     #[must_use]
     pub fn vigil(self) -> Rc<dyn Vigil> {
         let place = self.remembered(|routes, table| {
-            let mut watch = watch(table);
-            watch.position(|member| member.node == routes.settings.node)
+            let settings = &routes.settings;
+            if table.members.is_empty() {
+                // Before it knows the others: those that the settings of all name stand first.
+                return settings.seeds.iter().position(|seed| seed.ip() == settings.ip);
+            }
+            watch(table).position(|member| member.node == settings.node)
         });
         Rc::new(Watch(Box::new(place)))
     }
