perf: agents aren't sent the addresses of other agents

Cause: each agent's address went to each agent: what is passed on while a fleet starts grows with its square. Agents read through entries alone. Change: an agent's record goes to entries and to itself. Measured, model, start of 50, 200, 983 machines, bytes between processes: 0.21, 2.5, 55.0 MB before, 0.16, 1.7, 35.9 MB now; the rest is what entries follow. A first form left an agent's own record out, so that it announced itself again and again (304 MB): the test holds that case.

--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -124,9 +124,10 @@
             Some(("job", id)) => self.includes_agent(&format!("plan/{id}"), agent),
             Some(("member", name)) => {
                 let any_ample = || self.members.values().any(Member::passes_on_amply);
-                self.members.get(name).is_some_and(|member| {
+                let is_read_through = |member: &Member| {
                     member.passes_on_amply() || (member.passes_on && !any_ample())
-                })
+                };
+                name == agent || self.members.get(name).is_some_and(is_read_through)
             }
             _ => self.includes_agent(key, agent),
         }
@@ -171,6 +172,11 @@
             }
             // Only whoever leads goes by them.
             "life" | "losses" => {}
+            // Agents don't read through each other: passed on to all of them, their addresses would grow with the
+            // square of the fleet.
+            "member" if self.members.get(name).is_none_or(|member| !member.passes_on) => {
+                concerned.agents.insert(name.to_owned());
+            }
             "over" => concerned.agents.extend(self.agent_of(name).cloned()),
             "worker" => {
                 let (instance, _) = split_worker_key(key);
--- a/crates/rampbay-jobs/tests/partial_views.rs
+++ b/crates/rampbay-jobs/tests/partial_views.rs
@@ -14,7 +14,7 @@
 
 use rampbay_jobs::audience::Audience;
 use rampbay_jobs::keys::worker_key;
-use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC};
+use rampbay_jobs::record::{KeyedRecord, Member, Record, STATE_TOPIC};
 use rampbay_jobs::store::{Batch, Store};
 use rampbay_jobs::table::JobTable;
 use rand::SeedableRng;
@@ -165,3 +165,27 @@
     assert!(table.wants_run(WORKER, &task(JOB, 0), 1));
     assert!(table.wants_run(WORKER, &task(JOB, 1), 1));
 }
+
+fn member(node: &str, passes_on: bool) -> Record {
+    Record::Member(Member { node: node.to_owned(), passes_on, ..Member::default() })
+}
+
+/// Every agent reads through entries, so that the address of another agent is of no use to it; its own tells it that the
+/// state has it.
+#[rstest]
+#[case::entry("entry-1", true, "side-9", true)]
+#[case::other_agent("side-1", false, "side-9", false)]
+#[case::itself("side-9", false, "side-9", true)]
+fn member_passed_on_to_agent(
+    #[case] node: &str,
+    #[case] passes_on: bool,
+    #[case] agent: &str,
+    #[case] expected: bool,
+) {
+    let mut table = JobTable::default();
+    for _ in 0..2 {
+        let passed = table.apply_and_tell(&member(node, passes_on).encode());
+        assert_eq!(passed.audience.includes(agent), expected);
+    }
+    assert_eq!(table.concerns(&format!("member/{node}"), agent), expected);
+}
--- a/crates/rampbay-scale/src/load.rs
+++ b/crates/rampbay-scale/src/load.rs
@@ -121,6 +121,12 @@
         self.store.values().map(|traffic| traffic.bytes).sum()
     }
 
+    /// Returns all bytes that processes passed on to their peers.
+    #[must_use]
+    pub fn passed_bytes(&self) -> u64 {
+        self.served.values().map(|traffic| traffic.bytes).sum()
+    }
+
     /// Returns what the process did that answered most calls of its peers.
     #[must_use]
     pub fn busiest(&self) -> Traffic {
--- a/crates/rampbay-scale/src/main.rs
+++ b/crates/rampbay-scale/src/main.rs
@@ -70,6 +70,8 @@
     rows.push(("start: leadership dealt".to_owned(), fleet.store.generation().to_string()));
     rows.push(("start: calls to the store".to_owned(), counts.calls().to_string()));
     rows.push(("start: kB of the store".to_owned(), (counts.store_bytes() / 1000).to_string()));
+    let passed = (counts.passed_bytes() / 1000).to_string();
+    rows.push(("start: kB between processes".to_owned(), passed));
 }
 
 async fn watch_idle(fleet: &Fleet, rows: &mut Vec<(String, String)>) {
