perf: trials of a gang's places grow with a rack, not with the fleet

Cause: for each rack that could hold a waiting gang the planner copied the free room of all workers, and summed the rack's by a walk over all; so a waiting gang cost racks times workers, the square of the fleet. Each task of a step without gang looked at all workers again. Change: a trial and a search for stops hold only the places that they look at; places are ranked once and again when something is taken there.

--- a/crates/rampbay-jobs/benches/round.rs
+++ b/crates/rampbay-jobs/benches/round.rs
@@ -12,7 +12,7 @@
 mod support;
 
 /// Sizes of fleets, in workers.
-const WORKERS: [usize; 2] = [240, 1_000];
+const WORKERS: [usize; 3] = [240, 800, 2_500];
 /// How long a fleet is under load before its rounds are timed.
 const WARM_UP: Duration = Duration::from_secs(12);
 
--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -1,5 +1,8 @@
 //! Finds places for tasks in the rooms of the workers.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
 use crate::job::{InstanceId, Resources, Step};
 
 use super::pace::MachineSpeed;
@@ -91,37 +94,44 @@
 /// How badly a worker suits.
 type Unfitness = (bool, bool, bool, bool, MachineSpeed, u64, u64);
 
-/// Free room that is being tried out for the tasks of one step.
+/// Free room that is being tried out for the tasks of one step, at some places: what it copies and looks at grows with
+/// these, a rack's for most gangs, and not with the fleet.
 pub struct Trial<'a> {
     rooms: &'a Rooms,
     need: &'a Need<'a>,
+    places: &'a [Place],
+    /// What is free at each of the places.
     free: Vec<Resources>,
-    /// Tasks of the step at each worker, if the step limits them.
+    /// Tasks of the step at each of the places, if the step limits them.
     members: Option<Vec<u32>>,
+    /// The places by how badly they suit, the best first. Filled with the first task.
+    ranked: BinaryHeap<Reverse<(Unfitness, usize)>>,
 }
 
 impl<'a> Trial<'a> {
     /// Begins with what is free now.
-    pub fn new(rooms: &'a Rooms, need: &'a Need<'a>) -> Self {
-        let members = rooms.members(need.step, &need.key);
-        Self { rooms, need, free: rooms.free.clone(), members }
+    pub fn new(rooms: &'a Rooms, need: &'a Need<'a>, places: &'a [Place]) -> Self {
+        let free = places.iter().map(|&place| rooms.free[place]).collect();
+        let members = rooms.members(need.step, &need.key, places);
+        Self { rooms, need, places, free, members, ranked: BinaryHeap::new() }
     }
 
-    /// Takes all workers as empty.
+    /// Takes the workers as empty.
     #[must_use]
-    pub fn emptied(mut self) -> Self {
-        self.free = self.rooms.rooms.iter().map(|room| room.worker.capacity).collect();
+    fn emptied(mut self) -> Self {
+        let capacity = |&place: &Place| self.rooms.rooms[place].worker.capacity;
+        self.free = self.places.iter().map(capacity).collect();
         if let Some(members) = &mut self.members {
             members.fill(0);
         }
         self
     }
 
-    /// Returns whether `count` tasks fit at some places.
-    fn holds(&self, places: &[Place], count: usize) -> bool {
+    /// Returns whether `count` tasks fit.
+    fn holds(&self, count: usize) -> bool {
         let mut left = count as u64;
-        for &place in places {
-            left = left.saturating_sub(u64::from(self.most_at(place)));
+        for index in 0..self.places.len() {
+            left = left.saturating_sub(u64::from(self.most_at(index)));
             if left == 0 {
                 return true;
             }
@@ -129,41 +139,55 @@
         left == 0
     }
 
-    fn most_at(&self, place: Place) -> u32 {
-        let there = self.members.as_ref().map_or(0, |members| members[place]);
-        self.need.most_at(&self.free[place], there)
+    fn most_at(&self, index: usize) -> u32 {
+        let there = self.members.as_ref().map_or(0, |members| members[index]);
+        self.need.most_at(&self.free[index], there)
+    }
+
+    fn rank(&mut self, index: usize) {
+        if self.most_at(index) > 0 {
+            let room = &self.rooms.rooms[self.places[index]];
+            let unfitness = self.need.unfitness(room, &self.free[index]);
+            self.ranked.push(Reverse((unfitness, index)));
+        }
     }
 
-    /// Finds the best of some places for one task and takes it.
-    fn place_one(&mut self, places: &[Place]) -> Option<Place> {
-        let fitting = places.iter().copied().filter(|&place| self.most_at(place) > 0);
-        let unfitness =
-            |&place: &Place| self.need.unfitness(&self.rooms.rooms[place], &self.free[place]);
-        let place = fitting.min_by_key(unfitness)?;
-        self.free[place].take(&self.need.demand);
+    /// Finds the best place for one task and takes it. A place changes only by what is taken there, so that it is
+    /// ranked again only then.
+    pub fn place_one(&mut self) -> Option<Place> {
+        let Reverse((_, index)) = self.ranked.pop()?;
+        self.free[index].take(&self.need.demand);
         if let Some(members) = &mut self.members {
-            members[place] += 1;
+            members[index] += 1;
         }
-        Some(place)
+        self.rank(index);
+        Some(self.places[index])
     }
 
-    /// Finds places for `count` tasks at once among some, or for none.
-    fn place_all(mut self, places: &[Place], count: usize) -> Option<Vec<Place>> {
-        if !self.holds(places, count) {
+    /// Finds the best places for tasks one after the other, for as many as fit.
+    pub fn place_most(mut self, count: usize) -> Vec<Place> {
+        (0..self.places.len()).for_each(|index| self.rank(index));
+        (0..count).map_while(|_| self.place_one()).collect()
+    }
+
+    /// Finds places for `count` tasks at once, or for none.
+    fn place_all(self, count: usize) -> Option<Vec<Place>> {
+        if !self.holds(count) {
             return None;
         }
-        (0..count).map(|_| self.place_one(places)).collect()
+        let places = self.place_most(count);
+        (places.len() == count).then_some(places)
     }
 }
 
 /// Finds the best place for one task.
 pub fn place_one(rooms: &Rooms, need: &Need<'_>, places: &[Place]) -> Option<Place> {
-    Trial::new(rooms, need).place_one(places)
+    Trial::new(rooms, need, places).place_most(1).first().copied()
 }
 
 /// Finds places for `count` tasks at once, or for none.
 pub fn place_all(rooms: &Rooms, need: &Need<'_>, count: usize) -> Option<Vec<Place>> {
-    Trial::new(rooms, need).place_all(&need.allowed, count)
+    Trial::new(rooms, need, &need.allowed).place_all(count)
 }
 
 /// Groups the workers that may run a step by their racks, in the order of the racks' names.
@@ -177,25 +201,20 @@
 
 /// Returns whether `count` tasks would fit into one rack if nothing else ran there.
 pub fn rack_could_hold(rooms: &Rooms, need: &Need<'_>, count: usize) -> bool {
-    let trial = Trial::new(rooms, need).emptied();
-    by_rack(rooms, need).iter().any(|(_, places)| trial.holds(places, count))
+    let could_hold = |places: &[Place]| Trial::new(rooms, need, places).emptied().holds(count);
+    by_rack(rooms, need).iter().any(|(_, places)| could_hold(places))
 }
 
 /// Finds places for `count` tasks in one rack: the one that is left with least room.
 pub fn place_in_rack(rooms: &Rooms, need: &Need<'_>, count: usize) -> Option<Vec<Place>> {
-    let now = Trial::new(rooms, need);
     let mut best: Option<((bool, usize, u64), Vec<Place>)> = None;
     for (rack, places) in by_rack(rooms, need) {
-        if !now.holds(&places, count) {
-            continue;
-        }
-        let Some(taken) = Trial::new(rooms, need).place_all(&places, count) else { continue };
+        let Some(taken) = Trial::new(rooms, need, &places).place_all(count) else { continue };
         let remote = !need.step.data_rack.is_empty() && need.step.data_rack != rooms.racks[rack];
-        let in_rack = rooms.rooms.iter().zip(&rooms.free).filter(|(room, _)| room.rack == rack);
-        let free = in_rack.filter(|(room, _)| room.usable).map(|(_, free)| free.devices).sum();
         let is_slower =
             |&&place: &&Place| need.speed_of(&rooms.rooms[place]) == MachineSpeed::Slower;
-        let rank = (remote, taken.iter().filter(is_slower).count(), free);
+        let slower = taken.iter().filter(is_slower).count();
+        let rank = (remote, slower, rooms.free_devices_in(rack));
         if best.as_ref().is_none_or(|(best, _)| rank < *best) {
             best = Some((rank, taken));
         }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -6,7 +6,7 @@
 use crate::record::{JobPlan, JobStatus, TaskStatus};
 
 use super::draft::{Draft, unbegun};
-use super::gang::{Need, place_all, place_in_rack, place_one};
+use super::gang::{Need, Trial, place_all, place_in_rack};
 use super::isolate::{Part, Tried, find_apart, parts};
 use super::make_room::{Within, allowed_for, find_room, hold_room, make_room};
 use super::queue::{WaitingStep, waiting_steps};
@@ -152,13 +152,12 @@
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
     let places = places_near_data(rooms, need, waiting.waited_ms(inputs.wall));
-    let mut left = waiting.tasks.as_slice();
-    while let Some((&index, rest)) = left.split_first() {
-        let Some(place) = place_one(rooms, need, &places) else { break };
+    let taken = Trial::new(rooms, need, &places).place_most(waiting.tasks.len());
+    for (&index, &place) in waiting.tasks.iter().zip(&taken) {
         rooms.occupy(place, need.step, &need.key);
         start_task(draft, waiting, index, &rooms.rooms[place].instance, None);
-        left = rest;
     }
+    let left = &waiting.tasks[taken.len()..];
     if left.is_empty() {
         return None;
     }
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -72,15 +72,17 @@
     stops: Vec<UnitIndex>,
 }
 
-/// Places task after task, each where the stops that it needs cost least.
+/// Places task after task, each where the stops that it needs cost least. All that it holds is by the index of a place
+/// among those that it searches.
 struct Search<'a> {
     rooms: &'a Rooms,
     units: &'a Units,
     need: &'a Need<'a>,
+    /// The places, in rising order.
     places: &'a [Place],
-    /// What is free at each worker, now or by stops that are under way or chosen.
+    /// What is free at each place, now or by stops that are under way or chosen.
     free: Vec<Resources>,
-    /// What each worker holds beyond what it has.
+    /// What each place holds beyond what it has.
     owed: Vec<Resources>,
     members: Option<Vec<u32>>,
     chosen: BTreeSet<UnitIndex>,
@@ -90,29 +92,39 @@
 
 impl<'a> Search<'a> {
     fn new(rooms: &'a Rooms, units: &'a Units, need: &'a Need<'a>, places: &'a [Place]) -> Self {
-        let mut free = rooms.free.clone();
-        for (free, room) in free.iter_mut().zip(&rooms.rooms) {
-            free.give(&room.freed_soon);
+        let free = places.iter().map(|&place| {
+            let mut free = rooms.free[place];
+            free.give(&rooms.rooms[place].freed_soon);
+            free
+        });
+        let owed = places.iter().map(|&place| rooms.owed[place]).collect();
+        let members = rooms.members(need.step, &need.key, places);
+        Self {
+            rooms,
+            units,
+            need,
+            places,
+            free: free.collect(),
+            owed,
+            members,
+            chosen: BTreeSet::new(),
+            offers: Vec::new(),
         }
-        let members = rooms.members(need.step, &need.key);
-        let chosen = BTreeSet::new();
-        let owed = rooms.owed.clone();
-        Self { rooms, units, need, places, free, owed, members, chosen, offers: Vec::new() }
     }
 
-    fn there(&self, place: Place) -> u32 {
-        self.members.as_ref().map_or(0, |members| members[place])
+    fn there(&self, index: usize) -> u32 {
+        self.members.as_ref().map_or(0, |members| members[index])
     }
 
     /// Returns whether `count` tasks would fit if all that may be stopped were.
     fn could_hold(&self, count: usize) -> bool {
         let mut left = count as u64;
-        for &place in self.places {
-            let (mut free, mut owed) = (self.free[place], self.owed[place]);
+        for (index, &place) in self.places.iter().enumerate() {
+            let (mut free, mut owed) = (self.free[index], self.owed[index]);
             for unit in self.units.at(place, self.need.priority) {
                 self.units.held_at(unit, place).for_each(|held| free.give_less(held, &mut owed));
             }
-            left = left.saturating_sub(u64::from(self.need.most_at(&free, self.there(place))));
+            left = left.saturating_sub(u64::from(self.need.most_at(&free, self.there(index))));
             if left == 0 {
                 return true;
             }
@@ -122,53 +134,53 @@
 
     fn place_one(&mut self) -> Option<Place> {
         if self.offers.is_empty() {
-            self.offers = self.places.iter().map(|&place| self.offer(place)).collect();
+            self.offers = (0..self.places.len()).map(|index| self.offer(index)).collect();
         }
         let offers = self.offers.iter().enumerate();
         let offers = offers.filter_map(|(at, offer)| Some((offer.as_ref()?.rank, at)));
         let (_, best) = offers.min_by_key(|(rank, _)| *rank)?;
-        let place = self.places[best];
         let stops = self.offers[best].take().map_or_else(Vec::new, |offer| offer.stops);
-        let mut changed = vec![place];
+        let mut changed = vec![best];
         for unit in stops {
             self.chosen.insert(unit);
             for (at, held) in &self.units.units[unit].held {
-                self.free[*at].give_less(held, &mut self.owed[*at]);
-                changed.push(*at);
+                // What a gang holds elsewhere doesn't help here.
+                let Ok(index) = self.places.binary_search(at) else { continue };
+                self.free[index].give_less(held, &mut self.owed[index]);
+                changed.push(index);
             }
         }
-        self.free[place].take(&self.need.demand);
+        self.free[best].take(&self.need.demand);
         if let Some(members) = &mut self.members {
-            members[place] += 1;
+            members[best] += 1;
         }
         changed.sort_unstable();
         changed.dedup();
-        for at in changed {
-            if let Ok(index) = self.places.binary_search(&at) {
-                self.offers[index] = self.offer(at);
-            }
+        for index in changed {
+            self.offers[index] = self.offer(index);
         }
-        Some(place)
+        Some(self.places[best])
     }
 
-    /// Returns what one more task costs at a worker, if it can be placed there.
-    fn offer(&self, place: Place) -> Option<Offer> {
+    /// Returns what one more task costs at a place, if it can be placed there.
+    fn offer(&self, index: usize) -> Option<Offer> {
         let most = self.need.step.max_per_worker;
-        if most > 0 && self.there(place) >= most {
+        if most > 0 && self.there(index) >= most {
             return None;
         }
-        let stops = self.stops_at(place)?;
+        let stops = self.stops_at(index)?;
         let cost = stops.iter().map(|&unit| self.units.units[unit].cost).sum();
-        let room = &self.rooms.rooms[place];
+        let room = &self.rooms.rooms[self.places[index]];
         let slower = self.need.speed_of(room) == MachineSpeed::Slower;
-        let rank = (room.avoided, room.unheard, slower, cost, self.free[place].devices);
+        let rank = (room.avoided, room.unheard, slower, cost, self.free[index].devices);
         Some(Offer { rank, stops })
     }
 
-    /// Returns the cheapest units to stop so that one task fits at a worker.
-    fn stops_at(&self, place: Place) -> Option<Vec<UnitIndex>> {
+    /// Returns the cheapest units to stop so that one task fits at a place.
+    fn stops_at(&self, index: usize) -> Option<Vec<UnitIndex>> {
+        let place = self.places[index];
         let demand = &self.need.demand;
-        let (mut free, mut owed) = (self.free[place], self.owed[place]);
+        let (mut free, mut owed) = (self.free[index], self.owed[index]);
         let mut stops = Vec::new();
         for unit in self.units.at(place, self.need.priority) {
             if free.fits(demand) {
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -49,6 +49,8 @@
     pub free: Vec<Resources>,
     /// Names of the racks, sorted.
     pub racks: Vec<String>,
+    /// The workers of each rack.
+    in_rack: Vec<Vec<Place>>,
     /// What runs.
     pub running: Vec<RunningTask>,
     /// What may be stopped; worked out once something has to be.
@@ -85,6 +87,10 @@
             closed: vec![false; workers.views.len()],
             ..Self::default()
         };
+        survey.in_rack = vec![Vec::new(); survey.racks.len()];
+        for (place, room) in survey.rooms.iter().enumerate() {
+            survey.in_rack[room.rack].push(place);
+        }
         for id in &inputs.table.active {
             let Some(submission) = draft.submission(id) else { continue };
             survey.charge_job(draft, id, &submission, workers);
@@ -196,10 +202,19 @@
         }
     }
 
-    /// Returns how many tasks of a step are at each worker, if the step limits that.
-    pub fn members(&self, step: &Step, key: &StepKey) -> Option<Vec<u32>> {
-        let members = || self.limited.get(key).cloned();
-        (step.max_per_worker > 0).then(|| members().unwrap_or_else(|| vec![0; self.rooms.len()]))
+    /// Returns how many tasks of a step are at each of some workers, if the step limits that.
+    pub fn members(&self, step: &Step, key: &StepKey, places: &[Place]) -> Option<Vec<u32>> {
+        if step.max_per_worker == 0 {
+            return None;
+        }
+        let Some(members) = self.limited.get(key) else { return Some(vec![0; places.len()]) };
+        Some(places.iter().map(|&place| members[place]).collect())
+    }
+
+    /// Returns how many accelerators are free at the usable workers of a rack.
+    pub fn free_devices_in(&self, rack: usize) -> u64 {
+        let places = self.in_rack[rack].iter().filter(|&&place| self.rooms[place].usable);
+        places.map(|&place| self.free[place].devices).sum()
     }
 
     /// Takes one task's room at a worker.
