feat: a worker that starts again under its id begins another life

Cause: a worker may start again under the id that it had, and tells in each account and listing when it started; this wasn't read at all. The new life was taken for the one before: its heartbeats, which count from one again, were passed over, and it was told which ends the life before had handed over, by numbers that the new life uses anew. A heartbeat of a later life ends those before it at once. An agent says which ends it has only while there are new ones, and a life that was replaced under its own name is given up only after every run that may have been ordered for it is ended at the one that answers: such an order names the worker alone. Ruled out: reading the start from heartbeats alone (calls under way reach the new life before its first heartbeat). Deployments that tell no start make the same calls as before.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -12,8 +12,10 @@
 mod room;
 mod runs;
 mod stops;
+mod successor;
 
 use std::cell::RefCell;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -55,6 +57,9 @@
 /// Makes a client for a life of the worker, given its address and its id.
 pub type Connect = Box<dyn Fn(&str, &str) -> Rc<dyn Worker>>;
 
+/// Compares two lives by when they began; `None` for lives of two workers.
+pub type Succession = fn(&str, &str) -> Option<Ordering>;
+
 /// What all lives of one process share.
 pub struct AgentParts {
     /// Name of this process.
@@ -67,6 +72,8 @@
     pub freshness: Rc<Freshness>,
     /// Makes a client for a life of the worker.
     pub connect: Connect,
+    /// Tells which of two lives of a worker came first.
+    pub succession: Succession,
     /// Reads the clock.
     pub wall_clock: fn() -> EpochMillis,
     /// Times.
@@ -114,7 +121,7 @@
 
     /// Takes in a heartbeat.
     pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
-        if self.ended.borrow().contains(&heartbeat.instance) {
+        if self.is_of_the_past(&heartbeat.instance) {
             log::info!(
                 "event=J171 late heartbeat of an ended life worker={} sequence={}",
                 heartbeat.instance,
@@ -127,14 +134,36 @@
         if let Some(remaining) = heartbeat.remaining.filter(|_| record.draining) {
             record.leaves_at = (self.parts.wall_clock)() + remaining.as_millis() as u64;
         }
+        self.end_predecessors(&heartbeat.instance);
         let life = self.life(&heartbeat.instance, &record);
         life.hear(heartbeat.sequence, record);
     }
 
-    /// Takes in that a life is about to end.
-    pub fn deregister(&self, instance: &str) {
-        let life = self.lives.borrow().get(instance).cloned();
-        if let Some(life) = life {
+    /// Returns whether a life is over for good, or a later one of its worker is known.
+    fn is_of_the_past(&self, instance: &str) -> bool {
+        let is_earlier =
+            |known: &InstanceId| (self.parts.succession)(instance, known) == Some(Ordering::Less);
+        self.ended.borrow().iter().any(|ended| ended == instance)
+            || self.lives.borrow().keys().any(is_earlier)
+    }
+
+    /// Ends the lives that came before one of the same worker. A call of theirs would reach the new life, and tell it to
+    /// forget ends whose numbers begin anew.
+    fn end_predecessors(&self, instance: &str) {
+        let lives = self.lives.borrow();
+        let before = lives.values().filter(|life| {
+            (self.parts.succession)(&life.instance, instance) == Some(Ordering::Less)
+        });
+        before.for_each(|life| life.replace());
+    }
+
+    /// Takes in that a life is about to end: the latest of those that `is_meant` holds for.
+    pub fn deregister(&self, is_meant: impl Fn(&str) -> bool) {
+        let lives = self.lives.borrow();
+        let meant = lives.values().filter(|life| is_meant(&life.instance) && !life.is_over());
+        let latest = meant.max_by(|one, other| one.found_before(other)).cloned();
+        drop(lives);
+        if let Some(life) = latest {
             life.leave();
         }
     }
--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// Compares by when this process first knew of the lives.
+    pub(super) fn found_before(&self, other: &Self) -> std::cmp::Ordering {
+        self.found.cmp(&other.found)
+    }
+
     /// Takes in that the worker ends now.
     pub(super) fn leave(&self) {
         log::info!("event=J162 worker leaves worker={}", self.instance);
@@ -191,6 +196,11 @@
         self.parts.freshness.notify();
     }
 
+    /// Takes in that a later life of the worker has been heard of.
+    pub(super) fn replace(&self) {
+        self.end(LifeEnd::Replaced);
+    }
+
     /// Takes in that the worker's life is certainly over.
     pub(super) fn end(&self, why: LifeEnd) {
         if self.is_over() {
@@ -257,6 +267,11 @@
             && self.heard.get().elapsed() < self.parts.settings.silence
     }
 
+    /// Returns whether all leases that were ordered have surely ended.
+    pub(super) fn leases_have_lapsed(&self) -> bool {
+        self.lease_sent.get().elapsed() > self.parts.settings.lapse
+    }
+
     /// Returns the time by the worker's clock until which a lease may last, if it is known.
     pub(super) fn lease_until(&self) -> Option<WorkerMillis> {
         let (clock, at) = self.clock.get()?;
@@ -317,6 +332,9 @@
             () = self.register_for_ever() => {}
             () = self.watch_leaving() => {}
         }
+        if self.over.get() == Some(LifeEnd::Replaced) {
+            self.clear_successor().await;
+        }
         self.unregister().await;
     }
 
@@ -328,8 +346,8 @@
                 tokio::time::sleep(LOOK_INTERVAL).await;
                 continue;
             }
-            let lapsed = self.lease_sent.get().elapsed() > self.parts.settings.lapse;
-            if lapsed || (self.said_goodbye.get() && self.nobody_listens().await) {
+            if self.leases_have_lapsed() || (self.said_goodbye.get() && self.nobody_listens().await)
+            {
                 self.end(LifeEnd::Left);
                 return;
             }
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -37,7 +37,7 @@
             }
             match self.worker.renew(&order).await {
                 Ok(listing) => {
-                    self.noted.set(order.last_seen);
+                    self.noted.set(self.noted.get().max(order.last_seen));
                     self.take_in(&listing, sent);
                     if self.storing.get() {
                         tokio::time::sleep(STORING_PAUSE).await;
@@ -68,12 +68,10 @@
         let lease_until = self.lease_until().filter(|_| self.may_renew());
         let waits = self.listed.get() && self.has_runs() && !self.storing.get();
         let wait = if waits { self.parts.settings.renewal_wait } else { Duration::ZERO };
-        RenewOrder {
-            lease_until,
-            fencing_token: self.fencing_token(),
-            last_seen: self.last_seen.get(),
-            wait,
-        }
+        // Said once: a worker that has started again under its name counts its ends anew, and would forget them.
+        let is_noted = self.noted.get() >= self.last_seen.get();
+        let last_seen = if is_noted { 0 } else { self.last_seen.get() };
+        RenewOrder { lease_until, fencing_token: self.fencing_token(), last_seen, wait }
     }
 
     /// Looks once, beside the call that waits for an end.
@@ -95,7 +93,7 @@
     fn judge_silence(&self) {
         let settings = &self.parts.settings;
         let silent = self.heard.get().elapsed() > settings.silence;
-        if silent && self.lease_sent.get().elapsed() > settings.lapse {
+        if silent && self.leases_have_lapsed() {
             self.end(LifeEnd::Silent);
         }
     }
--- /dev/null
+++ b/crates/rampbay-jobs/src/agent/successor.rs
@@ -0,0 +1,41 @@
+//! Ends what orders for a life have begun at the next one.
+//!
+//! A worker may start again under its name, and then knows nothing of before. An order that names the worker alone, sent
+//! before its agent has learnt so, is carried out by the new life. Were the old life given up at once, the planner would
+//! start elsewhere what still runs there. So before its registration goes, each run that may have been ordered is ended
+//! at the life that answers, also those that an earlier process of this machine may have ordered.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::worker::StopOrder;
+
+use super::life::Life;
+use super::runs::RunKey;
+
+/// Pause before a run that isn't surely over is ended again.
+const CLEAR_RETRY: Duration = Duration::from_millis(100);
+
+impl Life {
+    /// Ends all runs that orders for this life may have begun at the next one. What no life answers for is over once
+    /// all leases of the last order have lapsed.
+    pub(super) async fn clear_successor(&self) {
+        for (task, attempt) in self.may_have_been_ordered() {
+            let fencing_token = self.fencing_token();
+            let order = StopOrder { task, attempt, fencing_token };
+            while !self.leases_have_lapsed() {
+                match self.worker.clear(&order).await {
+                    Ok(true) => break,
+                    Ok(false) | Err(_) => tokio::time::sleep(CLEAR_RETRY).await,
+                }
+            }
+        }
+    }
+
+    fn may_have_been_ordered(&self) -> BTreeSet<RunKey> {
+        let table = self.parts.table.borrow();
+        let assigned = table.runs_assigned_to(&self.instance);
+        let runs = self.runs.borrow();
+        assigned.into_iter().chain(runs.open.keys().cloned()).collect()
+    }
+}
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -237,7 +237,9 @@
         self.active.iter().filter_map(|id| self.jobs.get(id)?.plan.as_deref())
     }
 
-    fn runs_assigned_to(&self, instance: &str) -> BTreeSet<(TaskId, u32)> {
+    /// Lists the runs that may exist at a worker, by the accounts.
+    #[must_use]
+    pub fn runs_assigned_to(&self, instance: &str) -> BTreeSet<(TaskId, u32)> {
         let is_there = |task: &TaskPlan| task.occupies() && task.instance == instance;
         let mut runs = BTreeSet::new();
         for id in &self.active {
--- a/crates/rampbay-jobs/src/worker.rs
+++ b/crates/rampbay-jobs/src/worker.rs
@@ -125,6 +125,17 @@
     /// Returns an error if no answer came or another life answered.
     async fn start(&self, order: &StartOrder) -> Result<Started, WorkerError>;
 
+    /// Ends a run at whichever life answers at the worker's address: an order that was meant for the life before may
+    /// have been carried out by the next one, where that goes by the same name. Returns whether it is surely over, or never
+    /// starts. Lives that no order can mix up have nothing to end.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no answer came.
+    async fn clear(&self, _order: &StopOrder) -> Result<bool, WorkerError> {
+        Ok(true)
+    }
+
     /// Orders a stop. Once it is answered, the run ends, and never starts if it hasn't.
     ///
     /// # Errors
--- a/crates/rampbay-jobs/tests/departures.rs
+++ b/crates/rampbay-jobs/tests/departures.rs
@@ -22,7 +22,7 @@
     let rig = AgentRig::start(store, worker);
     rig.heartbeat(WORKER, 1);
     sleep(Duration::from_millis(300)).await;
-    rig.host.deregister(WORKER);
+    rig.host.deregister(|life| life == WORKER);
     rig
 }
 
--- a/crates/rampbay-jobs/tests/late_writes.rs
+++ b/crates/rampbay-jobs/tests/late_writes.rs
@@ -277,7 +277,7 @@
         let registered = rig.store.all(STATE_TOPIC).len();
         assert!(table_of(&rig.store).workers.contains_key(WORKER));
         start_leader(&rig.store, "entry-1", 1, None);
-        rig.host.deregister(WORKER);
+        rig.host.deregister(|life| life == WORKER);
         rig.worker.gone.set(true);
         sleep(STARTS).await;
         assert!(table_of(&rig.store).workers.is_empty());
@@ -300,7 +300,7 @@
         let registered = store.all(STATE_TOPIC).len();
         start_leader(&store, "entry-1", 1, None);
         sleep(STARTS).await;
-        rig.host.deregister(WORKER);
+        rig.host.deregister(|life| life == WORKER);
         sleep(Duration::from_millis(60)).await;
         rig.kill();
         store.land_again(0, registered);
@@ -323,7 +323,7 @@
         let is_removal = |record: &KeyedRecord| record.key == key && record.value.is_empty();
         assert!(!store.all(STATE_TOPIC).iter().any(is_removal));
         assert_eq!(table_of(&store).registrations().numbers(WORKER).count(), 2);
-        rig.host.deregister(WORKER);
+        rig.host.deregister(|life| life == WORKER);
         rig.worker.gone.set(true);
         sleep(STARTS).await;
         assert!(store.all(STATE_TOPIC).iter().any(is_removal));
--- /dev/null
+++ b/crates/rampbay-jobs/tests/reborn.rs
@@ -0,0 +1,155 @@
+//! A worker that starts again under the name that it had: it knows nothing of before, and its counts begin anew.
+//!
+//! Taken for the life before, it was told to forget the ends of its first runs, whose numbers it had used before: they were never
+//! kept, and their jobs never ended. Its heartbeats were passed over, since they count from one again.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rampbay_jobs::record::{EndReason, Record, TaskStatus};
+use rstest::rstest;
+use support::store::MemoryStore;
+use support::worker::FakeWorker;
+use support::{AgentRig, job, on_virtual_time, plan_of, seed_running_job, step, table_of, task};
+use tokio::time::sleep;
+
+const FIRST_JOB: &str = "00000000000000aa";
+const SECOND_JOB: &str = "00000000000000bb";
+const OLD: &str = "i-1~1000";
+const NEW: &str = "i-1~2000";
+/// Longer than an agent takes to start a run, to keep its end, or to find that another life answers.
+const SETTLES: Duration = Duration::from_millis(2500);
+
+/// Starts an agent whose worker has done one run, and whose end has number 1.
+async fn after_first_run() -> AgentRig {
+    let store = MemoryStore::new();
+    let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(OLD));
+    rig.heartbeat(OLD, 41);
+    sleep(SETTLES).await;
+    seed_running_job(&store, FIRST_JOB, 1, OLD);
+    sleep(SETTLES).await;
+    rig.worker.end(&task(FIRST_JOB, 0), 1, EndReason::Done);
+    sleep(SETTLES).await;
+    assert_eq!(rig.worker.seen(), 1);
+    rig
+}
+
+fn is_registered(store: &MemoryStore, instance: &str) -> bool {
+    table_of(store).workers.contains_key(instance)
+}
+
+/// Puts a job into the store whose only task is assigned to a life.
+fn assign(store: &MemoryStore, id: &str, instance: &str) {
+    store.put(&Record::Submitted(Box::new(job(id, 1, step(1, 1)))));
+    let plan = support::running_plan(1, instance, 1);
+    store.put(&Record::Plan(id.to_owned(), Box::new(plan)));
+}
+
+#[test]
+fn end_with_a_number_used_before_kept() {
+    on_virtual_time(async {
+        let rig = after_first_run().await;
+        rig.worker.replace(NEW);
+        rig.heartbeat(NEW, 1);
+        sleep(SETTLES).await;
+        assert!(is_registered(&rig.store, NEW), "its heartbeats count from one again");
+        assign(&rig.store, SECOND_JOB, NEW);
+        sleep(SETTLES).await;
+        rig.worker.end(&task(SECOND_JOB, 0), 1, EndReason::Done);
+        sleep(SETTLES).await;
+        assert!(table_of(&rig.store).has_end(&task(SECOND_JOB, 0), 1));
+        assert_eq!(rig.worker.seen(), 1);
+    });
+}
+
+/// The life before is given up, whether the new one is heard of first or answers first.
+#[test]
+fn life_before_given_up_by_listing() {
+    on_virtual_time(async {
+        let rig = after_first_run().await;
+        rig.hush();
+        rig.worker.replace(NEW);
+        sleep(SETTLES).await;
+        assert!(!is_registered(&rig.store, OLD));
+    });
+}
+
+/// Whenever the agent looks at an idle worker next, which it does each two seconds.
+#[rstest]
+fn life_before_given_up_by_heartbeat(#[values(100, 700, 1300, 1900)] since_look_ms: u64) {
+    on_virtual_time(async move {
+        let rig = after_first_run().await;
+        sleep(Duration::from_millis(since_look_ms)).await;
+        rig.worker.replace(NEW);
+        rig.heartbeat(NEW, 1);
+        sleep(Duration::from_millis(200)).await;
+        assert!(!is_registered(&rig.store, OLD));
+    });
+}
+
+/// Nothing of the new life is forgotten for what the life before has ended: a call that was meant for that one, and
+/// reaches the new one, takes note of no ends.
+#[test]
+fn life_before_takes_note_of_nothing_at_the_next_one() {
+    on_virtual_time(async {
+        let rig = after_first_run().await;
+        rig.hush();
+        rig.worker.replace(NEW);
+        sleep(SETTLES).await;
+        assert_eq!(rig.worker.seen(), 0);
+    });
+}
+
+#[test]
+fn heartbeat_of_life_before_passed_over() {
+    on_virtual_time(async {
+        let rig = after_first_run().await;
+        rig.worker.replace(NEW);
+        rig.heartbeat(NEW, 1);
+        sleep(SETTLES).await;
+        rig.heartbeat(OLD, 42);
+        sleep(SETTLES).await;
+        assert!(is_registered(&rig.store, NEW));
+        assert!(!is_registered(&rig.store, OLD));
+    });
+}
+
+/// A start that was ordered for the life before, and carried out by the next one, runs there. The life before is given
+/// up only once it doesn't: the planner starts it elsewhere then.
+#[test]
+fn run_of_life_before_ended_at_the_next_one() {
+    on_virtual_time(async {
+        let rig = after_first_run().await;
+        assign(&rig.store, SECOND_JOB, OLD);
+        rig.hush();
+        rig.worker.replace(NEW);
+        // The order reaches the new life before any listing of it.
+        rig.worker.start_unheard(&task(SECOND_JOB, 0), 1);
+        while is_registered(&rig.store, OLD) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert!(rig.worker.running().is_empty(), "{:?}", rig.worker.running());
+        assert_eq!(plan_of(&rig.store, SECOND_JOB).status, TaskStatus::Running);
+    });
+}
+
+/// The same where the agent that ordered it has gone, and another process of its machine follows.
+#[test]
+fn run_of_life_before_ended_by_next_agent() {
+    on_virtual_time(async {
+        let rig = after_first_run().await;
+        let (store, worker) = (Rc::clone(&rig.store), Rc::clone(&rig.worker));
+        rig.kill();
+        assign(&store, SECOND_JOB, OLD);
+        worker.replace(NEW);
+        worker.start_unheard(&task(SECOND_JOB, 0), 1);
+        let rig = AgentRig::start(Rc::clone(&store), Rc::clone(&worker));
+        rig.heartbeat(NEW, 1);
+        while is_registered(&store, OLD) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert!(worker.running().is_empty(), "{:?}", worker.running());
+    });
+}
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -185,6 +185,7 @@
             connect: Box::new(move |_, instance| -> Rc<dyn Worker> {
                 Rc::new(worker::Client::new(Rc::clone(&connected), instance))
             }),
+            succession: worker::succession,
             wall_clock: virtual_wall_clock,
             settings: settings().agent(),
         });
--- a/crates/rampbay-jobs/tests/support/site.rs
+++ b/crates/rampbay-jobs/tests/support/site.rs
@@ -217,7 +217,7 @@
     pub fn deregister(&self, machine: &Machine) {
         let instance = machine.worker.instance.borrow().clone();
         if let Some(agent) = machine.agent.borrow().as_ref() {
-            agent.host.deregister(&instance);
+            agent.host.deregister(|life| life == instance);
         }
     }
 
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -1,6 +1,7 @@
 //! A worker that keeps to its protocol, with faults.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -145,6 +146,12 @@
 }
 
 impl State {
+    /// Forgets ends that were taken note of.
+    fn forget(&mut self, last_seen: u64) {
+        self.seen = self.seen.max(last_seen);
+        self.ended.retain(|end| end.number > last_seen);
+    }
+
     fn end(&mut self, task: &TaskId, attempt: u32, reason: EndReason) {
         self.running.remove(&(task.clone(), attempt));
         self.next_number += 1;
@@ -164,6 +171,18 @@
     u32::try_from(10 + time.as_secs()).map_or(99, |percent| percent.min(99))
 }
 
+/// Compares two lives of one worker, `NAME~NUMBER`, by their numbers; `None` for lives of two workers.
+pub fn succession(one: &str, other: &str) -> Option<Ordering> {
+    let (name, number) = one.split_once('~')?;
+    let (other_name, other_number) = other.split_once('~')?;
+    (name == other_name).then(|| number.cmp(other_number))
+}
+
+/// Returns the name that a worker's lives share, where they share one.
+fn name(instance: &str) -> &str {
+    instance.split('~').next().unwrap_or(instance)
+}
+
 /// A client of one life.
 pub struct Client {
     worker: Rc<FakeWorker>,
@@ -185,12 +204,22 @@
             return Err(WorkerError::NoAnswer);
         }
         tokio::time::sleep(Duration::from_millis(1)).await;
-        if *self.worker.instance.borrow() != self.instance {
+        // Orders name the worker; only what it lists tells its lives apart.
+        if name(&self.worker.instance.borrow()) != name(&self.instance) {
             return Err(WorkerError::OtherLife);
         }
         self.worker.lapse();
         Ok(())
     }
+
+    async fn reach_life(&self) -> Result<(), WorkerError> {
+        self.reach().await?;
+        if *self.worker.instance.borrow() == self.instance {
+            Ok(())
+        } else {
+            Err(WorkerError::OtherLife)
+        }
+    }
 }
 
 #[async_trait(?Send)]
@@ -260,12 +289,21 @@
         Ok(())
     }
 
+    async fn clear(&self, order: &StopOrder) -> Result<bool, WorkerError> {
+        match self.stop(order).await {
+            Err(WorkerError::OtherLife) => return Ok(true),
+            stopped => stopped?,
+        }
+        let key = (order.task.clone(), order.attempt);
+        Ok(!self.worker.state.borrow().running.contains_key(&key))
+    }
+
     async fn renew(&self, order: &RenewOrder) -> Result<Listing, WorkerError> {
         self.reach().await?;
         if let Some(until) = order.lease_until {
             self.worker.take_lease(until);
         }
-        self.worker.state.borrow_mut().seen = order.last_seen;
+        self.worker.state.borrow_mut().forget(order.last_seen);
         let deadline = Instant::now() + order.wait;
         loop {
             self.worker.lapse();
@@ -276,7 +314,7 @@
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        self.reach().await?;
+        self.reach_life().await?;
         let state = self.worker.state.borrow();
         let running = state.running.iter().map(|((task, attempt), began)| RunProgress {
             task: task.clone(),
--- a/crates/rampbay-scale/src/fleet.rs
+++ b/crates/rampbay-scale/src/fleet.rs
@@ -449,6 +449,7 @@
         table: Rc::clone(&live.table),
         freshness: Rc::clone(&live.freshness),
         connect: Box::new(move |_, _| -> Rc<dyn Worker> { client.clone() }),
+        succession: |_, _| None,
         wall_clock,
         settings: settings.agent(),
     });
