feat: metrics of rounds, of the age of views, of the tree and of the state

Cause: an operator of a part of the fleet that lags couldn't see who reads through whom, how old what a process knows is, or what a round costs.

--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -141,7 +141,9 @@
         let round_started = Instant::now();
         let mut changes = parts.candidate.freshness.subscribe();
         let records = decide(parts, &mut planner, progress, started.elapsed());
-        let gap = ROUND_GAP.max(round_started.elapsed() * ROUND_SHARE);
+        let took = round_started.elapsed();
+        metrics().round_seconds.observe(took.as_secs_f64());
+        let gap = ROUND_GAP.max(took * ROUND_SHARE);
         let idle = records.is_empty();
         for group in appends(&records) {
             let end = writer.append(group).await?;
--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latency histograms of a process.
 
 use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text::encode};
@@ -63,6 +64,14 @@
     pub active_jobs: Gauge,
     /// Failure domains that get nothing more, as the leader knows them.
     pub drained_domains: Gauge,
+    /// Time that a round of the planner takes, at the leader.
+    pub round_seconds: Histogram,
+    /// Age of what the process knows, by what it is of.
+    pub view_age: Family<KindLabel, Gauge<f64, AtomicU64>>,
+    /// How many processes stand between this one and the store: 0 for the leader.
+    pub tree_depth: Gauge,
+    /// What the state holds, by kind.
+    pub state: Family<KindLabel, Gauge>,
     /// Lines of the log that were dropped since nobody read them in time.
     pub dropped_lines: Counter,
 }
@@ -81,6 +90,10 @@
             ends: Family::default(),
             active_jobs: Gauge::default(),
             drained_domains: Gauge::default(),
+            round_seconds: histogram(),
+            view_age: Family::default(),
+            tree_depth: Gauge::default(),
+            state: Family::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -91,6 +104,13 @@
         let registry = &mut self.registry;
         registry.register("calls", "Callers' calls", self.calls.clone());
         let seconds = Unit::Seconds;
+        let round = self.round_seconds.clone();
+        registry.register_with_unit("round", "Time of a planner's round", seconds.clone(), round);
+        let age = self.view_age.clone();
+        registry.register_with_unit("view_age", "Age of what is known", seconds.clone(), age);
+        let depth = self.tree_depth.clone();
+        registry.register("tree_depth", "Processes between this one and the store", depth);
+        registry.register("state", "What the state holds", self.state.clone());
         registry.register_with_unit(
             "call",
             "Time to answer a caller",
@@ -128,6 +148,16 @@
         self.ends.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Takes note of how old a view is.
+    pub fn set_view_age(&self, kind: &'static str, age: Duration) {
+        self.view_age.get_or_create(&KindLabel { kind }).set(age.as_secs_f64());
+    }
+
+    /// Takes note of how many entries of a kind the state holds.
+    pub fn set_state(&self, kind: &'static str, count: usize) {
+        self.state.get_or_create(&KindLabel { kind }).set(count as i64);
+    }
+
     /// Counts a caller's call.
     pub fn called(&self, method: &str, status: u16, took: Duration) {
         let labels = CallLabels { method: method.to_owned(), status };
--- a/crates/rampbay-peer/src/tree.rs
+++ b/crates/rampbay-peer/src/tree.rs
@@ -51,10 +51,19 @@
         self.inner.iter().chain(&self.outer).copied()
     }
 
-    /// Returns whether a process is an inner entry.
+    /// Returns how many processes stand between this one and the store: 0 for the leader.
     #[must_use]
-    pub fn is_inner(&self, node: &str) -> bool {
-        self.inner.iter().any(|member| member.node == node)
+    pub fn depth_of(&self, node: &str) -> usize {
+        let is_it = |member: &&Member| member.node == node;
+        if self.root.as_ref().is_some_and(is_it) {
+            0
+        } else if self.inner.iter().any(|member| is_it(member)) {
+            1
+        } else if self.outer.is_empty() || self.outer.iter().any(|member| is_it(member)) {
+            2
+        } else {
+            3
+        }
     }
 }
 
--- a/crates/rampbay-peer/src/ways.rs
+++ b/crates/rampbay-peer/src/ways.rs
@@ -5,6 +5,7 @@
 
 use rampbay_jobs::echo::EchoStore;
 use rampbay_jobs::freshness::Freshness;
+use rampbay_jobs::metrics::metrics;
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::{Member, STATE_TOPIC};
 use rampbay_jobs::settings::Settings;
@@ -20,7 +21,7 @@
 use crate::snapshots::Snapshots;
 use crate::tail::{Starting, TailStore};
 use crate::transport::Transport;
-use crate::tree::rank;
+use crate::tree::{Tree, rank};
 
 /// What a process follows, and for whom.
 #[derive(Clone)]
@@ -111,16 +112,38 @@
         Self { store, served, routes, direct, announced, member }
     }
 
-    /// Probes the direct way while it is broken, keeps the process's address in the state, and passes on the
-    /// reports that it gathers, for ever.
+    /// Probes the direct way while it is broken, keeps the process's address in the state, passes on the
+    /// reports that it gathers, and tells its metrics where it stands, for ever.
     pub async fn maintain(self) {
+        let observe = observe_for_ever(self.routes.clone(), self.served.followed.clone());
         let announce = self.routes.live.announce(self.announced, self.member);
         let pass_on = async {
             if let Some(reports) = &self.served.reports {
                 reports.pass_on(self.store.as_ref()).await;
             }
         };
-        tokio::join!(self.direct.probe_for_ever(), announce, pass_on);
+        tokio::join!(self.direct.probe_for_ever(), announce, pass_on, observe);
+    }
+}
+
+/// Time between two looks at where a process stands: metrics are read less often.
+const OBSERVING: Duration = Duration::from_secs(5);
+
+/// Tells the metrics how old the process's views are, how far it is from the store, and how much the state holds.
+async fn observe_for_ever(routes: Routes, followed: Followed) {
+    let live = routes.live;
+    loop {
+        tokio::time::sleep(OBSERVING).await;
+        let table = live.table.borrow();
+        metrics().tree_depth.set(Tree::of(&table).depth_of(&routes.settings.node) as i64);
+        metrics().set_state("workers", table.workers.len());
+        metrics().set_state("jobs", table.jobs.len());
+        metrics().set_state("processes", table.members.len());
+        metrics().set_view_age("state", live.freshness.age().unwrap_or(Duration::MAX));
+        let orders = followed.iter().find(|(topic, _)| *topic != STATE_TOPIC);
+        if let Some((_, orders)) = orders {
+            metrics().set_view_age("orders", orders.age().unwrap_or(Duration::MAX));
+        }
     }
 }
 
