--- a/crates/rampbay-peer/src/tree.rs
+++ b/crates/rampbay-peer/src/tree.rs
@@ -57,9 +57,9 @@
         let is_it = |member: &&Member| member.node == node;
         if self.root.as_ref().is_some_and(is_it) {
             0
-        } else if self.inner.iter().any(|member| is_it(member)) {
+        } else if self.inner.iter().any(is_it) {
             1
-        } else if self.outer.is_empty() || self.outer.iter().any(|member| is_it(member)) {
+        } else if self.outer.is_empty() || self.outer.iter().any(is_it) {
             2
         } else {
             3
