--- a/crates/rampbay-scale/src/fleet.rs
+++ b/crates/rampbay-scale/src/fleet.rs
@@ -1,41 +1,24 @@
 //! A fleet: entries and agents over one store and one network.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::agent::{AgentHost, AgentParts, Heartbeat};
-use rampbay_jobs::follower::Sink;
-use rampbay_jobs::intake::CurrentRouting;
-use rampbay_jobs::job::{InstanceId, NodeName, Resources, Step, Submission};
-use rampbay_jobs::process::LiveTable;
-use rampbay_jobs::record::{JobStatus, KeyedRecord, Record, STATE_TOPIC, WorkerRecord};
-use rampbay_jobs::routing::Routing;
-use rampbay_jobs::settings::Settings;
-use rampbay_jobs::store::Store;
-use rampbay_jobs::worker::Worker;
-use rampbay_peer::agent::Agent;
-use rampbay_peer::entry::Entry;
+use rampbay_jobs::job::{NodeName, Resources, Step, Submission};
+use rampbay_jobs::record::{JobStatus, Record, STATE_TOPIC};
 use rampbay_peer::tree::Tree;
-use rampbay_peer::ways::{Follows, Ways, WaysParts};
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::load::{Load, Role};
+use crate::connection::Way;
+use crate::load::Load;
+use crate::machine::{Machine, Size, address, place_of};
 use crate::network::{Network, Reachable};
-use crate::store::{Connection, ModelStore, OPERATOR_TOPIC, Way};
+use crate::process::{Process, SERVICE};
+use crate::store::{ModelStore, OPERATOR_TOPIC};
 use crate::time::wall_clock;
 use crate::worker::ModelWorker;
 
-/// Failure domains of a fleet.
-const DOMAINS: usize = 5;
-/// Workers of one rack.
-const RACK: usize = 8;
 /// Time within which all processes of a fleet start.
 const START_SPREAD: Duration = Duration::from_millis(300);
-/// Time between two heartbeats of a worker.
-const HEARTBEAT: Duration = Duration::from_millis(1500);
 /// Time that every run takes.
 const RUN_TIME: Duration = Duration::from_secs(3);
 /// Time between two looks of whoever waits for something.
@@ -43,85 +26,6 @@
 /// Key of the operators' configuration.
 const CONFIGURATION: &str = "configuration";
 
-/// How many processes of each kind a fleet has.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Size {
-    /// Entries with a good share of a core and a wide link.
-    pub ample: usize,
-    /// Entries with little room.
-    pub small: usize,
-    /// Agents, with a worker each.
-    pub agents: usize,
-}
-
-impl Size {
-    /// Divides machines as a large deployment does: five in a hundred are ample entries, fourteen small ones.
-    #[must_use]
-    pub fn of(machines: usize) -> Self {
-        let ample = (machines * 5).div_ceil(100).max(2);
-        let small = machines * 14 / 100;
-        Self { ample, small, agents: machines.saturating_sub(ample + small) }
-    }
-
-    /// Returns the number of entries.
-    #[must_use]
-    pub const fn entries(&self) -> usize {
-        self.ample + self.small
-    }
-
-    /// Returns the number of machines.
-    #[must_use]
-    pub const fn machines(&self) -> usize {
-        self.entries() + self.agents
-    }
-}
-
-/// Takes in the operators' configurations, and notes when each came.
-struct Orders {
-    routing: Rc<CurrentRouting>,
-    arrivals: Rc<RefCell<BTreeMap<u64, Instant>>>,
-}
-
-impl Sink for Orders {
-    fn reset(&mut self) {}
-
-    fn apply(&mut self, record: &KeyedRecord) {
-        let Some(version) = record.value.first_chunk().map(|bytes| u64::from_be_bytes(*bytes))
-        else {
-            return;
-        };
-        self.arrivals.borrow_mut().entry(version).or_insert_with(Instant::now);
-        self.routing.set(Routing { version, ..Routing::default() });
-    }
-}
-
-/// A process, whatever it is.
-pub struct Process {
-    /// Its name.
-    pub name: NodeName,
-    /// What it is.
-    pub role: Role,
-    /// Where peers reach it.
-    pub address: String,
-    /// Its way to the store.
-    pub connection: Rc<Connection>,
-    /// The table that it keeps.
-    pub live: LiveTable,
-    /// What it knows of the operators' orders; entries only.
-    pub routing: Rc<CurrentRouting>,
-    arrivals: Rc<RefCell<BTreeMap<u64, Instant>>>,
-    store: Rc<dyn Store>,
-    task: JoinHandle<()>,
-}
-
-impl Process {
-    /// Returns whether it is an entry.
-    #[must_use]
-    pub fn is_entry(&self) -> bool {
-        self.role != Role::Agent
-    }
-}
-
 /// A fleet.
 pub struct Fleet {
     /// How many processes it has.
@@ -166,55 +70,10 @@
         order
     }
 
-    fn role(&self, place: usize) -> Role {
-        if place < self.size.ample {
-            Role::AmpleEntry
-        } else if place < self.size.entries() {
-            Role::SmallEntry
-        } else {
-            Role::Agent
-        }
-    }
-
     fn start_process(&self, place: usize) -> Process {
-        let role = self.role(place);
-        let settings = Rc::new(settings(place, role, &self.seeds));
-        let live = LiveTable::default();
-        let connection = Connection::new(&self.store, role);
-        let routing = Rc::new(CurrentRouting::default());
-        let follows = if role == Role::Agent {
-            Follows::OwnWorker
-        } else {
-            let orders = Rc::clone(&routing.freshness);
-            Follows::Everything { orders_topic: OPERATOR_TOPIC.to_owned(), orders }
-        };
-        let ways = Ways::open(WaysParts {
-            settings: Rc::clone(&settings),
-            transport: self.network.clone(),
-            live: live.clone(),
-            store: connection.clone(),
-            follows,
-        });
-        let store = Rc::clone(&ways.store);
-        let name = settings.node.clone();
-        self.network.attach(address(place), name.clone(), ways.served.clone());
-        let arrivals = Rc::default();
-        let task = if role == Role::Agent {
-            let worker = Rc::clone(&self.workers[place - self.size.entries()]);
-            tokio::task::spawn_local(run_agent(place, settings, live.clone(), ways, worker))
-        } else {
-            let entry = Entry {
-                settings,
-                store: Rc::clone(&store),
-                routes: ways.routes.clone(),
-                live: live.clone(),
-                routing: Rc::clone(&routing),
-            };
-            let orders = Orders { routing: Rc::clone(&routing), arrivals: Rc::clone(&arrivals) };
-            tokio::task::spawn_local(run_entry(place, entry, ways, orders))
-        };
-        let address = address(place);
-        Process { name, role, address, connection, live, routing, arrivals, store, task }
+        let machine = Machine::of(self.size, place, &self.seeds);
+        let worker = place.checked_sub(self.size.entries()).map(|agent| &self.workers[agent]);
+        Process::start(&self.store, &self.network, machine, worker)
     }
 
     /// Ends processes without notice; nobody listens at their addresses.
@@ -389,93 +248,3 @@
         self.entries().all(is_done)
     }
 }
-
-/// Service of all workers.
-const SERVICE: &str = "service";
-/// Port at which peers reach each other.
-const PEER_PORT: u16 = 7000;
-
-/// Returns where peers reach the process of a machine.
-fn address(place: usize) -> String {
-    format!("{}:{PEER_PORT}", ip(place))
-}
-
-/// Returns the address of a machine; addresses sort as places do.
-fn ip(place: usize) -> String {
-    format!("10.0.{}.{}", 100 + place / 100, 100 + place % 100)
-}
-
-/// Returns the place of a machine by the address of its process.
-fn place_of(address: &str) -> usize {
-    let ip = address.split(':').next().unwrap_or_default();
-    let numbers: Vec<usize> = ip.split('.').filter_map(|number| number.parse().ok()).collect();
-    (numbers[2] - 100) * 100 + numbers[3] - 100
-}
-
-fn settings(place: usize, role: Role, seeds: &[String]) -> Settings {
-    let kind = if role == Role::Agent { "side" } else { "entry" };
-    let (link_mbps, cpu_share) = match role {
-        Role::AmpleEntry => (1000, 1.0),
-        Role::SmallEntry => (20, 0.12),
-        Role::Agent => (1000, 0.15),
-    };
-    let text = serde_json::json!({
-        "node": format!("{kind}-{place}"), "ip": ip(place),
-        "failure_domain": format!("domain-{}", place % DOMAINS),
-        "peer_port": PEER_PORT, "metrics_port": PEER_PORT + 1, "seeds": seeds,
-        "store": "10.200.0.1:1", "lease_ms": 6000, "stop_ms": 400, "revocation_ms": 5000,
-        "visible_ms": 3000, "grace_s": 6.0, "remote_penalty": 3, "leader_ttl_ms": 1000,
-        "link_mbps": link_mbps, "cpu_share": cpu_share,
-    });
-    serde_json::from_value(text).expect("settings as a deployment writes them")
-}
-
-async fn run_entry(place: usize, entry: Entry, ways: Ways, orders: Orders) {
-    let leads = entry.clone().lead(wall_clock, place as u64);
-    tokio::join!(ways.maintain(), entry.follow(OPERATOR_TOPIC, orders), leads);
-}
-
-async fn run_agent(
-    place: usize,
-    settings: Rc<Settings>,
-    live: LiveTable,
-    ways: Ways,
-    worker: Rc<ModelWorker>,
-) {
-    let client = Rc::clone(&worker);
-    let host = AgentHost::new(AgentParts {
-        node: settings.node.clone(),
-        store: Rc::clone(&ways.store),
-        table: Rc::clone(&live.table),
-        freshness: Rc::clone(&live.freshness),
-        connect: Box::new(move |_, _| -> Rc<dyn Worker> { client.clone() }),
-        succession: |_, _| None,
-        wall_clock,
-        settings: settings.agent(),
-    });
-    let agent = Agent { store: Rc::clone(&ways.store), live, host: Rc::clone(&host) };
-    let beats = send_heartbeats(place, &settings, host);
-    tokio::join!(ways.maintain(), agent.run(), beats);
-}
-
-async fn send_heartbeats(place: usize, settings: &Settings, host: Rc<AgentHost>) {
-    let instance: InstanceId = format!("worker-{place}");
-    let record = WorkerRecord {
-        node: settings.node.clone(),
-        service: SERVICE.to_owned(),
-        address: format!("{}:8000", settings.ip),
-        failure_domain: settings.failure_domain.clone(),
-        capacity: Resources { cpu_milli: 128_000, memory_mb: 262_144, devices: 8 },
-        labels: vec!["kind".to_owned(), format!("rack-{}", place / RACK)],
-        ..WorkerRecord::default()
-    };
-    for sequence in 1.. {
-        host.heartbeat(Heartbeat {
-            instance: instance.clone(),
-            sequence,
-            record: record.clone(),
-            remaining: None,
-        });
-        sleep(HEARTBEAT).await;
-    }
-}
--- a/crates/rampbay-scale/src/lib.rs
+++ b/crates/rampbay-scale/src/lib.rs
@@ -9,9 +9,13 @@
 //! The model costs no processor time of the modelled processes: what a round or a call costs is measured by the
 //! benchmarks of `rampbay-jobs`.
 
+pub mod connection;
 pub mod fleet;
+mod group;
 pub mod load;
+pub mod machine;
 pub mod network;
+pub mod process;
 pub mod store;
 pub mod time;
 pub mod worker;
--- a/crates/rampbay-scale/src/main.rs
+++ b/crates/rampbay-scale/src/main.rs
@@ -4,8 +4,9 @@
 
 use argh::FromArgs;
 use comfy_table::Table;
-use rampbay_scale::fleet::{Fleet, Size};
+use rampbay_scale::fleet::Fleet;
 use rampbay_scale::load::Purpose;
+use rampbay_scale::machine::Size;
 use rampbay_scale::time;
 use tokio::time::sleep;
 
--- a/crates/rampbay-scale/tests/calls.rs
+++ b/crates/rampbay-scale/tests/calls.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use rampbay_peer::tree::FAN_OUT;
-use rampbay_scale::fleet::{Fleet, Size};
+use rampbay_scale::fleet::Fleet;
 use rampbay_scale::load::{Counts, Purpose};
+use rampbay_scale::machine::Size;
 use rampbay_scale::time;
 use rstest::rstest;
 use tokio::time::sleep;
--- a/crates/rampbay-scale/tests/slow_store.rs
+++ b/crates/rampbay-scale/tests/slow_store.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use rampbay_scale::fleet::{Fleet, Size};
+use rampbay_scale::fleet::Fleet;
+use rampbay_scale::machine::Size;
 use rampbay_scale::time;
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
--- a/crates/rampbay-scale/tests/tree.rs
+++ b/crates/rampbay-scale/tests/tree.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use rampbay_scale::fleet::{Fleet, Process, Size};
+use rampbay_scale::connection::Way;
+use rampbay_scale::fleet::Fleet;
 use rampbay_scale::load::Role;
-use rampbay_scale::store::Way;
+use rampbay_scale::machine::Size;
+use rampbay_scale::process::Process;
 use rampbay_scale::time;
 use rstest::rstest;
 use tokio::time::sleep;
