jobs: records to be passed on are bounded by bytes alone

Cause: 2,048 records were kept, and 2,510 machines that start at one moment write more than that in one append: whoever was one append behind read from the store, 3,268 times. Change: 4 MB, with 200 bytes a record for what keeping one takes. At twice 2,510 machines the records take 4 MB: the bound holds just there.

--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -12,6 +12,9 @@
 use crate::record::{JobPlan, KeyedRecord, Member, Record};
 use crate::table::JobTable;
 
+/// About how many bytes a kept record takes beside its own: its place, its audience and what they point to.
+const KEEPING_OVERHEAD: usize = 200;
+
 /// Whom a record concerns.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub enum Audience {
@@ -55,7 +58,7 @@
     #[must_use]
     pub fn size(&self) -> usize {
         let job = self.introduction.as_ref().map_or(0, |introduction| introduction.job.size());
-        self.record.size() + job
+        KEEPING_OVERHEAD + self.record.size() + job
     }
 
     /// Iterates over what an agent needs of it, the job before its account.
--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -38,10 +38,9 @@
 
 /// Age from which on a view isn't read without pause any more: reads wait a second at most.
 const STALE_AFTER: Duration = Duration::from_millis(1500);
-/// Most records that are kept to be passed on.
-const MOST_RECENT: usize = 2048;
-/// Most bytes of them, but for the latest record: a configuration may be a quarter of a megabyte, and an entry with
-/// little memory has 160 MB. Whoever reads more slowly than so much comes reads from the store.
+/// Most bytes of records that are kept to be passed on, but for the latest one: a configuration may be a quarter of a
+/// megabyte, and an entry with little memory has 160 MB. Whoever reads more slowly than so much comes reads from the
+/// store. All processes and workers of 2,510 machines, which tell of themselves at once after a loss of power, take 2 MB.
 const MOST_RECENT_BYTES: usize = 4 << 20;
 
 /// The latest records, and the newest of each key, to be passed on.
@@ -60,9 +59,7 @@
         self.note_newest(&passed.record);
         self.bytes += passed.size();
         self.records.push_back(passed);
-        while self.records.len() > MOST_RECENT
-            || (self.bytes > MOST_RECENT_BYTES && self.records.len() > 1)
-        {
+        while self.bytes > MOST_RECENT_BYTES && self.records.len() > 1 {
             self.pop();
         }
     }
