peer: how far the state goes is asked for without its records

Change: a call of its own, which the store answers with 1 kB of records at most. Tests: end_asked_without_records; the soak's store bounds reads. bytes_of_restart_not_as_square_of_size holds in all cases now.

--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -177,6 +177,15 @@
     /// Returns an error if the records are gone or the store can't be read.
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError>;
 
+    /// Returns how far a topic goes, where records up to `known` are known.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store can't be read.
+    async fn end(&self, topic: &str, known: Offset) -> Result<Offset, ReadError> {
+        Ok(self.read(topic, known, Duration::ZERO).await?.end)
+    }
+
     /// Reads the newest record of each key.
     ///
     /// # Errors
--- a/crates/rampbay-peer/src/direct.rs
+++ b/crates/rampbay-peer/src/direct.rs
@@ -205,6 +205,14 @@
         self.note_read(self.store.read(topic, from, wait).await)
     }
 
+    async fn end(&self, topic: &str, known: Offset) -> Result<Offset, ReadError> {
+        if !self.open.get() {
+            return Err(ReadError::Unavailable);
+        }
+        let _guard = self.in_flight();
+        self.note_read(self.store.end(topic, known).await)
+    }
+
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
         if !self.open.get() {
             return Err(ReadError::Unavailable);
--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -145,6 +145,10 @@
         self.store.read(topic, from, wait).await
     }
 
+    async fn end(&self, topic: &str, known: Offset) -> Result<Offset, ReadError> {
+        self.store.end(topic, known).await
+    }
+
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
         self.store.newest(topic).await
     }
--- a/crates/rampbay-peer/src/metered.rs
+++ b/crates/rampbay-peer/src/metered.rs
@@ -87,6 +87,12 @@
         outcome
     }
 
+    async fn end(&self, topic: &str, known: Offset) -> Result<Offset, ReadError> {
+        let outcome = self.store.end(topic, known).await;
+        self.note("end", topic, read_outcome(&outcome));
+        outcome
+    }
+
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
         let outcome = self.store.newest(topic).await;
         self.note("newest", topic, read_outcome(&outcome));
--- a/crates/rampbay-peer/src/snapshots.rs
+++ b/crates/rampbay-peer/src/snapshots.rs
@@ -57,7 +57,7 @@
     async fn prove(&self) -> Result<Moment, ReadError> {
         let sent = Moment::now();
         let known = self.live.freshness.position();
-        let end = self.store.read(STATE_TOPIC, known, Duration::ZERO).await?.end;
+        let end = self.store.end(STATE_TOPIC, known).await?;
         let reached = timeout(CATCH_UP, self.live.freshness.reach(end)).await;
         reached.map_err(|_| ReadError::Unavailable)?;
         Ok(sent)
--- a/crates/rampbay-scale/src/connection.rs
+++ b/crates/rampbay-scale/src/connection.rs
@@ -21,6 +21,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(800);
 /// Most records of one page of a snapshot.
 const PAGE: usize = 500;
+/// Most bytes of records in an answer that is asked for as few as can be.
+const LEAST_READ: usize = 1024;
 /// Bytes of a call beside its records.
 const OVERHEAD: usize = 200;
 
@@ -193,6 +195,19 @@
         timeout(wait + READ_TIMEOUT, read).await.unwrap_or(Err(ReadError::Unavailable))
     }
 
+    async fn end(&self, topic: &str, known: Offset) -> Result<Offset, ReadError> {
+        let ask = async {
+            if !self.reach().await {
+                self.note(read_purpose(topic), OVERHEAD);
+                return Err(ReadError::Unavailable);
+            }
+            let batch = self.store.batch(topic, known)?;
+            self.note(read_purpose(topic), size_of(&batch.records).min(OVERHEAD + LEAST_READ));
+            self.answer(Ok(batch.end)).await
+        };
+        timeout(READ_TIMEOUT, ask).await.unwrap_or(Err(ReadError::Unavailable))
+    }
+
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
         let newest = async { self.answer(self.newest_in_time(topic).await).await };
         timeout(CALL_TIMEOUT, newest).await.unwrap_or(Err(ReadError::Unavailable))
--- a/crates/rampbay-scale/src/network.rs
+++ b/crates/rampbay-scale/src/network.rs
@@ -10,6 +10,7 @@
 use rampbay_peer::protocol::{StoreReply, StoreRequest};
 use rampbay_peer::served::{Served, perform};
 use rampbay_peer::transport::Transport;
+use tokio::sync::Notify;
 
 use crate::load::Load;
 
@@ -32,6 +33,8 @@
     node: String,
     served: Served,
     reachable: Reachable,
+    /// Told when the host is no longer reachable.
+    gone: Rc<Notify>,
 }
 
 /// The network.
@@ -50,7 +53,7 @@
 
     /// Puts a process at an address, in place of whichever was there.
     pub fn attach(&self, address: String, node: String, served: Served) {
-        let host = Host { node, served, reachable: Reachable::Yes };
+        let host = Host { node, served, reachable: Reachable::Yes, gone: Rc::default() };
         self.hosts.borrow_mut().insert(address, host);
     }
 
@@ -58,19 +61,25 @@
     pub fn set_reachable(&self, address: &str, reachable: Reachable) {
         if let Some(host) = self.hosts.borrow_mut().get_mut(address) {
             host.reachable = reachable;
+            host.gone.notify_waiters();
         }
     }
 
     async fn answer(&self, address: &str, request: StoreRequest) -> Result<StoreReply, CallError> {
         tokio::time::sleep(ONE_WAY).await;
-        let served = match self.hosts.borrow().get(address) {
-            Some(host) if host.reachable == Reachable::Yes => Some(host.served.clone()),
+        let host = match self.hosts.borrow().get(address) {
+            Some(host) if host.reachable == Reachable::Yes => {
+                Some((host.served.clone(), Rc::clone(&host.gone)))
+            }
             Some(host) if host.reachable == Reachable::Silent => None,
             _ => return Err(CallError::Refused),
         };
-        let Some(served) = served else { return std::future::pending().await };
+        let Some((served, gone)) = host else { return std::future::pending().await };
         let asked = size_of(&request);
-        let reply = perform(&served, request).await;
+        let reply = tokio::select! {
+            reply = perform(&served, request) => reply,
+            () = gone.notified() => return self.lose(address).await,
+        };
         tokio::time::sleep(ONE_WAY).await;
         match self.hosts.borrow().get(address) {
             Some(host) if host.reachable == Reachable::Yes => {
@@ -80,6 +89,20 @@
             _ => Err(CallError::NoAnswer),
         }
     }
+
+    /// Answers a call whose host has gone: its connection breaks, or nothing comes back.
+    async fn lose(&self, address: &str) -> Result<StoreReply, CallError> {
+        let is_silent = self
+            .hosts
+            .borrow()
+            .get(address)
+            .is_some_and(|host| host.reachable == Reachable::Silent);
+        if is_silent {
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(ONE_WAY).await;
+        Err(CallError::NoAnswer)
+    }
 }
 
 /// Returns how long a message is on the wire.
