--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -8,7 +8,7 @@
 /// An operation on the store that a peer is asked for.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum StoreRequest {
-    /// See [`Store::append`].
+    /// See [`Store::append`](rampbay_jobs::store::Store::append).
     Append {
         /// Topic.
         topic: String,
@@ -17,14 +17,14 @@
         /// Fence, if the writer has one.
         fence: Option<Fence>,
     },
-    /// See [`Store::append`]: gathered with those of others, over all ways of the peer.
+    /// See [`Store::append`](rampbay_jobs::store::Store::append): gathered with those of others, over all ways of the peer.
     Gather {
         /// Topic.
         topic: String,
         /// Records.
         records: Vec<KeyedRecord>,
     },
-    /// See [`Store::read`].
+    /// See [`Store::read`](rampbay_jobs::store::Store::read).
     Read {
         /// Topic.
         topic: String,
@@ -33,7 +33,7 @@
         /// Longest wait, in milliseconds.
         wait_ms: u64,
     },
-    /// See [`Freshness::pass_on`].
+    /// See [`Freshness::pass_on`](rampbay_jobs::freshness::Freshness::pass_on).
     Tail {
         /// Topic.
         topic: String,
@@ -44,23 +44,23 @@
         /// The agent that asks, for the records that it needs; none for all.
         agent: Option<NodeName>,
     },
-    /// See [`Store::newest`].
+    /// See [`Store::newest`](rampbay_jobs::store::Store::newest).
     Newest {
         /// Topic.
         topic: String,
     },
-    /// See [`Store::stand`].
+    /// See [`Store::stand`](rampbay_jobs::store::Store::stand).
     Stand {
         /// Candidate.
         member: String,
         /// Generation heard last.
         generation: u64,
     },
-    /// See [`Store::holder`].
+    /// See [`Store::holder`](rampbay_jobs::store::Store::holder).
     Holder,
-    /// See [`GatewayPeer::responds`].
+    /// See [`GatewayPeer::responds`](crate::gateway::GatewayPeer::responds).
     Ping,
-    /// See [`Store::resign`].
+    /// See [`Store::resign`](rampbay_jobs::store::Store::resign).
     Resign {
         /// Candidate.
         member: String,
@@ -72,7 +72,7 @@
     },
     /// See [`Snapshots::entries`](crate::snapshots::Snapshots::entries).
     Entries,
-    /// See [`Store::report`]: gathered with those of others.
+    /// See [`Store::report`](rampbay_jobs::store::Store::report): gathered with those of others.
     Report {
         /// The reports.
         reports: Vec<KeyedRecord>,
--- a/crates/rampbay-scale/src/fleet.rs
+++ b/crates/rampbay-scale/src/fleet.rs
@@ -44,7 +44,7 @@
 }
 
 impl Fleet {
-    /// Starts all processes within [`START_SPREAD`].
+    /// Starts all processes, spread evenly over 0.3 s.
     pub async fn start(size: Size) -> Self {
         let load = Rc::new(Load::default());
         let store = ModelStore::new(Rc::clone(&load));
