perf: accounts of wide steps are kept in parts

Cause: a job's account was one record, written whole at each end of one of its tasks, sent to every entry, and to each agent with one of its tasks: both grow with the square of the width, and wide jobs come with wide fleets. Ruled out: records of what changed with a whole account now and then: what is read anew in any order would need their order, and two kinds of recovery. Parts are kept by key, like all else. Change: steps of more than eight tasks stand in parts of eight; only those that changed are written, all of one account in one append. Agents get the parts of their own workers. Whole accounts of an earlier release are read, and go over into parts at their first change.

--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -7,8 +7,9 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use crate::job::NodeName;
-use crate::keys::split_worker_key;
+use crate::job::{NodeName, TaskId};
+use crate::keys::{account_job, plan_key, split_worker_key};
+use crate::parts::tasks_from;
 use crate::record::{JobPlan, KeyedRecord, Member, Record};
 use crate::table::JobTable;
 
@@ -124,7 +125,7 @@
     #[must_use]
     pub fn concerns(&self, key: &str, agent: &str) -> bool {
         match key.split_once('/') {
-            Some(("job", id)) => self.includes_agent(&format!("plan/{id}"), agent),
+            Some(("job", id)) => self.includes_agent(&plan_key(id), agent),
             Some(("member", name)) => {
                 let any_ample = || self.members.values().any(Member::passes_on_amply);
                 let is_read_through = |member: &Member| {
@@ -147,7 +148,7 @@
         before: &Concerned,
         after: &Concerned,
     ) -> Option<Introduction> {
-        let job = self.jobs.get(key.strip_prefix("plan/")?)?;
+        let job = self.jobs.get(account_job(key)?)?;
         let new: BTreeSet<NodeName> = after.agents.difference(&before.agents).cloned().collect();
         let agents = if after.others { Audience::All } else { Audience::Agents(new) };
         if agents == Audience::Agents(BTreeSet::new()) {
@@ -169,6 +170,13 @@
                 let workers = plan.into_iter().flat_map(JobPlan::workers);
                 workers.for_each(|instance| concerned.extend(self.agent_of(instance)));
             }
+            "part" => {
+                let first: TaskId = name.parse().ok()?;
+                let plan = self.jobs.get(&first.job).and_then(|job| job.plan.as_deref());
+                let tasks = plan.into_iter().flat_map(|plan| tasks_from(plan, &first));
+                let tasks = tasks.filter(|task| task.occupies());
+                tasks.for_each(|task| concerned.extend(self.agent_of(&task.instance)));
+            }
             "end" | "refusal" => {
                 let end = self.ends.get(key).into_iter();
                 end.for_each(|end| concerned.extend(self.agent_of(&end.instance)));
--- a/crates/rampbay-jobs/src/keys.rs
+++ b/crates/rampbay-jobs/src/keys.rs
@@ -3,6 +3,7 @@
 //! A call without answer may be carried out seconds later. Keys of what processes write without an order among them have a
 //! number besides, so that a late copy concerns only what it was sent for.
 
+use crate::job::TaskId;
 use crate::record::{EndReason, RunEnd};
 use crate::registrations::RegistrationNumber;
 
@@ -46,6 +47,25 @@
     format!("life/{instance}")
 }
 
+/// Returns the key of a job's account.
+#[must_use]
+pub fn plan_key(job: &str) -> String {
+    format!("plan/{job}")
+}
+
+/// Returns the key of the part of an account that begins with a task.
+#[must_use]
+pub fn part_key(first: &TaskId) -> String {
+    format!("part/{first}")
+}
+
+/// Returns the job whose account, or part of it, stands under a key; `None` under any other.
+#[must_use]
+pub fn account_job(key: &str) -> Option<&str> {
+    let part = || key.strip_prefix("part/")?.split_once('.').map(|(job, _)| job);
+    key.strip_prefix("plan/").or_else(part)
+}
+
 /// Returns the key of what a job has lost.
 #[must_use]
 pub fn losses_key(job: &str) -> String {
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -9,7 +9,7 @@
 //! store before its worker may forget it. So a planner that takes over knows every run that may
 //! exist, and nothing but the store has to last.
 //!
-//! Read [`job`], [`record`], [`table`], then [`planner`] and [`agent`].
+//! Read [`job`], [`record`], [`parts`], [`table`], then [`planner`] and [`agent`].
 
 pub mod agent;
 pub mod audience;
@@ -25,6 +25,7 @@
 pub mod leader;
 pub mod losses;
 pub mod metrics;
+pub mod parts;
 pub mod planner;
 pub mod process;
 pub mod record;
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -5,7 +5,8 @@
 
 use crate::job::{JobId, Submission, TaskId};
 use crate::losses::JobLosses;
-use crate::record::{JobPlan, KeyedRecord, Occurrence, Record, TaskPlan, TaskStatus, removal};
+use crate::parts::changes;
+use crate::record::{JobPlan, KeyedRecord, Record, TaskStatus, removal};
 use crate::table::JobTable;
 
 /// Changes of one round.
@@ -116,7 +117,12 @@
             table.jobs.get(id).and_then(|job| job.plan.as_deref()) != Some(plan)
         };
         let plans = self.changed.into_iter().filter(|(id, plan)| is_new(id, plan));
-        let plans = plans.map(|(id, plan)| Record::Plan(id, Box::new(plan)).encode());
+        let plans = plans.flat_map(|(id, plan)| {
+            let job = table.jobs.get(&id);
+            let kept = job.and_then(|job| job.plan.as_deref());
+            let form = job.map(|job| job.account_form).unwrap_or_default();
+            changes(&id, kept, form, &plan)
+        });
         let is_new_loss =
             |id: &JobId, new: &JobLosses| table.losses.get(id).map(Rc::as_ref) != Some(new);
         let losses = self.losses.into_iter().filter(|(id, new)| is_new_loss(id, new));
@@ -124,10 +130,3 @@
         losses.chain(plans).chain(self.others).collect()
     }
 }
-
-/// Returns an occurrence none of whose tasks has begun.
-pub fn unbegun(submission: &Submission, number: u32) -> Occurrence {
-    let tasks = |count: u32| vec![TaskPlan::default(); count as usize];
-    let steps = submission.steps.iter().map(|step| tasks(step.count)).collect();
-    Occurrence { number, steps }
-}
--- a/crates/rampbay-jobs/src/planner/expire.rs
+++ b/crates/rampbay-jobs/src/planner/expire.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use crate::job::JobId;
-use crate::keys::{life_key, losses_key, over_key, worker_key};
+use crate::keys::{life_key, losses_key, over_key, plan_key, worker_key};
+use crate::parts::part_keys;
 use crate::record::Record;
 
 use super::draft::Draft;
@@ -71,7 +72,10 @@
 fn remove(draft: &mut Draft<'_>, id: &JobId) {
     log::info!("event=J134 job removed job={id}");
     draft.remove(Record::Cancelled(id.clone()).key());
-    draft.remove(Record::Plan(id.clone(), Box::default()).key());
+    if let Some(plan) = draft.table.jobs.get(id).and_then(|job| job.plan.as_deref()) {
+        part_keys(id, plan).for_each(|(_, key)| draft.remove(key));
+    }
+    draft.remove(plan_key(id));
     if draft.table.losses.contains_key(id) {
         draft.remove(losses_key(id));
     }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -3,9 +3,9 @@
 use crate::job::{Checkpoint, InstanceId};
 use crate::losses::Isolation;
 use crate::metrics::metrics;
-use crate::record::{JobPlan, JobStatus, TaskStatus};
+use crate::record::{JobPlan, JobStatus, Occurrence, TaskStatus};
 
-use super::draft::{Draft, unbegun};
+use super::draft::Draft;
 use super::gang::{Need, Trial, place_all, place_in_rack};
 use super::isolate::{Part, Tried, find_apart, parts};
 use super::make_room::{Within, allowed_for, find_room, hold_room, make_room};
@@ -245,7 +245,7 @@
 /// Opens occurrences up to the one that starts.
 fn open_until(plan: &mut JobPlan, waiting: &WaitingStep) {
     while plan.next_occurrence <= waiting.occurrence {
-        plan.open.push(unbegun(&waiting.submission, plan.next_occurrence));
+        plan.open.push(Occurrence::unbegun(&waiting.submission, plan.next_occurrence));
         plan.next_occurrence += 1;
     }
 }
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -7,7 +7,7 @@
 use crate::record::{JobStatus, Occurrence, TaskPlan, TaskStatus};
 
 use super::RoundInputs;
-use super::draft::{Draft, unbegun};
+use super::draft::Draft;
 use super::forecast::Forecasts;
 
 /// Time of waiting that counts as half the work.
@@ -97,7 +97,7 @@
         }
         let mut next = plan.map_or(0, |plan| plan.next_occurrence);
         while next < submission.occurrence_count() && is_due(&submission, next, inputs.wall) {
-            waiting.extend(ready_steps(terms, &unbegun(&submission, next), forecasts));
+            waiting.extend(ready_steps(terms, &Occurrence::unbegun(&submission, next), forecasts));
             next += 1;
         }
     }
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -8,7 +8,8 @@
     TaskId,
 };
 use crate::keys::{
-    end_key, eviction_key, life_key, losses_key, over_key, split_number, worker_key,
+    end_key, eviction_key, life_key, losses_key, over_key, part_key, plan_key, split_number,
+    worker_key,
 };
 use crate::losses::{JobLosses, LifeOver};
 use crate::registrations::RegistrationNumber;
@@ -70,6 +71,16 @@
     pub steps: Vec<Vec<TaskPlan>>,
 }
 
+impl Occurrence {
+    /// Makes an occurrence none of whose tasks has begun.
+    #[must_use]
+    pub fn unbegun(submission: &Submission, number: u32) -> Self {
+        let tasks = |count: u32| vec![TaskPlan::default(); count as usize];
+        let steps = submission.steps.iter().map(|step| tasks(step.count)).collect();
+        Self { number, steps }
+    }
+}
+
 /// What callers see of a job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStatus {
@@ -259,7 +270,7 @@
     Submitted(Box<Submission>),
     /// A job was cancelled.
     Cancelled(JobId),
-    /// The planner's account of a job.
+    /// The planner's account of a job; wide steps are empty.
     Plan(JobId, Box<JobPlan>),
     /// A run has ended; the planner removes it once the account holds it.
     Ended(Box<RunEnd>),
@@ -279,6 +290,8 @@
     LifeOver(InstanceId, Box<LifeOver>),
     /// The runs of a job that went with their workers.
     Losses(JobId, Box<JobLosses>),
+    /// The accounts of tasks of a wide step, from this task on.
+    Part(TaskId, Vec<TaskPlan>),
 }
 
 /// The planner in charge.
@@ -397,7 +410,7 @@
         match self {
             Self::Submitted(submission) => format!("job/{}", submission.id),
             Self::Cancelled(job) => format!("cancel/{job}"),
-            Self::Plan(job, _) => format!("plan/{job}"),
+            Self::Plan(job, _) => plan_key(job),
             Self::Ended(end) => end_key(end),
             Self::Worker(instance, _) => worker_key(instance, 0),
             Self::Evicted(instance) => eviction_key(instance, 0),
@@ -407,6 +420,7 @@
             Self::Over(instance, _) => over_key(instance),
             Self::LifeOver(instance, _) => life_key(instance),
             Self::Losses(job, _) => losses_key(job),
+            Self::Part(first, _) => part_key(first),
         }
     }
 
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Moment;
 use crate::job::NodeName;
+use crate::keys::account_job;
 use crate::record::{KeyedRecord, PROGRESS_TOPIC};
 
 /// Offset of a record in its topic.
@@ -17,13 +18,16 @@
 /// by number would bind what a slow store takes: 64 records an append were 270 a second at one 60 times slower.
 pub const BYTES_PER_APPEND: usize = 512 << 10;
 
-/// Divides records into appends, each of [`BYTES_PER_APPEND`] at most or of a single record.
+/// Divides records into appends, each of [`BYTES_PER_APPEND`] at most, of a single record, or of the end of a job's account:
+/// whoever leads next must not find half of a gang started. The account of 20,000 tasks takes 1.2 MB.
 pub fn appends(records: &[KeyedRecord]) -> impl Iterator<Item = &[KeyedRecord]> {
     let mut bytes = 0;
     records.chunk_by(move |before, next| {
         bytes = if bytes == 0 { before.size() } else { bytes };
         bytes += next.size();
-        let fits = bytes <= BYTES_PER_APPEND;
+        let account = account_job(&before.key);
+        let is_one_account = account.is_some() && account == account_job(&next.key);
+        let fits = bytes <= BYTES_PER_APPEND || is_one_account;
         bytes = if fits { bytes } else { 0 };
         fits
     })
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -8,6 +8,7 @@
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
 use crate::keys::{eviction_key, split_refusal_key, split_worker_key};
 use crate::losses::{JobLosses, LifeOver};
+use crate::parts::{AccountForm, take_in_head, take_in_part};
 use crate::record::{
     EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
     TaskStatus, WorkerRecord,
@@ -21,6 +22,8 @@
     pub submission: Rc<Submission>,
     /// The planner's account, once there is one.
     pub plan: Option<Rc<JobPlan>>,
+    /// How the store holds that account.
+    pub account_form: AccountForm,
     /// Whether its caller has cancelled it.
     pub cancelled: bool,
 }
@@ -123,6 +126,7 @@
             Record::Submitted(submission) => self.insert_submission(*submission),
             Record::Cancelled(id) => self.insert_cancel(id),
             Record::Plan(id, plan) => self.insert_plan(&id, *plan),
+            Record::Part(first, tasks) => self.insert_part(&first, tasks),
             Record::Ended(end) => {
                 self.ends.insert(key.to_owned(), Rc::new(*end));
             }
@@ -284,7 +288,12 @@
             return;
         }
         let cancelled = self.early_cancels.remove(&id);
-        let job = Job { submission: Rc::new(submission), plan: None, cancelled };
+        let job = Job {
+            submission: Rc::new(submission),
+            plan: None,
+            account_form: AccountForm::default(),
+            cancelled,
+        };
         self.jobs.insert(id.clone(), job);
         self.active.insert(id);
     }
@@ -300,7 +309,22 @@
 
     fn insert_plan(&mut self, id: &JobId, plan: JobPlan) {
         let Some(job) = self.jobs.get_mut(id) else { return };
+        let known = job.plan.take().map(Rc::unwrap_or_clone);
+        let (plan, form) = take_in_head(&job.submission, known, plan);
         job.plan = Some(Rc::new(plan));
+        job.account_form = form;
+        self.note_account_change(id);
+    }
+
+    fn insert_part(&mut self, first: &TaskId, tasks: Vec<TaskPlan>) {
+        let Some(job) = self.jobs.get_mut(&first.job) else { return };
+        let plan = Rc::make_mut(job.plan.get_or_insert_default());
+        take_in_part(&job.submission, plan, first, tasks);
+        self.note_account_change(&first.job);
+    }
+
+    fn note_account_change(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
         if job.is_active() {
             self.active.insert(id.clone());
         } else {
--- a/crates/rampbay-jobs/tests/foreign_records.rs
+++ b/crates/rampbay-jobs/tests/foreign_records.rs
@@ -12,9 +12,9 @@
 
 const JOB: &str = "00000000000000aa";
 /// How the keys of the state start.
-const KINDS: [&str; 12] = [
+const KINDS: [&str; 13] = [
     "job/", "cancel/", "plan/", "end/", "refusal/", "worker/", "over/", "evicted/", "life/",
-    "losses/", "member/", "",
+    "losses/", "member/", "part/", "",
 ];
 
 fn table() -> JobTable {
@@ -116,12 +116,15 @@
     /// The same for records of ours with a byte changed, cut short or longer.
     #[test]
     fn any_change_of_a_record_read(at in 0_usize..200, byte in any::<u8>(), length in 0_usize..220) {
-        let plan = Record::Plan(JOB.to_owned(), Box::new(running_plan(3, "i-1", 1))).encode();
-        let mut value = plan.value.clone();
-        if let Some(old) = value.get_mut(at) {
-            *old = byte;
+        let plan = running_plan(3, "i-1", 1);
+        let part = Record::Part(task(JOB, 0), plan.open[0].steps[0].clone());
+        for record in [Record::Plan(JOB.to_owned(), Box::new(plan)), part] {
+            let KeyedRecord { key, mut value } = record.encode();
+            if let Some(old) = value.get_mut(at) {
+                *old = byte;
+            }
+            value.resize(length.max(1), byte);
+            table().apply(&KeyedRecord { key, value });
         }
-        value.resize(length.max(1), byte);
-        table().apply(&KeyedRecord { key: plan.key, value });
     }
 }
--- /dev/null
+++ b/crates/rampbay-jobs/tests/parts.rs
@@ -0,0 +1,340 @@
+//! Accounts of wide jobs, kept in parts.
+//!
+//! Each end of one of 360 tasks wrote the accounts of all 360, and sent them to every entry and to every agent with one of
+//! them: 8 MB to each entry for one job.
+
+mod support;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rampbay_jobs::job::Submission;
+use rampbay_jobs::parts::{AccountForm, TASKS_PER_PART, changes};
+use rampbay_jobs::record::{
+    JobPlan, JobStatus, KeyedRecord, Occurrence, Record, TaskPlan, TaskStatus,
+};
+use rampbay_jobs::store::{BYTES_PER_APPEND, appends};
+use rampbay_jobs::table::JobTable;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use support::{job, running_plan, step, task, worker_record};
+
+const JOB: &str = "00000000000000aa";
+
+/// A job of a wide step, and a narrow one after it.
+fn wide_job(width: u32) -> Submission {
+    let steps = vec![step(width, 1), step(2, 1)];
+    Submission { steps, occurrences: 3, interval_ms: 10, ..job(JOB, 1, step(1, 1)) }
+}
+
+/// The store as one process sees it: the newest record of each key, and a table that follows.
+struct Kept {
+    newest: std::collections::BTreeMap<String, KeyedRecord>,
+    table: JobTable,
+}
+
+impl Kept {
+    fn new(submission: Submission) -> Self {
+        let mut kept = Self { newest: Default::default(), table: JobTable::default() };
+        kept.append(&[Record::Submitted(Box::new(submission)).encode()]);
+        kept
+    }
+
+    fn append(&mut self, records: &[KeyedRecord]) {
+        for record in records {
+            self.table.apply(record);
+            if record.value.is_empty() {
+                self.newest.remove(&record.key);
+            } else {
+                self.newest.insert(record.key.clone(), record.clone());
+            }
+        }
+    }
+
+    /// Writes what turns the account into `plan`. Returns the records.
+    fn write(&mut self, plan: &JobPlan) -> Vec<KeyedRecord> {
+        let job = &self.table.jobs[JOB];
+        let records = changes(&JOB.to_owned(), job.plan.as_deref(), job.account_form, plan);
+        self.append(&records);
+        records
+    }
+
+    fn plan(&self) -> JobPlan {
+        self.table.jobs[JOB].plan.as_deref().cloned().unwrap_or_default()
+    }
+
+    /// Returns the account as a process reads it that starts now and gets the records in another order.
+    fn plan_read_anew(&self, seed: u64) -> JobPlan {
+        let mut records: Vec<KeyedRecord> = self.newest.values().cloned().collect();
+        records.shuffle(&mut ChaCha8Rng::seed_from_u64(seed));
+        let mut table = JobTable::default();
+        table.load(&records);
+        table.jobs[JOB].plan.as_deref().cloned().unwrap_or_default()
+    }
+}
+
+fn running(width: u32) -> JobPlan {
+    let mut plan = running_plan(width, "i-1", 1);
+    plan.open[0].steps.push(vec![TaskPlan::default(); 2]);
+    plan
+}
+
+fn bytes(records: &[KeyedRecord]) -> usize {
+    records.iter().map(KeyedRecord::size).sum()
+}
+
+/// One end costs the same, however wide its step is.
+#[rstest]
+fn bytes_of_one_end_not_by_width(#[values(60, 360, 2400)] width: u32) {
+    let of_end = |width: u32| {
+        let mut kept = Kept::new(wide_job(width));
+        let mut plan = running(width);
+        kept.write(&plan);
+        plan.open[0].steps[0][width as usize / 2].status = TaskStatus::Done;
+        bytes(&kept.write(&plan))
+    };
+    let narrow = of_end(2 * TASKS_PER_PART as u32);
+    assert!(of_end(width) <= narrow + 8, "{} bytes, {narrow} in a narrow step", of_end(width));
+}
+
+#[test]
+fn unchanged_account_writes_nothing() {
+    let mut kept = Kept::new(wide_job(40));
+    kept.write(&running(40));
+    assert_eq!(kept.write(&running(40)), []);
+}
+
+#[test]
+fn occurrence_none_of_whose_tasks_began_writes_no_parts() {
+    let submission = wide_job(40);
+    let mut kept = Kept::new(submission.clone());
+    let open = vec![Occurrence::unbegun(&submission, 0)];
+    let plan = JobPlan { open, next_occurrence: 1, ..JobPlan::default() };
+    let keys: Vec<String> = kept.write(&plan).into_iter().map(|record| record.key).collect();
+    assert_eq!(keys, [format!("plan/{JOB}")]);
+    assert_eq!(kept.plan(), plan);
+}
+
+#[test]
+fn parts_of_closed_occurrence_removed() {
+    let mut kept = Kept::new(wide_job(40));
+    kept.write(&running(40));
+    let over = JobPlan { status: JobStatus::Succeeded, next_occurrence: 3, open: Vec::new() };
+    kept.write(&over);
+    let left: Vec<&String> = kept.newest.keys().collect();
+    assert_eq!(left, [&format!("job/{JOB}"), &format!("plan/{JOB}")]);
+    assert_eq!(kept.plan_read_anew(1), over);
+}
+
+/// What an earlier release wrote whole is read, and written anew with all its parts at the first change.
+#[test]
+fn whole_account_taken_over_into_parts() {
+    let mut kept = Kept::new(wide_job(40));
+    let mut plan = running(40);
+    kept.append(&[Record::Plan(JOB.to_owned(), Box::new(plan.clone())).encode()]);
+    assert_eq!(kept.plan(), plan);
+    assert_eq!(kept.table.jobs[JOB].account_form, AccountForm::Whole);
+    plan.open[0].steps[0][7].status = TaskStatus::Done;
+    kept.write(&plan);
+    assert_eq!(kept.table.jobs[JOB].account_form, AccountForm::InParts);
+    assert_eq!(kept.plan(), plan);
+    assert_eq!(kept.plan_read_anew(1), plan);
+}
+
+/// A reader that has taken in only some records of a change sees each task as it was before or as it is after it, and no
+/// occurrence that is over open again.
+#[test]
+fn change_read_halfway_shows_no_third_state() {
+    let mut kept = Kept::new(wide_job(40));
+    let before = running(40);
+    kept.write(&before);
+    let mut after = before.clone();
+    after.open[0].steps[0].iter_mut().for_each(|task| task.attempt = 2);
+    after.next_occurrence = 2;
+    let records = changes(&JOB.to_owned(), Some(&before), AccountForm::InParts, &after);
+    for record in &records {
+        kept.append(std::slice::from_ref(record));
+        let seen = kept.plan();
+        let tasks = seen.open[0].steps[0].iter().zip(&before.open[0].steps[0]);
+        let mut tasks = tasks.zip(&after.open[0].steps[0]);
+        assert!(tasks.all(|((seen, before), after)| seen == before || seen == after));
+    }
+    let over = JobPlan { status: JobStatus::Succeeded, next_occurrence: 3, open: Vec::new() };
+    let records = changes(&JOB.to_owned(), Some(&after), AccountForm::InParts, &over);
+    for record in &records {
+        kept.append(std::slice::from_ref(record));
+        assert_eq!(kept.plan(), over);
+    }
+}
+
+/// An agent needs the tasks of its worker's part, and the job before them.
+#[test]
+fn part_passed_on_to_its_own_agents() {
+    let mut table = JobTable::default();
+    let mut plan = running(40);
+    for (place, task) in plan.open[0].steps[0].iter_mut().enumerate() {
+        task.instance = format!("i-{}", place / TASKS_PER_PART);
+    }
+    for worker in 0..5 {
+        let record = worker_record(&format!("side-{worker}"), "r1", 8);
+        table.apply(&Record::Worker(format!("i-{worker}"), Box::new(record)).encode());
+    }
+    table.apply(&Record::Submitted(Box::new(wide_job(40))).encode());
+    let records = changes(&JOB.to_owned(), None, AccountForm::InParts, &plan);
+    let passed = records.iter().map(|record| table.apply_and_tell(record));
+    let sent: Vec<String> = passed
+        .flat_map(|passed| passed.records_for("side-2").collect::<Vec<_>>())
+        .map(|record| record.key)
+        .collect();
+    let part = format!("part/{}", task(JOB, 16));
+    assert_eq!(sent, [format!("job/{JOB}"), part, format!("plan/{JOB}")]);
+}
+
+/// What an agent is sent of a wide job is enough to see what its worker is to run, and what no longer.
+#[test]
+fn agent_sees_its_runs_by_parts_alone() {
+    let submission = wide_job(40);
+    let mut agent = JobTable::default();
+    agent.apply(&Record::Submitted(Box::new(submission)).encode());
+    let worker = Box::new(worker_record("side-1", "r1", 8));
+    agent.apply(&Record::Worker("i-1".to_owned(), worker).encode());
+    let plan = running(40);
+    let records = changes(&JOB.to_owned(), None, AccountForm::InParts, &plan);
+    let part = format!("part/{}", task(JOB, 16));
+    let own = records.iter().find(|record| record.key == part).expect("a part");
+    agent.apply(own);
+    assert!(agent.wants_run("i-1", &task(JOB, 17), 1));
+    assert!(!agent.wants_run("i-1", &task(JOB, 3), 1));
+    let mut stopping = plan.clone();
+    stopping.open[0].steps[0][17].status = TaskStatus::Stopping;
+    let records = changes(&JOB.to_owned(), Some(&plan), AccountForm::InParts, &stopping);
+    records.iter().for_each(|record| agent.apply(record));
+    assert!(!agent.wants_run("i-1", &task(JOB, 17), 1));
+    assert!(agent.wants_run("i-1", &task(JOB, 18), 1));
+}
+
+/// Whoever leads next must not find half of a change: a gang of which some members are started.
+#[rstest]
+#[case::after_others(4)]
+#[case::after_many_others(6000)]
+fn account_appended_at_once(#[case] others: usize) {
+    let other = |number: usize| KeyedRecord { key: format!("end/{number}"), value: vec![1; 90] };
+    let mut records: Vec<KeyedRecord> = (0..others).map(other).collect();
+    let account = changes(&JOB.to_owned(), None, AccountForm::InParts, &running(4000));
+    let first = records.len();
+    records.extend(account);
+    assert!(records.len() > first + 400);
+    records.extend((0..others).map(other));
+    let mut at = 0;
+    let groups = appends(&records).map(|group| {
+        at += group.len();
+        at - group.len()..at
+    });
+    let groups: Vec<std::ops::Range<usize>> = groups.collect();
+    let last = records.iter().rposition(|record| record.key.starts_with("plan/")).expect("a plan");
+    let holds = |group: &&std::ops::Range<usize>| group.contains(&first) && group.contains(&last);
+    assert_eq!(groups.iter().filter(holds).count(), 1);
+    let most = BYTES_PER_APPEND + bytes(&records[first..=last]);
+    assert!(groups.iter().all(|group| bytes(&records[group.clone()]) <= most));
+}
+
+/// The same cases in every run; `RAMPBAY_SEED` and `RAMPBAY_CASES` draw others.
+fn config(cases: u32) -> ProptestConfig {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
+    let factor = number("RAMPBAY_CASES").unwrap_or(1);
+    ProptestConfig {
+        cases: cases * u32::try_from(factor).unwrap_or(1),
+        rng_seed: RngSeed::Fixed(number("RAMPBAY_SEED").unwrap_or(1)),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// What a round may do to an account.
+#[derive(Clone, Debug)]
+enum Change {
+    Task(usize, u8, u32),
+    AllTasks(u8),
+    Open,
+    Close(usize),
+    Status(bool),
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        6 => (0_usize..200, 0_u8..5, 0_u32..3).prop_map(|(at, to, by)| Change::Task(at, to, by)),
+        1 => (0_u8..5).prop_map(Change::AllTasks),
+        2 => Just(Change::Open),
+        1 => (0_usize..3).prop_map(Change::Close),
+        1 => any::<bool>().prop_map(Change::Status),
+    ]
+}
+
+fn status(number: u8) -> TaskStatus {
+    let all = [
+        TaskStatus::Waiting,
+        TaskStatus::Running,
+        TaskStatus::Stopping,
+        TaskStatus::Done,
+        TaskStatus::Failed,
+    ];
+    all[number as usize % all.len()]
+}
+
+fn carry_out(change: &Change, plan: &mut JobPlan, submission: &Submission) {
+    let all = |plan: &mut JobPlan, act: &mut dyn FnMut(usize, &mut TaskPlan)| {
+        let tasks = plan.open.iter_mut().flat_map(|open| open.steps.iter_mut().flatten());
+        tasks.enumerate().for_each(|(place, task)| act(place, task));
+    };
+    match *change {
+        Change::Task(at, to, by) => all(plan, &mut |place, task| {
+            if place == at {
+                task.status = status(to);
+                task.attempt += by;
+                task.instance = format!("i-{at}");
+            }
+        }),
+        Change::AllTasks(to) => all(plan, &mut |_, task| task.status = status(to)),
+        Change::Open if plan.open.len() < 3 => {
+            plan.open.push(Occurrence::unbegun(submission, plan.next_occurrence));
+            plan.next_occurrence += 1;
+        }
+        Change::Open => {}
+        Change::Close(at) => {
+            if at < plan.open.len() {
+                plan.open.remove(at);
+            }
+        }
+        Change::Status(runs) => {
+            plan.status = if runs { JobStatus::Running } else { JobStatus::Queued };
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(300))]
+
+    /// Whatever rounds do to an account, a reader that follows and one that reads the state anew, in any order, have it
+    /// as it was written.
+    #[test]
+    fn any_rounds_read_as_written(
+        width in 1_u32..60,
+        rounds in prop::collection::vec(prop::collection::vec(change(), 1..6), 1..12),
+        seed in any::<u64>(),
+    ) {
+        let submission = wide_job(width);
+        let mut kept = Kept::new(submission.clone());
+        let mut plan = JobPlan::default();
+        for round in &rounds {
+            round.iter().for_each(|change| carry_out(change, &mut plan, &submission));
+            kept.write(&plan);
+            prop_assert_eq!(&kept.plan(), &plan);
+            prop_assert_eq!(&kept.plan_read_anew(seed), &plan);
+        }
+        plan.open.clear();
+        kept.write(&plan);
+        let parts = kept.newest.keys().filter(|key| key.starts_with("part/")).count();
+        prop_assert_eq!(parts, 0);
+    }
+}
--- a/crates/rampbay-scale/src/time.rs
+++ b/crates/rampbay-scale/src/time.rs
@@ -14,19 +14,19 @@
     static START: Instant = Instant::now();
 }
 
-/// Runs a future on virtual time, on one thread.
+/// Runs a future on virtual time, on one thread, and returns what it came to.
 ///
 /// # Panics
 ///
 /// Panics if no runtime can be made.
-pub fn run<F: Future<Output = ()>>(future: F) {
+pub fn run<F: Future>(future: F) -> F::Output {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_time()
         .start_paused(true)
         .build()
         .expect("a runtime");
     rampbay_jobs::clock::use_source(since_boot);
-    LocalSet::new().block_on(&runtime, future);
+    LocalSet::new().block_on(&runtime, future)
 }
 
 fn since_boot() -> Duration {
