perf: a round looks up a worker's runs and a step's workers only where it needs them

Cause: what a stop throws away looked up each run's worker by name, twice, for each run; and each step that waits listed all workers that may run it, also where it asks for what is known to be exhausted. Change: a worker's runs are looked up once for all runs there; the list is made at the first call. Tests: those of decisions, unchanged.

--- a/crates/rampbay-jobs/src/planner/gang.rs
+++ b/crates/rampbay-jobs/src/planner/gang.rs
@@ -1,5 +1,6 @@
 //! Finds places for tasks in the rooms of the workers.
 
+use std::cell::OnceCell;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -26,8 +27,8 @@
     pub service: &'a str,
     /// Whether it may use workers that are kept for urgent work.
     pub uses_reserve: bool,
-    /// Workers that may run the step at all.
-    pub allowed: Vec<Place>,
+    /// Workers that may run the step at all, once somebody asked.
+    allowed: OnceCell<Vec<Place>>,
     /// Workers of earlier runs that failed.
     failed_at: Vec<InstanceId>,
 }
@@ -35,40 +36,16 @@
 impl<'a> Need<'a> {
     /// Returns what a waiting step needs of each place. Leaves out the workers where it failed
     /// before, unless no other may run it.
-    pub fn of(
-        waiting: &'a WaitingStep,
-        failed_at: Vec<InstanceId>,
-        uses_reserve: bool,
-        rooms: &Rooms,
-    ) -> Self {
+    pub fn of(waiting: &'a WaitingStep, failed_at: Vec<InstanceId>, uses_reserve: bool) -> Self {
         let step = waiting.definition();
-        let priority = waiting.submission.priority;
-        let label = &step.required_label;
-        let may_run = |room: &Room| {
-            let is_held = room.held_for.is_some_and(|held| held < priority);
-            let is_kept = room.reserved && !uses_reserve;
-            room.usable
-                && !is_held
-                && !is_kept
-                && room.worker.service == waiting.submission.service
-                && (label.is_empty() || room.worker.labels.contains(label))
-        };
-        let places = rooms.rooms.iter().enumerate();
-        let mut allowed: Vec<Place> =
-            places.filter(|(_, room)| may_run(room)).map(|(place, _)| place).collect();
-        let is_other = |&place: &Place| !failed_at.contains(&rooms.rooms[place].instance);
-        if !failed_at.is_empty() && allowed.iter().any(is_other) {
-            allowed.retain(is_other);
-        }
-        let key = (waiting.job.clone(), waiting.occurrence, waiting.step);
         Self {
             step,
             demand: step.charge(),
-            key,
-            priority,
+            key: (waiting.job.clone(), waiting.occurrence, waiting.step),
+            priority: waiting.submission.priority,
             service: &waiting.submission.service,
             uses_reserve,
-            allowed,
+            allowed: OnceCell::new(),
             failed_at,
         }
     }
@@ -76,7 +53,34 @@
     /// Returns the same need of some places only.
     #[must_use]
     pub fn at(&self, places: Vec<Place>) -> Self {
-        Self { allowed: places, ..self.clone() }
+        Self { allowed: places.into(), ..self.clone() }
+    }
+
+    /// Lists the workers that may run the step at all. They are found at the first call only: most steps that wait ask
+    /// for what is known to be exhausted, and need none.
+    pub fn allowed(&self, rooms: &Rooms) -> &[Place] {
+        self.allowed.get_or_init(|| self.find_allowed(rooms))
+    }
+
+    fn find_allowed(&self, rooms: &Rooms) -> Vec<Place> {
+        let label = &self.step.required_label;
+        let may_run = |room: &Room| {
+            let is_held = room.held_for.is_some_and(|held| held < self.priority);
+            let is_kept = room.reserved && !self.uses_reserve;
+            room.usable
+                && !is_held
+                && !is_kept
+                && room.worker.service == self.service
+                && (label.is_empty() || room.worker.labels.contains(label))
+        };
+        let places = rooms.rooms.iter().enumerate();
+        let mut allowed: Vec<Place> =
+            places.filter(|(_, room)| may_run(room)).map(|(place, _)| place).collect();
+        let is_other = |&place: &Place| !self.failed_at.contains(&rooms.rooms[place].instance);
+        if !self.failed_at.is_empty() && allowed.iter().any(is_other) {
+            allowed.retain(is_other);
+        }
+        allowed
     }
 
     /// Returns whether workers are left out that others of the same demand may use.
@@ -207,13 +211,13 @@
 
 /// Finds places for `count` tasks at once, or for none.
 pub fn place_all(rooms: &Rooms, need: &Need<'_>, count: usize) -> Option<Vec<Place>> {
-    Trial::new(rooms, need, &need.allowed).place_all(count)
+    Trial::new(rooms, need, need.allowed(rooms)).place_all(count)
 }
 
 /// Groups the workers that may run a step by their racks, in the order of the racks' names.
 pub fn by_rack(rooms: &Rooms, need: &Need<'_>) -> Vec<(usize, Vec<Place>)> {
     let mut racks: Vec<Vec<Place>> = vec![Vec::new(); rooms.racks.len()];
-    for &place in &need.allowed {
+    for &place in need.allowed(rooms) {
         racks[rooms.rooms[place].rack].push(place);
     }
     racks.into_iter().enumerate().filter(|(_, places)| !places.is_empty()).collect()
--- a/crates/rampbay-jobs/src/planner/isolate.rs
+++ b/crates/rampbay-jobs/src/planner/isolate.rs
@@ -106,7 +106,7 @@
         return Tried::Beside;
     }
     let idle: Vec<Place> =
-        need.allowed.iter().copied().filter(|&place| rooms.is_idle(place)).collect();
+        need.allowed(rooms).iter().copied().filter(|&place| rooms.is_idle(place)).collect();
     let was_at =
         |place: Place| losses.is_some_and(|known| known.was_at(&rooms.rooms[place].worker.node));
     let elsewhere = idle.iter().copied().filter(|&place| !was_at(place)).collect();
@@ -135,7 +135,7 @@
     let need = need.at(places);
     let count = waiting.tasks.len();
     if !need.step.gang {
-        return place_one(rooms, &need, &need.allowed).map(|place| vec![place]);
+        return place_one(rooms, &need, need.allowed(rooms)).map(|place| vec![place]);
     }
     if need.step.same_rack && count > 1 {
         let in_rack = place_in_rack(rooms, &need, count);
@@ -155,7 +155,7 @@
         rooms.rooms[place].worker.capacity.weight().saturating_sub(free.weight())
     };
     let mut places: Vec<Place> =
-        need.allowed.iter().copied().filter(|&place| !rooms.is_closed(place)).collect();
+        need.allowed(rooms).iter().copied().filter(|&place| !rooms.is_closed(place)).collect();
     places.sort_by_key(|&place| (used(place), place));
     places.into_iter().take(left.max(1)).for_each(|place| rooms.close(place));
 }
--- a/crates/rampbay-jobs/src/planner/make_room.rs
+++ b/crates/rampbay-jobs/src/planner/make_room.rs
@@ -7,6 +7,7 @@
 use super::draft::Draft;
 use super::gang::Need;
 use super::preempt::{Preemption, could_fit, preempt, preempt_in_rack};
+use super::progress::RunsAt;
 use super::queue::WaitingStep;
 use super::room::Rooms;
 use super::units::Units;
@@ -36,9 +37,9 @@
     }
     let units = rooms.units.take();
     let units = units.unwrap_or_else(|| {
-        Units::gather(&rooms.running, rooms.rooms.len(), |task| {
-            task.lost_work(&rooms.rooms[task.place].instance, inputs)
-        })
+        let runs = rooms.rooms.iter().map(|room| inputs.progress.runs_at(&room.instance));
+        let runs: Vec<RunsAt<'_>> = runs.collect();
+        Units::gather(&rooms.running, runs.len(), |task| task.lost_work(&runs[task.place]))
     });
     let found = match within {
         Within::OneRack => preempt_in_rack(rooms, &units, need, count),
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -53,7 +53,7 @@
 ) -> Option<Wait> {
     let step = part.waiting.as_ref();
     let uses_reserve = may_use_reserve(step, inputs.wall) || part.isolation == Isolation::First;
-    let need = Need::of(step, failed_workers(draft, step), uses_reserve, rooms);
+    let need = Need::of(step, failed_workers(draft, step), uses_reserve);
     if part.isolation != Isolation::None {
         match find_apart(draft, rooms, part, &need, inputs) {
             Tried::Found(places) => {
@@ -176,7 +176,7 @@
     }
     let places = places_near_data(rooms, need, waited_ms);
     let found = Trial::new(rooms, need, &places).place_most(count);
-    if found.is_empty() && places.len() == need.allowed.len() {
+    if found.is_empty() && places.len() == need.allowed(rooms).len() {
         rooms.no_place.note(need, 1);
     }
     found
@@ -225,11 +225,11 @@
 fn places_near_data(rooms: &Rooms, need: &Need<'_>, waited_ms: u64) -> Vec<Place> {
     let rack = &need.step.data_rack;
     if rack.is_empty() || waited_ms > WAIT_FOR_DATA_MS {
-        return need.allowed.clone();
+        return need.allowed(rooms).to_vec();
     }
-    let near = need.allowed.iter().copied();
+    let near = need.allowed(rooms).iter().copied();
     let near: Vec<Place> = near.filter(|&place| rooms.rooms[place].worker.rack() == rack).collect();
-    if near.is_empty() { need.allowed.clone() } else { near }
+    if near.is_empty() { need.allowed(rooms).to_vec() } else { near }
 }
 
 fn start_gang(
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -43,12 +43,12 @@
 pub fn preempt(rooms: &Rooms, units: &Units, need: &Need<'_>, count: usize) -> Option<Preemption> {
     let wants_rack = need.step.same_rack && count > 1;
     let in_rack = if wants_rack { preempt_in_rack(rooms, units, need, count) } else { None };
-    in_rack.or_else(|| preempt_at(rooms, units, need, &need.allowed, count))
+    in_rack.or_else(|| preempt_at(rooms, units, need, need.allowed(rooms), count))
 }
 
 /// Returns whether `count` tasks would fit if all that may be stopped for them were.
 pub fn could_fit(rooms: &Rooms, units: &Units, need: &Need<'_>, count: usize) -> bool {
-    Search::new(rooms, units, need, &need.allowed).could_hold(count)
+    Search::new(rooms, units, need, need.allowed(rooms)).could_hold(count)
 }
 
 fn preempt_at(
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -81,6 +81,22 @@
     }
 }
 
+/// The runs that are known at a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct RunsAt<'a> {
+    listed: &'a [SeenRun],
+    /// Runs that are listed no longer.
+    ended: &'a [SeenRun],
+}
+
+impl<'a> RunsAt<'a> {
+    /// Returns the progress of one of them.
+    pub fn find(&self, task: &TaskId, attempt: u32) -> Option<&'a Seen> {
+        let mut runs = self.listed.iter().chain(self.ended);
+        runs.find(|run| run.is(task, attempt)).map(|run| &run.seen)
+    }
+}
+
 /// An agent's latest report.
 #[derive(Clone, Debug)]
 struct Report {
@@ -152,10 +168,15 @@
 
     /// Returns the progress of a run at a worker.
     pub fn run(&self, instance: &str, task: &TaskId, attempt: u32) -> Option<&Seen> {
-        let listed = self.reports.get(instance).map(|report| report.runs.iter());
-        let ended = self.ended.get(instance).map(|runs| runs.iter());
-        let mut runs = listed.into_iter().flatten().chain(ended.into_iter().flatten());
-        runs.find(|run| run.is(task, attempt)).map(|run| &run.seen)
+        self.runs_at(instance).find(task, attempt)
+    }
+
+    /// Returns the runs that are known at a worker.
+    pub fn runs_at(&self, instance: &str) -> RunsAt<'_> {
+        RunsAt {
+            listed: self.reports.get(instance).map_or(&[], |report| &report.runs),
+            ended: self.ended.get(instance).map_or(&[], Vec::as_slice),
+        }
     }
 
     /// Iterates over all runs that are known, worker by worker.
--- a/crates/rampbay-jobs/src/planner/running.rs
+++ b/crates/rampbay-jobs/src/planner/running.rs
@@ -4,7 +4,8 @@
 
 use crate::job::{Resources, TaskId};
 
-use super::{Place, RoundInputs};
+use super::Place;
+use super::progress::RunsAt;
 
 /// Work since the last checkpoint of a run that saves its progress, at most.
 const CHECKPOINT_WORK: Duration = Duration::from_millis(800);
@@ -35,10 +36,10 @@
 }
 
 impl RunningTask {
-    /// Returns the work that a stop throws away, in thousandths of core-seconds. Estimates are rough,
-    /// so the time since the run was seen first counts.
-    pub fn lost_work(&self, instance: &str, inputs: &RoundInputs<'_>) -> u64 {
-        let seen = inputs.progress.run(instance, &self.id, self.attempt);
+    /// Returns the work that a stop throws away, in thousandths of core-seconds, given the runs that are known at its
+    /// worker. Estimates are rough, so the time since the run was seen first counts.
+    pub fn lost_work(&self, runs: &RunsAt<'_>) -> u64 {
+        let seen = runs.find(&self.id, self.attempt);
         let mut lost = seen.map_or(Duration::ZERO, |seen| seen.first_seen.elapsed());
         if self.checkpointing {
             lost = lost.min(CHECKPOINT_WORK);
