--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -5,8 +5,9 @@
 
 use tokio::time::Instant;
 
+use crate::account::TaskStatus;
 use crate::metrics::metrics;
-use crate::record::{EndReason, TaskStatus};
+use crate::record::EndReason;
 use crate::worker::{Refusal, StartOrder, Started, WorkerError};
 
 use super::ends::PendingEnd;
--- a/crates/rampbay-jobs/src/agent/stops.rs
+++ b/crates/rampbay-jobs/src/agent/stops.rs
@@ -5,8 +5,8 @@
 
 use tokio::time::Instant;
 
+use crate::account::TaskStatus;
 use crate::metrics::metrics;
-use crate::record::TaskStatus;
 use crate::worker::{StopOrder, WorkerError};
 
 use super::life::{Life, LifeEnd};
--- a/crates/rampbay-jobs/src/audience.rs
+++ b/crates/rampbay-jobs/src/audience.rs
@@ -7,10 +7,11 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+use crate::account::JobPlan;
 use crate::job::{NodeName, TaskId};
 use crate::keys::{account_job, plan_key, split_worker_key};
 use crate::parts::tasks_from;
-use crate::record::{JobPlan, KeyedRecord, Member, Record};
+use crate::record::{KeyedRecord, Member, Record};
 use crate::table::JobTable;
 
 /// About how many bytes a kept record takes beside its own: its place, its audience and what they point to.
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -6,11 +6,12 @@
 
 use tokio::time::Instant;
 
+use crate::account::JobStatus;
 use crate::clock::Moment;
 use crate::drained::DrainOrders;
 use crate::freshness::Freshness;
 use crate::job::{JobId, Submission, WorkspaceName};
-use crate::record::{JobStatus, Record, STATE_TOPIC};
+use crate::record::{Record, STATE_TOPIC};
 use crate::routing::{Queue, Routing};
 use crate::store::{AppendError, Store};
 use crate::table::JobTable;
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -9,8 +9,9 @@
 //! store before its worker may forget it. So a planner that takes over knows every run that may
 //! exist, and nothing but the store has to last.
 //!
-//! Read [`job`], [`record`], [`parts`], [`table`], then [`planner`] and [`agent`].
+//! Read [`job`], [`account`], [`record`], [`parts`], [`table`], then [`planner`] and [`agent`].
 
+pub mod account;
 pub mod agent;
 pub mod audience;
 pub mod candidacy;
--- a/crates/rampbay-jobs/src/parts.rs
+++ b/crates/rampbay-jobs/src/parts.rs
@@ -5,9 +5,10 @@
 //! tasks stands in records of so many tasks each, beside the job's own record, and only those that changed are written.
 //! In the job's own record such a step is empty. Tasks of a part that was never written haven't begun.
 
+use crate::account::{JobPlan, Occurrence, TaskPlan};
 use crate::job::{JobId, Submission, TaskId};
 use crate::keys::part_key;
-use crate::record::{JobPlan, KeyedRecord, Occurrence, Record, TaskPlan, removal};
+use crate::record::{KeyedRecord, Record, removal};
 
 /// Most tasks of one part, and of a step that isn't divided. The end of one task writes some 0.5 kB, where the account
 /// of a job of 360 tasks takes 20 kB. Parts of four would halve that, and double the records that gangs write, whose
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use crate::account::{JobPlan, TaskStatus};
 use crate::job::{JobId, Submission, TaskId};
 use crate::losses::JobLosses;
 use crate::parts::changes;
-use crate::record::{JobPlan, KeyedRecord, Record, TaskStatus, removal};
+use crate::record::{KeyedRecord, Record, removal};
 use crate::table::JobTable;
 
 /// Changes of one round.
--- a/crates/rampbay-jobs/src/planner/fold.rs
+++ b/crates/rampbay-jobs/src/planner/fold.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use crate::account::{JobPlan, JobStatus, TaskPlan, TaskStatus};
 use crate::job::{JobId, Step, Submission, TaskId};
 use crate::keys::split_refusal_key;
-use crate::record::{EndReason, JobPlan, JobStatus, RunEnd, TaskPlan, TaskStatus};
+use crate::record::{EndReason, RunEnd};
 use crate::table::JobTable;
 
 use super::RoundInputs;
--- a/crates/rampbay-jobs/src/planner/lost.rs
+++ b/crates/rampbay-jobs/src/planner/lost.rs
@@ -5,10 +5,11 @@
 
 use tokio::time::Instant;
 
+use crate::account::{TaskPlan, TaskStatus};
 use crate::job::{InstanceId, JobId, TaskId};
 use crate::losses::{LastRun, LostRun, UnitKey};
 use crate::metrics::metrics;
-use crate::record::{EndReason, RunEnd, TaskPlan, TaskStatus};
+use crate::record::{EndReason, RunEnd};
 
 use super::draft::Draft;
 use super::fold::take_in_end;
--- a/crates/rampbay-jobs/src/planner/pace.rs
+++ b/crates/rampbay-jobs/src/planner/pace.rs
@@ -7,8 +7,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use crate::account::JobPlan;
 use crate::job::{InstanceId, JobId, Step, TaskId};
-use crate::record::JobPlan;
 
 use super::draft::Draft;
 use super::forecast::Forecasts;
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -1,9 +1,9 @@
 //! Starts what waits where it fits.
 
+use crate::account::{JobPlan, JobStatus, Occurrence, TaskStatus};
 use crate::job::{Checkpoint, InstanceId};
 use crate::losses::Isolation;
 use crate::metrics::metrics;
-use crate::record::{JobPlan, JobStatus, Occurrence, TaskStatus};
 
 use super::draft::Draft;
 use super::gang::{Need, Trial, place_all, place_in_rack};
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
+use crate::account::{JobStatus, Occurrence, TaskPlan, TaskStatus};
 use crate::job::{EpochMillis, JobId, Step, Submission, TaskId, WorkspaceName};
-use crate::record::{JobStatus, Occurrence, TaskPlan, TaskStatus};
 
 use super::RoundInputs;
 use super::draft::Draft;
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use crate::account::TaskStatus;
 use crate::job::{InstanceId, JobId, Resources, Step, Submission, TaskId};
-use crate::record::{TaskStatus, WorkerRecord};
+use crate::record::WorkerRecord;
 
 use super::draft::Draft;
 use super::drain::keeps_off;
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -4,9 +4,9 @@
 
 use tokio::time::Instant;
 
+use crate::account::{TaskPlan, TaskStatus};
 use crate::job::{Step, Submission, TaskId};
 use crate::metrics::metrics;
-use crate::record::{TaskPlan, TaskStatus};
 
 use super::draft::Draft;
 use super::notice::{NoticedRun, Rest};
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -4,15 +4,13 @@
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use crate::account::{JobPlan, JobStatus, TaskPlan, TaskStatus};
 use crate::drained::DrainedDomains;
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
 use crate::keys::{eviction_key, split_refusal_key, split_worker_key};
 use crate::losses::{JobLosses, LifeOver};
 use crate::parts::{AccountForm, take_in_head, take_in_part};
-use crate::record::{
-    EndReason, JobPlan, JobStatus, KeyedRecord, Leader, Member, Record, RunEnd, TaskPlan,
-    TaskStatus, WorkerRecord,
-};
+use crate::record::{EndReason, KeyedRecord, Leader, Member, Record, RunEnd, WorkerRecord};
 use crate::registrations::{RegistrationNumber, Registrations};
 
 /// One job.
--- a/crates/rampbay-jobs/tests/agent.rs
+++ b/crates/rampbay-jobs/tests/agent.rs
@@ -4,7 +4,8 @@
 
 use std::time::Duration;
 
-use rampbay_jobs::record::{EndReason, Record, TaskStatus};
+use rampbay_jobs::account::TaskStatus;
+use rampbay_jobs::record::{EndReason, Record};
 use rstest::rstest;
 use support::store::{MemoryStore, Trouble};
 use support::worker::{FakeWorker, StartTrouble};
--- a/crates/rampbay-jobs/tests/cancels.rs
+++ b/crates/rampbay-jobs/tests/cancels.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::account::JobStatus;
 use rampbay_jobs::follower::Pace;
 use rampbay_jobs::intake::{CurrentRouting, Intake, IntakeLimits, Refusal};
 use rampbay_jobs::job::JobId;
 use rampbay_jobs::process::LiveTable;
-use rampbay_jobs::record::{JobStatus, Record};
+use rampbay_jobs::record::Record;
 use rampbay_jobs::store::Store;
 use support::store::{MemoryStore, Trouble};
 use support::{job, on_virtual_time, step, table_of};
--- a/crates/rampbay-jobs/tests/crashes.rs
+++ b/crates/rampbay-jobs/tests/crashes.rs
@@ -11,8 +11,8 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::account::JobStatus;
 use rampbay_jobs::job::Step;
-use rampbay_jobs::record::JobStatus;
 use rstest::rstest;
 use support::planner::gang;
 use support::site::{Site, Work};
--- a/crates/rampbay-jobs/tests/decisions.rs
+++ b/crates/rampbay-jobs/tests/decisions.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::account::TaskStatus;
 use rampbay_jobs::job::{Step, Submission};
 use rampbay_jobs::planner::{Planner, WaitReason};
-use rampbay_jobs::record::{EndReason, ProgressReport, TaskStatus};
+use rampbay_jobs::record::{EndReason, ProgressReport};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
 use support::{job, on_virtual_time, settings, step, task};
--- a/crates/rampbay-jobs/tests/drains.rs
+++ b/crates/rampbay-jobs/tests/drains.rs
@@ -4,9 +4,10 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::account::TaskStatus;
 use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::Step;
-use rampbay_jobs::record::{EndReason, Record, STATE_TOPIC, TaskStatus, WorkerRecord};
+use rampbay_jobs::record::{EndReason, Record, STATE_TOPIC, WorkerRecord};
 use rstest::rstest;
 use support::leader::{OPERATOR_TOPIC, start_leader};
 use support::planner::{PlannerRig, gang};
--- a/crates/rampbay-jobs/tests/intake.rs
+++ b/crates/rampbay-jobs/tests/intake.rs
@@ -5,8 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::account::JobStatus;
 use rampbay_jobs::intake::{CallTarget, Refusal};
-use rampbay_jobs::record::{JobStatus, Record, STATE_TOPIC};
+use rampbay_jobs::record::{Record, STATE_TOPIC};
 use rampbay_jobs::routing::Routing;
 use rstest::rstest;
 use support::intake::Rig;
--- a/crates/rampbay-jobs/tests/late_writes.rs
+++ b/crates/rampbay-jobs/tests/late_writes.rs
@@ -15,8 +15,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::account::JobStatus;
 use rampbay_jobs::keys::{eviction_key, worker_key};
-use rampbay_jobs::record::{EndReason, JobStatus, KeyedRecord, Record, STATE_TOPIC};
+use rampbay_jobs::record::{EndReason, KeyedRecord, Record, STATE_TOPIC};
 use rampbay_jobs::store::Store;
 use rampbay_jobs::table::JobTable;
 use rstest::rstest;
--- a/crates/rampbay-jobs/tests/parts.rs
+++ b/crates/rampbay-jobs/tests/parts.rs
@@ -7,11 +7,10 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rampbay_jobs::account::{JobPlan, JobStatus, Occurrence, TaskPlan, TaskStatus};
 use rampbay_jobs::job::Submission;
 use rampbay_jobs::parts::{AccountForm, TASKS_PER_PART, changes};
-use rampbay_jobs::record::{
-    JobPlan, JobStatus, KeyedRecord, Occurrence, Record, TaskPlan, TaskStatus,
-};
+use rampbay_jobs::record::{KeyedRecord, Record};
 use rampbay_jobs::store::{BYTES_PER_APPEND, appends};
 use rampbay_jobs::table::JobTable;
 use rand::SeedableRng;
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -4,10 +4,9 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::account::{JobStatus, TaskStatus};
 use rampbay_jobs::job::{Step, Submission, TaskId};
-use rampbay_jobs::record::{
-    EndReason, JobStatus, ProgressReport, Record, RunEnd, TaskStatus, WorkerRecord,
-};
+use rampbay_jobs::record::{EndReason, ProgressReport, Record, RunEnd, WorkerRecord};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
 use support::{job, on_virtual_time, step, task, worker_record};
--- a/crates/rampbay-jobs/tests/reborn.rs
+++ b/crates/rampbay-jobs/tests/reborn.rs
@@ -8,7 +8,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::record::{EndReason, Record, TaskStatus};
+use rampbay_jobs::account::TaskStatus;
+use rampbay_jobs::record::{EndReason, Record};
 use rstest::rstest;
 use support::store::MemoryStore;
 use support::worker::FakeWorker;
--- a/crates/rampbay-jobs/tests/returns.rs
+++ b/crates/rampbay-jobs/tests/returns.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use rampbay_jobs::account::TaskStatus;
 use rampbay_jobs::agent::{AgentHost, AgentParts, Heartbeat};
 use rampbay_jobs::follower::Pace;
 use rampbay_jobs::keys::{eviction_key, refusal_key, worker_key};
 use rampbay_jobs::process::LiveTable;
-use rampbay_jobs::record::{EndReason, Record, RunEnd, STATE_TOPIC, TaskStatus};
+use rampbay_jobs::record::{EndReason, Record, RunEnd, STATE_TOPIC};
 use rampbay_jobs::store::Store;
 use rampbay_jobs::worker::{
     Listing, RenewOrder, StartOrder, Started, StopOrder, Worker, WorkerError,
--- a/crates/rampbay-jobs/tests/shrinking.rs
+++ b/crates/rampbay-jobs/tests/shrinking.rs
@@ -5,8 +5,9 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::account::TaskStatus;
 use rampbay_jobs::job::Resources;
-use rampbay_jobs::record::{EndReason, Leader, Record, TaskStatus, WorkerRecord};
+use rampbay_jobs::record::{EndReason, Leader, Record, WorkerRecord};
 use rampbay_jobs::settings::Settings;
 use rstest::rstest;
 use support::planner::PlannerRig;
--- a/crates/rampbay-jobs/tests/support/fleet.rs
+++ b/crates/rampbay-jobs/tests/support/fleet.rs
@@ -6,11 +6,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use rampbay_jobs::account::TaskStatus;
 use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Resources, Step, Submission, TaskId};
 use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
-    EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, TaskStatus, WorkerRecord,
+    EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord,
 };
 use rampbay_jobs::routing::{Routing, Workspace};
 use rampbay_jobs::table::JobTable;
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -15,13 +15,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::account::{JobPlan, JobStatus, Occurrence, TaskPlan, TaskStatus};
 use rampbay_jobs::agent::{AgentHost, AgentParts, Heartbeat};
 use rampbay_jobs::follower::Pace;
 use rampbay_jobs::job::{Resources, Step, Submission, TaskId};
 use rampbay_jobs::process::LiveTable;
-use rampbay_jobs::record::{
-    JobPlan, JobStatus, Leader, Occurrence, Record, TaskPlan, TaskStatus, WorkerRecord,
-};
+use rampbay_jobs::record::{Leader, Record, WorkerRecord};
 use rampbay_jobs::settings::Settings;
 use rampbay_jobs::store::Store;
 use rampbay_jobs::table::JobTable;
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use rampbay_jobs::account::{JobStatus, TaskStatus};
 use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Step, Submission, TaskId};
 use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
-    EndReason, JobStatus, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, TaskStatus,
-    WorkerRecord,
+    EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord,
 };
 use rampbay_jobs::routing::{Routing, Workspace};
 use rampbay_jobs::table::JobTable;
--- a/crates/rampbay-jobs/tests/support/site.rs
+++ b/crates/rampbay-jobs/tests/support/site.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::account::JobStatus;
 use rampbay_jobs::agent::Heartbeat;
 use rampbay_jobs::job::{JobId, Step, TaskId};
-use rampbay_jobs::record::{EndReason, JobStatus, Record, WorkerRecord};
+use rampbay_jobs::record::{EndReason, Record, WorkerRecord};
 use rampbay_jobs::store::Store;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
--- a/crates/rampbay-jobs/tests/suspended.rs
+++ b/crates/rampbay-jobs/tests/suspended.rs
@@ -9,8 +9,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::account::TaskStatus;
 use rampbay_jobs::intake::Refusal;
-use rampbay_jobs::record::{Leader, Record, TaskStatus};
+use rampbay_jobs::record::{Leader, Record};
 use support::intake::Rig;
 use support::planner::PlannerRig;
 use support::store::{MemoryStore, Trouble};
