perf: whether stops could make room is looked at once, first

Cause: a search that found nothing was followed by a second look at all workers, to tell whether all that may be stopped would do. Change: that look comes first, and the search over all workers doesn't repeat it.

--- a/crates/rampbay-jobs/src/planner/make_room.rs
+++ b/crates/rampbay-jobs/src/planner/make_room.rs
@@ -41,13 +41,14 @@
         let runs: Vec<RunsAt<'_>> = runs.collect();
         Units::gather(&rooms.running, runs.len(), |task| task.lost_work(&runs[task.place]))
     });
-    let found = match within {
-        Within::OneRack => preempt_in_rack(rooms, &units, need, count),
-        Within::Anywhere => preempt(rooms, &units, need, count),
-    };
-    if found.is_none() && within == Within::Anywhere && !could_fit(rooms, &units, need, count) {
+    let found = if !could_fit(rooms, &units, need, count) {
         rooms.no_stops.note(need, count);
-    }
+        None
+    } else if within == Within::OneRack {
+        preempt_in_rack(rooms, &units, need, count)
+    } else {
+        preempt(rooms, &units, need, count)
+    };
     rooms.units = Some(units);
     found
 }
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -33,17 +33,18 @@
     count: usize,
 ) -> Option<Preemption> {
     let racks = by_rack(rooms, need);
-    let options =
-        racks.iter().filter_map(|(_, places)| preempt_at(rooms, units, need, places, count));
+    let searches = racks.iter().map(|(_, places)| Search::new(rooms, units, need, places));
+    let could_hold = searches.filter(|search| search.could_hold(count));
+    let options = could_hold.filter_map(|search| search.place_all(count));
     options.min_by_key(|preemption| preemption.cost)
 }
 
 /// Finds the cheapest stops of less urgent work after which `count` tasks fit, in one rack if the
-/// step wants that and it can be.
+/// step wants that and it can be. They are known to fit if all that may be stopped is ([`could_fit`]).
 pub fn preempt(rooms: &Rooms, units: &Units, need: &Need<'_>, count: usize) -> Option<Preemption> {
     let wants_rack = need.step.same_rack && count > 1;
     let in_rack = if wants_rack { preempt_in_rack(rooms, units, need, count) } else { None };
-    in_rack.or_else(|| preempt_at(rooms, units, need, need.allowed(rooms), count))
+    in_rack.or_else(|| Search::new(rooms, units, need, need.allowed(rooms)).place_all(count))
 }
 
 /// Returns whether `count` tasks would fit if all that may be stopped for them were.
@@ -51,25 +52,6 @@
     Search::new(rooms, units, need, need.allowed(rooms)).could_hold(count)
 }
 
-fn preempt_at(
-    rooms: &Rooms,
-    units: &Units,
-    need: &Need<'_>,
-    places: &[Place],
-    count: usize,
-) -> Option<Preemption> {
-    let mut search = Search::new(rooms, units, need, places);
-    if !search.could_hold(count) {
-        return None;
-    }
-    let places: Option<Vec<Place>> = (0..count).map(|_| search.place_one()).collect();
-    let places = places?;
-    let victims: Vec<UnitIndex> = search.chosen.into_iter().collect();
-    let lost_work = victims.iter().map(|&unit| units.units[unit].lost_work).sum();
-    let cost = victims.iter().map(|&unit| units.units[unit].cost).sum();
-    Some(Preemption { victims, places, lost_work, cost })
-}
-
 /// How badly a worker suits: avoided, not heard of, slower, cost of the stops, accelerators free.
 type Rank = (bool, bool, bool, u64, u64);
 
@@ -144,6 +126,17 @@
         left == 0
     }
 
+    /// Finds places for `count` tasks, or for none.
+    fn place_all(mut self, count: usize) -> Option<Preemption> {
+        let places: Option<Vec<Place>> = (0..count).map(|_| self.place_one()).collect();
+        let places = places?;
+        let units = &self.units.units;
+        let victims: Vec<UnitIndex> = self.chosen.into_iter().collect();
+        let lost_work = victims.iter().map(|&unit| units[unit].lost_work).sum();
+        let cost = victims.iter().map(|&unit| units[unit].cost).sum();
+        Some(Preemption { victims, places, lost_work, cost })
+    }
+
     fn place_one(&mut self) -> Option<Place> {
         if self.offers.is_empty() {
             metrics().workers_searched.inc_by(self.places.len() as u64);
