refactor: what a way to the store passes on to the one below stands once

Cause: five ways to the store and three of the tests passed on by hand what they add nothing to. Three of them had missed the call that asks how far a topic goes: through them it would have been a read of its records. Nothing calls it through them yet. Change: a layer names the store below and the calls that it adds to; the others go through. 157 lines fewer. Found while doing it: a stand-in way took reports as appends, by default, and so cut them with the rest; passed on they weren't, and return_from_eviction_stands failed. It says so now. Tests: every_call_reaches_store_below_as_it_is; on the code before its case of echoed appends would read where it asks for the end (by reading, not run).

--- a/crates/rampbay-jobs/src/echo.rs
+++ b/crates/rampbay-jobs/src/echo.rs
@@ -5,13 +5,12 @@
 //! lies between the table's position and it, otherwise the follower reads it like any other.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::job::NodeName;
+use crate::layer::Layer;
 use crate::process::LiveTable;
 use crate::record::{KeyedRecord, STATE_TOPIC};
-use crate::store::{AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store};
+use crate::store::{AppendError, Fence, Offset, Store};
 use async_trait::async_trait;
 
 /// A store whose appends go into a table at once.
@@ -29,7 +28,11 @@
 }
 
 #[async_trait(?Send)]
-impl Store for EchoStore {
+impl Layer for EchoStore {
+    fn below(&self) -> &dyn Store {
+        self.store.as_ref()
+    }
+
     async fn append(
         &self,
         topic: &str,
@@ -45,32 +48,4 @@
         }
         Ok(end)
     }
-
-    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
-        self.store.report(reports).await
-    }
-
-    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        self.store.read(topic, from, wait).await
-    }
-
-    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        self.store.newest(topic).await
-    }
-
-    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        self.store.stand(member, generation).await
-    }
-
-    async fn resign(&self, member: &str) {
-        self.store.resign(member).await;
-    }
-
-    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.store.holder().await
-    }
-
-    async fn regained(&self) {
-        self.store.regained().await;
-    }
 }
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod intake;
 pub mod job;
 pub mod keys;
+pub mod layer;
 pub mod leader;
 pub mod losses;
 pub mod metrics;
--- a/crates/rampbay-jobs/tests/ages.rs
+++ b/crates/rampbay-jobs/tests/ages.rs
@@ -13,6 +13,7 @@
 use rampbay_jobs::follower::{Pace, Sink, follow};
 use rampbay_jobs::freshness::Freshness;
 use rampbay_jobs::job::NodeName;
+use rampbay_jobs::layer::Layer;
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC};
 use rampbay_jobs::store::{
@@ -267,14 +268,9 @@
 }
 
 #[async_trait(?Send)]
-impl Store for Passing {
-    async fn append(
-        &self,
-        topic: &str,
-        records: &[KeyedRecord],
-        fence: Option<&Fence>,
-    ) -> Result<Offset, AppendError> {
-        self.way.append(topic, records, fence).await
+impl Layer for Passing {
+    fn below(&self) -> &dyn Store {
+        &self.way
     }
 
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
@@ -297,16 +293,6 @@
         self.is_partial.set(false);
         self.way.newest(topic).await
     }
-
-    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        self.way.stand(member, generation).await
-    }
-
-    async fn resign(&self, _: &str) {}
-
-    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.way.holder().await
-    }
 }
 
 /// A way that waits less than it is asked to says nothing about the rest of the time, however late its
--- a/crates/rampbay-jobs/tests/support/entry.rs
+++ b/crates/rampbay-jobs/tests/support/entry.rs
@@ -6,12 +6,10 @@
 use async_trait::async_trait;
 use rampbay_jobs::follower::Pace;
 use rampbay_jobs::freshness::Freshness;
-use rampbay_jobs::job::NodeName;
+use rampbay_jobs::layer::Layer;
 use rampbay_jobs::process::LiveTable;
-use rampbay_jobs::record::{KeyedRecord, STATE_TOPIC};
-use rampbay_jobs::store::{
-    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
-};
+use rampbay_jobs::record::STATE_TOPIC;
+use rampbay_jobs::store::{Batch, Offset, ReadError, Store};
 
 use super::store::MemoryStore;
 
@@ -35,14 +33,9 @@
 }
 
 #[async_trait(?Send)]
-impl Store for ThroughEntry {
-    async fn append(
-        &self,
-        topic: &str,
-        records: &[KeyedRecord],
-        fence: Option<&Fence>,
-    ) -> Result<Offset, AppendError> {
-        self.store.append(topic, records, fence).await
+impl Layer for ThroughEntry {
+    fn below(&self) -> &dyn Store {
+        self.store.as_ref()
     }
 
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
@@ -51,20 +44,4 @@
         }
         self.store.read(topic, from, wait).await
     }
-
-    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        self.store.newest(topic).await
-    }
-
-    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        self.store.stand(member, generation).await
-    }
-
-    async fn resign(&self, member: &str) {
-        self.store.resign(member).await;
-    }
-
-    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.store.holder().await
-    }
 }
--- a/crates/rampbay-jobs/tests/support/way.rs
+++ b/crates/rampbay-jobs/tests/support/way.rs
@@ -5,11 +5,9 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use rampbay_jobs::job::NodeName;
-use rampbay_jobs::record::KeyedRecord;
-use rampbay_jobs::store::{
-    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
-};
+use rampbay_jobs::layer::Layer;
+use rampbay_jobs::record::{KeyedRecord, PROGRESS_TOPIC};
+use rampbay_jobs::store::{AppendError, Batch, Fence, Offset, ReadError, Store};
 use tokio::time::sleep;
 
 use super::store::MemoryStore;
@@ -38,7 +36,11 @@
 }
 
 #[async_trait(?Send)]
-impl Store for Way {
+impl Layer for Way {
+    fn below(&self) -> &dyn Store {
+        self.store.as_ref()
+    }
+
     async fn append(
         &self,
         topic: &str,
@@ -58,6 +60,11 @@
         self.store.append(topic, records, fence).await
     }
 
+    /// Reports take the same way as appends.
+    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
+        Layer::append(self, PROGRESS_TOPIC, reports, None).await.map(|_| ())
+    }
+
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         if self.cut.get() {
             sleep(FAILS_AFTER).await;
@@ -66,20 +73,4 @@
         let batch = self.store.read(topic, from, wait).await;
         if self.cut.get() { Err(ReadError::Unavailable) } else { batch }
     }
-
-    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        self.store.newest(topic).await
-    }
-
-    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        self.store.stand(member, generation).await
-    }
-
-    async fn resign(&self, member: &str) {
-        self.store.resign(member).await;
-    }
-
-    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.store.holder().await
-    }
 }
--- a/crates/rampbay-peer/src/gateway.rs
+++ b/crates/rampbay-peer/src/gateway.rs
@@ -12,11 +12,9 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use rampbay_jobs::job::NodeName;
+use rampbay_jobs::layer::Layer;
 use rampbay_jobs::record::KeyedRecord;
-use rampbay_jobs::store::{
-    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
-};
+use rampbay_jobs::store::{AppendError, Fence, Offset, Store};
 use tokio::time::Instant;
 
 use crate::relay::patience_after;
@@ -118,7 +116,11 @@
 }
 
 #[async_trait(?Send)]
-impl Store for GatewayStore {
+impl Layer for GatewayStore {
+    fn below(&self) -> &dyn Store {
+        self.store.as_ref()
+    }
+
     /// Appends through a gateway; where that fails, over the process's own ways. It is refused only if all refused it.
     async fn append(
         &self,
@@ -136,32 +138,4 @@
         let outcome = self.store.append(topic, records, None).await;
         if outcome == Err(AppendError::Refused) { Err(failure) } else { outcome }
     }
-
-    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
-        self.store.report(reports).await
-    }
-
-    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        self.store.read(topic, from, wait).await
-    }
-
-    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        self.store.newest(topic).await
-    }
-
-    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        self.store.stand(member, generation).await
-    }
-
-    async fn resign(&self, member: &str) {
-        self.store.resign(member).await;
-    }
-
-    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.store.holder().await
-    }
-
-    async fn regained(&self) {
-        self.store.regained().await;
-    }
 }
--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -7,14 +7,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
-use std::time::Duration;
 
 use async_trait::async_trait;
-use rampbay_jobs::job::NodeName;
+use rampbay_jobs::layer::Layer;
 use rampbay_jobs::record::KeyedRecord;
-use rampbay_jobs::store::{
-    AppendError, BYTES_PER_APPEND, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
-};
+use rampbay_jobs::store::{AppendError, BYTES_PER_APPEND, Fence, Offset, Store};
 use tokio::sync::oneshot;
 
 type Outcome = Result<Offset, AppendError>;
@@ -125,7 +122,11 @@
 }
 
 #[async_trait(?Send)]
-impl Store for GroupStore {
+impl Layer for GroupStore {
+    fn below(&self) -> &dyn Store {
+        self.store.as_ref()
+    }
+
     async fn append(&self, topic: &str, records: &[KeyedRecord], fence: Option<&Fence>) -> Outcome {
         if fence.is_some() {
             return self.store.append(topic, records, fence).await;
@@ -136,36 +137,4 @@
         self.start(topic, &queue);
         rx.await.unwrap_or(Err(AppendError::Unknown))
     }
-
-    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
-        self.store.report(reports).await
-    }
-
-    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
-        self.store.read(topic, from, wait).await
-    }
-
-    async fn end(&self, topic: &str, known: Offset) -> Result<Offset, ReadError> {
-        self.store.end(topic, known).await
-    }
-
-    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
-        self.store.newest(topic).await
-    }
-
-    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        self.store.stand(member, generation).await
-    }
-
-    async fn resign(&self, member: &str) {
-        self.store.resign(member).await;
-    }
-
-    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.store.holder().await
-    }
-
-    async fn regained(&self) {
-        self.store.regained().await;
-    }
 }
--- a/crates/rampbay-peer/src/metered.rs
+++ b/crates/rampbay-peer/src/metered.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use rampbay_jobs::job::NodeName;
+use rampbay_jobs::layer::Layer;
 use rampbay_jobs::metrics::{StoreLabels, metrics};
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::{
@@ -61,7 +62,11 @@
 }
 
 #[async_trait(?Send)]
-impl Store for MeteredStore {
+impl Layer for MeteredStore {
+    fn below(&self) -> &dyn Store {
+        self.store.as_ref()
+    }
+
     async fn append(
         &self,
         topic: &str,
@@ -77,10 +82,6 @@
         outcome
     }
 
-    async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
-        self.store.report(reports).await
-    }
-
     async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
         let outcome = self.store.read(topic, from, wait).await;
         self.note("read", topic, read_outcome(&outcome));
@@ -115,8 +116,4 @@
         self.note("holder", "", read_outcome(&outcome));
         outcome
     }
-
-    async fn regained(&self) {
-        self.store.regained().await;
-    }
 }
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -16,10 +16,9 @@
 
 use async_trait::async_trait;
 use rampbay_jobs::job::NodeName;
+use rampbay_jobs::layer::Layer;
 use rampbay_jobs::record::KeyedRecord;
-use rampbay_jobs::store::{
-    AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot, Store,
-};
+use rampbay_jobs::store::{AppendError, Batch, Offset, ReadError, Snapshot, Store};
 use tokio::time::Instant;
 
 use crate::peer::PeerStore;
@@ -273,14 +272,9 @@
 }
 
 #[async_trait(?Send)]
-impl Store for TailStore {
-    async fn append(
-        &self,
-        topic: &str,
-        records: &[KeyedRecord],
-        fence: Option<&Fence>,
-    ) -> Result<Offset, AppendError> {
-        self.store.append(topic, records, fence).await
+impl Layer for TailStore {
+    fn below(&self) -> &dyn Store {
+        self.store.as_ref()
     }
 
     async fn report(&self, reports: &[KeyedRecord]) -> Result<(), AppendError> {
@@ -312,20 +306,4 @@
         self.is_partial.set(false);
         Ok(snapshot)
     }
-
-    async fn stand(&self, member: &str, generation: u64) -> Result<Candidacy, ReadError> {
-        self.store.stand(member, generation).await
-    }
-
-    async fn resign(&self, member: &str) {
-        self.store.resign(member).await;
-    }
-
-    async fn holder(&self) -> Result<Option<NodeName>, ReadError> {
-        self.store.holder().await
-    }
-
-    async fn regained(&self) {
-        self.store.regained().await;
-    }
 }
