--- a/crates/rampbay-jobs/tests/foreign_records.rs
+++ b/crates/rampbay-jobs/tests/foreign_records.rs
@@ -3,12 +3,11 @@
 mod support;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rampbay_jobs::keys::{end_key, refusal_key, worker_key};
 use rampbay_jobs::record::{EndReason, KeyedRecord, Record, RunEnd};
 use rampbay_jobs::table::JobTable;
 use rstest::rstest;
-use support::{job, running_plan, step, task, worker_record};
+use support::{job, property, running_plan, step, task, worker_record};
 
 const JOB: &str = "00000000000000aa";
 /// How the keys of the state start.
@@ -82,20 +81,8 @@
     }
 }
 
-/// The same cases in every run; `RAMPBAY_SEED` and `RAMPBAY_CASES` draw others.
-fn config(cases: u32) -> ProptestConfig {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    let factor = number("RAMPBAY_CASES").unwrap_or(1);
-    ProptestConfig {
-        cases: cases * u32::try_from(factor).unwrap_or(1),
-        rng_seed: RngSeed::Fixed(number("RAMPBAY_SEED").unwrap_or(1)),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config(2000))]
+    #![proptest_config(property::config(2000))]
 
     /// Whatever bytes stand under whatever key, nothing panics, and what is taken in is a record of just that key.
     #[test]
--- a/crates/rampbay-jobs/tests/parts.rs
+++ b/crates/rampbay-jobs/tests/parts.rs
@@ -6,7 +6,6 @@
 mod support;
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use rampbay_jobs::account::{JobPlan, JobStatus, Occurrence, TaskPlan, TaskStatus};
 use rampbay_jobs::job::Submission;
 use rampbay_jobs::parts::{AccountForm, TASKS_PER_PART, changes};
@@ -17,7 +16,7 @@
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use support::{job, running_plan, step, task, worker_record};
+use support::{job, property, running_plan, step, task, worker_record};
 
 const JOB: &str = "00000000000000aa";
 
@@ -238,18 +237,6 @@
     assert!(groups.iter().all(|group| bytes(&records[group.clone()]) <= most));
 }
 
-/// The same cases in every run; `RAMPBAY_SEED` and `RAMPBAY_CASES` draw others.
-fn config(cases: u32) -> ProptestConfig {
-    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse::<u64>().ok());
-    let factor = number("RAMPBAY_CASES").unwrap_or(1);
-    ProptestConfig {
-        cases: cases * u32::try_from(factor).unwrap_or(1),
-        rng_seed: RngSeed::Fixed(number("RAMPBAY_SEED").unwrap_or(1)),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 /// What a round may do to an account.
 #[derive(Clone, Debug)]
 enum Change {
@@ -312,7 +299,7 @@
 }
 
 proptest! {
-    #![proptest_config(config(300))]
+    #![proptest_config(property::config(300))]
 
     /// Whatever rounds do to an account, a reader that follows and one that reads the state anew, in any order, have it
     /// as it was written.
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod intake;
 pub mod leader;
 pub mod planner;
+pub mod property;
 pub mod site;
 pub mod store;
 pub mod way;
