feat: accounts of wide jobs are written whole while releases are mixed

Cause: an earlier release can't read parts: its leader would take a wide step without tasks for done, and its agents would stop runs. Ruled out: another kind of record for the job's own account: an earlier leader would then plan from the last one that it could read. Change: a setting says how leaders write; whole accounts take the place of parts, and the other way round, at a job's next change. All processes read both. Tests: account_in_parts_taken_over_into_whole_and_back, planner_writes_accounts_as_set. Two releases weren't run side by side.

--- a/crates/rampbay-jobs/src/parts.rs
+++ b/crates/rampbay-jobs/src/parts.rs
@@ -6,6 +6,8 @@
 //! In the job's own record such a step is empty. Tasks of a part that was never written haven't begun.
 
 use crate::account::{JobPlan, Occurrence, TaskPlan};
+use serde::Deserialize;
+
 use crate::job::{JobId, Submission, TaskId};
 use crate::keys::part_key;
 use crate::record::{KeyedRecord, Record, removal};
@@ -16,12 +18,13 @@
 pub const TASKS_PER_PART: usize = 8;
 
 /// How the store holds a job's account.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum AccountForm {
     /// Wide steps in parts of their own.
     #[default]
     InParts,
-    /// All in the job's own record, as releases wrote it that knew no parts.
+    /// All in the job's own record: what releases read and write that know no parts.
     Whole,
 }
 
@@ -52,6 +55,20 @@
     records
 }
 
+/// Returns the records that turn a job's account, as the store holds it, into a new one that is whole.
+#[must_use]
+pub fn changes_to_whole(
+    id: &JobId,
+    kept: Option<&JobPlan>,
+    form: AccountForm,
+    new: &JobPlan,
+) -> Vec<KeyedRecord> {
+    let whole = Record::Plan(id.clone(), Box::new(new.clone())).encode();
+    let kept = kept.filter(|_| form == AccountForm::InParts);
+    let parts = kept.into_iter().flat_map(|kept| part_keys(id, kept));
+    std::iter::once(whole).chain(parts.map(|(_, key)| removal(key))).collect()
+}
+
 /// Lists the keys of an account's parts, each with its occurrence.
 pub fn part_keys<'a>(id: &'a JobId, plan: &'a JobPlan) -> impl Iterator<Item = (u32, String)> + 'a {
     parts(id, plan).map(|(first, _)| (first.occurrence, part_key(&first)))
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -38,6 +38,7 @@
 
 use crate::drained::DrainedDomains;
 use crate::job::{EpochMillis, InstanceId, JobId};
+use crate::parts::AccountForm;
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
 use crate::table::JobTable;
@@ -59,7 +60,7 @@
 /// Place of a worker in a round: its index among all workers, in the order of their ids.
 type Place = usize;
 
-/// Times that a planner goes by.
+/// What a planner goes by: times, and how it writes.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannerSettings {
     /// Age of a report after which its worker gets no new work.
@@ -78,6 +79,8 @@
     pub operators_age: Duration,
     /// How much longer work takes away from its data or spread over racks.
     pub remote_penalty: u64,
+    /// How accounts are written.
+    pub account_form: AccountForm,
 }
 
 /// What one round goes by.
@@ -197,7 +200,7 @@
         self.waits.update(&waits, inputs.now);
         expire::expire(self, &mut draft, inputs);
         expire::expire_registrations(self, &mut draft, inputs);
-        draft.into_records()
+        draft.into_records(self.settings.account_form)
     }
 
     /// Returns why a step of a job waits, if it does.
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -6,7 +6,7 @@
 use crate::account::{JobPlan, TaskStatus};
 use crate::job::{JobId, Submission, TaskId};
 use crate::losses::JobLosses;
-use crate::parts::changes;
+use crate::parts::{AccountForm, changes, changes_to_whole};
 use crate::record::{KeyedRecord, Record, removal};
 use crate::table::JobTable;
 
@@ -112,7 +112,8 @@
     /// Returns the records of all changes: accounts before the removals of ends that they hold, and losses before
     /// the accounts that no longer name the lost runs. A leader that goes between the two leaves a loss that the
     /// next one finds again, and counts once.
-    pub fn into_records(self) -> Vec<KeyedRecord> {
+    /// Accounts are written in the form that is wanted.
+    pub fn into_records(self, wanted: AccountForm) -> Vec<KeyedRecord> {
         let table = self.table;
         let is_new = |id: &JobId, plan: &JobPlan| {
             table.jobs.get(id).and_then(|job| job.plan.as_deref()) != Some(plan)
@@ -122,7 +123,10 @@
             let job = table.jobs.get(&id);
             let kept = job.and_then(|job| job.plan.as_deref());
             let form = job.map(|job| job.account_form).unwrap_or_default();
-            changes(&id, kept, form, &plan)
+            match wanted {
+                AccountForm::InParts => changes(&id, kept, form, &plan),
+                AccountForm::Whole => changes_to_whole(&id, kept, form, &plan),
+            }
         });
         let is_new_loss =
             |id: &JobId, new: &JobLosses| table.losses.get(id).map(Rc::as_ref) != Some(new);
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -7,6 +7,7 @@
 
 use crate::agent::AgentSettings;
 use crate::job::NodeName;
+use crate::parts::AccountForm;
 use crate::planner::PlannerSettings;
 use crate::record::Member;
 
@@ -71,6 +72,10 @@
     pub remote_penalty: u64,
     /// Least time that a candidate for leadership may be silent.
     pub leader_ttl_ms: u64,
+    /// How a leader writes the accounts of wide jobs: `in_parts`, or `whole` while processes of a release are left that
+    /// knows no parts. All processes read both.
+    #[serde(default)]
+    pub wide_accounts: AccountForm,
     /// Bandwidth of the machine's link, in megabits a second; 0 if it isn't known.
     #[serde(default)]
     pub link_mbps: f64,
@@ -216,6 +221,7 @@
             keep_ended: Duration::from_secs(self.status_s * KEEP_FACTOR),
             operators_age: Duration::from_millis(self.drain_ms * DRAIN_MARGIN_PERMILLE / 1000),
             remote_penalty: self.remote_penalty.max(1),
+            account_form: self.wide_accounts,
         }
     }
 }
--- a/crates/rampbay-jobs/tests/parts.rs
+++ b/crates/rampbay-jobs/tests/parts.rs
@@ -8,15 +8,18 @@
 use proptest::prelude::*;
 use rampbay_jobs::account::{JobPlan, JobStatus, Occurrence, TaskPlan, TaskStatus};
 use rampbay_jobs::job::Submission;
-use rampbay_jobs::parts::{AccountForm, TASKS_PER_PART, changes};
+use rampbay_jobs::parts::{AccountForm, TASKS_PER_PART, changes, changes_to_whole};
+use rampbay_jobs::planner::Planner;
 use rampbay_jobs::record::{KeyedRecord, Record};
+use rampbay_jobs::settings::Settings;
 use rampbay_jobs::store::{BYTES_PER_APPEND, appends};
 use rampbay_jobs::table::JobTable;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
-use support::{job, property, running_plan, step, task, worker_record};
+use support::planner::PlannerRig;
+use support::{job, on_virtual_time, property, running_plan, settings, step, task, worker_record};
 
 const JOB: &str = "00000000000000aa";
 
@@ -140,6 +143,54 @@
     assert_eq!(kept.plan_read_anew(1), plan);
 }
 
+/// While releases are mixed, accounts are written whole: what an earlier release reads has all tasks, and no part is left
+/// beside it. Afterwards they go back into parts.
+#[test]
+fn account_in_parts_taken_over_into_whole_and_back() {
+    let mut kept = Kept::new(wide_job(40));
+    let mut plan = running(40);
+    kept.write(&plan);
+    plan.open[0].steps[0][7].status = TaskStatus::Done;
+    let records =
+        changes_to_whole(&JOB.to_owned(), Some(&running(40)), AccountForm::InParts, &plan);
+    assert_eq!(records[0], Record::Plan(JOB.to_owned(), Box::new(plan.clone())).encode());
+    for record in &records {
+        kept.append(std::slice::from_ref(record));
+        assert_eq!(kept.plan(), plan);
+    }
+    let left: Vec<&String> = kept.newest.keys().collect();
+    assert_eq!(left, [&format!("job/{JOB}"), &format!("plan/{JOB}")]);
+    assert_eq!(kept.plan_read_anew(1), plan);
+    plan.open[0].steps[0][8].status = TaskStatus::Done;
+    kept.write(&plan);
+    assert_eq!(kept.table.jobs[JOB].account_form, AccountForm::InParts);
+    assert_eq!(kept.plan(), plan);
+    assert_eq!(kept.plan_read_anew(2), plan);
+}
+
+/// A planner writes wide accounts as its settings say.
+#[rstest]
+#[case::in_parts("\"in_parts\"", true)]
+#[case::whole("\"whole\"", false)]
+fn planner_writes_accounts_as_set(#[case] setting: &str, #[case] has_parts: bool) {
+    on_virtual_time(async {
+        let wide_accounts = serde_json::from_str(setting).expect("a form");
+        let settings = Settings { wide_accounts, ..settings() };
+        let mut rig = PlannerRig::of_workers(6);
+        rig.planner = Planner::new(settings.planner());
+        rig.submit(job(JOB, 1, step(40, 1)));
+        let records = rig.round();
+        assert!(records.iter().any(|record| record.key == format!("plan/{JOB}")));
+        assert_eq!(records.iter().any(|record| record.key.starts_with("part/")), has_parts);
+    });
+}
+
+#[test]
+fn settings_without_form_of_accounts_write_parts() {
+    assert_eq!(settings().wide_accounts, AccountForm::InParts);
+    assert!(serde_json::from_str::<AccountForm>("\"half\"").is_err());
+}
+
 /// A reader that has taken in only some records of a change sees each task as it was before or as it is after it, and no
 /// occurrence that is over open again.
 #[test]
