--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -5,6 +5,7 @@
 //! the table tells of a life from before a restart.
 
 mod ends;
+mod held_back;
 pub mod life;
 mod orders;
 mod registering;
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -39,6 +39,7 @@
         let mut changes = self.parts.freshness.subscribe();
         while !self.is_over() {
             changes.borrow_and_update();
+            self.tell_held_back();
             if self.listed.get() && self.parts.freshness.age().is_some() {
                 self.settle_given_up();
                 if self.is_registered() && !self.is_evicted() {
@@ -78,7 +79,7 @@
 
     /// Returns whether another attempt of a task may run here still. It is looked at again once that has ended:
     /// two attempts at one worker are two runs of the task.
-    fn has_other_attempt(&self, key: &RunKey) -> bool {
+    pub(super) fn has_other_attempt(&self, key: &RunKey) -> bool {
         let runs = self.runs.borrow();
         let mut others =
             runs.open.keys().filter(|(task, attempt)| *task == key.0 && *attempt != key.1);
--- a/crates/rampbay-jobs/src/agent/room.rs
+++ b/crates/rampbay-jobs/src/agent/room.rs
@@ -29,9 +29,7 @@
         let Some(demand) = charge_of(&table, &key.0) else { return Fit::No };
         let mut free = self.capacity();
         let runs = self.runs.borrow();
-        // An end that is listed has freed its room, also while it is on its way to the store.
-        let others = runs.open.keys().filter(|other| *other != key && !runs.over.contains(*other));
-        for (held, _) in others {
+        for (held, _) in runs.beside(key) {
             let Some(charge) = charge_of(&table, held) else { return Fit::Unknown };
             free.take(&charge);
         }
@@ -46,6 +44,14 @@
         Fit::No
     }
 
+    /// Returns whether it can't be told yet if a run fits: [`Fit::Unknown`].
+    pub(super) fn is_room_unknown(&self, key: &RunKey) -> bool {
+        let table = self.parts.table.borrow();
+        let runs = self.runs.borrow();
+        let is_known = |held: &RunKey| charge_of(&table, &held.0).is_some();
+        self.account_heard.get().is_none() || !runs.beside(key).all(is_known)
+    }
+
     /// Returns what to take the room for while there is no young account of the worker. What the state says of it may be
     /// of any age: an earlier process of this machine wrote it.
     fn fit_without_account(&self) -> Option<Fit> {
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -91,6 +91,12 @@
         begun.collect()
     }
 
+    /// Iterates over the runs that may hold room beside one. An end that is listed has freed its room, also while it is
+    /// on its way to the store.
+    pub fn beside<'a>(&'a self, key: &'a RunKey) -> impl Iterator<Item = &'a RunKey> {
+        self.open.keys().filter(move |other| *other != key && !self.over.contains(*other))
+    }
+
     /// Describes runs that may exist, for the log: task, attempt, phase, and milliseconds since it was heard of.
     pub fn describe_open(&self) -> Vec<String> {
         let runs = self.open.iter().take(MOST_NAMED);
--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -136,6 +136,13 @@
         position = batch.next;
         later.extend(batch.records);
     }
+    log::info!(
+        "event=J100 topic read as a whole topic={topic} records={} from={} later={} position={position} known={}",
+        snapshot.records.len(),
+        snapshot.read_from,
+        later.len(),
+        freshness.position()
+    );
     sink.load(&snapshot.records);
     freshness.restart(position, &[&snapshot.records, &later]);
     later.iter().for_each(|record| sink.apply(record));
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -306,7 +306,7 @@
     }
 
     fn insert_plan(&mut self, id: &JobId, plan: JobPlan) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return tell_passed_over(id) };
         let known = job.plan.take().map(Rc::unwrap_or_clone);
         let (plan, form) = take_in_head(&job.submission, known, plan);
         job.plan = Some(Rc::new(plan));
@@ -315,7 +315,7 @@
     }
 
     fn insert_part(&mut self, first: &TaskId, tasks: Vec<TaskPlan>) {
-        let Some(job) = self.jobs.get_mut(&first.job) else { return };
+        let Some(job) = self.jobs.get_mut(&first.job) else { return tell_passed_over(&first.job) };
         let plan = Rc::make_mut(job.plan.get_or_insert_default());
         take_in_part(&job.submission, plan, first, tasks);
         self.note_account_change(&first.job);
@@ -451,3 +451,7 @@
             && planned.instance == instance
     }
 }
+
+fn tell_passed_over(job: &JobId) {
+    log::warn!("event=J183 account passed over, its job isn't known job={job}");
+}
--- a/crates/rampbay-peer/src/tail.rs
+++ b/crates/rampbay-peer/src/tail.rs
@@ -79,6 +79,8 @@
     starting: Option<Starting>,
     /// The peer that the state as a whole came from, and until when it is read through where the tree fails.
     origin: RefCell<Option<(PeerStore, Instant)>>,
+    /// Where the last answer came from: the address of a peer, or none for the store.
+    source: RefCell<Option<String>>,
 }
 
 /// How a process that starts reads the state as a whole.
@@ -106,6 +108,22 @@
             is_partial: Cell::new(false),
             starting: None,
             origin: RefCell::default(),
+            source: RefCell::default(),
+        }
+    }
+
+    /// Tells when the topic is read through another source than before.
+    fn note_source(&self, source: Option<&str>, from: Offset) {
+        let before = self.source.borrow().clone();
+        if before.as_deref() != source {
+            log::info!(
+                "event=J109 topic read through another source topic={} source={} before={} position={from} partial={}",
+                self.topic,
+                source.unwrap_or("store"),
+                before.as_deref().unwrap_or("store"),
+                self.is_partial.get()
+            );
+            *self.source.borrow_mut() = source.map(str::to_owned);
         }
     }
 
@@ -140,6 +158,7 @@
             }
             match peer.tail(&self.topic, from, wait, self.agent.clone()).await {
                 Ok(batch) if batch.age <= OLDEST_VIEW => {
+                    self.note_source(Some(peer.address()), from);
                     self.pause.set(PEERS_PAUSE);
                     self.proven.set(Instant::now().checked_sub(batch.age));
                     return Some(batch);
@@ -223,6 +242,7 @@
         if let Some((peer, until)) = origin {
             let outcome = peer.tail(&self.topic, from, wait, self.agent.clone()).await;
             if let Some(batch) = outcome.ok().filter(|batch| batch.age <= OLDEST_VIEW) {
+                self.note_source(Some(peer.address()), from);
                 self.proven.set(Instant::now().checked_sub(batch.age));
                 self.is_partial.set(self.agent.is_some());
                 *self.origin.borrow_mut() = Some((peer, until));
@@ -267,6 +287,7 @@
         if self.is_partial.get() {
             return Err(ReadError::Trimmed);
         }
+        self.note_source(None, from);
         self.store.read(&self.topic, from, wait).await
     }
 }
