test: an agent of the model that is killed ends with all its lives

A life of a worker runs in a task of its own, which went on when its agent was killed: what the new agent started, the old one stopped by its old view, up to seven times in 1.5 s. Now the lives are dropped with their agent. Tests of restarts and leaders pass.

--- a/crates/rampbay-scale/src/fleet.rs
+++ b/crates/rampbay-scale/src/fleet.rs
@@ -89,7 +89,7 @@
 
     fn end(&mut self, is_hit: impl Fn(&Process) -> bool, reachable: Reachable) {
         for process in self.processes.iter().filter(|process| is_hit(process)) {
-            process.task.abort();
+            process.end();
             process.connection.way.set(Way::Silent);
             self.network.set_reachable(&process.address, reachable);
         }
--- a/crates/rampbay-scale/src/process.rs
+++ b/crates/rampbay-scale/src/process.rs
@@ -73,6 +73,8 @@
     pub(crate) store: Rc<dyn Store>,
     /// Its work.
     pub(crate) task: JoinHandle<()>,
+    /// The lives of its worker, whose work goes on apart; agents only.
+    lives: Option<Rc<AgentHost>>,
 }
 
 impl Process {
@@ -82,6 +84,14 @@
         self.role != Role::Agent
     }
 
+    /// Ends it without notice.
+    pub(crate) fn end(&self) {
+        self.task.abort();
+        if let Some(lives) = &self.lives {
+            lives.abandon();
+        }
+    }
+
     /// Starts the process of a machine; an agent has a worker.
     pub(crate) fn start(
         store: &Rc<ModelStore>,
@@ -106,9 +116,10 @@
         let address = format!("{}:{}", settings.ip, settings.peer_port);
         network.attach(address.clone(), name.clone(), ways.served.clone());
         let arrivals = Rc::default();
-        let task = if let Some(worker) = worker {
-            let worker = Rc::clone(worker);
-            tokio::task::spawn_local(run_agent(place, settings, live.clone(), ways, worker))
+        let lives = worker.map(|worker| agent_host(&settings, &live, &ways, Rc::clone(worker)));
+        let task = if let Some(host) = &lives {
+            let host = Rc::clone(host);
+            tokio::task::spawn_local(run_agent(place, settings, live.clone(), ways, host))
         } else {
             let entry = Entry {
                 settings,
@@ -120,7 +131,7 @@
             let orders = Orders { routing: Rc::clone(&routing), arrivals: Rc::clone(&arrivals) };
             tokio::task::spawn_local(run_entry(place, entry, ways, orders))
         };
-        Self { name, role, address, connection, live, routing, arrivals, store, task }
+        Self { name, role, address, connection, live, routing, arrivals, store, task, lives }
     }
 }
 
@@ -138,24 +149,31 @@
     tokio::join!(ways.maintain(), entry.follow(OPERATOR_TOPIC, orders), leads);
 }
 
-async fn run_agent(
-    place: usize,
-    settings: Rc<Settings>,
-    live: LiveTable,
-    ways: Ways,
+fn agent_host(
+    settings: &Settings,
+    live: &LiveTable,
+    ways: &Ways,
     worker: Rc<ModelWorker>,
-) {
-    let client = Rc::clone(&worker);
-    let host = AgentHost::new(AgentParts {
+) -> Rc<AgentHost> {
+    AgentHost::new(AgentParts {
         node: settings.node.clone(),
         store: Rc::clone(&ways.store),
         table: Rc::clone(&live.table),
         freshness: Rc::clone(&live.freshness),
-        connect: Box::new(move |_, _| -> Rc<dyn Worker> { client.clone() }),
+        connect: Box::new(move |_, _| -> Rc<dyn Worker> { worker.clone() }),
         succession: |_, _| None,
         wall_clock,
         settings: settings.agent(),
-    });
+    })
+}
+
+async fn run_agent(
+    place: usize,
+    settings: Rc<Settings>,
+    live: LiveTable,
+    ways: Ways,
+    host: Rc<AgentHost>,
+) {
     let agent = Agent { store: Rc::clone(&ways.store), live, host: Rc::clone(&host) };
     let beats = send_heartbeats(place, &settings, host);
     tokio::join!(ways.maintain(), agent.run(), beats);
