fix: an agent whose view has a gap reads the state anew

Callers saw accepted jobs with nothing running.

An agent now takes note of accounts that name its worker and whose jobs it doesn't know, says so (J184), and reads the state anew, from a peer as at its start, at most once a second. Views of entries are whole: there such an account is of a job that has been removed.

Two tests, both of which fail without it: account_without_its_job_makes_agent_read_anew (the run never started) and account_whose_job_is_nowhere_read_for_once_a_second. Tests of rampbay-jobs, -peer and -scale pass.

--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -15,6 +15,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after reads that failed again and again.
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Least time between two reads of a whole topic to close a gap. One that the topic has itself stays.
+const GAP_PAUSE: Duration = Duration::from_millis(1000);
 
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +45,10 @@
     }
     /// Takes note that the topic could be read.
     fn read(&mut self) {}
+    /// Returns whether a record was passed over that can't be taken in without another one, which hasn't come.
+    fn has_gap(&self) -> bool {
+        false
+    }
 }
 
 /// Follows `topic` for ever.
@@ -56,6 +62,7 @@
     let mut reloads = true;
     let mut pause = RETRY_PAUSE;
     let mut reachable = true;
+    let mut closed_gap: Option<Instant> = None;
     loop {
         let started = Instant::now();
         // The first read after a failure doesn't wait: it shows how current the view is.
@@ -81,7 +88,12 @@
                     log::info!("event=J101 store regained topic={topic}");
                 }
                 reachable = true;
-                reloads = false;
+                reloads = sink.has_gap() && closed_gap.is_none_or(|at| at.elapsed() >= GAP_PAUSE);
+                if reloads {
+                    let position = freshness.position();
+                    log::warn!("event=J184 view has a gap topic={topic} position={position}");
+                    closed_gap = Some(Instant::now());
+                }
                 sink.read();
                 pause = RETRY_PAUSE;
                 tokio::time::sleep_until(started + pace.gap).await;
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -8,6 +8,7 @@
 use crate::clock::Moment;
 use crate::follower::{Pace, Sink, follow, take_in};
 use crate::freshness::Freshness;
+use crate::job::NodeName;
 use crate::planner::ProgressTable;
 use crate::record::{KeyedRecord, Member, PROGRESS_TOPIC, Record, STATE_TOPIC};
 use crate::store::{Offset, ReadError, Snapshot, Store};
@@ -23,29 +24,48 @@
     pub table: Rc<RefCell<JobTable>>,
     /// How current it is.
     pub freshness: Rc<Freshness>,
+    /// The agent whose view it is, which is sent only what concerns its worker; none where the view is whole.
+    pub agent: Option<NodeName>,
 }
 
-struct TableSink(Rc<RefCell<JobTable>>);
+struct TableSink {
+    table: Rc<RefCell<JobTable>>,
+    agent: Option<NodeName>,
+}
 
 impl Sink for TableSink {
     fn reset(&mut self) {
-        *self.0.borrow_mut() = JobTable::default();
+        *self.table.borrow_mut() = JobTable::default();
     }
 
     fn load(&mut self, records: &[KeyedRecord]) {
-        self.0.borrow_mut().load(records);
+        self.table.borrow_mut().load(records);
     }
 
     fn apply(&mut self, record: &KeyedRecord) {
-        self.0.borrow_mut().apply(record);
+        self.table.borrow_mut().apply(record);
     }
 
     fn apply_and_tell(&mut self, record: &KeyedRecord) -> Passed {
-        self.0.borrow_mut().apply_and_tell(record)
+        self.table.borrow_mut().apply_and_tell(record)
+    }
+
+    fn has_gap(&self) -> bool {
+        self.agent.as_ref().is_some_and(|agent| self.table.borrow().lacks_job_for(agent))
     }
 }
 
 impl LiveTable {
+    /// Makes the table of an agent.
+    #[must_use]
+    pub fn of_agent(agent: NodeName) -> Self {
+        Self { agent: Some(agent), ..Self::default() }
+    }
+
+    fn sink(&self) -> TableSink {
+        TableSink { table: Rc::clone(&self.table), agent: self.agent.clone() }
+    }
+
     /// Passes on the newest record of each key: all, or those that an agent needs which begins to follow.
     ///
     /// # Errors
@@ -60,7 +80,7 @@
 
     /// Keeps the table current for ever.
     pub async fn follow(self, store: Rc<dyn Store>, pace: Pace) {
-        let sink = TableSink(Rc::clone(&self.table));
+        let sink = self.sink();
         follow(store, STATE_TOPIC, pace, self.freshness, sink).await;
     }
 
@@ -71,7 +91,7 @@
         if self.freshness.age().is_none() || known + records.len() as u64 != end {
             return;
         }
-        let mut sink = TableSink(Rc::clone(&self.table));
+        let mut sink = self.sink();
         for record in records {
             take_in(&mut sink, &self.freshness, record);
         }
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -87,6 +87,8 @@
     assigned_before_return: BTreeMap<InstanceId, BTreeSet<(TaskId, u32)>>,
     /// Cancellations of jobs that aren't known.
     early_cancels: BTreeSet<JobId>,
+    /// Workers with runs by accounts that were passed over, since their jobs aren't known.
+    lacking_jobs: BTreeSet<InstanceId>,
     /// Number of the present state of the processes.
     process_state: u64,
 }
@@ -306,7 +308,10 @@
     }
 
     fn insert_plan(&mut self, id: &JobId, plan: JobPlan) {
-        let Some(job) = self.jobs.get_mut(id) else { return tell_passed_over(id) };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return self
+                .pass_over(id, plan.open.iter().flat_map(|open| open.steps.iter().flatten()));
+        };
         let known = job.plan.take().map(Rc::unwrap_or_clone);
         let (plan, form) = take_in_head(&job.submission, known, plan);
         job.plan = Some(Rc::new(plan));
@@ -315,12 +320,35 @@
     }
 
     fn insert_part(&mut self, first: &TaskId, tasks: Vec<TaskPlan>) {
-        let Some(job) = self.jobs.get_mut(&first.job) else { return tell_passed_over(&first.job) };
+        let Some(job) = self.jobs.get_mut(&first.job) else {
+            return self.pass_over(&first.job, tasks.iter());
+        };
         let plan = Rc::make_mut(job.plan.get_or_insert_default());
         take_in_part(&job.submission, plan, first, tasks);
         self.note_account_change(&first.job);
     }
 
+    /// Passes over an account whose job isn't known, and takes note of the workers that have runs by it.
+    fn pass_over<'a>(&mut self, job: &JobId, tasks: impl Iterator<Item = &'a TaskPlan>) {
+        let named = tasks.filter(|task| task.occupies()).map(|task| &task.instance);
+        let there = named.filter(|instance| self.workers.contains_key(*instance));
+        let there: BTreeSet<InstanceId> = there.cloned().collect();
+        if !there.is_empty() {
+            log::warn!(
+                "event=J183 account passed over, its job isn't known job={job} workers={there:?}"
+            );
+            self.lacking_jobs.extend(there);
+        }
+    }
+
+    /// Returns whether an account was passed over, since the state was read as a whole, that an agent needs: its job isn't
+    /// known.
+    #[must_use]
+    pub fn lacks_job_for(&self, agent: &str) -> bool {
+        let mut agents = self.lacking_jobs.iter().filter_map(|instance| self.agent_of(instance));
+        agents.any(|known| known == agent)
+    }
+
     fn note_account_change(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get(id) else { return };
         if job.is_active() {
@@ -451,7 +479,3 @@
             && planned.instance == instance
     }
 }
-
-fn tell_passed_over(job: &JobId) {
-    log::warn!("event=J183 account passed over, its job isn't known job={job}");
-}
--- a/crates/rampbay-jobs/tests/partial_views.rs
+++ b/crates/rampbay-jobs/tests/partial_views.rs
@@ -12,10 +12,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_trait::async_trait;
 use rampbay_jobs::audience::Audience;
 use rampbay_jobs::keys::worker_key;
+use rampbay_jobs::layer::Layer;
 use rampbay_jobs::record::{KeyedRecord, Member, Record, STATE_TOPIC};
-use rampbay_jobs::store::{Batch, Store};
+use rampbay_jobs::store::{Batch, Offset, ReadError, Store};
 use rampbay_jobs::table::JobTable;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
@@ -152,6 +154,56 @@
     assert_eq!(batch.new_since(0, 1), &batch.records[passed_over..]);
 }
 
+/// An entry that passes accounts on without their jobs.
+struct WithoutJobs(Rc<ThroughEntry>);
+
+#[async_trait(?Send)]
+impl Layer for WithoutJobs {
+    fn below(&self) -> &dyn Store {
+        self.0.as_ref()
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let mut batch = Layer::read(self.0.as_ref(), topic, from, wait).await?;
+        batch.records.retain(|record| !record.key.starts_with("job/"));
+        Ok(batch)
+    }
+}
+
+/// An agent whose view has a gap can't tell what it lacks, but that it does: an account names its worker, and the job isn't
+/// known. Passed over, the run stood still for as long as the agent lived.
+#[test]
+fn account_without_its_job_makes_agent_read_anew() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let shared: Rc<dyn Store> = Rc::new(WithoutJobs(ThroughEntry::start(&store)));
+        sleep(ACTS).await;
+        let rig = AgentRig::start_over(store, shared, FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(ACTS).await;
+        seed_running_job(&rig.store, JOB, 1, WORKER);
+        sleep(ACTS).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1)]);
+    });
+}
+
+/// A gap that the state has itself can't be closed: the agent reads the state anew once a second at most.
+#[test]
+fn account_whose_job_is_nowhere_read_for_once_a_second() {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        let rig = AgentRig::start(store, FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(ACTS).await;
+        rig.store.put(&plan(WORKER, 1));
+        let before = rig.store.newest_reads.get();
+        sleep(Duration::from_secs(10)).await;
+        let reads = rig.store.newest_reads.get() - before;
+        assert!((1..=10).contains(&reads), "{reads}");
+        assert_eq!(rig.worker.running(), vec![]);
+    });
+}
+
 /// What the store answers as the newest record of each key has an order of its own: a job that was written again
 /// stands behind its account.
 #[rstest]
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -175,7 +175,7 @@
         shared: Rc<dyn Store>,
         worker: Rc<FakeWorker>,
     ) -> Self {
-        let live = LiveTable::default();
+        let live = LiveTable::of_agent(node.to_owned());
         let connected = Rc::clone(&worker);
         let host = AgentHost::new(AgentParts {
             node: node.to_owned(),
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -51,6 +51,8 @@
     held: RefCell<Vec<(String, Vec<KeyedRecord>)>>,
     /// A process whose joins hang for a while before they are carried out.
     pub hanging_candidate: RefCell<String>,
+    /// How often the newest record of each key was read.
+    pub newest_reads: Cell<usize>,
 }
 
 impl MemoryStore {
@@ -187,6 +189,7 @@
     }
 
     async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        self.newest_reads.set(self.newest_reads.get() + 1);
         tokio::time::sleep(Duration::from_millis(2)).await;
         if self.trouble.get() == Trouble::Refuses {
             return Err(ReadError::Unavailable);
--- a/crates/rampbay-scale/src/process.rs
+++ b/crates/rampbay-scale/src/process.rs
@@ -101,7 +101,10 @@
     ) -> Self {
         let Machine { place, role, settings } = machine;
         let settings = Rc::new(settings);
-        let live = LiveTable::default();
+        let live = match worker {
+            Some(_) => LiveTable::of_agent(settings.node.clone()),
+            None => LiveTable::default(),
+        };
         let connection = Connection::new(store, role);
         let routing = Rc::new(CurrentRouting::default());
         let ways = Ways::open(WaysParts {
