feat: a run that its agent doesn't take up is placed elsewhere

Now the planner counts the time for which an agent reports without a run that was assigned to its worker; after 4 s it stops the run there, which settles whether it may have begun, and places it again (J148). Time without reports doesn't count, nor does that of a run that was ever reported.

Five tests (uptake); without it the run stays assigned. Tests of rampbay-jobs pass.

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -29,6 +29,7 @@
 mod room;
 mod running;
 mod units;
+mod uptake;
 mod waits;
 mod watch;
 mod workers;
@@ -52,6 +53,7 @@
 use health::HealthBook;
 use lost::RecentlyLost;
 use pace::PaceBook;
+use uptake::UnreportedRuns;
 use waits::WaitBook;
 use workers::WorkerViews;
 
@@ -126,6 +128,8 @@
     recently_lost: RecentlyLost,
     /// Whether runs on workers that are gone have been looked for since the workers changed.
     lost_runs_checked: bool,
+    /// Assigned runs that their agents don't report.
+    unreported: UnreportedRuns,
 }
 
 /// Most workers that one line of the log names.
@@ -169,6 +173,7 @@
             watched: None,
             recently_lost: RecentlyLost::default(),
             lost_runs_checked: false,
+            unreported: UnreportedRuns::default(),
         }
     }
 
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -166,6 +166,11 @@
         }
     }
 
+    /// Returns when the latest report on a worker came.
+    pub fn reported_at(&self, instance: &str) -> Option<Instant> {
+        self.reports.get(instance).map(|report| report.received_at)
+    }
+
     /// Returns the progress of a run at a worker.
     pub fn run(&self, instance: &str, task: &TaskId, attempt: u32) -> Option<&Seen> {
         self.runs_at(instance).find(task, attempt)
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -1,4 +1,4 @@
-//! Moves runs off workers that leave, and runs that stand still.
+//! Moves runs off workers that leave, runs that stand still, and runs that no agent takes up.
 
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use super::draft::Draft;
 use super::notice::{NoticedRun, Rest};
 use super::progress::{FULL_PERCENT, Seen};
+use super::uptake::UnreportedRuns;
 use super::workers::{WorkerView, WorkerViews};
 use super::{Planner, RoundInputs};
 
@@ -53,6 +54,15 @@
                 );
                 planner.health.stalled(&task.instance, inputs.now);
                 moved.push(task_id);
+            } else if is_news && run.is_not_taken_up(&mut planner.unreported, inputs) {
+                log::warn!(
+                    "event=J148 run not taken up task={task_id} attempt={} worker={} agent={}",
+                    task.attempt,
+                    task.instance,
+                    worker.record.node
+                );
+                planner.health.stalled(&task.instance, inputs.now);
+                moved.push(task_id);
             }
         }
         for task in moved {
@@ -60,6 +70,9 @@
             draft.stop_unit(&task);
         }
     }
+    if is_news {
+        planner.unreported.forget_others();
+    }
 }
 
 /// A run that is looked at.
@@ -108,6 +121,15 @@
         !run.stays()
     }
 
+    /// Returns whether its agent goes on reporting without it.
+    fn is_not_taken_up(&self, unreported: &mut UnreportedRuns, inputs: &RoundInputs<'_>) -> bool {
+        if self.seen(inputs).is_some() {
+            return false;
+        }
+        let reported_at = inputs.progress.reported_at(&self.task.instance);
+        reported_at.is_some_and(|at| unreported.note(self.id, self.task.attempt, at))
+    }
+
     /// Returns how far it is, in percent, if it gets on no more.
     fn stands_still(&self, planner: &Planner, inputs: &RoundInputs<'_>) -> Option<u32> {
         if self.step.long_running {
--- /dev/null
+++ b/crates/rampbay-jobs/tests/uptake.rs
@@ -0,0 +1,86 @@
+//! Runs that were assigned to a worker and that its agent doesn't take up.
+//!
+//! Seen: accepted jobs had nothing running while there was room. Their tasks were assigned to a worker whose agent had
+//! passed their accounts over; it reported for 70 s, and the planner left them there.
+
+mod support;
+
+use std::time::Duration;
+
+use rampbay_jobs::account::TaskStatus;
+use rampbay_jobs::record::ProgressReport;
+use rstest::rstest;
+use support::planner::{PlannerRig, gang, progress};
+use support::{job, on_virtual_time, step, task};
+use tokio::time::{Instant, sleep};
+
+const JOB: &str = "00000000000000aa";
+const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// Lets a worker's agent report a few times, with the first task's run or without.
+async fn report(rig: &mut PlannerRig, instance: &str, times: u32, lists_run: bool) {
+    for _ in 0..times {
+        sleep(REPORT_INTERVAL).await;
+        rig.progress.note_read(Instant::now());
+        let runs = if lists_run { vec![progress(JOB, 0, 10, 500)] } else { Vec::new() };
+        rig.progress.insert(instance, ProgressReport { silent_ms: 0, runs }, Instant::now());
+        rig.plan();
+    }
+}
+
+fn rig_with_run() -> PlannerRig {
+    let mut rig = PlannerRig::of_workers(2);
+    rig.submit(job(JOB, 1, step(1, 8)));
+    rig.plan();
+    rig
+}
+
+#[rstest]
+#[case::soon_after(3, TaskStatus::Running)]
+#[case::for_long(7, TaskStatus::Stopping)]
+fn run_without_report(#[case] reports: u32, #[case] expected: TaskStatus) {
+    on_virtual_time(async {
+        let mut rig = rig_with_run();
+        let instance = rig.instance_of(&task(JOB, 0));
+        report(&mut rig, &instance, reports, false).await;
+        assert_eq!(rig.status_of(&task(JOB, 0)), expected);
+    });
+}
+
+#[test]
+fn run_that_was_reported_stays() {
+    on_virtual_time(async {
+        let mut rig = rig_with_run();
+        let instance = rig.instance_of(&task(JOB, 0));
+        report(&mut rig, &instance, 2, false).await;
+        report(&mut rig, &instance, 1, true).await;
+        report(&mut rig, &instance, 3, false).await;
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Running);
+    });
+}
+
+/// An agent that hasn't reported for a while may have had no way to hear of the run either.
+#[test]
+fn time_without_reports_not_counted() {
+    on_virtual_time(async {
+        let mut rig = rig_with_run();
+        let instance = rig.instance_of(&task(JOB, 0));
+        report(&mut rig, &instance, 2, false).await;
+        sleep(Duration::from_secs(5)).await;
+        report(&mut rig, &instance, 3, false).await;
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Running);
+    });
+}
+
+/// A gang doesn't wait for a member that never comes: it is placed again as a whole.
+#[test]
+fn gang_with_member_not_taken_up_stopped() {
+    on_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(3);
+        rig.submit(job(JOB, 1, gang(2, 8)));
+        rig.plan();
+        let instance = rig.instance_of(&task(JOB, 1));
+        report(&mut rig, &instance, 7, false).await;
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Stopping; 2]);
+    });
+}
