test: leaders are killed around a crashing task, rooms shrink under load

crashing_task_is_given_up_while_leaders_are_killed: a leader is killed 0, 0.2, 1 and 3.6 s after each start of a task that crashes its workers, while twelve other jobs come; two starts at most follow the third crash, the others succeed. no_start_beyond_shrunk_rooms_while_more_work_comes: two of eight workers shrink to 0, 1, 4 and 6 accelerators for 14 s under more work; no start goes beyond what the worker had last told, and all 60 jobs succeed.

--- a/crates/rampbay-jobs/tests/crashes.rs
+++ b/crates/rampbay-jobs/tests/crashes.rs
@@ -9,6 +9,7 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use rampbay_jobs::account::JobStatus;
@@ -18,6 +19,7 @@
 use support::site::{Site, Work};
 use support::worker::StartTrouble;
 use support::{on_virtual_time, step, table_of};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 const KILLER: &str = "00000000000000aa";
@@ -30,6 +32,8 @@
 const CRASH_IS_KNOWN: Duration = Duration::from_millis(4500);
 /// Most starts after three workers have crashed.
 const MOST_STARTS_MORE: usize = 2;
+/// Most leaders that are killed in one test.
+const MOST_LEADERS: usize = 20;
 
 /// Checks that a job was given up, and soon enough.
 fn assert_given_up(site: &Site, id: &str) {
@@ -97,6 +101,40 @@
     });
 }
 
+/// The process that leads is killed after it has had a task started that crashes its workers, again and again, while
+/// other jobs come.
+#[rstest]
+fn crashing_task_is_given_up_while_leaders_are_killed(#[values(0, 200, 1000, 3600)] after_ms: u64) {
+    on_virtual_time(async move {
+        let site = Site::start(5);
+        sleep(BEGINS).await;
+        let innocents: Vec<String> = (1..=12).map(|number| format!("{number:016x}")).collect();
+        let (coming, comes) = (Rc::clone(&site), innocents.clone());
+        spawn_local(async move {
+            for id in comes {
+                coming.submit(&id, step(2, 1), Work::Ends(Duration::from_secs(3)));
+                sleep(Duration::from_millis(900)).await;
+            }
+        });
+        site.submit(KILLER, step(1, 1), Work::Crashes(Duration::from_millis(500)));
+        let mut killed_leaders = 0;
+        while site.status(KILLER) != JobStatus::Failed && killed_leaders < MOST_LEADERS {
+            if site.starts_of(KILLER).len() > killed_leaders {
+                sleep(Duration::from_millis(after_ms)).await;
+                site.lead_anew();
+                killed_leaders += 1;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(LONG).await;
+        assert!(killed_leaders >= 3, "{killed_leaders}");
+        assert_given_up(&site, KILLER);
+        for id in &innocents {
+            assert_eq!(site.status(id), JobStatus::Succeeded, "{:?}", site.starts_of(id));
+        }
+    });
+}
+
 /// Its agent's process goes with the worker, and knows nothing of the run when it is back.
 #[test]
 fn task_that_crashes_its_machine_is_given_up() {
--- a/crates/rampbay-jobs/tests/shrinking.rs
+++ b/crates/rampbay-jobs/tests/shrinking.rs
@@ -3,27 +3,42 @@
 
 mod support;
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::account::TaskStatus;
+use rampbay_jobs::account::{JobStatus, TaskStatus};
 use rampbay_jobs::job::Resources;
 use rampbay_jobs::record::{EndReason, Leader, Record, WorkerRecord};
 use rampbay_jobs::settings::Settings;
 use rstest::rstest;
 use support::planner::PlannerRig;
+use support::site::{DEVICES, Site, Start, Work};
 use support::store::MemoryStore;
 use support::worker::{FakeWorker, StartTrouble};
 use support::{
     AgentRig, job, on_virtual_time, plan_of, running_plan, seed_running_job, settings, step,
     table_of, task, worker_record,
 };
-use tokio::time::sleep;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
 
 const JOB: &str = "00000000000000aa";
 const OTHER: &str = "00000000000000bb";
 const URGENT: &str = "00000000000000cc";
 const WORKER: &str = "i-1";
 const SETTLES: Duration = Duration::from_millis(300);
+/// Workers of a fleet, a quarter of which shrinks.
+const FLEET: usize = 8;
+/// Time from the first job to the shrinking.
+const SHRINK_AFTER: Duration = Duration::from_secs(6);
+/// Time for which rooms stay small.
+const SMALL_FOR: Duration = Duration::from_secs(14);
+/// Time in which all that was accepted can end.
+const LONG: Duration = Duration::from_secs(60);
+/// Time between two jobs.
+const GAP: Duration = Duration::from_millis(800);
+/// Time between two jobs while rooms are small.
+const SHORT_GAP: Duration = Duration::from_millis(250);
 
 /// Starts an agent whose worker, of eight accelerators, runs three tasks of one each.
 async fn running_rig() -> AgentRig {
@@ -228,3 +243,36 @@
     let settings = Settings { awareness_ms, heartbeat_ms, ..settings() };
     assert_eq!(settings.agent().room_age, Duration::from_millis(expected_ms));
 }
+
+/// Hands in jobs of eight tasks, more of them while rooms are small.
+async fn hand_in(site: Rc<Site>, ids: Vec<String>) {
+    let begins = Instant::now();
+    for id in ids {
+        site.submit(&id, step(8, 1), Work::Ends(Duration::from_secs(5)));
+        let rooms_are_small = (SHRINK_AFTER..SHRINK_AFTER + SMALL_FOR).contains(&begins.elapsed());
+        sleep(if rooms_are_small { SHORT_GAP } else { GAP }).await;
+    }
+}
+
+/// A quarter of the workers shrinks while more work comes.
+#[rstest]
+fn no_start_beyond_shrunk_rooms_while_more_work_comes(#[values(0, 1, 4, 6)] left: u64) {
+    on_virtual_time(async move {
+        let site = Site::start(FLEET);
+        sleep(SETTLES * 5).await;
+        let ids: Vec<String> = (1..=60).map(|number| format!("{number:016x}")).collect();
+        spawn_local(hand_in(Rc::clone(&site), ids.clone()));
+        sleep(SHRINK_AFTER).await;
+        let shrunk = &site.machines[..FLEET / 4];
+        shrunk.iter().for_each(|machine| machine.devices.set(left));
+        sleep(SMALL_FOR).await;
+        shrunk.iter().for_each(|machine| machine.devices.set(DEVICES));
+        sleep(LONG).await;
+        let starts = site.starts.borrow();
+        let beyond: Vec<&Start> = starts.iter().filter(|s| s.beside as u64 >= s.room).collect();
+        assert!(beyond.is_empty(), "{beyond:?}");
+        for id in &ids {
+            assert_eq!(site.status(id), JobStatus::Succeeded, "{:?}", site.starts_of(id));
+        }
+    });
+}
--- a/crates/rampbay-jobs/tests/support/site.rs
+++ b/crates/rampbay-jobs/tests/support/site.rs
@@ -22,6 +22,8 @@
 const BACK_AFTER: Duration = Duration::from_secs(3);
 /// Time between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Accelerators of a whole worker.
+pub const DEVICES: u64 = 8;
 
 /// What the tasks of a job do.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +53,8 @@
     pub at: Instant,
     /// Number of other runs there at that time.
     pub beside: usize,
+    /// Number of accelerators that the worker had last told of.
+    pub room: u64,
 }
 
 /// A machine.
@@ -62,6 +66,9 @@
     lives: Cell<u32>,
     /// When its worker leaves, once that has given notice.
     leaves_at: Cell<Option<Instant>>,
+    /// Number of its worker's accelerators, which the next heartbeat tells.
+    pub devices: Cell<u64>,
+    told_devices: Cell<u64>,
 }
 
 /// The machines, and what happened there.
@@ -90,6 +97,8 @@
                 agent: RefCell::default(),
                 lives: Cell::new(0),
                 leaves_at: Cell::new(None),
+                devices: Cell::new(DEVICES),
+                told_devices: Cell::new(DEVICES),
             })
         };
         let site = Rc::new(Self {
@@ -164,7 +173,8 @@
     fn take_start(self: &Rc<Self>, machine: &Rc<Machine>, task: &TaskId, attempt: u32) {
         let beside = machine.worker.running().len() - 1;
         let at = Instant::now();
-        let start = Start { task: task.clone(), attempt, machine: machine.index, at, beside };
+        let room = machine.told_devices.get();
+        let start = Start { task: task.clone(), attempt, machine: machine.index, at, beside, room };
         self.starts.borrow_mut().push(start);
         let Some(work) = self.works.borrow().get(&task.job).copied() else { return };
         let run = StartedRun {
@@ -240,7 +250,7 @@
     fn account(&self, instance: String, sequence: u64) -> Heartbeat {
         let leaves_in = self.leaves_at.get().map(|at| at.saturating_duration_since(Instant::now()));
         let draining = leaves_in.is_some();
-        let record = WorkerRecord { draining, ..worker_record("", "r1", 8) };
+        let record = WorkerRecord { draining, ..worker_record("", "r1", self.devices.get()) };
         Heartbeat { instance, sequence, record, remaining: leaves_in }
     }
 }
@@ -303,6 +313,7 @@
             let instance = machine.worker.instance.borrow().clone();
             if let Some(agent) = machine.agent.borrow().as_ref() {
                 agent.host.heartbeat(machine.account(instance, sequence));
+                machine.told_devices.set(machine.devices.get());
             }
         }
         sleep(HEARTBEAT).await;
