test: a leader that starts again takes its epoch from the state (red)

After a loss of power of all machines the leader's process was back before its place had lapsed. It took its epoch before it had read the state, so of the term before: above its last one or below it, by chance. Below, its first append is fenced, and nothing is started until it tries again.

--- a/crates/rampbay-jobs/tests/leader.rs
+++ b/crates/rampbay-jobs/tests/leader.rs
@@ -9,6 +9,7 @@
 use async_trait::async_trait;
 use rampbay_jobs::candidacy::Successors;
 use rampbay_jobs::record::{Leader, Record, STATE_TOPIC};
+use rstest::rstest;
 use support::leader::start_leader;
 use support::store::{MemoryStore, Trouble};
 use support::{on_virtual_time, table_of};
@@ -214,3 +215,33 @@
         assert_ne!(epochs[1].1, epochs[2].1);
     });
 }
+
+/// Time from its start until a process that finds itself in charge has said so in the state: to read the state, and two
+/// calls.
+const LEADS_AGAIN: Duration = Duration::from_millis(100);
+
+/// All machines lose power, and the leader's is back before its place has lapsed, so that its generation is the one from
+/// before. It took its epoch before it had read the state: where that was below its last one, callers waited for a third of
+/// a second, or two, until it tried again.
+#[rstest]
+#[case::of_lower_salt(2, 1)]
+#[case::of_higher_salt(1, 2)]
+fn leader_that_starts_again_takes_its_epoch_from_the_state(#[case] salt: u64, #[case] next: u64) {
+    on_virtual_time(async move {
+        let store = MemoryStore::new();
+        let first = start_leader(&store, AMPLE, salt, None);
+        sleep(Duration::from_secs(2)).await;
+        first.abort();
+        let before = table_of(&store).leader.epoch;
+        store.read_delay.set(Duration::from_millis(30));
+        start_leader(&store, AMPLE, next, None);
+        sleep(LEADS_AGAIN).await;
+        let epoch = table_of(&store).leader.epoch;
+        assert!(epoch > before, "it doesn't lead after {LEADS_AGAIN:?}");
+        assert_eq!(
+            epoch >> 20,
+            (before >> 20) + 1,
+            "the term that follows on the one in the state"
+        );
+    });
+}
