leader: the epoch is taken once the state has been read

What callers saw: after a loss of power of all machines, nothing started for a third of a second longer, once for two thirds, where the leader's process came back before its place had lapsed (the generation stays, and the log tells an epoch of the term before).

Cause: the epoch was taken beside the first read, from an empty table, so of the group's generation alone. Of one term the random low bits decide: above the last epoch the process led at once, below it its first append was fenced, and it tried again after an interval.

Why it holds: every epoch that the store has taken stands in the state as the record of its leader, in the same append. An epoch above all of them is fenced only by a leader that came meanwhile.

--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -136,6 +136,16 @@
         self.changed.send_modify(|version| *version += 1);
     }
 
+    /// Waits until the whole topic has been read once.
+    pub async fn first_read(&self) {
+        let mut changes = self.subscribe();
+        while self.age().is_none() {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Waits until records up to `offset` are taken in.
     pub async fn reach(&self, offset: Offset) {
         let mut changes = self.subscribe();
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -129,6 +129,8 @@
     mut planner: Planner,
     progress: &RefCell<ProgressTable>,
 ) -> Result<std::convert::Infallible, Deposed> {
+    // Taken before the state is read, the epoch may lie below the last leader's.
+    parts.candidate.freshness.first_read().await;
     let epoch = next_epoch(generation, parts.table.borrow().leader.epoch, parts.candidate.salt);
     let fence = Fence { writer: WRITER.to_owned(), epoch, sequence: 0 };
     let mut writer = Writer { store: parts.candidate.store.as_ref(), fence };
