fix: tasks that are kept apart leave most workers to others

Callers saw accepted jobs stand still, with most accelerators free, once many tasks had lost three workers each.

Cause: a task that has lost three workers got one of its own before all others, whatever share of the workers others like it had already. The bound of a third of all workers held only for those that had lost fewer. Losses that prove nothing about a task, such as those of power, are enough for it, and strike all tasks at once.

The bound holds for all now; beyond it such a task runs beside others, as it did where no worker was idle. What a crash takes down with it is bounded as before: a task is given up after five losses however they came about.

--- a/crates/rampbay-jobs/src/planner/isolate.rs
+++ b/crates/rampbay-jobs/src/planner/isolate.rs
@@ -1,8 +1,9 @@
 //! Keeps tasks apart that may crash their workers: on a worker of their own they take nothing with them, and a crash
 //! there has no other cause among the tasks.
 //!
-//! A worker with such a task counts as full, so nothing joins it. Where no worker is idle soon, it runs beside others
-//! all the same: something that lasts may run on each of them. From the third loss on it waits longer, and goes first.
+//! A worker with such a task counts as full, so nothing joins it. Where no worker is idle soon, or many have such tasks,
+//! it runs beside others all the same: something that lasts may run on each of them. From the third loss on it waits
+//! longer, and goes before others that are as urgent.
 
 use std::borrow::Cow;
 use std::time::Duration;
@@ -18,8 +19,8 @@
 use super::room::Rooms;
 use super::{Place, RoundInputs};
 
-/// Share of all workers that tasks may have of their own while they only prefer it, in percent: the same as gangs
-/// without room may keep others away from.
+/// Share of all workers that tasks may have of their own, in percent: the same as gangs without room may keep others
+/// away from.
 const MOST_ISOLATED_PERCENT: usize = 34;
 /// How long a task that prefers a worker of its own waits for an idle one, in milliseconds. It has waited some
 /// seconds already, until its last worker was surely gone.
@@ -102,7 +103,7 @@
     let Part { waiting, isolation } = part;
     let losses = waiting.tasks.first().and_then(|&index| losses_of(draft, &waiting.task(index)));
     let is_first = *isolation == Isolation::First;
-    if !is_first && rooms.closed() * 100 >= rooms.rooms.len() * MOST_ISOLATED_PERCENT {
+    if rooms.closed() * 100 >= rooms.rooms.len() * MOST_ISOLATED_PERCENT {
         return Tried::Beside;
     }
     let idle: Vec<Place> =
