fix: a task that is kept apart doesn't go before more urgent work

It goes first among what is as urgent now: guaranteed work, then by priority.

All tests of rampbay-jobs pass.

--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -34,12 +34,11 @@
     let mut waits = Vec::new();
     let mut rooms = Rooms::survey(planner, draft, workers, inputs);
     choose_reserve(&mut rooms);
-    let parts = waiting.iter().flat_map(|step| parts(draft, step));
-    // What has lost most goes first: it holds up nothing but an idle worker, and finds one the more rarely the busier
-    // the others are.
-    let (first, then): (Vec<Part<'_>>, Vec<Part<'_>>) =
-        parts.partition(|part| part.isolation == Isolation::First);
-    for part in first.iter().chain(&then) {
+    let mut parts: Vec<Part<'_>> = waiting.iter().flat_map(|step| parts(draft, step)).collect();
+    // What has lost most goes first among what is as urgent: it holds up nothing but an idle worker, and finds one the
+    // more rarely the busier the others are. Before more urgent work it would be stopped for that, again and again.
+    parts.sort_by_key(|part| (part.waiting.urgency(), part.isolation != Isolation::First));
+    for part in &parts {
         waits.extend(place_part(draft, &mut rooms, part, inputs));
     }
     waits
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -52,6 +52,11 @@
         self.guaranteed || self.submission.priority == 0
     }
 
+    /// Returns what it goes by before all else: less comes first.
+    pub fn urgency(&self) -> (bool, u32) {
+        (!self.guaranteed, self.submission.priority)
+    }
+
     /// Returns the expected work of the tasks that wait, in thousandths of core-seconds.
     pub fn work(&self) -> u64 {
         let weight = self.definition().demand.weight();
@@ -104,7 +109,7 @@
     let order = |step: &WaitingStep| {
         let late = step.is_late(inputs.wall);
         let work = step.aged_work(inputs.wall);
-        (!step.guaranteed, step.submission.priority, late, work, step.job.clone())
+        (step.urgency(), late, work, step.job.clone())
     };
     waiting.sort_by_cached_key(order);
     waiting
