fix: time before a run was assigned doesn't count as time without it

An agent of an idle worker reports every two seconds. The time for which it reports without a run was counted from its latest report, which may have come up to 3.5 s before the run was assigned: the run was stopped, and its worker got nothing for 5 s, as early as 1.4 s after. It counts from the look that finds the run unreported first.

time_before_assignment_not_counted fails without it in both cases (stopped 2.1 s and 1.4 s after the assignment).

--- a/crates/rampbay-jobs/src/planner/uptake.rs
+++ b/crates/rampbay-jobs/src/planner/uptake.rs
@@ -35,7 +35,7 @@
     /// reports have come without it for too long.
     pub fn note(&mut self, task: &TaskId, attempt: u32, reported_at: Instant) -> bool {
         let key = (task.clone(), attempt);
-        let first = Unreported { since: reported_at, latest: reported_at };
+        let first = Unreported { since: Instant::now(), latest: reported_at };
         let known = self.known.remove(&key).unwrap_or(first);
         let has_gap = reported_at.saturating_duration_since(known.latest) > REPORT_GAP;
         let since = if has_gap { reported_at } else { known.since };
