--- /dev/null
+++ b/crates/rampbay-jobs/tests/gaps.rs
@@ -0,0 +1,79 @@
+//! An agent whose view has a gap, while the state can't be read as a whole.
+//! Suspected: it follows nothing until it can, and so gives up what runs at its worker.
+
+mod support;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use rampbay_jobs::layer::Layer;
+use rampbay_jobs::record::{KeyedRecord, Record, STATE_TOPIC};
+use rampbay_jobs::store::{Batch, Offset, ReadError, Snapshot, Store};
+use rstest::rstest;
+use support::entry::ThroughEntry;
+use support::store::MemoryStore;
+use support::worker::FakeWorker;
+use support::{AgentRig, job, on_virtual_time, running_plan, seed_running_job, step, task};
+use tokio::time::sleep;
+
+const JOB: &str = "00000000000000aa";
+const SECOND: &str = "00000000000000bb";
+const WORKER: &str = "i-1";
+/// More than an agent takes to start or to stop a run.
+const ACTS: Duration = Duration::from_millis(800);
+/// More than an agent renews leases for without news, and than these last.
+const LAPSES: Duration = Duration::from_secs(20);
+
+/// An entry that passes accounts on without their jobs, and from some time on can't prove the state as a whole.
+struct WithoutJobs {
+    entry: Rc<ThroughEntry>,
+    has_snapshots: Cell<bool>,
+}
+
+#[async_trait(?Send)]
+impl Layer for WithoutJobs {
+    fn below(&self) -> &dyn Store {
+        self.entry.as_ref()
+    }
+
+    async fn read(&self, topic: &str, from: Offset, wait: Duration) -> Result<Batch, ReadError> {
+        let mut batch = Layer::read(self.entry.as_ref(), topic, from, wait).await?;
+        let is_job = |record: &KeyedRecord| record.key.starts_with("job/");
+        batch.records.retain(|record| !is_job(record));
+        Ok(batch)
+    }
+
+    async fn newest(&self, topic: &str) -> Result<Snapshot, ReadError> {
+        if topic == STATE_TOPIC && !self.has_snapshots.get() {
+            return Err(ReadError::Unavailable);
+        }
+        self.below().newest(topic).await
+    }
+}
+
+/// The run that the agent has goes on, whatever else it lacks: its peer still passes on what comes.
+#[rstest]
+#[case::no_gap(false)]
+#[case::gap(true)]
+fn run_goes_on_while_state_cannot_be_read(#[case] has_gap: bool) {
+    on_virtual_time(async {
+        let store = MemoryStore::new();
+        seed_running_job(&store, JOB, 1, WORKER);
+        let entry = ThroughEntry::start(&store);
+        let ways = Rc::new(WithoutJobs { entry, has_snapshots: Cell::new(true) });
+        sleep(ACTS).await;
+        let rig = AgentRig::start_over(store, ways.clone(), FakeWorker::new(WORKER));
+        rig.heartbeat(WORKER, 1);
+        sleep(ACTS).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1)]);
+        ways.has_snapshots.set(false);
+        if has_gap {
+            rig.store.put(&Record::Submitted(Box::new(job(SECOND, 1, step(1, 1)))));
+            rig.store.put(&Record::Plan(SECOND.to_owned(), Box::new(running_plan(1, WORKER, 1))));
+        }
+        sleep(LAPSES).await;
+        assert_eq!(rig.worker.running(), vec![(task(JOB, 0), 1)]);
+    });
+}
