fix: what is written about a job or a worker isn't divided between appends

Callers could see a job that had succeeded begin anew, and its tasks run again after ends that were taken note of.

Cause: a round's records are divided into appends of 512 kB. Only a job's account was kept whole; the removal of an ended job is that of its account and then that of the job, and a leader that went between the two left a job without an account, which the next one takes for new. The same division could leave a worker's removal without the end of its registrations.

Consecutive records about one job or one worker now stay in one append, as those of an account did.

Not shown: that it has ever happened; it takes a round of 512 kB and a loss of the leader between two appends of it.

--- a/crates/rampbay-jobs/src/keys.rs
+++ b/crates/rampbay-jobs/src/keys.rs
@@ -66,6 +66,18 @@
     key.strip_prefix("plan/").or_else(part)
 }
 
+/// Returns the job or the worker that the record under a key is about; `None` where it is about neither.
+#[must_use]
+pub fn subject(key: &str) -> Option<&str> {
+    let (kind, name) = key.split_once('/')?;
+    match kind {
+        "job" | "cancel" | "losses" | "over" | "life" => Some(name),
+        "plan" | "part" => account_job(key),
+        "worker" | "evicted" => Some(split_worker_key(key).0),
+        _ => None,
+    }
+}
+
 /// Returns the key of what a job has lost.
 #[must_use]
 pub fn losses_key(job: &str) -> String {
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::Moment;
 use crate::job::NodeName;
-use crate::keys::account_job;
+use crate::keys::subject;
 use crate::record::{KeyedRecord, PROGRESS_TOPIC};
 
 /// Offset of a record in its topic.
@@ -18,17 +18,17 @@
 /// by number would bind what a slow store takes: 64 records an append were 270 a second at one 60 times slower.
 pub const BYTES_PER_APPEND: usize = 512 << 10;
 
-/// Divides records into appends, each of [`BYTES_PER_APPEND`] at most, of a single record, or of the end of a job's account:
-/// whoever leads next must not find half of a gang started. The account of 20,000 tasks takes 0.8 MB, and the store two
-/// megabytes a call.
+/// Divides records into appends, each of [`BYTES_PER_APPEND`] at most, of a single record, or of the last records about one
+/// job or worker: whoever leads next must not find half of a gang started, nor a job that begins anew since its account alone
+/// was removed. The account of 20,000 tasks takes 0.8 MB, and the store two megabytes a call.
 pub fn appends(records: &[KeyedRecord]) -> impl Iterator<Item = &[KeyedRecord]> {
     let mut bytes = 0;
     records.chunk_by(move |before, next| {
         bytes = if bytes == 0 { before.size() } else { bytes };
         bytes += next.size();
-        let account = account_job(&before.key);
-        let is_one_account = account.is_some() && account == account_job(&next.key);
-        let fits = bytes <= BYTES_PER_APPEND || is_one_account;
+        let about = subject(&before.key);
+        let is_about_one = about.is_some() && about == subject(&next.key);
+        let fits = bytes <= BYTES_PER_APPEND || is_about_one;
         bytes = if fits { bytes } else { 0 };
         fits
     })
--- a/crates/rampbay-jobs/tests/removals.rs
+++ b/crates/rampbay-jobs/tests/removals.rs
@@ -1,5 +1,8 @@
 //! Jobs that are removed from the store some time after their end.
-//! Suspected: a removal that is divided between two appends leaves a job without its account, which begins anew.
+//!
+//! Found in a review: a job that had ended could begin anew, and its tasks run again after ends that were kept. The removals
+//! of its account and of the job are records of their own, and a round of more than 512 kB was divided between them. A
+//! leader that went between the two appends left a job without an account.
 
 mod support;
 
