fix: an agent that can't close a gap goes on with what it has

What ran at an agent's worker lapsed when its view had a gap and the state couldn't be read as a whole for some seconds: it followed nothing more until it could, though its peer passed on all that came.

A read to close a gap is tried for 2 s, every 3 s at most, and between two of them the view is followed on. Where records are gone, the state has to be read as a whole as before.

--- a/crates/rampbay-jobs/src/follower.rs
+++ b/crates/rampbay-jobs/src/follower.rs
@@ -15,8 +15,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after reads that failed again and again.
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(400);
-/// Least time between two reads of a whole topic to close a gap. One that the topic has itself stays.
-const GAP_PAUSE: Duration = Duration::from_millis(1000);
+/// Longest time for a read of a whole topic to close a gap. The view isn't advanced meanwhile.
+const GAP_READ_TIME: Duration = Duration::from_millis(2000);
+/// Least time between two such reads. A gap that the topic has itself stays.
+const GAP_PAUSE: Duration = Duration::from_millis(3000);
 
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
@@ -62,17 +64,20 @@
     let mut reloads = true;
     let mut pause = RETRY_PAUSE;
     let mut reachable = true;
-    let mut closed_gap: Option<Instant> = None;
+    let mut gap_read_at: Option<Instant> = None;
     loop {
         let started = Instant::now();
         // The first read after a failure doesn't wait: it shows how current the view is.
         let wait = if reachable { pace.wait } else { Duration::ZERO };
+        let closes_gap = sink.has_gap() && gap_read_at.is_none_or(|at| at.elapsed() >= GAP_PAUSE);
         let read = async {
             if reloads {
-                reload(store.as_ref(), topic, pace.wait, &freshness, &mut sink).await
-            } else {
-                advance(store.as_ref(), topic, wait, &freshness, &mut sink).await
+                return reload(store.as_ref(), topic, pace.wait, &freshness, &mut sink).await;
             }
+            if closes_gap && close_gap(store.as_ref(), topic, pace, &freshness, &mut sink).await {
+                return Ok(());
+            }
+            advance(store.as_ref(), topic, wait, &freshness, &mut sink).await
         };
         let result = tokio::select! {
             result = read => result,
@@ -82,18 +87,16 @@
                 continue;
             }
         };
+        if closes_gap {
+            gap_read_at = Some(Instant::now());
+        }
         match result {
             Ok(()) => {
                 if !reachable {
                     log::info!("event=J101 store regained topic={topic}");
                 }
                 reachable = true;
-                reloads = sink.has_gap() && closed_gap.is_none_or(|at| at.elapsed() >= GAP_PAUSE);
-                if reloads {
-                    let position = freshness.position();
-                    log::warn!("event=J184 view has a gap topic={topic} position={position}");
-                    closed_gap = Some(Instant::now());
-                }
+                reloads = false;
                 sink.read();
                 pause = RETRY_PAUSE;
                 tokio::time::sleep_until(started + pace.gap).await;
@@ -117,6 +120,20 @@
     }
 }
 
+/// Reads the whole topic to close a gap in the view. Returns whether it could be read: if not, the view is followed on as it
+/// is, and with it all that it doesn't lack.
+async fn close_gap(
+    store: &dyn Store,
+    topic: &str,
+    pace: Pace,
+    freshness: &Freshness,
+    sink: &mut impl Sink,
+) -> bool {
+    log::warn!("event=J184 view has a gap topic={topic} position={}", freshness.position());
+    let read = reload(store, topic, pace.wait, freshness, sink);
+    tokio::time::timeout(GAP_READ_TIME, read).await.is_ok_and(|outcome| outcome.is_ok())
+}
+
 fn age_ms(freshness: &Freshness) -> i128 {
     freshness.age().map_or(-1, |age| age.as_millis() as i128)
 }
--- a/crates/rampbay-jobs/tests/gaps.rs
+++ b/crates/rampbay-jobs/tests/gaps.rs
@@ -1,5 +1,7 @@
 //! An agent whose view has a gap, while the state can't be read as a whole.
-//! Suspected: it follows nothing until it can, and so gives up what runs at its worker.
+//!
+//! Found in a review: it followed nothing until it could, and what ran at its worker lapsed, though its peer still passed on all
+//! that came.
 
 mod support;
 
--- a/crates/rampbay-jobs/tests/partial_views.rs
+++ b/crates/rampbay-jobs/tests/partial_views.rs
@@ -187,9 +187,9 @@
     });
 }
 
-/// A gap that the state has itself can't be closed: the agent reads the state anew once a second at most.
+/// A gap that the state has itself can't be closed: the agent reads the state anew every three seconds at most.
 #[test]
-fn account_whose_job_is_nowhere_read_for_once_a_second() {
+fn account_whose_job_is_nowhere_read_for_now_and_then() {
     on_virtual_time(async {
         let store = MemoryStore::new();
         let rig = AgentRig::start(store, FakeWorker::new(WORKER));
@@ -199,7 +199,7 @@
         let before = rig.store.newest_reads.get();
         sleep(Duration::from_secs(10)).await;
         let reads = rig.store.newest_reads.get() - before;
-        assert!((1..=10).contains(&reads), "{reads}");
+        assert!((1..=4).contains(&reads), "{reads}");
         assert_eq!(rig.worker.running(), vec![]);
     });
 }
--- a/crates/rampbay-jobs/tests/passed_over.rs
+++ b/crates/rampbay-jobs/tests/passed_over.rs
@@ -1,5 +1,5 @@
 //! Accounts that an agent passes over, since their jobs aren't known to it.
-//! Suspected: an agent that the account doesn't concern reads the state anew, or one goes on doing so for ever.
+//! An agent that such an account doesn't concern goes on as before, and one that it does concern reads the state anew once.
 
 mod support;
 
