--- a/crates/rampbay-scale/src/process.rs
+++ b/crates/rampbay-scale/src/process.rs
@@ -156,11 +156,21 @@
         wall_clock,
         settings: settings.agent(),
     });
+    let _lives = Lives(Rc::clone(&host));
     let agent = Agent { store: Rc::clone(&ways.store), live, host: Rc::clone(&host) };
     let beats = send_heartbeats(place, &settings, host);
     tokio::join!(ways.maintain(), agent.run(), beats);
 }
 
+/// Ends the lives that an agent serves, which have tasks of their own, with its process.
+struct Lives(Rc<AgentHost>);
+
+impl Drop for Lives {
+    fn drop(&mut self) {
+        self.0.abandon();
+    }
+}
+
 async fn send_heartbeats(place: usize, settings: &Settings, host: Rc<AgentHost>) {
     let instance: InstanceId = format!("worker-{place}");
     let record = WorkerRecord {
--- a/crates/rampbay-scale/tests/restarts.rs
+++ b/crates/rampbay-scale/tests/restarts.rs
@@ -111,3 +111,27 @@
         assert_eq!(fleet.load.take().calls_for(Purpose::Snapshot), 0);
     });
 }
+
+/// Most time until jobs are done that were handed in as everything was killed, beside the 3 s of their runs.
+const LATE: Duration = Duration::from_millis(500);
+
+/// Everything is killed again and again while jobs are handed in. Killed agents that went on in the model stopped the
+/// runs of their successors: no job was ever done.
+#[rstest]
+fn jobs_done_after_each_kill_of_everything(#[values(63, 240)] machines: usize) {
+    time::run(async {
+        let mut fleet = Fleet::start(Size::of(machines)).await;
+        sleep(REST).await;
+        for round in 0..3 {
+            let ids = [format!("{round:015x}a"), format!("{round:015x}b")];
+            fleet.submit(&ids[0], 3, 1).await;
+            fleet.kill(|_| true);
+            sleep(Duration::from_millis(400) * round).await;
+            fleet.restart().await;
+            fleet.submit(&ids[1], 3, 1).await;
+            let are_done = |fleet: &Fleet| ids.iter().all(|id| fleet.is_done(id));
+            let done = fleet.until(REST, are_done).await;
+            assert!(done.is_some_and(|done| done < Duration::from_secs(3) + LATE), "{done:?}");
+        }
+    });
+}
