--- a/crates/rampbay-jobs/src/planner/isolate.rs
+++ b/crates/rampbay-jobs/src/planner/isolate.rs
@@ -67,19 +67,24 @@
     draft.losses(&id)?.0.get(&unit)
 }
 
-/// Returns whether nothing may join a run at its worker.
-pub fn is_isolated(
+/// Returns how far a run is kept apart from others at its worker.
+pub fn isolation_of_run(
     draft: &Draft<'_>,
     task: &TaskId,
     attempt: u32,
     inputs: &RoundInputs<'_>,
-) -> bool {
-    let Some(losses) = losses_of(draft, task) else { return false };
+) -> Isolation {
+    let Some(losses) = losses_of(draft, task) else { return Isolation::None };
     let instance =
         draft.plan(&task.job).and_then(|plan| plan.task(task)).map(|known| &known.instance);
     let seen = instance.and_then(|instance| inputs.progress.run(instance, task, attempt));
     let is_young = seen.is_none_or(|seen| seen.first_seen.elapsed() < ISOLATED_FOR);
-    losses.isolation() != Isolation::None && is_young
+    if is_young { losses.isolation() } else { Isolation::None }
+}
+
+/// Returns whether one more worker may be kept from others.
+pub fn may_close_more(rooms: &Rooms) -> bool {
+    rooms.closed() * 100 < rooms.rooms.len() * MOST_ISOLATED_PERCENT
 }
 
 /// What came of the try to place tasks apart from others.
@@ -103,7 +108,7 @@
     let Part { waiting, isolation } = part;
     let losses = waiting.tasks.first().and_then(|&index| losses_of(draft, &waiting.task(index)));
     let is_first = *isolation == Isolation::First;
-    if rooms.closed() * 100 >= rooms.rooms.len() * MOST_ISOLATED_PERCENT {
+    if !may_close_more(rooms) {
         return Tried::Beside;
     }
     let idle: Vec<Place> =
