Revert "planner: a loss of power keeps no task apart from others"

It took every loss with three workers or more gone within a second for a loss of power, and kept nothing apart for it. Where several tasks crash their workers that is so again and again: the tasks at fault ran beside others, and innocent jobs were shown as failed after five losses.

--- a/crates/rampbay-jobs/src/losses.rs
+++ b/crates/rampbay-jobs/src/losses.rs
@@ -70,7 +70,7 @@
     pub attempt: u32,
     /// The worker's life.
     pub instance: InstanceId,
-    /// The worker's agent, or the worker where that isn't known; empty where the loss has a common cause with others.
+    /// The worker's agent.
     pub node: NodeName,
     /// When the leader learned of it.
     pub at: EpochMillis,
@@ -85,14 +85,9 @@
 
 impl LostRun {
     /// Takes note that other workers went at the same moment: the cause isn't at the worker.
-    pub fn excuse(&mut self) {
+    pub const fn excuse(&mut self) {
         self.is_proof = false;
         self.was_youngest = false;
-        self.node.clear();
-    }
-
-    const fn is_excused(&self) -> bool {
-        self.node.is_empty()
     }
 }
 
@@ -163,12 +158,10 @@
     }
 
     /// Returns how far the unit is to be kept apart in its next run. After a single loss only what was started last
-    /// is: of many innocents that a crash takes down, each would take a worker of its own. So would all that a loss of
-    /// power takes down: what has a common cause keeps nothing apart.
+    /// is: of many innocents that a crash takes down, each would take a worker of its own.
     #[must_use]
     pub fn isolation(&self) -> Isolation {
-        let suspect: Vec<&LostRun> = self.0.iter().filter(|lost| !lost.is_excused()).collect();
-        match suspect.as_slice() {
+        match self.0.as_slice() {
             [] => Isolation::None,
             [only] if !only.was_youngest => Isolation::None,
             [_] | [_, _] => Isolation::Preferred,
--- a/crates/rampbay-jobs/src/planner/lost.rs
+++ b/crates/rampbay-jobs/src/planner/lost.rs
@@ -51,7 +51,7 @@
 }
 
 /// Takes runs on workers that are gone as over, and counts each against its task.
-pub fn give_up_lost_runs(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+pub fn give_up_lost_runs(planner: &Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
     forgive(draft, inputs);
     let mut by_worker: BTreeMap<InstanceId, Vec<Lost>> = BTreeMap::new();
     for id in &inputs.table.active {
@@ -59,7 +59,6 @@
             by_worker.entry(lost.instance.clone()).or_default().push(lost);
         }
     }
-    note_gone(planner, &by_worker, inputs);
     for (instance, lost) in &by_worker {
         for run in lost {
             log_given_up(run, lost.len() - 1, inputs);
@@ -74,20 +73,6 @@
     }
 }
 
-/// Takes note of workers that went without notice before this planner knew them: a loss of power takes its predecessor
-/// with them.
-fn note_gone(
-    planner: &mut Planner,
-    lost: &BTreeMap<InstanceId, Vec<Lost>>,
-    inputs: &RoundInputs<'_>,
-) {
-    let lives_over = &inputs.table.lives_over;
-    let gave_notice =
-        |instance: &InstanceId| lives_over.get(instance).is_some_and(|over| over.gave_notice);
-    let gone = lost.keys().filter(|instance| !gave_notice(instance));
-    planner.recently_lost.note(gone.cloned(), inputs.now);
-}
-
 fn lost_runs(draft: &Draft<'_>, id: &JobId) -> Vec<Lost> {
     let Some(plan) = draft.plan(id) else { return Vec::new() };
     let is_lost =
@@ -149,7 +134,7 @@
     }
     let begun = over.and_then(|over| over.runs.as_deref());
     let youngest = begun.and_then(|runs| youngest_age_ms(draft, runs));
-    let node = inputs.table.agent_of(instance).unwrap_or(instance).clone();
+    let node = inputs.table.agent_of(instance).cloned().unwrap_or_default();
     let may_have_begun = |run: &&Lost| begun.is_none_or(|runs| find(runs, run).is_some());
     let begun_here: Vec<&Lost> = lost.iter().filter(may_have_begun).collect();
     let units: BTreeSet<(JobId, UnitKey)> =
