refactor: why runs are held back is found where they are ordered

The log line was worked out by a second walk over all wanted runs at each change of the view, beside the two that order them. Now what holds back all runs is asked first, and what holds back one comes out of the walk that starts them. The same lines; tests of rampbay-jobs pass.

--- a/crates/rampbay-jobs/src/agent/life.rs
+++ b/crates/rampbay-jobs/src/agent/life.rs
@@ -79,8 +79,8 @@
     pub(super) number: Cell<Option<RegistrationNumber>>,
     /// Whether the state held the worker when it was looked at last.
     pub(super) was_registered: Cell<bool>,
-    /// Why wanted runs weren't ordered when that was looked at last.
-    pub(super) held_back: Cell<Option<HeldBack>>,
+    /// Why wanted runs are held back, as the log was told last.
+    pub(super) told_held_back: Cell<Option<HeldBack>>,
     sequence: Cell<u64>,
     /// When it was taken to leave. Its leases are never renewed again.
     left_at: Cell<Option<Instant>>,
@@ -122,7 +122,7 @@
             kept_number: Cell::new(None),
             number: Cell::new(None),
             was_registered: Cell::new(false),
-            held_back: Cell::new(None),
+            told_held_back: Cell::new(None),
             sequence: Cell::new(0),
             left_at: Cell::new(left_at),
             said_goodbye: Cell::new(false),
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -11,6 +11,7 @@
 use crate::worker::{Refusal, StartOrder, Started, WorkerError};
 
 use super::ends::PendingEnd;
+use super::held_back::HeldBack;
 use super::life::{Life, LifeEnd};
 use super::room::Fit;
 use super::runs::{Phase, Run, RunKey};
@@ -39,30 +40,30 @@
         let mut changes = self.parts.freshness.subscribe();
         while !self.is_over() {
             changes.borrow_and_update();
-            self.tell_held_back();
+            let mut held_back = self.held_back();
             if self.listed.get() && self.parts.freshness.age().is_some() {
                 self.settle_given_up();
-                if self.is_registered() && !self.is_evicted() {
-                    self.start_wanted();
-                }
+                held_back = held_back.or_else(|| self.start_wanted());
                 self.take_up_unknown_stops();
                 self.stop_unwanted();
             }
+            self.tell_held_back(held_back);
             let _ = tokio::time::timeout(LOOK_INTERVAL, changes.changed()).await;
         }
     }
 
-    fn start_wanted(self: &Rc<Self>) {
-        if !self.parts.freshness.is_within(self.parts.settings.start_age) {
-            return;
-        }
+    /// Starts what the table wants. Returns why some of it has to wait, if it does.
+    fn start_wanted(self: &Rc<Self>) -> Option<HeldBack> {
+        let mut held_back = None;
         for wanted in self.wanted() {
             if self.has_other_attempt(&wanted.key) {
+                held_back = Some(HeldBack::OtherAttempt);
                 continue;
             }
             let is_kept_off = self.is_draining() || self.is_in_drained_domain();
             let fit = self.room_for(&wanted.key);
             if fit == Fit::Unknown {
+                held_back = Some(HeldBack::UnknownRoom);
                 continue;
             }
             if is_kept_off || fit == Fit::No {
@@ -75,11 +76,12 @@
             let life = Rc::clone(self);
             tokio::task::spawn_local(async move { life.start(wanted).await });
         }
+        held_back
     }
 
     /// Returns whether another attempt of a task may run here still. It is looked at again once that has ended:
     /// two attempts at one worker are two runs of the task.
-    pub(super) fn has_other_attempt(&self, key: &RunKey) -> bool {
+    fn has_other_attempt(&self, key: &RunKey) -> bool {
         let runs = self.runs.borrow();
         let mut others =
             runs.open.keys().filter(|(task, attempt)| *task == key.0 && *attempt != key.1);
--- a/crates/rampbay-jobs/src/agent/room.rs
+++ b/crates/rampbay-jobs/src/agent/room.rs
@@ -44,14 +44,6 @@
         Fit::No
     }
 
-    /// Returns whether it can't be told yet if a run fits: [`Fit::Unknown`].
-    pub(super) fn is_room_unknown(&self, key: &RunKey) -> bool {
-        let table = self.parts.table.borrow();
-        let runs = self.runs.borrow();
-        let is_known = |held: &RunKey| charge_of(&table, &held.0).is_some();
-        self.account_heard.get().is_none() || !runs.beside(key).all(is_known)
-    }
-
     /// Returns what to take the room for while there is no young account of the worker. What the state says of it may be
     /// of any age: an earlier process of this machine wrote it.
     fn fit_without_account(&self) -> Option<Fit> {
