--- a/crates/rampbay-jobs/src/planner/isolate.rs
+++ b/crates/rampbay-jobs/src/planner/isolate.rs
@@ -1,9 +1,8 @@
 //! Keeps tasks apart that may crash their workers: on a worker of their own they take nothing with them, and a crash
 //! there has no other cause among the tasks.
 //!
-//! A worker with such a task counts as full, so nothing joins it. Where no worker is idle soon, or many have such tasks,
-//! it runs beside others all the same: something that lasts may run on each of them. From the third loss on it waits
-//! longer, and goes before others that are as urgent.
+//! A worker with such a task counts as full, so nothing joins it. Where no worker is idle soon, it runs beside others
+//! all the same: something that lasts may run on each of them. From the third loss on it waits longer, and goes first.
 
 use std::borrow::Cow;
 use std::time::Duration;
@@ -19,8 +18,8 @@
 use super::room::Rooms;
 use super::{Place, RoundInputs};
 
-/// Share of all workers that tasks may have of their own, in percent: the same as gangs without room may keep others
-/// away from.
+/// Share of all workers that tasks may have of their own while they only prefer it, in percent: the same as gangs
+/// without room may keep others away from.
 const MOST_ISOLATED_PERCENT: usize = 34;
 /// How long a task that prefers a worker of its own waits for an idle one, in milliseconds. It has waited some
 /// seconds already, until its last worker was surely gone.
@@ -67,24 +66,19 @@
     draft.losses(&id)?.0.get(&unit)
 }
 
-/// Returns how far a run is kept apart from others at its worker.
-pub fn isolation_of_run(
+/// Returns whether nothing may join a run at its worker.
+pub fn is_isolated(
     draft: &Draft<'_>,
     task: &TaskId,
     attempt: u32,
     inputs: &RoundInputs<'_>,
-) -> Isolation {
-    let Some(losses) = losses_of(draft, task) else { return Isolation::None };
+) -> bool {
+    let Some(losses) = losses_of(draft, task) else { return false };
     let instance =
         draft.plan(&task.job).and_then(|plan| plan.task(task)).map(|known| &known.instance);
     let seen = instance.and_then(|instance| inputs.progress.run(instance, task, attempt));
     let is_young = seen.is_none_or(|seen| seen.first_seen.elapsed() < ISOLATED_FOR);
-    if is_young { losses.isolation() } else { Isolation::None }
-}
-
-/// Returns whether one more worker may be kept from others.
-pub fn may_close_more(rooms: &Rooms) -> bool {
-    rooms.closed() * 100 < rooms.rooms.len() * MOST_ISOLATED_PERCENT
+    losses.isolation() != Isolation::None && is_young
 }
 
 /// What came of the try to place tasks apart from others.
@@ -108,7 +102,7 @@
     let Part { waiting, isolation } = part;
     let losses = waiting.tasks.first().and_then(|&index| losses_of(draft, &waiting.task(index)));
     let is_first = *isolation == Isolation::First;
-    if !may_close_more(rooms) {
+    if !is_first && rooms.closed() * 100 >= rooms.rooms.len() * MOST_ISOLATED_PERCENT {
         return Tried::Beside;
     }
     let idle: Vec<Place> =
--- a/crates/rampbay-jobs/src/planner/room.rs
+++ b/crates/rampbay-jobs/src/planner/room.rs
@@ -1,18 +1,16 @@
 //! Free room of all workers during a round.
 
-use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use crate::account::TaskStatus;
 use crate::job::{InstanceId, JobId, Resources, Step, Submission, TaskId};
-use crate::losses::Isolation;
 use crate::record::WorkerRecord;
 
 use super::draft::Draft;
 use super::drain::keeps_off;
 use super::exhausted::Exhausted;
-use super::isolate::{isolation_of_run, may_close_more};
+use super::isolate::is_isolated;
 use super::pace::MachineSpeed;
 use super::running::RunningTask;
 use super::units::Units;
@@ -106,8 +104,8 @@
         for id in &inputs.table.active {
             let Some(submission) = draft.submission(id) else { continue };
             survey.charge_job(draft, id, &submission, workers);
+            survey.close_for_job(draft, id, workers, inputs);
         }
-        survey.close_isolated(draft, workers, inputs);
         for place in 0..survey.rooms.len() {
             let freed = std::mem::take(&mut survey.rooms[place].freed_soon);
             survey.free_soon(place, &freed);
@@ -167,31 +165,21 @@
         self.rooms[place].freed_soon.give_less(held, &mut self.owed[place]);
     }
 
-    /// Closes workers where runs are kept apart from others, up to the most that may be: first those whose runs have lost
-    /// most, and of these the ones with the fewest others.
-    fn close_isolated(
+    /// Closes the workers where runs of a job are kept apart from others.
+    fn close_for_job(
         &mut self,
         draft: &Draft<'_>,
+        id: &JobId,
         workers: &WorkerViews<'_>,
         inputs: &RoundInputs<'_>,
     ) {
-        let mut isolated: BTreeMap<Place, Isolation> = BTreeMap::new();
-        for id in inputs.table.active.iter().filter(|id| draft.losses(id).is_some()) {
-            let Some(plan) = draft.plan(id) else { continue };
-            for (task_id, task) in plan.tasks(id).filter(|(_, task)| task.occupies()) {
-                let Some(place) = workers.place(&task.instance) else { continue };
-                let known = isolated.entry(place).or_default();
-                *known = (*known).max(isolation_of_run(draft, &task_id, task.attempt, inputs));
-            }
+        if draft.losses(id).is_none() {
+            return;
         }
-        isolated.retain(|_, isolation| *isolation != Isolation::None);
-        let mut places: Vec<(Place, Isolation)> = isolated.into_iter().collect();
-        places.sort_by_key(|&(place, isolation)| (Reverse(isolation), self.runs[place]));
-        for (place, _) in places {
-            if !may_close_more(self) {
-                break;
-            }
-            self.closed[place] = true;
+        let Some(plan) = draft.plan(id) else { return };
+        for (task_id, task) in plan.tasks(id).filter(|(_, task)| task.occupies()) {
+            let Some(place) = workers.place(&task.instance) else { continue };
+            self.closed[place] |= is_isolated(draft, &task_id, task.attempt, inputs);
         }
     }
 
