--- a/crates/rampbay-jobs/tests/apart.rs
+++ b/crates/rampbay-jobs/tests/apart.rs
@@ -1,9 +1,8 @@
 //! Tasks that are kept apart from others, since workers went while they ran.
 //!
 //! Seen: after three losses of power of all machines, accepted jobs stood still for as long as anybody looked, while most
-//! accelerators were free. Each worker held a task of its own that nothing might join, and an urgent job stopped one of
-//! them again and again: it was placed before the urgent job each time. The first
-//! half of it is in `power_losses`.
+//! accelerators were free. Each worker held a task of its own that nothing might join (`power_losses`), and an urgent job
+//! stopped one of them again and again: it was placed before the urgent job each time.
 
 mod support;
 
