test: a run that isn't taken up is placed elsewhere once it is stopped

Now one plays on: both agents report, the run's end as not started comes, and it runs at the other worker.

--- a/crates/rampbay-jobs/tests/uptake.rs
+++ b/crates/rampbay-jobs/tests/uptake.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use rampbay_jobs::account::TaskStatus;
-use rampbay_jobs::record::ProgressReport;
+use rampbay_jobs::record::{EndReason, ProgressReport};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
 use support::{job, on_virtual_time, step, task};
@@ -47,6 +47,24 @@
     });
 }
 
+#[test]
+fn run_not_taken_up_placed_elsewhere_once_stopped() {
+    on_virtual_time(async {
+        let mut rig = rig_with_run();
+        let instance = rig.instance_of(&task(JOB, 0));
+        for _ in 0..7 {
+            for other in ["i-0", "i-1"] {
+                rig.progress.insert(other, ProgressReport::default(), Instant::now());
+            }
+            report(&mut rig, &instance, 1, false).await;
+        }
+        rig.end(&task(JOB, 0), EndReason::NotStarted);
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), TaskStatus::Running);
+        assert_ne!(rig.instance_of(&task(JOB, 0)), instance);
+    });
+}
+
 #[test]
 fn run_that_was_reported_stays() {
     on_virtual_time(async {
