test: the first incarnations of the random plays have the id that later ones keep

Site::start named a machine's first incarnation i-N-0, and restart_worker the next ones i-N~..., which is another id. A worker answers 421 to an order that names another id, but the fake worker's late calls skip that check, so the plays tried a case that can't occur and, for the first restart of each worker, not the one that can. All incarnations of a play now share an id, as the plays' head says.

--- a/crates/rampbay-jobs/tests/support/site.rs
+++ b/crates/rampbay-jobs/tests/support/site.rs
@@ -94,7 +94,7 @@
         let machine = |index: usize| {
             Rc::new(Machine {
                 index,
-                worker: FakeWorker::new(&format!("i-{index}-0")),
+                worker: FakeWorker::new(&format!("i-{index}~0")),
                 agent: RefCell::default(),
                 incarnation: Cell::new(0),
                 leaves_at: Cell::new(None),
