fix: a task whose start got no answer starts nowhere but where that start is rejected

What callers saw: a task ran twice at once.

Cause: the planner took a refusal by the previous incarnation, or that incarnation's end, as proof that the start is over. It proves that for the one incarnation only. The next one has seen no fencing token and no stop, and the order's deadline is by the clock of the previous one. When the successor didn't answer, the agent waited for the end of the leases, which are by that clock as well.

Fix: the agent records a start without a definite answer in the store, in the same append as the end that lets the planner start the task again, or as the end of the incarnation. Until the start can't be carried out any more and its run can't go on by the lease that it carries (12.5 s after it was sent, and a lease), the planner starts the task only at the incarnation that certainly rejects the start. If that incarnation ends, a run there ends with it, so the late start can't run beside it. An agent that stops the run at the next incarnation under the same id moves the record to that one; an incarnation with another id rejects the order by itself, and the record is dropped. All other tasks move at once, as before.

The agent alone can't keep this: `unreached_life_starts_nothing` moves the task by hand through the store, past the planner, and cuts the new incarnation off; a start that is under way can't be called back.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -16,6 +16,7 @@
 mod runs;
 mod stops;
 mod successor;
+mod unanswered;
 
 use std::cell::RefCell;
 use std::cmp::Ordering;
@@ -23,6 +24,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::freshness::Freshness;
 use crate::job::{EpochMillis, InstanceId, NodeName};
 use crate::record::{KeyedRecord, WorkerRecord, encode};
@@ -56,6 +59,8 @@
     pub idle_report_interval: Duration,
     /// How long an unanswered start may take to appear among the worker's runs.
     pub unanswered_start_timeout: Duration,
+    /// Longest time after which a call that got no answer is still carried out.
+    pub max_call_delay: Duration,
 }
 
 /// Creates a client for an incarnation of the worker, given its address and its id.
@@ -105,6 +110,7 @@
 /// All incarnations of the worker that one process serves.
 pub struct AgentHost {
     parts: Rc<AgentParts>,
+    started_at: Instant,
     incarnations: RefCell<BTreeMap<InstanceId, Rc<Incarnation>>>,
     /// Incarnations that have ended for good, the latest last: delayed heartbeats of theirs may
     /// still arrive.
@@ -125,6 +131,7 @@
     pub fn new(parts: AgentParts) -> Rc<Self> {
         Rc::new(Self {
             parts: Rc::new(parts),
+            started_at: Instant::now(),
             incarnations: RefCell::default(),
             ended: RefCell::default(),
         })
@@ -218,8 +225,9 @@
             return Rc::clone(incarnation);
         }
         let worker = (self.parts.connect)(&record.address, instance);
+        let parts = Rc::clone(&self.parts);
         let incarnation =
-            Incarnation::new(Rc::clone(&self.parts), instance.to_owned(), record.clone(), worker);
+            Incarnation::new(parts, self.started_at, instance.to_owned(), record.clone(), worker);
         self.incarnations.borrow_mut().insert(instance.to_owned(), Rc::clone(&incarnation));
         log::info!(
             "event=J160 worker incarnation discovered worker={instance} address={}",
--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -80,7 +80,10 @@
     }
 
     async fn append_ends(&self, ends: Vec<PendingEnd>) {
-        let records: Vec<KeyedRecord> = ends.iter().map(|end| self.end_record(end)).collect();
+        let mut records: Vec<KeyedRecord> = ends.iter().map(|end| self.end_record(end)).collect();
+        // In the same append as the ends: the planner starts the tasks again as soon as it reads them.
+        let ends_to_repeat = ends.iter().filter(|end| end.reason != EndReason::Done);
+        records.extend(ends_to_repeat.filter_map(|end| self.unanswered_start_record(&end.key)));
         while self.parts.store.append(STATE_TOPIC, &records, None).await.is_err() {
             if self.has_ended() {
                 return;
--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -1,6 +1,7 @@
 //! One incarnation of a worker, from its discovery until it has certainly ended.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,7 +16,7 @@
 use crate::worker::{Worker, WorkerMillis};
 
 use super::held_back::HeldBack;
-use super::runs::{Phase, Runs};
+use super::runs::{Phase, RunKey, Runs};
 use super::{AgentParts, POLL_INTERVAL};
 
 /// Time between two calls that check whether a deregistered worker has stopped listening.
@@ -49,6 +50,8 @@
     /// Id of the incarnation.
     pub instance: InstanceId,
     pub(super) parts: Rc<AgentParts>,
+    /// When this process started. Starts by an earlier process of the same agent were sent before.
+    pub(super) process_started_at: Instant,
     pub(super) worker: Rc<dyn Worker>,
     pub(super) runs: RefCell<Runs>,
     pub(super) wake: Notify,
@@ -94,6 +97,8 @@
     end_cause: Cell<Option<EndCause>>,
     /// Id of the incarnation that replaced this one, once known.
     pub(super) successor: RefCell<Option<InstanceId>>,
+    /// Runs that whichever incarnation answers now certainly doesn't start by orders for this one.
+    pub(super) stopped_at_successor: RefCell<BTreeSet<RunKey>>,
     is_abandoned: Cell<bool>,
     abandoned: Notify,
 }
@@ -102,6 +107,7 @@
     /// Creates an incarnation whose runs aren't known yet.
     pub(super) fn new(
         parts: Rc<AgentParts>,
+        process_started_at: Instant,
         instance: InstanceId,
         record: WorkerRecord,
         worker: Rc<dyn Worker>,
@@ -111,6 +117,7 @@
         Rc::new(Self {
             instance,
             parts,
+            process_started_at,
             worker,
             runs: RefCell::default(),
             wake: Notify::new(),
@@ -135,6 +142,7 @@
             has_deregistered: Cell::new(false),
             end_cause: Cell::new(None),
             successor: RefCell::default(),
+            stopped_at_successor: RefCell::default(),
             is_abandoned: Cell::new(false),
             abandoned: Notify::new(),
         })
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -145,6 +145,7 @@
             };
             let sent = Instant::now();
             self.lease_sent.set(sent);
+            let earlier = self.replace_unanswered_start(&wanted.key, Some(sent));
             let outcome = self.worker.start(&order).await;
             metrics().count_order("start");
             log::info!(
@@ -156,6 +157,9 @@
                 self.parts.freshness.position(),
                 self.parts.freshness.age().unwrap_or_default().as_millis()
             );
+            if is_definite(&outcome) {
+                self.replace_unanswered_start(&wanted.key, earlier);
+            }
             if may_have_begun_by(&outcome) {
                 self.mark_may_have_begun(&wanted.key);
             }
@@ -224,6 +228,13 @@
         }
     }
 
+    /// Sets when a run's last start was sent that got no definite answer. Returns the previous value.
+    fn replace_unanswered_start(&self, key: &RunKey, sent: Option<Instant>) -> Option<Instant> {
+        let mut runs = self.runs.borrow_mut();
+        let run = runs.open.get_mut(key)?;
+        std::mem::replace(&mut run.unanswered_start, sent)
+    }
+
     fn mark_may_have_begun(&self, key: &RunKey) {
         if let Some(run) = self.runs.borrow_mut().open.get_mut(key) {
             run.may_have_begun = true;
@@ -250,6 +261,11 @@
     }
 }
 
+/// Returns whether a start is certainly not carried out any more after this outcome.
+const fn is_definite(outcome: &Result<Started, WorkerError>) -> bool {
+    !matches!(outcome, Err(WorkerError::NoAnswer))
+}
+
 /// Returns whether the run may have begun, given the outcome of its start. A worker that gives
 /// another answer has started nothing, and a refused connection means that the order didn't arrive.
 /// So runs that were only assigned to a crashed worker aren't suspected of the crash.
--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -179,6 +179,7 @@
             .map(removal)
             .chain(registrations_end)
             .chain(incarnation_end)
+            .chain(self.unanswered_start_records())
             .collect()
     }
 
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -29,6 +29,8 @@
     /// Whether the run may have begun: a start is unanswered, or the worker has confirmed or listed
     /// it.
     pub may_have_begun: bool,
+    /// When the last start was sent that got no definite answer, so that it may be carried out late.
+    pub unanswered_start: Option<Instant>,
     /// Whether the worker is being polled for the run, before its unanswered start is given up.
     pub poll_in_flight: bool,
     /// Whether a stop is in flight.
@@ -56,6 +58,7 @@
             may_have_begun: phase != Phase::Starting,
             known_since: now,
             listed_at: now,
+            unanswered_start: None,
             poll_in_flight: false,
             stop_in_flight: false,
             stop_answered: None,
@@ -66,6 +69,14 @@
     }
 }
 
+impl Run {
+    /// Creates a run that an earlier process may have started, which ended before `process_started_at`.
+    pub fn of_earlier_process(process_started_at: Instant) -> Self {
+        let unanswered_start = Some(process_started_at);
+        Self { unanswered_start, ..Self::new(Phase::Unanswered(Instant::now())) }
+    }
+}
+
 /// All runs of an incarnation.
 #[derive(Debug, Default)]
 pub struct Runs {
--- a/crates/rampbay-jobs/src/agent/successor.rs
+++ b/crates/rampbay-jobs/src/agent/successor.rs
@@ -28,7 +28,10 @@
                 let fencing_token = self.successor_token();
                 let order = StopOrder { task: task.clone(), attempt, fencing_token };
                 match self.worker.stop_in_any_incarnation(&order).await {
-                    Ok(true) => break,
+                    Ok(true) => {
+                        self.stopped_at_successor.borrow_mut().insert((task.clone(), attempt));
+                        break;
+                    }
                     Ok(false) | Err(_) => tokio::time::sleep(STOP_RETRY).await,
                 }
             }
@@ -45,7 +48,9 @@
     fn possibly_ordered_runs(&self) -> BTreeSet<RunKey> {
         let table = self.parts.table.borrow();
         let assigned = table.runs_assigned_to(&self.instance);
+        let unanswered = table.unanswered_at(&self.instance);
+        let unanswered = unanswered.map(|start| (start.task.clone(), start.attempt));
         let runs = self.runs.borrow();
-        assigned.into_iter().chain(runs.open.keys().cloned()).collect()
+        assigned.into_iter().chain(unanswered).chain(runs.open.keys().cloned()).collect()
     }
 }
--- /dev/null
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -0,0 +1,109 @@
+//! Records of starts that got no answer.
+//!
+//! Such a start may be carried out seconds later. This incarnation rejects it once the run has been stopped or has
+//! ended here. A later incarnation under the same id has seen no fencing token and no run, and carries it out unless
+//! it has received an order of its own before. So the planner is told of the start, and starts the task nowhere but at
+//! the incarnation that rejects the start, until the start can't be carried out and its run can't go on any more.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::job::InstanceId;
+use crate::keys::unanswered_key;
+use crate::record::{KeyedRecord, Record, UnansweredStart, removal};
+
+use super::incarnation::Incarnation;
+use super::runs::RunKey;
+
+impl Incarnation {
+    /// Returns the record of a run's start without an answer, if there is one. For a run that this incarnation rejects
+    /// from now on.
+    pub(super) fn unanswered_start_record(&self, key: &RunKey) -> Option<KeyedRecord> {
+        let sent = self.runs.borrow().open.get(key)?.unanswered_start?;
+        let remaining = self.remaining_time(sent)?;
+        Some(self.record_of_unanswered(key, &self.instance, remaining))
+    }
+
+    /// Returns the records of all starts without an answer, for the end of this incarnation.
+    pub(super) fn unanswered_start_records(&self) -> Vec<KeyedRecord> {
+        let successor = self.successor_of_same_worker();
+        let stopped = self.stopped_at_successor.borrow();
+        let (stored, own) = (self.stored_unanswered_starts(), self.own_unanswered_starts());
+        let mut records = Vec::new();
+        for (key, remaining) in stored.iter().chain(&own) {
+            if !stopped.contains(key) {
+                if own.contains_key(key) {
+                    records.push(self.record_of_unanswered(key, &self.instance, *remaining));
+                }
+            } else if let Some(successor) = &successor {
+                records.push(self.record_of_unanswered(key, successor, *remaining));
+            } else if stored.contains_key(key) {
+                // An incarnation with another id rejects all orders that name the previous id.
+                records.push(removal(unanswered_key(&key.0, key.1)));
+            }
+        }
+        records
+    }
+
+    /// Returns the starts that the store holds for this incarnation, with the times for which they still count.
+    fn stored_unanswered_starts(&self) -> BTreeMap<RunKey, Duration> {
+        let table = self.parts.table.borrow();
+        let stored = table.unanswered_at(&self.instance);
+        let stored = stored.map(|start| {
+            let remaining = Duration::from_millis(start.remaining_ms);
+            ((start.task.clone(), start.attempt), remaining)
+        });
+        stored.collect()
+    }
+
+    /// Returns the starts by this process, and the possible starts by an earlier one, whose runs haven't ended.
+    fn own_unanswered_starts(&self) -> BTreeMap<RunKey, Duration> {
+        let assigned = self.parts.table.borrow().runs_assigned_to(&self.instance);
+        let runs = self.runs.borrow();
+        let is_unknown = |key: &RunKey| !runs.open.contains_key(key) && !runs.ended.contains(key);
+        let of_earlier_process =
+            assigned.into_iter().filter(is_unknown).map(|key| (key, self.process_started_at));
+        let open = runs.open.iter();
+        let open = open.filter_map(|(key, run)| Some((key.clone(), run.unanswered_start?)));
+        let sent = of_earlier_process.chain(open);
+        sent.filter_map(|(key, sent)| Some((key, self.remaining_time(sent)?))).collect()
+    }
+
+    /// Returns for how long a start that was sent at a time may still be carried out, or its run still go on by the
+    /// lease that the start itself carries; `None` if neither is possible, or if no other incarnation of the worker
+    /// has its id.
+    fn remaining_time(&self, sent: Instant) -> Option<Duration> {
+        (self.parts.incarnation_start)(&self.instance)?;
+        let settings = &self.parts.settings;
+        (settings.max_call_delay + settings.lease_expiry).checked_sub(sent.elapsed())
+    }
+
+    fn successor_of_same_worker(&self) -> Option<InstanceId> {
+        let successor = self.successor.borrow().clone()?;
+        let order = (self.parts.compare_incarnations)(&self.instance, &successor);
+        (order == Some(Ordering::Less)).then_some(successor)
+    }
+
+    fn record_of_unanswered(
+        &self,
+        (task, attempt): &RunKey,
+        instance: &str,
+        remaining: Duration,
+    ) -> KeyedRecord {
+        let remaining_ms = remaining.as_millis() as u64 + 1;
+        log::info!(
+            "event=J188 unanswered start recorded task={task} attempt={attempt} worker={} rejected_by={instance} remaining_ms={remaining_ms}",
+            self.instance
+        );
+        let start = UnansweredStart {
+            task: task.clone(),
+            attempt: *attempt,
+            instance: instance.to_owned(),
+            remaining_ms,
+        };
+        Record::Unanswered(Box::new(start)).encode()
+    }
+}
--- a/crates/rampbay-jobs/src/keys.rs
+++ b/crates/rampbay-jobs/src/keys.rs
@@ -84,6 +84,19 @@
     format!("losses/{job}")
 }
 
+/// Returns the key of a start that got no answer.
+#[must_use]
+pub fn unanswered_key(task: &TaskId, attempt: u32) -> String {
+    format!("unanswered/{task}/{attempt}")
+}
+
+/// Returns the run whose start got no answer, from the part of its key after the kind.
+#[must_use]
+pub fn split_unanswered_name(name: &str) -> Option<(TaskId, u32)> {
+    let (task, attempt) = name.split_once('/')?;
+    Some((task.parse().ok()?, attempt.parse().ok()?))
+}
+
 /// Splits the key of a registration, or of an eviction, into the worker's id and the number.
 #[must_use]
 pub fn split_worker_key(key: &str) -> (&str, RegistrationNumber) {
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -29,6 +29,7 @@
 mod running;
 mod settle;
 mod speed;
+mod unanswered;
 mod units;
 mod unreported;
 mod waits;
@@ -55,6 +56,7 @@
 use power_loss::PowerLosses;
 use settle::SettledPlans;
 use speed::SpeedTracker;
+use unanswered::UnansweredStarts;
 use unreported::UnreportedRuns;
 use waits::WaitLog;
 use workers::WorkerViews;
@@ -136,6 +138,8 @@
     lost_runs_checked: bool,
     /// Assigned runs that the agents don't report.
     unreported: UnreportedRuns,
+    /// Starts that got no answer.
+    unanswered: UnansweredStarts,
 }
 
 /// Largest number of workers that a log line names.
@@ -181,6 +185,7 @@
             power_losses: PowerLosses::default(),
             lost_runs_checked: false,
             unreported: UnreportedRuns::default(),
+            unanswered: UnansweredStarts::default(),
         }
     }
 
@@ -210,6 +215,7 @@
             Vec::new()
         };
         self.waits.update(&waits, inputs.now);
+        self.unanswered.expire(&mut draft, inputs);
         expire::expire(self, &mut draft, inputs);
         expire::expire_registrations(self, &mut draft, inputs);
         draft.into_records(self.settings.plan_layout)
--- a/crates/rampbay-jobs/src/planner/fit.rs
+++ b/crates/rampbay-jobs/src/planner/fit.rs
@@ -190,6 +190,21 @@
         Some(self.places[index])
     }
 
+    /// Places one task on a given worker. Returns whether it fits there.
+    pub fn place_at(&mut self, place: WorkerIndex) -> bool {
+        let Some(index) = self.places.iter().position(|&known| known == place) else {
+            return false;
+        };
+        if self.max_tasks_at(index) == 0 {
+            return false;
+        }
+        self.free[index].take(&self.need.demand);
+        if let Some(members) = &mut self.members {
+            members[index] += 1;
+        }
+        true
+    }
+
     /// Places up to `count` tasks one after the other, as many as fit.
     pub fn place_up_to(mut self, count: usize) -> Vec<WorkerIndex> {
         (0..self.places.len()).for_each(|index| self.rank(index));
--- a/crates/rampbay-jobs/src/planner/isolation.rs
+++ b/crates/rampbay-jobs/src/planner/isolation.rs
@@ -46,9 +46,7 @@
     if draft.losses(&waiting.job).is_none() {
         return vec![StepPart { waiting: Cow::Borrowed(waiting), isolation: Isolation::None }];
     }
-    let isolation = |index: u32| {
-        losses_of(draft, &waiting.task(index)).map_or(Isolation::None, UnitLosses::isolation)
-    };
+    let isolation = |index: u32| isolation_of(draft, &waiting.task(index));
     if waiting.definition().gang {
         let isolation = isolation(0);
         return vec![StepPart { waiting: Cow::Borrowed(waiting), isolation }];
@@ -64,6 +62,11 @@
     isolated.chain(shared).collect()
 }
 
+/// Returns the isolation that a task needs.
+pub fn isolation_of(draft: &Draft<'_>, task: &TaskId) -> Isolation {
+    losses_of(draft, task).map_or(Isolation::None, UnitLosses::isolation)
+}
+
 fn losses_of<'a>(draft: &'a Draft<'_>, task: &TaskId) -> Option<&'a UnitLosses> {
     let (id, unit) = unit_of(draft, task);
     draft.losses(&id)?.0.get(&unit)
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -13,6 +13,7 @@
 use super::queue::{WaitingStep, waiting_steps};
 use super::rack::requires_one_rack;
 use super::reserve::{choose_reserve, may_use_reserve};
+use super::unanswered::{BoundStep, split_bound};
 use super::waits::{Wait, WaitReason};
 use super::workers::WorkerViews;
 use super::{Planner, RoundInputs, WorkerIndex};
@@ -31,9 +32,14 @@
     if waiting.is_empty() {
         return Vec::new();
     }
+    let (waiting, bound) = split_bound(draft, waiting);
     let mut waits = Vec::new();
     let mut fleet = FleetState::new(planner, draft, workers, inputs);
     choose_reserve(&mut fleet);
+    // They can start nowhere else.
+    for step in &bound {
+        waits.extend(place_bound(draft, &mut fleet, step, workers, inputs));
+    }
     let mut parts: Vec<StepPart<'_>> =
         waiting.iter().flat_map(|step| split_by_isolation(draft, step)).collect();
     // Among parts of the same urgency, tasks with the most losses go first: each takes only an idle worker, and would
@@ -58,7 +64,7 @@
     if part.isolation != Isolation::None {
         match place_isolated(draft, fleet, part, &need, inputs) {
             IsolatedPlacement::Found(places) => {
-                start_isolated(draft, fleet, step, &need, &places);
+                start_at(draft, fleet, step, &need, &places);
                 return None;
             }
             IsolatedPlacement::Wait => {
@@ -74,7 +80,26 @@
     }
 }
 
-fn start_isolated(
+fn place_bound(
+    draft: &mut Draft<'_>,
+    fleet: &mut FleetState,
+    bound: &BoundStep,
+    workers: &WorkerViews<'_>,
+    inputs: &RoundInputs<'_>,
+) -> Option<Wait> {
+    let step = &bound.waiting;
+    let need = Need::of(step, Vec::new(), may_use_reserve(step, inputs.wall));
+    let Some(places) = bound.find_places(draft, fleet, &need, workers) else {
+        return Some(Wait::new(step, step.tasks.len(), WaitReason::UnansweredStart, inputs));
+    };
+    start_at(draft, fleet, step, &need, &places);
+    if bound.is_isolated(draft) {
+        places.iter().for_each(|&place| fleet.close(place));
+    }
+    None
+}
+
+fn start_at(
     draft: &mut Draft<'_>,
     fleet: &mut FleetState,
     waiting: &WaitingStep,
--- a/crates/rampbay-jobs/src/planner/waits.rs
+++ b/crates/rampbay-jobs/src/planner/waits.rs
@@ -18,6 +18,9 @@
     NoRack,
     /// It is suspected of crashing its workers, and waits for an idle one.
     NoIdleWorker,
+    /// A start of one of its tasks got no answer and may still be carried out, and the worker that rejects it can't
+    /// take the task.
+    UnansweredStart,
     /// No capacity is free, and the runs that would have to be stopped are worth more.
     NoRoom,
 }
@@ -30,6 +33,7 @@
             Self::StopsUnderWay => "stops_under_way",
             Self::NoRack => "no_rack",
             Self::NoIdleWorker => "no_idle_worker",
+            Self::UnansweredStart => "unanswered_start",
             Self::NoRoom => "no_room",
         }
     }
--- a/crates/rampbay-jobs/src/recipients.rs
+++ b/crates/rampbay-jobs/src/recipients.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use crate::job::{NodeName, TaskId};
-use crate::keys::{plan_job, plan_key, split_worker_key};
+use crate::keys::{plan_job, plan_key, split_unanswered_name, split_worker_key};
 use crate::parts::tasks_from;
 use crate::plan::JobPlan;
 use crate::record::{KeyedRecord, Member, Record};
@@ -187,6 +187,11 @@
                 let end = self.ends.get(key).into_iter();
                 end.for_each(|end| concerned.add(self.agent_of(&end.instance)));
             }
+            "unanswered" => {
+                let (task, attempt) = split_unanswered_name(name)?;
+                let start = self.unanswered.get(&task).and_then(|starts| starts.get(&attempt));
+                start.into_iter().for_each(|start| concerned.add(self.agent_of(&start.instance)));
+            }
             // Only the leader uses these.
             "life" | "losses" => {}
             // Agents don't read through each other: passing the addresses of all agents on to all agents would cost the
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -9,7 +9,7 @@
 };
 use crate::keys::{
     end_key, eviction_key, life_key, losses_key, part_key, plan_key, registrations_end_key,
-    split_number, worker_key,
+    split_number, unanswered_key, worker_key,
 };
 use crate::losses::{IncarnationEnd, JobLosses};
 use crate::plan::{JobPlan, TaskPlan};
@@ -70,6 +70,21 @@
     pub instance: InstanceId,
 }
 
+/// A start that got no answer. It may still be carried out for a while, also by a later incarnation of the worker
+/// under the same id that hasn't received an order of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnansweredStart {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the run.
+    pub attempt: u32,
+    /// The incarnation that certainly rejects the start. The task may be started there, and nowhere else: should that
+    /// incarnation end, the new run ends with it before the old start can be carried out.
+    pub instance: InstanceId,
+    /// Time for which the start may still be carried out, or its run go on, counted from this record, in milliseconds.
+    pub remaining_ms: u64,
+}
+
 /// A worker, as its agent knows it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
@@ -130,6 +145,8 @@
     Losses(JobId, Box<JobLosses>),
     /// The plans of tasks of a wide step, from this task on.
     Part(TaskId, Vec<TaskPlan>),
+    /// A start got no answer; the planner removes the record once the start can't be carried out any more.
+    Unanswered(Box<UnansweredStart>),
 }
 
 /// The process that leads, and runs the planner.
@@ -261,6 +278,7 @@
             Self::LifeOver(instance, _) => life_key(instance),
             Self::Losses(job, _) => losses_key(job),
             Self::Part(first, _) => part_key(first),
+            Self::Unanswered(start) => unanswered_key(&start.task, start.attempt),
         }
     }
 
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -16,6 +16,8 @@
 const CLOCK_DRIFT_PERMILLE: u64 = 1020;
 /// Time added to the end of a lease before a run counts as gone.
 const EXPIRY_SLACK: Duration = Duration::from_millis(300);
+/// Longest time after which a call that got no answer is still carried out.
+const MAX_CALL_DELAY: Duration = Duration::from_millis(12_500);
 /// Share of the time allowed for the removal of a key, in thousandths: an entry whose configuration is older
 /// than this share stops answering.
 const REVOCATION_MARGIN_PERMILLE: u64 = 550;
@@ -201,6 +203,7 @@
             report_interval: Duration::from_millis(1000),
             idle_report_interval: Duration::from_millis(2000),
             unanswered_start_timeout: Duration::from_millis(100),
+            max_call_delay: MAX_CALL_DELAY,
         }
     }
 
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -6,11 +6,13 @@
 
 use crate::drained::DrainedDomains;
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
-use crate::keys::{eviction_key, split_refusal_key, split_worker_key};
+use crate::keys::{eviction_key, split_refusal_key, split_unanswered_name, split_worker_key};
 use crate::losses::{IncarnationEnd, JobLosses};
 use crate::parts::{PlanLayout, merge_head, merge_part};
 use crate::plan::{JobPlan, JobStatus, TaskPlan, TaskStatus};
-use crate::record::{EndReason, KeyedRecord, Leader, Member, Record, RunEnd, WorkerRecord};
+use crate::record::{
+    EndReason, KeyedRecord, Leader, Member, Record, RunEnd, UnansweredStart, WorkerRecord,
+};
 use crate::registrations::{RegistrationNumber, Registrations};
 
 /// One job.
@@ -80,6 +82,8 @@
     pub ended_incarnations: BTreeMap<InstanceId, Rc<IncarnationEnd>>,
     /// Runs that were lost with their workers, by job.
     pub losses: BTreeMap<JobId, Rc<JobLosses>>,
+    /// Starts that got no answer and may still be carried out, by task and attempt.
+    pub unanswered: BTreeMap<TaskId, BTreeMap<u32, Rc<UnansweredStart>>>,
     /// All registrations, including those that newer ones have replaced.
     registrations: Registrations,
     /// Agents of all workers that have been registered since the state was last read in full, also of workers that are
@@ -146,6 +150,10 @@
             Record::Losses(job, losses) => {
                 self.losses.insert(job, Rc::new(*losses));
             }
+            Record::Unanswered(start) => {
+                let of_task = self.unanswered.entry(start.task.clone()).or_default();
+                of_task.insert(start.attempt, Rc::new(*start));
+            }
             Record::Evicted(instance) => {
                 let (_, number) = split_worker_key(key);
                 self.evictions.entry(instance.clone()).or_default().insert(number);
@@ -383,6 +391,7 @@
                 self.losses.remove(name);
             }
             "evicted" => self.remove_eviction(key),
+            "unanswered" => self.remove_unanswered(name),
             "member" => {
                 self.members.remove(name);
                 self.bump_membership_version();
@@ -391,6 +400,21 @@
         }
     }
 
+    fn remove_unanswered(&mut self, name: &str) {
+        let Some((task, attempt)) = split_unanswered_name(name) else { return };
+        let Some(of_task) = self.unanswered.get_mut(&task) else { return };
+        of_task.remove(&attempt);
+        if of_task.is_empty() {
+            self.unanswered.remove(&task);
+        }
+    }
+
+    /// Iterates over the starts without an answer that an incarnation rejects.
+    pub fn unanswered_at(&self, instance: &str) -> impl Iterator<Item = &Rc<UnansweredStart>> {
+        let starts = self.unanswered.values().flat_map(BTreeMap::values);
+        starts.filter(move |start| start.instance == instance)
+    }
+
     /// Returns the status of a job as callers see it, if the job is known. A job has succeeded as soon as
     /// the store holds the ends of its last tasks, before the planner updates the plan.
     #[must_use]
