fix: an agent's process takes starts by the process before it as unanswered

What callers saw (in tests): a task ran twice at once after its agent's process had ended between sending a start and its answer.

Cause: the next process knew nothing of a start under way. It ordered the run again and took the answer for proof that no other order was left, or, when the worker drained or had no room, reported the run as not started without a stop. The late start was then carried out by a later incarnation, or by the same one.

Fix: runs that were assigned when a process first gives orders, and those that a worker lists before the process knows them, may have been ordered until the process started. Such a run is stopped before it is reported as not started, and its start is recorded as one without an answer.

Failed try: counting a refused run that only an earlier process may have ordered against the worker's room kept all others of the same pass from starting (agent_without_a_heartbeat_starts_nothing); as before, it counts once the worker lists it.

--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -1,6 +1,6 @@
 //! One incarnation of a worker, from its discovery until it has certainly ended.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -65,6 +65,8 @@
     pub(super) acknowledged: Cell<u64>,
     /// Whether an append of listed ends is in flight.
     pub(super) listed_append_in_flight: Cell<bool>,
+    /// Runs that were assigned when this process first gave orders; an earlier process may have ordered them.
+    pub(super) inherited: OnceCell<BTreeSet<RunKey>>,
     /// Number of appends of ends that are in flight.
     pub(super) appends_in_flight: Cell<usize>,
     /// When a call that renews leases was sent last, by a clock that stops during a suspension, as
@@ -126,6 +128,7 @@
             last_seen: Cell::new(0),
             acknowledged: Cell::new(0),
             listed_append_in_flight: Cell::new(false),
+            inherited: OnceCell::new(),
             appends_in_flight: Cell::new(0),
             lease_sent: Cell::new(now),
             last_contact: Cell::new(Moment::now()),
--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -56,7 +56,10 @@
     /// Starts the runs that the table assigns. Returns why some of them have to wait, if they do.
     fn start_wanted(self: &Rc<Self>) -> Option<HeldBack> {
         let mut held_back = None;
-        for wanted in self.wanted() {
+        let all_wanted = self.wanted();
+        let keys = || all_wanted.iter().map(|wanted| wanted.key.clone()).collect();
+        let inherited = self.inherited.get_or_init(keys);
+        for wanted in all_wanted {
             if self.has_other_attempt(&wanted.key) {
                 held_back = Some(HeldBack::OtherAttempt);
                 continue;
@@ -67,12 +70,18 @@
                 held_back = Some(HeldBack::UnknownRoom);
                 continue;
             }
-            if is_blocked || fit == Fit::No {
-                self.report_end(PendingEnd::unlisted(wanted.key, EndReason::NotStarted));
+            let mut run = if inherited.contains(&wanted.key) {
+                Run::of_earlier_process(Phase::Starting, self.process_started_at)
+            } else {
+                Run::new(Phase::Starting)
+            };
+            let is_refused = is_blocked || fit == Fit::No;
+            run.may_hold_resources = !is_refused;
+            self.runs.borrow_mut().open.insert(wanted.key.clone(), run);
+            if is_refused {
+                self.give_up_start(wanted.key, 0);
                 continue;
             }
-            let run = Run::new(Phase::Starting);
-            self.runs.borrow_mut().open.insert(wanted.key.clone(), run);
             self.wake.notify_waiters();
             let incarnation = Rc::clone(self);
             tokio::task::spawn_local(async move { incarnation.start(wanted).await });
@@ -201,9 +210,12 @@
     }
 
     /// Gives up a start. The run is reported as not started only if every order for it was
-    /// answered; otherwise it may have started, and has to be stopped first.
+    /// answered, also those of an earlier process; otherwise it may have started, and has to be
+    /// stopped first.
     fn give_up_start(self: &Rc<Self>, key: RunKey, unanswered: u32) {
-        if unanswered > 0 {
+        let may_start = |run: &Run| run.unanswered_start.is_some();
+        let may_start = self.runs.borrow().open.get(&key).is_some_and(may_start);
+        if unanswered > 0 || may_start {
             self.set_phase(&key, Phase::Unanswered(Instant::now()));
             let incarnation = Rc::clone(self);
             tokio::task::spawn_local(async move { incarnation.poll_for(&key).await });
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -168,9 +168,12 @@
             if has_ended && !runs.open.contains_key(&key) {
                 continue;
             }
-            let run = runs.open.entry(key).or_insert_with(|| Run::new(Phase::Running));
+            let run = runs.open.entry(key).or_insert_with(|| {
+                Run::of_earlier_process(Phase::Running, self.process_started_at)
+            });
             run.phase = Phase::Running;
             run.may_have_begun = true;
+            run.may_hold_resources = true;
             run.percent = progress.percent;
             run.listed_at = Instant::now();
             run.checkpoint.clone_from(&progress.checkpoint);
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -31,6 +31,9 @@
     pub may_have_begun: bool,
     /// When the last start was sent that got no definite answer, so that it may be carried out late.
     pub unanswered_start: Option<Instant>,
+    /// Whether the run may hold resources. One that only an earlier process may have ordered, and that the worker
+    /// doesn't list, holds none.
+    pub may_hold_resources: bool,
     /// Whether the worker is being polled for the run, before its unanswered start is given up.
     pub poll_in_flight: bool,
     /// Whether a stop is in flight.
@@ -59,6 +62,7 @@
             known_since: now,
             listed_at: now,
             unanswered_start: None,
+            may_hold_resources: true,
             poll_in_flight: false,
             stop_in_flight: false,
             stop_answered: None,
@@ -67,13 +71,11 @@
             logged_lost_end: false,
         }
     }
-}
 
-impl Run {
-    /// Creates a run that an earlier process may have started, which ended before `process_started_at`.
-    pub fn of_earlier_process(process_started_at: Instant) -> Self {
-        let unanswered_start = Some(process_started_at);
-        Self { unanswered_start, ..Self::new(Phase::Unanswered(Instant::now())) }
+    /// Creates a run in a phase that an earlier process may have ordered as well, without an answer. That process had
+    /// ended at `process_started_at`.
+    pub fn of_earlier_process(phase: Phase, process_started_at: Instant) -> Self {
+        Self { unanswered_start: Some(process_started_at), ..Self::new(phase) }
     }
 }
 
@@ -109,7 +111,10 @@
     /// Iterates over the runs other than `key` that may hold resources. A run whose end is listed
     /// has freed them, even if the store doesn't hold the end yet.
     pub fn others<'a>(&'a self, key: &'a RunKey) -> impl Iterator<Item = &'a RunKey> {
-        self.open.keys().filter(move |other| *other != key && !self.ended.contains(*other))
+        let others = self.open.iter().filter(move |(other, run)| {
+            *other != key && run.may_hold_resources && !self.ended.contains(*other)
+        });
+        others.map(|(other, _)| other)
     }
 
     /// Describes runs that may exist, for the log: task, attempt, phase, and milliseconds since the
--- a/crates/rampbay-jobs/src/agent/stops.rs
+++ b/crates/rampbay-jobs/src/agent/stops.rs
@@ -34,7 +34,8 @@
                 self.instance,
                 self.parts.freshness.position()
             );
-            let run = Run::of_earlier_process(self.process_started_at);
+            let phase = Phase::Unanswered(Instant::now());
+            let run = Run::of_earlier_process(phase, self.process_started_at);
             self.runs.borrow_mut().open.insert(wanted.key, run);
         }
     }
@@ -58,7 +59,8 @@
                 let is_mine = task.status == TaskStatus::Stopping && task.instance == self.instance;
                 let key = (task_id, task.attempt);
                 if is_mine && !runs.ended.contains(&key) {
-                    let unknown = || Run::of_earlier_process(self.process_started_at);
+                    let phase = Phase::Unanswered(Instant::now());
+                    let unknown = || Run::of_earlier_process(phase, self.process_started_at);
                     runs.open.entry(key).or_insert_with(unknown);
                 }
             }
--- a/crates/rampbay-jobs/tests/unanswered_starts.rs
+++ b/crates/rampbay-jobs/tests/unanswered_starts.rs
@@ -26,6 +26,8 @@
 const WORK: Duration = Duration::from_secs(16);
 /// Time in which the job ends.
 const ENDS_WITHIN: Duration = Duration::from_secs(60);
+/// Time from a worker's notice to its departure; longer than a case takes.
+const LEAVES_AFTER: Duration = Duration::from_secs(120);
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
 /// When the faults of a case occur, in milliseconds after the start was ordered.
@@ -37,6 +39,10 @@
     restarts: &'static [u64],
     /// For how long the agent can't reach a new incarnation.
     unreached_for: u64,
+    /// When the agent's process ends, and another one takes its place.
+    agent_restart: Option<u64>,
+    /// When the worker gives notice that it leaves.
+    notice: Option<u64>,
 }
 
 /// Returns the machine where the job's first task was assigned.
@@ -94,7 +100,19 @@
             faulty.worker.silent.set(false);
         }
     };
-    tokio::join!(end_late, restart);
+    let restart_agent = async {
+        if let Some(at) = case.agent_restart {
+            tokio::time::sleep_until(after_start(at)).await;
+            site.restart_agent(&faulty);
+        }
+    };
+    let give_notice = async {
+        if let Some(at) = case.notice {
+            tokio::time::sleep_until(after_start(at)).await;
+            site.give_notice(&faulty, LEAVES_AFTER);
+        }
+    };
+    tokio::join!(end_late, restart, restart_agent, give_notice);
 }
 
 /// Guards against a task that runs twice: its start got no answer, it was started elsewhere, and the
@@ -107,7 +125,39 @@
     #[values(0, 900, 7_500)] unreached_for: u64,
 ) {
     run_in_virtual_time(async move {
-        play(Case { late, restarts, unreached_for }, 1, false).await;
+        play(Case { late, restarts, unreached_for, agent_restart: None, notice: None }, 1, false)
+            .await;
+    });
+}
+
+/// As above, when the agent's process ends before its start was answered or given up.
+#[rstest]
+fn task_runs_once_despite_agent_restart(
+    #[values(2_000, 6_000, 11_500)] late: u64,
+    #[values(&[2_900], &[5_000], &[8_500], &[4_000, 8_000])] restarts: &'static [u64],
+    #[values(900, 7_500)] unreached_for: u64,
+    #[values(200, 1_000, 2_200)] agent_restart: u64,
+) {
+    run_in_virtual_time(async move {
+        let agent_restart = Some(agent_restart);
+        play(Case { late, restarts, unreached_for, agent_restart, notice: None }, 1, false).await;
+    });
+}
+
+/// Guards against a task that runs twice: the agent's process ends before its start was answered, and
+/// the next process, whose worker drains, reports the run as not started. The late start is then
+/// carried out.
+#[rstest]
+fn task_runs_once_despite_notice_and_agent_restart(
+    #[values(3_000, 6_000)] late: u64,
+    #[values(500, 1_000)] notice: u64,
+    #[values(20, 200)] until_restart: u64,
+) {
+    run_in_virtual_time(async move {
+        let agent_restart = Some(notice + until_restart);
+        let case =
+            Case { late, restarts: &[], unreached_for: 0, agent_restart, notice: Some(notice) };
+        play(case, 1, false).await;
     });
 }
 
@@ -119,7 +169,8 @@
     #[values(0, 7_500)] unreached_for: u64,
 ) {
     run_in_virtual_time(async move {
-        play(Case { late, restarts, unreached_for }, 2, true).await;
+        play(Case { late, restarts, unreached_for, agent_restart: None, notice: None }, 2, true)
+            .await;
     });
 }
 
@@ -127,7 +178,13 @@
 #[test]
 fn task_starts_at_same_worker_at_once() {
     run_in_virtual_time(async {
-        let case = Case { late: 6_000, restarts: &[], unreached_for: 0 };
+        let case = Case {
+            late: 6_000,
+            restarts: &[],
+            unreached_for: 0,
+            agent_restart: None,
+            notice: None,
+        };
         let took = play(case, 1, false).await;
         assert!(took < WORK + Duration::from_secs(5), "{took:?}");
     });
