fix: two gaps in the records of unanswered starts

- A successor that counts as the earlier one (its worker's clock was set back) was taken for a worker with another id, and the record was dropped.
Any incarnation under the same id now gets the record.
- An end that a worker lists for a run that this process doesn't know was stored without a record, though the process before it may have repeated the start.
It counts as ordered until this process began.

Found by reading the change again; no test or play has shown either.

--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -5,7 +5,6 @@
 //! it has received an order of its own before. So the planner is told of the start, and starts the task nowhere but at
 //! the incarnation that rejects the start, until the start can't be carried out and its run can't go on any more.
 
-use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,7 +21,11 @@
     /// Returns the record of a run's start without an answer, if there is one. For a run that this incarnation rejects
     /// from now on.
     pub(super) fn unanswered_start_record(&self, key: &RunKey) -> Option<KeyedRecord> {
-        let sent = self.runs.borrow().open.get(key)?.unanswered_start?;
+        let sent = match self.runs.borrow().open.get(key) {
+            Some(run) => run.unanswered_start?,
+            // Only an earlier process can have ordered it.
+            None => self.process_started_at,
+        };
         let remaining = self.remaining_time(sent)?;
         Some(self.record_of_unanswered(key, &self.instance, remaining))
     }
@@ -32,20 +35,19 @@
         let successor = self.successor_of_same_worker();
         let stopped = self.stopped_at_successor.borrow();
         let (stored, own) = (self.stored_unanswered_starts(), self.own_unanswered_starts());
-        let mut records = Vec::new();
-        for (key, remaining) in stored.iter().chain(&own) {
-            if !stopped.contains(key) {
-                if own.contains_key(key) {
-                    records.push(self.record_of_unanswered(key, &self.instance, *remaining));
-                }
-            } else if let Some(successor) = &successor {
-                records.push(self.record_of_unanswered(key, successor, *remaining));
-            } else if stored.contains_key(key) {
-                // An incarnation with another id rejects all orders that name the previous id.
-                records.push(removal(unanswered_key(&key.0, key.1)));
-            }
-        }
-        records
+        let rejected_by = |key: &RunKey| match &successor {
+            Some(successor) if stopped.contains(key) => Some(successor),
+            // An incarnation with another id rejects all orders that name this one's id.
+            None if stopped.contains(key) => None,
+            _ => Some(&self.instance),
+        };
+        let mut starts = stored.clone();
+        starts.extend(own);
+        let records = starts.iter().filter_map(|(key, remaining)| match rejected_by(key) {
+            Some(instance) => Some(self.record_of_unanswered(key, instance, *remaining)),
+            None => stored.contains_key(key).then(|| removal(unanswered_key(&key.0, key.1))),
+        });
+        records.collect()
     }
 
     /// Returns the starts that the store holds for this incarnation, with the times for which they still count.
@@ -81,10 +83,10 @@
         (settings.max_call_delay + settings.lease_expiry).checked_sub(sent.elapsed())
     }
 
+    /// Returns the incarnation that replaced this one, if it has the same id.
     fn successor_of_same_worker(&self) -> Option<InstanceId> {
         let successor = self.successor.borrow().clone()?;
-        let order = (self.parts.compare_incarnations)(&self.instance, &successor);
-        (order == Some(Ordering::Less)).then_some(successor)
+        (self.parts.compare_incarnations)(&self.instance, &successor).map(|_| successor)
     }
 
     fn record_of_unanswered(
