fix: a job waits no longer for an unanswered start than its worker is away

Fix: an incarnation that has answered takes over the records of the ones before it at its address: the run is stopped there and the record moves to it, or goes where the incarnation has another id. Only runs that were assigned when a process first gave orders may be of the process before it. Records that don't change aren't written again.

--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -373,6 +373,7 @@
             () = self.poll_until_listed() => {}
             () = self.register_forever() => {}
             () = self.watch_departure() => {}
+            () = self.take_over_unanswered_starts() => {}
         }
         if self.end_cause.get() == Some(EndCause::Replaced) {
             self.stop_runs_at_successor().await;
--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -6,17 +6,22 @@
 //! the incarnation that rejects the start, until the start can't be carried out and its run can't go on any more.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::job::InstanceId;
 use crate::keys::unanswered_key;
-use crate::record::{KeyedRecord, Record, UnansweredStart, removal};
+use crate::record::{KeyedRecord, Record, STATE_TOPIC, UnansweredStart, removal};
+use crate::worker::StopOrder;
 
 use super::incarnation::Incarnation;
 use super::runs::RunKey;
 
+/// Longest time between two checks for unanswered starts of earlier incarnations.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 impl Incarnation {
     /// Returns the record of a run's start without an answer, if there is one. For a run that this incarnation rejects
     /// from now on.
@@ -42,8 +47,10 @@
             _ => Some(&self.instance),
         };
         let mut starts = stored.clone();
-        starts.extend(own);
+        starts.extend(own.clone());
         let records = starts.iter().filter_map(|(key, remaining)| match rejected_by(key) {
+            // The planner measures the time anew for a record that changes.
+            Some(instance) if *instance == self.instance && !own.contains_key(key) => None,
             Some(instance) => Some(self.record_of_unanswered(key, instance, *remaining)),
             None => stored.contains_key(key).then(|| removal(unanswered_key(&key.0, key.1))),
         });
@@ -66,8 +73,10 @@
         let assigned = self.parts.table.borrow().runs_assigned_to(&self.instance);
         let runs = self.runs.borrow();
         let is_unknown = |key: &RunKey| !runs.open.contains_key(key) && !runs.ended.contains(key);
-        let of_earlier_process =
-            assigned.into_iter().filter(is_unknown).map(|key| (key, self.process_started_at));
+        let may_be_inherited =
+            |key: &RunKey| self.inherited.get().is_none_or(|inherited| inherited.contains(key));
+        let of_earlier_process = assigned.into_iter().filter(is_unknown).filter(may_be_inherited);
+        let of_earlier_process = of_earlier_process.map(|key| (key, self.process_started_at));
         let open = runs.open.iter();
         let open = open.filter_map(|(key, run)| Some((key.clone(), run.unanswered_start?)));
         let sent = of_earlier_process.chain(open);
@@ -83,6 +92,60 @@
         (settings.max_call_delay + settings.lease_expiry).checked_sub(sent.elapsed())
     }
 
+    /// Takes over the unanswered starts of earlier incarnations that are gone, as soon as this one rejects them; never
+    /// returns.
+    pub(super) async fn take_over_unanswered_starts(&self) {
+        let mut changes = self.parts.freshness.subscribe();
+        loop {
+            changes.borrow_and_update();
+            if self.listed.get() && !self.has_ended() {
+                for start in self.starts_of_predecessors() {
+                    self.take_over(&start).await;
+                }
+            }
+            let _ = tokio::time::timeout(CHECK_INTERVAL, changes.changed()).await;
+        }
+    }
+
+    /// Lists the unanswered starts that incarnations of this worker rejected which are gone.
+    fn starts_of_predecessors(&self) -> Vec<Rc<UnansweredStart>> {
+        let table = self.parts.table.borrow();
+        let address = self.record.borrow().address.clone();
+        let is_of_other_agent = |start: &Rc<UnansweredStart>| {
+            table.agent_of(&start.instance).is_some_and(|agent| *agent != self.parts.node)
+        };
+        let is_of_predecessor = |start: &&Rc<UnansweredStart>| {
+            start.instance != self.instance
+                && start.address == address
+                && !is_of_other_agent(start)
+                && !table.workers.contains_key(&start.instance)
+        };
+        let starts = table.unanswered.values().flat_map(BTreeMap::values);
+        starts.filter(is_of_predecessor).cloned().collect()
+    }
+
+    /// Stops the run of a start at this incarnation, and moves the record here. If this incarnation has another id, it
+    /// rejects the start, and the record is removed.
+    async fn take_over(&self, start: &UnansweredStart) {
+        let worker = (self.parts.connect)(&start.address, &start.instance);
+        let (task, attempt) = (start.task.clone(), start.attempt);
+        let order = StopOrder { task, attempt, fencing_token: self.fencing_token() };
+        if !matches!(worker.stop_in_any_incarnation(&order).await, Ok(true)) {
+            return;
+        }
+        let is_same_worker =
+            (self.parts.compare_incarnations)(&start.instance, &self.instance).is_some();
+        let record = if is_same_worker {
+            let remaining = Duration::from_millis(start.remaining_ms);
+            self.record_of_unanswered(&(order.task, attempt), &self.instance, remaining)
+        } else {
+            removal(unanswered_key(&order.task, attempt))
+        };
+        if let Ok(end) = self.parts.store.append(STATE_TOPIC, &[record], None).await {
+            self.parts.freshness.reach(end).await;
+        }
+    }
+
     /// Returns the incarnation that replaced this one, if it has the same id.
     fn successor_of_same_worker(&self) -> Option<InstanceId> {
         let successor = self.successor.borrow().clone()?;
@@ -95,7 +158,7 @@
         instance: &str,
         remaining: Duration,
     ) -> KeyedRecord {
-        let remaining_ms = remaining.as_millis() as u64 + 1;
+        let remaining_ms = remaining.as_millis() as u64;
         log::info!(
             "event=J188 unanswered start recorded task={task} attempt={attempt} worker={} rejected_by={instance} remaining_ms={remaining_ms}",
             self.instance
@@ -104,6 +167,7 @@
             task: task.clone(),
             attempt: *attempt,
             instance: instance.to_owned(),
+            address: self.record.borrow().address.clone(),
             remaining_ms,
         };
         Record::Unanswered(Box::new(start)).encode()
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -81,6 +81,8 @@
     /// The incarnation that certainly rejects the start. The task may be started there, and nowhere else: should that
     /// incarnation end, the new run ends with it before the old start can be carried out.
     pub instance: InstanceId,
+    /// Address of that incarnation, `IP:PORT`.
+    pub address: String,
     /// Time for which the start may still be carried out, or its run go on, counted from this record, in milliseconds.
     pub remaining_ms: u64,
 }
--- a/crates/rampbay-jobs/tests/bound_tasks.rs
+++ b/crates/rampbay-jobs/tests/bound_tasks.rs
@@ -24,6 +24,7 @@
         task: task.clone(),
         attempt: 1,
         instance: instance.to_owned(),
+        address: String::new(),
         remaining_ms: REMAINING.as_millis() as u64,
     })));
 }
@@ -112,6 +113,7 @@
             task: task(JOB, 0),
             attempt: 2,
             instance: "i-1".to_owned(),
+            address: String::new(),
             remaining_ms: REMAINING.as_millis() as u64,
         })));
         rig.advance(Duration::from_millis(500)).await;
