--- a/crates/rampbay-jobs/tests/unanswered_starts.rs
+++ b/crates/rampbay-jobs/tests/unanswered_starts.rs
@@ -189,3 +189,23 @@
         assert!(took < WORK + Duration::from_secs(5), "{took:?}");
     });
 }
+
+/// Guards against a job that waits for long while workers are free: a task whose start got no answer
+/// waited until the start had expired, though its worker had been reached again.
+#[test]
+fn task_starts_soon_after_worker_is_reached_again() {
+    run_in_virtual_time(async {
+        const RESTART: u64 = 3_000;
+        let unreached_for = 7_500;
+        let case = Case {
+            late: 6_000,
+            restarts: &[RESTART],
+            unreached_for,
+            agent_restart: None,
+            notice: None,
+        };
+        let took = play(case, 1, false).await;
+        let reached_again = Duration::from_millis(RESTART + unreached_for);
+        assert!(took < reached_again + WORK + Duration::from_secs(3), "{took:?}");
+    });
+}
