--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -5,11 +5,11 @@
 //! the store has kept its record. The state that a planner keeps between rounds ([`health`], times
 //! of evictions) only influences choices, so it may be lost when another planner takes over.
 
-mod allowance;
 mod departure;
 mod displace;
 mod draft;
 mod drain;
+mod events;
 mod evict;
 mod expire;
 mod fit;
@@ -20,12 +20,12 @@
 mod isolation;
 mod lost;
 mod place;
+pub mod policy;
 mod power_loss;
 mod preempt;
 mod progress;
 mod queue;
 mod rack;
-mod reserve;
 mod running;
 mod settle;
 mod speed;
@@ -50,10 +50,14 @@
 pub use waits::WaitReason;
 
 use draft::Draft;
+use events::RunEvent;
 use forecast::Forecasts;
 use health::HealthTracker;
 use lost::RecentlyLost;
+use policy::by_lost_work::ByLostWork;
+use policy::{PlacementPolicy, RoundStart};
 use power_loss::PowerLosses;
+use queue::WaitingStep;
 use settle::SettledPlans;
 use speed::SpeedTracker;
 use unanswered::UnansweredStarts;
@@ -64,7 +68,7 @@
 /// Identifies one step of one occurrence: job, occurrence and step.
 type StepKey = (JobId, u32, u32);
 /// Index of a worker among all workers of a round, in the order of their ids.
-type WorkerIndex = usize;
+pub type WorkerIndex = usize;
 
 /// Time limits of a planner, and the layout in which it writes job plans.
 #[derive(Clone, Copy, Debug)]
@@ -113,6 +117,10 @@
 #[derive(Debug)]
 pub struct Planner {
     settings: PlannerSettings,
+    /// The rules by which work is placed.
+    policy: Box<dyn PlacementPolicy>,
+    /// Changes of runs that the policy hasn't been told of yet.
+    events: Vec<RunEvent>,
     health: HealthTracker,
     forecasts: Forecasts,
     speeds: SpeedTracker,
@@ -166,8 +174,16 @@
     /// Creates a planner without any state from earlier rounds.
     #[must_use]
     pub fn new(settings: PlannerSettings) -> Self {
+        Self::with_policy(settings, Box::new(ByLostWork::new(&settings)))
+    }
+
+    /// Creates a planner with a given policy, without any state from earlier rounds.
+    #[must_use]
+    pub fn with_policy(settings: PlannerSettings, policy: Box<dyn PlacementPolicy>) -> Self {
         Self {
             settings,
+            policy,
+            events: Vec::new(),
             health: HealthTracker::default(),
             forecasts: Forecasts::default(),
             speeds: SpeedTracker::default(),
@@ -208,9 +224,11 @@
         evict::evict(self, &mut draft, &workers, inputs);
         evict::remove_departed(self, &mut draft, inputs);
         self.speeds.update(&draft, inputs, &self.forecasts);
+        let waiting = queue::waiting_steps(&draft, inputs, &self.forecasts);
+        self.begin_round(&mut draft, &waiting, inputs);
         watch::move_runs(self, &mut draft, &workers, inputs);
         let waits = if drain::check_orders_recent(self, inputs) {
-            place::place(self, &mut draft, &workers, inputs)
+            place::place(self, &mut draft, waiting, &workers, inputs)
         } else {
             Vec::new()
         };
@@ -218,6 +236,7 @@
         self.unanswered.expire(&mut draft, inputs);
         expire::expire(self, &mut draft, inputs);
         expire::expire_registrations(self, &mut draft, inputs);
+        self.events = draft.take_events();
         draft.into_records(self.settings.plan_layout)
     }
 
@@ -227,6 +246,24 @@
         self.waits.reason(&(job.to_owned(), occurrence, step))
     }
 
+    /// Tells the policy of the round and of the changes of runs since the last one.
+    fn begin_round(
+        &mut self,
+        draft: &mut Draft<'_>,
+        waiting: &[WaitingStep],
+        inputs: &RoundInputs<'_>,
+    ) {
+        self.events.append(&mut draft.take_events());
+        self.policy.begin_round(&RoundStart {
+            inputs,
+            waiting,
+            events: &self.events,
+            forecasts: &self.forecasts,
+            speeds: &self.speeds,
+            draft,
+        });
+    }
+
     /// Restarts the measurement of silence for workers whose eviction was taken back. Their agents report only after
     /// that; measured from before, the workers would be evicted again for reports that their agents couldn't send (seen
     /// up to 38 times within 10 s of the connection's return).
--- a/crates/rampbay-jobs/src/planner/displace.rs
+++ b/crates/rampbay-jobs/src/planner/displace.rs
@@ -3,8 +3,8 @@
 use crate::metrics::metrics;
 
 use super::RoundInputs;
-use super::allowance::lost_work_allowed;
 use super::draft::Draft;
+use super::events::StopReason;
 use super::fit::Need;
 use super::fleet_state::FleetState;
 use super::preempt::{Preemption, could_fit, preempt, preempt_in_rack};
@@ -39,7 +39,9 @@
     let units = units.unwrap_or_else(|| {
         let runs = fleet.workers.iter().map(|worker| inputs.progress.runs_at(&worker.instance));
         let runs: Vec<RunsAt<'_>> = runs.collect();
-        Units::group(&fleet.running, runs.len(), |task| task.lost_work(&runs[task.place]))
+        Units::group(&fleet.running, runs.len(), |run| {
+            need.policy.stop_cost(run, runs[run.place].find(&run.id, run.attempt), inputs)
+        })
     });
     let found = if !could_fit(fleet, &units, need, count) {
         fleet.infeasible_with_preemption.note(need, count);
@@ -53,12 +55,6 @@
     found
 }
 
-/// Returns the work that may be lost for `count` tasks of a step, in thousandths of core-seconds.
-pub fn allowed_for(waiting: &WaitingStep, count: usize, inputs: &RoundInputs<'_>) -> u64 {
-    let allowed_for_step = lost_work_allowed(waiting, inputs.wall);
-    allowed_for_step / waiting.tasks.len().max(1) as u64 * count as u64
-}
-
 /// Stops the victims of a preemption unless it costs more than `allowed`, and reserves their
 /// capacity for the step. Returns whether the step will fit.
 pub fn free_capacity(
@@ -102,7 +98,8 @@
             preemption.lost_work,
             preemption.cost
         );
-        draft.stop_unit(&unit.first);
+        let reason = StopReason::Preempted { for_job: waiting.job.clone() };
+        draft.stop_unit(&unit.first, &reason);
         for (place, held) in &unit.held {
             fleet.add_freed_soon(*place, held);
         }
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -10,6 +10,8 @@
 use crate::record::{KeyedRecord, Record, removal};
 use crate::table::JobTable;
 
+use super::events::{RunChange, RunEvent, StopReason};
+
 /// The changes that one round has made so far.
 pub struct Draft<'a> {
     /// The table at the round's start.
@@ -17,12 +19,19 @@
     changed: BTreeMap<JobId, JobPlan>,
     losses: BTreeMap<JobId, JobLosses>,
     others: Vec<KeyedRecord>,
+    events: Vec<RunEvent>,
 }
 
 impl<'a> Draft<'a> {
     /// Creates a draft without changes.
     pub fn new(table: &'a JobTable) -> Self {
-        Self { table, changed: BTreeMap::new(), losses: BTreeMap::new(), others: Vec::new() }
+        Self {
+            table,
+            changed: BTreeMap::new(),
+            losses: BTreeMap::new(),
+            others: Vec::new(),
+            events: Vec::new(),
+        }
     }
 
     /// Returns the plan of a job, with the changes so far.
@@ -70,17 +79,31 @@
     }
 
     /// Marks a task to be stopped if it is running.
-    pub fn stop(&mut self, id: &TaskId) {
+    pub fn stop(&mut self, id: &TaskId, reason: &StopReason) {
         let Some(task) = self.edit(&id.job).task_mut(id) else { return };
-        if task.status == TaskStatus::Running {
-            task.status = TaskStatus::Stopping;
+        if task.status != TaskStatus::Running {
+            return;
         }
+        task.status = TaskStatus::Stopping;
+        let attempt = task.attempt;
+        let change = RunChange::Stopped(reason.clone());
+        self.note(RunEvent { task: id.clone(), attempt, change });
+    }
+
+    /// Records a change of a run for the policy.
+    pub fn note(&mut self, event: RunEvent) {
+        self.events.push(event);
+    }
+
+    /// Takes the changes of runs since the last call, in their order.
+    pub fn take_events(&mut self) -> Vec<RunEvent> {
+        std::mem::take(&mut self.events)
     }
 
     /// Marks a task, and all members of its gang, to be stopped.
-    pub fn stop_unit(&mut self, id: &TaskId) {
+    pub fn stop_unit(&mut self, id: &TaskId, reason: &StopReason) {
         for member in self.unit_of(id) {
-            self.stop(&member);
+            self.stop(&member, reason);
         }
     }
 
--- a/crates/rampbay-jobs/src/planner/fit.rs
+++ b/crates/rampbay-jobs/src/planner/fit.rs
@@ -8,8 +8,8 @@
 use crate::metrics::metrics;
 
 use super::fleet_state::{FleetState, WorkerState};
+use super::policy::{Candidate, PlacementPolicy, RackRank, WorkerRank};
 use super::queue::WaitingStep;
-use super::speed::MachineSpeed;
 use super::{StepKey, WorkerIndex};
 
 /// Requirements of a step's tasks on a worker.
@@ -27,6 +27,8 @@
     pub service: &'a str,
     /// Whether the step may use workers that are reserved for urgent work.
     pub uses_reserve: bool,
+    /// The policy that ranks workers for it.
+    pub policy: &'a dyn PlacementPolicy,
     /// Workers that may run the step at all, found at the first access.
     eligible: OnceCell<Vec<WorkerIndex>>,
     /// Workers on which earlier runs of these tasks failed.
@@ -36,7 +38,12 @@
 impl<'a> Need<'a> {
     /// Returns the requirements of a waiting step. The workers where it failed before are excluded,
     /// unless no other worker may run it.
-    pub fn of(waiting: &'a WaitingStep, failed_at: Vec<InstanceId>, uses_reserve: bool) -> Self {
+    pub fn of(
+        waiting: &'a WaitingStep,
+        failed_at: Vec<InstanceId>,
+        uses_reserve: bool,
+        policy: &'a dyn PlacementPolicy,
+    ) -> Self {
         let step = waiting.definition();
         Self {
             step,
@@ -45,6 +52,7 @@
             priority: waiting.submission.priority,
             service: &waiting.submission.service,
             uses_reserve,
+            policy,
             eligible: OnceCell::new(),
             failed_at,
         }
@@ -89,21 +97,15 @@
         !self.failed_at.is_empty() || self.step.max_per_worker > 0
     }
 
-    /// Returns the speed of a worker's machine as far as it matters for the step: only urgent work is short of time.
-    pub fn speed_of(&self, worker: &WorkerState) -> MachineSpeed {
-        if self.priority == 0 { worker.speed } else { MachineSpeed::Usual }
+    /// Returns whether a worker is away from the step's data.
+    pub fn is_remote(&self, worker: &WorkerState) -> bool {
+        let rack = &self.step.data_rack;
+        !rack.is_empty() && !worker.record.labels.contains(rack)
     }
 
-    /// Returns the rank of a worker for the step; lower is better. The criteria in their order: the
-    /// worker failed or refused recently or is slow, its agent hasn't reported since the last outage,
-    /// it is away from the data, this step failed there before, its machine is slower (for urgent work
-    /// only), and then the free accelerators and CPU, so that the fullest worker is preferred.
-    fn penalty(&self, worker: &WorkerState, free: &Resources) -> Penalty {
-        let rack = &self.step.data_rack;
-        let remote = !rack.is_empty() && !worker.record.labels.contains(rack);
-        let failed = !self.failed_at.is_empty() && self.failed_at.contains(&worker.instance);
-        let speed = self.speed_of(worker);
-        (worker.avoided, worker.unconfirmed, remote, failed, speed, free.devices, free.cpu_milli)
+    /// Returns whether an earlier run of the waiting tasks failed at a worker.
+    pub fn has_failed_at(&self, worker: &WorkerState) -> bool {
+        !self.failed_at.is_empty() && self.failed_at.contains(&worker.instance)
     }
 
     /// Returns how many more tasks a worker can take that has `free` resources and `present` tasks of the step.
@@ -116,9 +118,6 @@
     }
 }
 
-/// Rank of a worker for a step; lower is better.
-type Penalty = (bool, bool, bool, bool, MachineSpeed, u64, u64);
-
 /// A tentative placement of the tasks of one step on some workers. The amount that it copies and examines grows with
 /// the number of these workers, which is a rack's for most gangs, and not with the fleet.
 pub struct Trial<'a> {
@@ -130,7 +129,7 @@
     /// Number of the step's tasks at each of the workers, if the step limits it.
     members: Option<Vec<u32>>,
     /// The workers that can take one more task, by their ranks, the best first.
-    ranked: BinaryHeap<Reverse<(Penalty, usize)>>,
+    ranked: BinaryHeap<Reverse<(WorkerRank, usize)>>,
 }
 
 impl<'a> Trial<'a> {
@@ -173,8 +172,9 @@
     fn rank(&mut self, index: usize) {
         if self.max_tasks_at(index) > 0 {
             let worker = &self.fleet.workers[self.places[index]];
-            let penalty = self.need.penalty(worker, &self.free[index]);
-            self.ranked.push(Reverse((penalty, index)));
+            let candidate = Candidate { worker, free: &self.free[index], stop_cost: None };
+            let rank = self.need.policy.worker_rank(self.need, &candidate);
+            self.ranked.push(Reverse((rank, index)));
         }
     }
 
@@ -250,21 +250,16 @@
     by_rack(fleet, need).iter().any(|(_, places)| could_hold(places))
 }
 
-/// Finds workers for `count` tasks in one rack. Prefers the rack of the data, then the one with fewer slower
-/// machines, then the one with the fewest free accelerators.
+/// Finds workers for `count` tasks in one rack, in the one that the policy ranks best.
 pub fn place_in_rack(
     fleet: &FleetState,
     need: &Need<'_>,
     count: usize,
 ) -> Option<Vec<WorkerIndex>> {
-    let mut best: Option<((bool, usize, u64), Vec<WorkerIndex>)> = None;
+    let mut best: Option<(RackRank, Vec<WorkerIndex>)> = None;
     for (rack, places) in by_rack(fleet, need) {
         let Some(taken) = Trial::new(fleet, need, &places).place_all(count) else { continue };
-        let remote = !need.step.data_rack.is_empty() && need.step.data_rack != fleet.racks[rack];
-        let is_slower =
-            |&&place: &&WorkerIndex| need.speed_of(&fleet.workers[place]) == MachineSpeed::Slower;
-        let slower = taken.iter().filter(is_slower).count();
-        let rank = (remote, slower, fleet.free_devices_in(rack));
+        let rank = need.policy.rack_rank(need, fleet, rack, &taken);
         if best.as_ref().is_none_or(|(best, _)| rank < *best) {
             best = Some((rank, taken));
         }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -5,14 +5,15 @@
 use crate::metrics::metrics;
 use crate::plan::{JobPlan, JobStatus, Occurrence, TaskStatus};
 
-use super::displace::{Scope, allowed_for, find_preemption, free_capacity, hold_workers, may_hold};
+use super::displace::{Scope, find_preemption, free_capacity, hold_workers, may_hold};
 use super::draft::Draft;
+use super::events::{RunChange, RunEvent};
 use super::fit::{Need, Trial, place_all, place_in_rack};
 use super::fleet_state::FleetState;
 use super::isolation::{IsolatedPlacement, StepPart, place_isolated, split_by_isolation};
-use super::queue::{WaitingStep, waiting_steps};
+use super::policy::PlacementPolicy;
+use super::queue::{WaitingStep, sort_steps};
 use super::rack::requires_one_rack;
-use super::reserve::{choose_reserve, may_use_reserve};
 use super::unanswered::{BoundStep, split_bound};
 use super::waits::{Wait, WaitReason};
 use super::workers::WorkerViews;
@@ -23,22 +24,26 @@
 
 /// Assigns waiting tasks to the workers where they fit. Returns the steps that go on waiting, and why.
 pub fn place(
-    planner: &Planner,
+    planner: &mut Planner,
     draft: &mut Draft<'_>,
+    mut waiting: Vec<WaitingStep>,
     workers: &WorkerViews<'_>,
     inputs: &RoundInputs<'_>,
 ) -> Vec<Wait> {
-    let waiting = waiting_steps(draft, inputs, &planner.forecasts);
     if waiting.is_empty() {
         return Vec::new();
     }
+    sort_steps(&mut waiting, planner.policy.as_ref(), inputs);
     let (waiting, bound) = split_bound(draft, waiting);
     let mut waits = Vec::new();
     let mut fleet = FleetState::new(planner, draft, workers, inputs);
-    choose_reserve(&mut fleet);
+    for place in planner.policy.choose_reserve(&fleet, inputs) {
+        fleet.workers[place].reserved = true;
+    }
+    let policy = planner.policy.as_ref();
     // They can start nowhere else.
     for step in &bound {
-        waits.extend(place_bound(draft, &mut fleet, step, workers, inputs));
+        waits.extend(place_bound(draft, &mut fleet, step, policy, workers, inputs));
     }
     let mut parts: Vec<StepPart<'_>> =
         waiting.iter().flat_map(|step| split_by_isolation(draft, step)).collect();
@@ -47,7 +52,7 @@
     // and again.
     parts.sort_by_key(|part| (part.waiting.urgency(), part.isolation != Isolation::First));
     for part in &parts {
-        waits.extend(place_part(draft, &mut fleet, part, inputs));
+        waits.extend(place_part(draft, &mut fleet, part, policy, inputs));
     }
     waits
 }
@@ -56,11 +61,13 @@
     draft: &mut Draft<'_>,
     fleet: &mut FleetState,
     part: &StepPart<'_>,
+    policy: &dyn PlacementPolicy,
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
     let step = part.waiting.as_ref();
-    let uses_reserve = may_use_reserve(step, inputs.wall) || part.isolation == Isolation::First;
-    let need = Need::of(step, failed_workers(draft, step), uses_reserve);
+    let uses_reserve =
+        policy.may_use_reserve(step, fleet, inputs) || part.isolation == Isolation::First;
+    let need = Need::of(step, failed_workers(draft, step), uses_reserve, policy);
     if part.isolation != Isolation::None {
         match place_isolated(draft, fleet, part, &need, inputs) {
             IsolatedPlacement::Found(places) => {
@@ -84,11 +91,13 @@
     draft: &mut Draft<'_>,
     fleet: &mut FleetState,
     bound: &BoundStep,
+    policy: &dyn PlacementPolicy,
     workers: &WorkerViews<'_>,
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
     let step = &bound.waiting;
-    let need = Need::of(step, Vec::new(), may_use_reserve(step, inputs.wall));
+    let uses_reserve = policy.may_use_reserve(step, fleet, inputs);
+    let need = Need::of(step, Vec::new(), uses_reserve, policy);
     let Some(places) = bound.find_places(draft, fleet, &need, workers) else {
         return Some(Wait::new(step, step.tasks.len(), WaitReason::UnansweredStart, inputs));
     };
@@ -131,7 +140,7 @@
     inputs: &RoundInputs<'_>,
 ) -> Option<Wait> {
     let count = waiting.tasks.len();
-    let allowed = allowed_for(waiting, count, inputs);
+    let allowed = need.policy.max_stop_cost(waiting, count, inputs);
     if need.step.same_rack && count > 1 {
         if let Some(places) = find_in_rack(fleet, need, count) {
             start_gang(draft, fleet, waiting, need, &places);
@@ -249,7 +258,7 @@
     need: &Need<'_>,
     inputs: &RoundInputs<'_>,
 ) -> bool {
-    let allowed = allowed_for(waiting, 1, inputs);
+    let allowed = need.policy.max_stop_cost(waiting, 1, inputs);
     if allowed == 0 {
         return false;
     }
@@ -308,13 +317,15 @@
         task.checkpoint = checkpoint;
     }
     instance.clone_into(&mut task.instance);
+    let attempt = task.attempt;
     metrics().count_decision("start");
     log::info!(
-        "event=J150 run assigned task={id} attempt={} worker={instance} priority={} guaranteed={}",
-        task.attempt,
+        "event=J150 run assigned task={id} attempt={attempt} worker={instance} priority={} guaranteed={}",
         waiting.submission.priority,
         waiting.guaranteed
     );
+    let change = RunChange::Started { instance: instance.to_owned() };
+    draft.note(RunEvent { task: id, attempt, change });
 }
 
 /// Opens the occurrences of a job up to the one that starts.
--- a/crates/rampbay-jobs/src/planner/reserve.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work/reserve.rs
@@ -5,10 +5,9 @@
 //! only if it would end late without them.
 
 use crate::job::EpochMillis;
-
-use super::WorkerIndex;
-use super::fleet_state::FleetState;
-use super::queue::WaitingStep;
+use crate::planner::WorkerIndex;
+use crate::planner::fleet_state::FleetState;
+use crate::planner::queue::WaitingStep;
 
 /// Share of the usable workers that is reserved for urgent work, in percent.
 const RESERVE_PERCENT: usize = 15;
@@ -23,7 +22,7 @@
 
 /// Chooses the workers that are reserved for urgent work: those that run nothing else, sorted by rack,
 /// so that gangs that want one rack fit there.
-pub fn choose_reserve(fleet: &mut FleetState) {
+pub fn choose_reserve(fleet: &FleetState) -> Vec<WorkerIndex> {
     let max = fleet.workers.iter().filter(|worker| worker.usable).count() * RESERVE_PERCENT / 100;
     let mut is_occupied = vec![false; fleet.workers.len()];
     for task in fleet.running.iter().filter(|task| task.priority > 0) {
@@ -36,7 +35,5 @@
     let mut free: Vec<WorkerIndex> = free.collect();
     free.sort_by_key(|&place| fleet.workers[place].rack);
     free.truncate(max);
-    for place in free {
-        fleet.workers[place].reserved = true;
-    }
+    free
 }
--- a/crates/rampbay-jobs/src/planner/preempt.rs
+++ b/crates/rampbay-jobs/src/planner/preempt.rs
@@ -9,7 +9,7 @@
 use super::WorkerIndex;
 use super::fit::{Need, by_rack};
 use super::fleet_state::FleetState;
-use super::speed::MachineSpeed;
+use super::policy::{Candidate, WorkerRank};
 use super::units::{UnitIndex, Units};
 
 /// The units to stop, and the workers where the tasks will then fit.
@@ -21,7 +21,7 @@
     pub places: Vec<WorkerIndex>,
     /// Work that is lost by the stops, in thousandths of core-seconds.
     pub lost_work: u64,
-    /// The lost work, weighted higher for more urgent work and for runs that were started often.
+    /// Cost of the stops, as the policy charges them.
     pub cost: u64,
 }
 
@@ -58,13 +58,14 @@
     Search::new(fleet, units, need, need.eligible(fleet)).could_hold(count)
 }
 
-/// Rank of a worker, lower is better: avoided, no report since the last outage, slower machine, cost of the stops, free
-/// accelerators.
-type Rank = (bool, bool, bool, u64, u64);
+/// Adds up costs. A policy may charge so much for a stop that the plain sum would overflow.
+fn total(costs: impl Iterator<Item = u64>) -> u64 {
+    costs.fold(0, u64::saturating_add)
+}
 
 /// The units that would have to be stopped at a worker for one more task, and the worker's rank.
-struct Candidate {
-    rank: Rank,
+struct RankedStops {
+    rank: WorkerRank,
     stops: Vec<UnitIndex>,
 }
 
@@ -83,11 +84,11 @@
     members: Option<Vec<u32>>,
     victims: BTreeSet<UnitIndex>,
     /// One candidate for each worker, computed at the first task and after each change at the worker.
-    candidates: Vec<Option<Candidate>>,
+    candidates: Vec<Option<RankedStops>>,
     /// The ranks of the candidates, the best first, with some outdated ones among them. A linear search of the
     /// candidates for each task took two fifths of a round on 2,500 workers, as it costs the width of gangs times
     /// the size of the fleet.
-    ranked: BinaryHeap<Reverse<(Rank, usize)>>,
+    ranked: BinaryHeap<Reverse<(WorkerRank, usize)>>,
 }
 
 impl<'a> Search<'a> {
@@ -148,8 +149,8 @@
         let places = places?;
         let units = &self.units.units;
         let victims: Vec<UnitIndex> = self.victims.into_iter().collect();
-        let lost_work = victims.iter().map(|&unit| units[unit].lost_work).sum();
-        let cost = victims.iter().map(|&unit| units[unit].cost).sum();
+        let lost_work = total(victims.iter().map(|&unit| units[unit].lost_work));
+        let cost = total(victims.iter().map(|&unit| units[unit].cost));
         Some(Preemption { victims, places, lost_work, cost })
     }
 
@@ -200,17 +201,16 @@
     }
 
     /// Returns the candidate for one more task at a worker, if the task can be placed there.
-    fn candidate(&self, index: usize) -> Option<Candidate> {
+    fn candidate(&self, index: usize) -> Option<RankedStops> {
         let max = self.need.step.max_per_worker;
         if max > 0 && self.present(index) >= max {
             return None;
         }
         let stops = self.cheapest_stops_at(index)?;
-        let cost = stops.iter().map(|&unit| self.units.units[unit].cost).sum();
+        let cost = total(stops.iter().map(|&unit| self.units.units[unit].cost));
         let worker = &self.fleet.workers[self.places[index]];
-        let slower = self.need.speed_of(worker) == MachineSpeed::Slower;
-        let rank = (worker.avoided, worker.unconfirmed, slower, cost, self.free[index].devices);
-        Some(Candidate { rank, stops })
+        let candidate = Candidate { worker, free: &self.free[index], stop_cost: Some(cost) };
+        Some(RankedStops { rank: self.need.policy.worker_rank(self.need, &candidate), stops })
     }
 
     /// Returns the cheapest units to stop so that one task fits at a worker.
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -9,9 +9,7 @@
 use super::RoundInputs;
 use super::draft::Draft;
 use super::forecast::Forecasts;
-
-/// Waiting time, in milliseconds, after which the work of a step counts half.
-const AGING_MS: u64 = 10_000;
+use super::policy::PlacementPolicy;
 
 /// A step of which some tasks wait and may start.
 #[derive(Clone, Debug)]
@@ -72,15 +70,9 @@
     pub fn is_late(&self, wall: EpochMillis) -> bool {
         wall > self.latest_start
     }
-
-    /// Returns the work, reduced by the waiting time: steps with little work go first, and no step
-    /// waits for ever.
-    fn aged_work(&self, wall: EpochMillis) -> u64 {
-        self.work() * AGING_MS / (AGING_MS + self.waited_ms(wall))
-    }
 }
 
-/// Lists the waiting steps: guaranteed ones first, then by priority, those that can still end in time, and by work.
+/// Lists the waiting steps, in no particular order.
 pub fn waiting_steps(
     draft: &Draft<'_>,
     inputs: &RoundInputs<'_>,
@@ -111,15 +103,20 @@
             next += 1;
         }
     }
-    let order = |step: &WaitingStep| {
-        let late = step.is_late(inputs.wall);
-        let work = step.aged_work(inputs.wall);
-        (step.urgency(), late, work, step.job.clone())
-    };
-    waiting.sort_by_cached_key(order);
     waiting
 }
 
+/// Sorts waiting steps: guaranteed ones first, then by priority, and among the same urgency as the policy orders them.
+pub fn sort_steps(
+    waiting: &mut [WaitingStep],
+    policy: &dyn PlacementPolicy,
+    inputs: &RoundInputs<'_>,
+) {
+    waiting.sort_by_cached_key(|step| {
+        (step.urgency(), policy.step_order(step, inputs), step.job.clone())
+    });
+}
+
 /// A job, with what its waiting steps are built from.
 #[derive(Clone, Copy, Debug)]
 struct JobContext<'a> {
--- a/crates/rampbay-jobs/src/planner/settle.rs
+++ b/crates/rampbay-jobs/src/planner/settle.rs
@@ -11,6 +11,7 @@
 
 use super::RoundInputs;
 use super::draft::Draft;
+use super::events::{RunChange, RunEvent, StopReason};
 use super::health::HealthTracker;
 
 /// Applies the ends that agents have reported to the plans.
@@ -97,6 +98,8 @@
     if end.reason == EndReason::Failed && !step.long_running {
         count_failure(plan, &submission, step, end);
     }
+    let change = RunChange::Ended(end.reason);
+    draft.note(RunEvent { task: end.task.clone(), attempt: end.attempt, change });
 }
 
 fn newest_checkpoint(inputs: &RoundInputs<'_>, end: &RunEnd) -> String {
@@ -144,7 +147,7 @@
     let is_running = |task: &TaskPlan| task.status == TaskStatus::Running;
     let running: Vec<TaskId> = plan.tasks_where(id, is_running).collect();
     for task in running {
-        draft.stop(&task);
+        draft.stop(&task, &StopReason::NotNeeded);
     }
 }
 
@@ -184,13 +187,26 @@
         settle_job(&mut settled, &submission);
         if settled != *plan {
             log_settled(id, plan.status, settled.status, inputs);
+            let stops = new_stops(id, plan, &settled);
             *draft.edit(id) = settled;
+            stops.into_iter().for_each(|stop| draft.note(stop));
         } else if let Some(plan) = kept {
             known.0.insert(id.clone(), Rc::clone(plan));
         }
     }
 }
 
+/// Lists the runs that are to be stopped by `after` but not by `before`.
+fn new_stops(id: &JobId, before: &JobPlan, after: &JobPlan) -> Vec<RunEvent> {
+    let stopping = after.tasks_where(id, |task| task.status == TaskStatus::Stopping);
+    let new = stopping.filter_map(|task| {
+        let before = before.task(&task).filter(|task| task.status == TaskStatus::Running)?;
+        let change = RunChange::Stopped(StopReason::NotNeeded);
+        Some(RunEvent { task, attempt: before.attempt, change })
+    });
+    new.collect()
+}
+
 fn log_settled(id: &JobId, before: JobStatus, after: JobStatus, inputs: &RoundInputs<'_>) {
     if before != after {
         log::info!("event=J133 job settled job={id} status={after:?} wall={}", inputs.wall);
--- a/crates/rampbay-jobs/src/planner/units.rs
+++ b/crates/rampbay-jobs/src/planner/units.rs
@@ -5,6 +5,7 @@
 use crate::job::{JobId, Resources, TaskId};
 
 use super::WorkerIndex;
+use super::policy::StopCost;
 use super::running::RunningTask;
 
 /// Index of a unit in [`Units::units`]; cheaper units come first.
@@ -21,7 +22,7 @@
     pub priority: u32,
     /// Work that the stop loses, in thousandths of core-seconds.
     pub lost_work: u64,
-    /// The lost work, weighted higher for more urgent work and for runs that were started often.
+    /// Cost of the stop, as the policy charges it.
     pub cost: u64,
     /// Whether this round has already decided to stop it.
     pub is_stopped: bool,
@@ -36,33 +37,23 @@
     by_place: Vec<Vec<UnitIndex>>,
 }
 
-/// Priority from which all work has the same weight.
-const LOWEST_WEIGHTED_PRIORITY: u32 = 2;
-
-/// Returns the weight of a stop, which doubles with each step of priority.
-fn weight(priority: u32) -> u64 {
-    1 << LOWEST_WEIGHTED_PRIORITY.saturating_sub(priority)
-}
-
 impl Units {
-    /// Groups the runs at `places` workers into units. `lost_work` returns the work that the stop of a run loses,
-    /// in thousandths of core-seconds.
+    /// Groups the runs at `places` workers into units. `stop_cost` returns the cost of stopping one run.
     pub fn group(
         running: &[RunningTask],
         places: usize,
-        lost_work: impl Fn(&RunningTask) -> u64,
+        stop_cost: impl Fn(&RunningTask) -> StopCost,
     ) -> Self {
         let mut units: Vec<Unit> = Vec::new();
         let mut gangs: HashMap<(&JobId, u32, u32), UnitIndex> = HashMap::new();
         for task in running {
-            let lost_work = lost_work(task);
-            let cost = lost_work * weight(task.priority) * u64::from(task.attempt);
+            let StopCost { lost_work, cost } = stop_cost(task);
             let key = (&task.id.job, task.id.occurrence, task.id.step);
             let known = if task.gang { gangs.get(&key).copied() } else { None };
             if let Some(unit) = known.map(|index| &mut units[index]) {
                 unit.held.push((task.place, task.held));
-                unit.lost_work += lost_work;
-                unit.cost += cost;
+                unit.lost_work = unit.lost_work.saturating_add(lost_work);
+                unit.cost = unit.cost.saturating_add(cost);
                 continue;
             }
             if task.gang {
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -10,6 +10,7 @@
 
 use super::departure::{DepartingRun, RemainingTime};
 use super::draft::Draft;
+use super::events::StopReason;
 use super::progress::{FULL_PERCENT, ObservedProgress};
 use super::unreported::UnreportedRuns;
 use super::workers::{WorkerView, WorkerViews};
@@ -67,7 +68,7 @@
         }
         for task in moved {
             metrics().count_decision("move");
-            draft.stop_unit(&task);
+            draft.stop_unit(&task, &StopReason::Moved);
         }
     }
     if has_new_reports {
@@ -141,12 +142,7 @@
             return None;
         }
         let seen = self.seen(inputs)?;
-        // A run past its estimate reports no further progress, and may take long if it is away from its data.
-        let past_estimate = seen.percent >= FULL_PERCENT;
-        let longest =
-            Duration::from_millis(self.step.estimate_ms * planner.settings.remote_penalty);
-        let stall_limit =
-            planner.settings.stall_after + if past_estimate { longest } else { Duration::ZERO };
+        let stall_limit = planner.policy.stall_limit(self.step, seen);
         let suspect_after = planner.settings.suspect_after;
         let is_responsive =
             self.worker.report_age < suspect_after && self.worker.silent < suspect_after;
