feat: the setting `placement` chooses the policy of a leader

`auto` takes `by_completion` where half of the interval plus the restart is above MAX_WORK_SINCE_CHECKPOINT. Values below 0 or above one hour, and unknown policies, end the process at its start with a message that names the field. The planner's settings carry the stop time, the interval and the restart time for policies.

`by_completion` exists as a policy of its own and delegates each method to `by_lost_work`, so that its rules can be replaced one by one. By default nothing changes.

What may be lost for a guaranteed step is now exactly unlimited: divided by the number of its tasks and multiplied again it was a little less than u64::MAX, so a run that a policy charges with u64::MAX couldn't be stopped even for guaranteed work. The new test `protected_run_stopped_only_for_guaranteed_work` failed before.

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -46,6 +46,7 @@
 use crate::routing::Routing;
 use crate::table::JobTable;
 
+pub use policy::Placement;
 pub use progress::{ObservedProgress, ProgressTable};
 pub use waits::WaitReason;
 
@@ -54,8 +55,7 @@
 use forecast::Forecasts;
 use health::HealthTracker;
 use lost::RecentlyLost;
-use policy::by_lost_work::ByLostWork;
-use policy::{PlacementPolicy, RoundStart};
+use policy::{PlacementPolicy, RoundStart, create_policy};
 use power_loss::PowerLosses;
 use queue::WaitingStep;
 use settle::SettledPlans;
@@ -70,7 +70,7 @@
 /// Index of a worker among all workers of a round, in the order of their ids.
 pub type WorkerIndex = usize;
 
-/// Time limits of a planner, and the layout in which it writes job plans.
+/// Time limits of a planner, the policy by which it places work, and the layout in which it writes job plans.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannerSettings {
     /// Age of an agent's last report after which its worker gets no new work.
@@ -91,6 +91,14 @@
     pub max_drain_orders_age: Duration,
     /// Factor by which work takes longer away from its data or spread over racks.
     pub remote_penalty: u64,
+    /// Time that a stop takes at a worker.
+    pub stop_time: Duration,
+    /// Work between two checkpoints of a run that saves them.
+    pub checkpoint_interval: Duration,
+    /// Time that the restart of a run from a checkpoint takes.
+    pub restore_time: Duration,
+    /// The setting that chooses the policy.
+    pub placement: Placement,
     /// Layout in which job plans are written.
     pub plan_layout: PlanLayout,
 }
@@ -171,10 +179,10 @@
 }
 
 impl Planner {
-    /// Creates a planner without any state from earlier rounds.
+    /// Creates a planner with the policy that the settings choose, without any state from earlier rounds.
     #[must_use]
     pub fn new(settings: PlannerSettings) -> Self {
-        Self::with_policy(settings, Box::new(ByLostWork::new(&settings)))
+        Self::with_policy(settings, create_policy(&settings))
     }
 
     /// Creates a planner with a given policy, without any state from earlier rounds.
@@ -205,6 +213,12 @@
         }
     }
 
+    /// Returns the name of the policy by which it places work.
+    #[must_use]
+    pub fn policy_name(&self) -> &'static str {
+        self.policy.name()
+    }
+
     /// Runs one round and returns the records of its decisions.
     #[must_use]
     pub fn round(&mut self, inputs: &RoundInputs<'_>) -> Vec<KeyedRecord> {
--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -4,7 +4,9 @@
 //! is a choice, it asks the policy. There is one mechanism, and nothing outside the construction of a planner depends on
 //! which policy it has.
 
+pub mod by_completion;
 pub mod by_lost_work;
+mod choice;
 mod round_start;
 
 use std::time::Duration;
@@ -18,6 +20,7 @@
 pub use super::progress::ObservedProgress;
 pub use super::queue::WaitingStep;
 pub use super::running::RunningTask;
+pub use choice::{Placement, PlacementError, create_policy};
 pub use round_start::{AssignedRun, RoundStart};
 
 use super::RoundInputs;
@@ -27,6 +30,9 @@
 /// A policy may keep state between rounds. That state only influences choices, so it may be lost when another planner
 /// takes over.
 pub trait PlacementPolicy: std::fmt::Debug {
+    /// Returns its name, as in the setting `placement`.
+    fn name(&self) -> &'static str;
+
     /// Tells the policy of a round before any of the other methods is called in it.
     fn begin_round(&mut self, start: &RoundStart<'_>);
 
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -0,0 +1,98 @@
+//! The policy `by_completion`: stops and waits are weighed by when the jobs are expected to end.
+//!
+//! A rule that it doesn't replace is that of [`by_lost_work`](super::by_lost_work).
+
+use std::time::Duration;
+
+use crate::job::Step;
+use crate::planner::fit::Need;
+use crate::planner::fleet_state::FleetState;
+use crate::planner::progress::ObservedProgress;
+use crate::planner::queue::WaitingStep;
+use crate::planner::running::RunningTask;
+use crate::planner::{PlannerSettings, RoundInputs, WorkerIndex};
+
+use super::by_lost_work::ByLostWork;
+use super::{Candidate, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost, WorkerRank};
+
+/// Weighs stops and waits by when the jobs are expected to end.
+#[derive(Debug)]
+pub struct ByCompletion {
+    /// The rules that this policy doesn't replace.
+    by_lost_work: ByLostWork,
+}
+
+impl ByCompletion {
+    /// Creates the policy without any state from earlier rounds.
+    #[must_use]
+    pub const fn new(settings: &PlannerSettings) -> Self {
+        Self { by_lost_work: ByLostWork::new(settings) }
+    }
+}
+
+impl PlacementPolicy for ByCompletion {
+    fn name(&self) -> &'static str {
+        "by_completion"
+    }
+
+    fn begin_round(&mut self, start: &RoundStart<'_>) {
+        self.by_lost_work.begin_round(start);
+    }
+
+    fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
+        self.by_lost_work.step_order(waiting, inputs)
+    }
+
+    fn choose_reserve(&mut self, fleet: &FleetState, inputs: &RoundInputs<'_>) -> Vec<WorkerIndex> {
+        self.by_lost_work.choose_reserve(fleet, inputs)
+    }
+
+    fn may_use_reserve(
+        &self,
+        waiting: &WaitingStep,
+        fleet: &FleetState,
+        inputs: &RoundInputs<'_>,
+    ) -> bool {
+        self.by_lost_work.may_use_reserve(waiting, fleet, inputs)
+    }
+
+    fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank {
+        self.by_lost_work.worker_rank(need, candidate)
+    }
+
+    fn rack_rank(
+        &self,
+        need: &Need<'_>,
+        fleet: &FleetState,
+        rack: usize,
+        places: &[WorkerIndex],
+    ) -> RackRank {
+        self.by_lost_work.rack_rank(need, fleet, rack, places)
+    }
+
+    fn waits_for_rack(
+        &self,
+        waiting: &WaitingStep,
+        fleet: &FleetState,
+        inputs: &RoundInputs<'_>,
+    ) -> bool {
+        self.by_lost_work.waits_for_rack(waiting, fleet, inputs)
+    }
+
+    fn stop_cost(
+        &self,
+        run: &RunningTask,
+        seen: Option<&ObservedProgress>,
+        inputs: &RoundInputs<'_>,
+    ) -> StopCost {
+        self.by_lost_work.stop_cost(run, seen, inputs)
+    }
+
+    fn max_stop_cost(&self, waiting: &WaitingStep, count: usize, inputs: &RoundInputs<'_>) -> u64 {
+        self.by_lost_work.max_stop_cost(waiting, count, inputs)
+    }
+
+    fn stall_limit(&self, step: &Step, seen: &ObservedProgress) -> Duration {
+        self.by_lost_work.stall_limit(step, seen)
+    }
+}
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
@@ -19,6 +19,8 @@
 use crate::planner::{PlannerSettings, RoundInputs, WorkerIndex};
 
 use super::{Candidate, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost, WorkerRank};
+pub use stops::MAX_WORK_SINCE_CHECKPOINT;
+
 use stall::StallLimits;
 
 /// Weighs stops and waits by the work that they lose. It keeps no state between rounds.
@@ -37,6 +39,10 @@
 }
 
 impl PlacementPolicy for ByLostWork {
+    fn name(&self) -> &'static str {
+        "by_lost_work"
+    }
+
     fn begin_round(&mut self, _start: &RoundStart<'_>) {}
 
     fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work/allowance.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work/allowance.rs
@@ -15,18 +15,19 @@
 /// Time for which a gang that isn't urgent waits for capacity before others are stopped for it.
 const MIN_GANG_WAIT_MS: u64 = 2_500;
 
-/// Returns the work that may be lost for `count` of the waiting tasks of a step, in thousandths of core-seconds.
+/// Returns the work that may be lost for `count` of the waiting tasks of a step, in thousandths of core-seconds. For a
+/// guaranteed step it is unlimited.
 pub fn max_stop_cost(waiting: &WaitingStep, count: usize, wall: EpochMillis) -> u64 {
+    if waiting.guaranteed {
+        return u64::MAX;
+    }
     let allowed_for_step = lost_work_allowed(waiting, wall);
     allowed_for_step / waiting.tasks.len().max(1) as u64 * count as u64
 }
 
 /// Returns the work that may be lost to preemption for a step, in thousandths of core-seconds. For
-/// a step that can't end in time any more this is 0, unless the step is guaranteed.
+/// a step that can't end in time any more this is 0.
 fn lost_work_allowed(waiting: &WaitingStep, wall: EpochMillis) -> u64 {
-    if waiting.guaranteed {
-        return u64::MAX;
-    }
     if waiting.is_late(wall) {
         return 0;
     }
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work/stops.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work/stops.rs
@@ -7,7 +7,7 @@
 use crate::planner::running::RunningTask;
 
 /// Largest work since the last checkpoint of a run that saves checkpoints.
-const MAX_WORK_SINCE_CHECKPOINT: Duration = Duration::from_millis(800);
+pub const MAX_WORK_SINCE_CHECKPOINT: Duration = Duration::from_millis(800);
 /// Work that every stop loses in addition, for the repeated start.
 const RESTART_WORK: Duration = Duration::from_millis(300);
 /// This work for a member of a gang, which needs capacity for all members again.
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -8,7 +8,7 @@
 use crate::agent::AgentSettings;
 use crate::job::NodeName;
 use crate::parts::PlanLayout;
-use crate::planner::PlannerSettings;
+use crate::planner::{Placement, PlannerSettings};
 use crate::record::Member;
 
 /// Maximum rate of this process's clock relative to a worker's, in thousandths: a worker's clock may be that
@@ -26,6 +26,11 @@
 /// than this share assigns nothing more. The rest is for the agents' view (2 s) and the order itself.
 const DRAIN_MARGIN_PERMILLE: u64 = 550;
 
+/// Largest value of `checkpoint_s`, in seconds: one hour.
+const MAX_CHECKPOINT_S: f64 = 3600.0;
+/// Largest value of `restore_ms`, in milliseconds: one hour.
+const MAX_RESTORE_MS: f64 = 3_600_000.0;
+
 /// Settings of a process. Unknown fields are ignored, so that a newer platform may add some.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -74,6 +79,15 @@
     pub grace_s: f64,
     /// Factor by which work takes longer away from its data.
     pub remote_penalty: u64,
+    /// Policy by which a leader places work: `auto`, `by_lost_work` or `by_completion`.
+    #[serde(default)]
+    pub placement: Placement,
+    /// Work between two checkpoints of a run that saves them, in seconds.
+    #[serde(default = "default_checkpoint_s")]
+    pub checkpoint_s: f64,
+    /// Time of a restart from a checkpoint, in milliseconds.
+    #[serde(default = "default_restore_ms")]
+    pub restore_ms: f64,
     /// Minimum time for which a candidate for leadership may be silent.
     pub leader_ttl_ms: u64,
     /// How a leader writes the plans of wide jobs: `in_parts`, or `whole` as long as processes of a release without parts
@@ -106,6 +120,14 @@
     1500
 }
 
+const fn default_checkpoint_s() -> f64 {
+    1.0
+}
+
+const fn default_restore_ms() -> f64 {
+    250.0
+}
+
 const fn default_drain_ms() -> u64 {
     5000
 }
@@ -129,6 +151,15 @@
     Invalid(String),
 }
 
+fn out_of_range(field: &str, value: f64, max: f64) -> SettingsError {
+    SettingsError::Invalid(format!("{field} is {value}, must be from 0 to {max}"))
+}
+
+/// Converts a number of seconds that [`Settings::check`] has found in range.
+fn seconds(value: f64) -> Duration {
+    Duration::try_from_secs_f64(value).unwrap_or_default()
+}
+
 impl Settings {
     /// Checks that the values are usable.
     ///
@@ -152,6 +183,12 @@
         if self.cpu_share < 0.0 || self.cores < 0.0 {
             return invalid("cpu_share or cores is below 0");
         }
+        if !(0.0..=MAX_CHECKPOINT_S).contains(&self.checkpoint_s) {
+            return Err(out_of_range("checkpoint_s", self.checkpoint_s, MAX_CHECKPOINT_S));
+        }
+        if !(0.0..=MAX_RESTORE_MS).contains(&self.restore_ms) {
+            return Err(out_of_range("restore_ms", self.restore_ms, MAX_RESTORE_MS));
+        }
         if self.peer_port == self.metrics_port {
             return invalid("peer_port and metrics_port are the same");
         }
@@ -228,6 +265,10 @@
                 self.drain_ms * DRAIN_MARGIN_PERMILLE / 1000,
             ),
             remote_penalty: self.remote_penalty.max(1),
+            stop_time: Duration::from_millis(self.stop_ms),
+            checkpoint_interval: seconds(self.checkpoint_s),
+            restore_time: seconds(self.restore_ms / 1000.0),
+            placement: self.placement,
             plan_layout: self.wide_accounts,
         }
     }
