feat: one estimate of completion

The planner's rules each had a guess of their own of how long work takes: the forecast, the time that a run has gone on, three speed classes. Urgent gangs were placed on slow workers, and nothing could say when a wide gang will find room.

planner/completion.rs answers these questions in whole milliseconds, each with a range: how long the tasks of a step take on given workers, how long a run or a gang still needs, when a number of tasks will fit in one rack or anywhere if nothing is stopped, and when a step ends under an option. It is built once a round from references and computes only what is asked. planner/speed.rs measures the slowness of each worker as a number; the speed classes are as before. The rate of a run is measured over all of its reports, so that late, lost or contradictory ones don't move the expected end by more than their interval.

--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -14,6 +14,9 @@
 /// Bounds of the latency histograms, in seconds.
 const BUCKETS: [f64; 11] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0];
 
+/// Bounds of the ratios of actual to estimated durations.
+const RATIO_BUCKETS: [f64; 12] = [0.25, 0.4, 0.5, 0.65, 0.8, 0.9, 1.1, 1.25, 1.5, 2.0, 3.0, 5.0];
+
 /// Labels of a caller's call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
@@ -44,6 +47,13 @@
     pub kind: &'static str,
 }
 
+/// A label that says what an estimate is based on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct SourceLabel {
+    /// `rate` or `forecast`.
+    pub source: &'static str,
+}
+
 /// The metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -69,6 +79,8 @@
     pub round_seconds: Histogram,
     /// Workers that the planner examined in search of free capacity, counted each time.
     pub workers_searched: Counter,
+    /// Actual over estimated durations of ended runs, at the leader.
+    pub estimate_error_ratio: Family<SourceLabel, Histogram>,
     /// Age of the process's views, by kind.
     pub view_age: Family<KindLabel, Gauge<f64, AtomicU64>>,
     /// Number of processes between this one and the store: 0 for the leader.
@@ -95,6 +107,7 @@
             drained_domains: Gauge::default(),
             round_seconds: histogram(),
             workers_searched: Counter::default(),
+            estimate_error_ratio: Family::new_with_constructor(|| Histogram::new(RATIO_BUCKETS)),
             view_age: Family::default(),
             tree_depth: Gauge::default(),
             state: Family::default(),
@@ -112,6 +125,8 @@
         registry.register_with_unit("round", "Time of a planner's round", seconds.clone(), round);
         let searched = self.workers_searched.clone();
         registry.register("workers_searched", "Workers looked at in search of room", searched);
+        let ratio = self.estimate_error_ratio.clone();
+        registry.register("estimate_error_ratio", "Actual over estimated durations", ratio);
         let age = self.view_age.clone();
         registry.register_with_unit("view_age", "Age of what is known", seconds.clone(), age);
         let depth = self.tree_depth.clone();
@@ -154,6 +169,11 @@
         self.ends.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Records the ratio of an actual to an estimated duration.
+    pub fn observe_estimate_error(&self, source: &'static str, ratio: f64) {
+        self.estimate_error_ratio.get_or_create(&SourceLabel { source }).observe(ratio);
+    }
+
     /// Sets the age of a view.
     pub fn set_view_age(&self, kind: &'static str, age: Duration) {
         self.view_age.get_or_create(&KindLabel { kind }).set(age.as_secs_f64());
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -6,6 +6,7 @@
 //! of evictions) only influences choices, so it may be lost when another planner takes over.
 
 mod allowance;
+pub mod completion;
 mod departure;
 mod displace;
 mod draft;
@@ -49,6 +50,7 @@
 pub use progress::{ObservedProgress, ProgressTable};
 pub use waits::WaitReason;
 
+use completion::CompletionState;
 use draft::Draft;
 use forecast::Forecasts;
 use health::HealthTracker;
@@ -87,6 +89,10 @@
     pub max_drain_orders_age: Duration,
     /// Factor by which work takes longer away from its data or spread over racks.
     pub remote_penalty: u64,
+    /// Time that a stop takes.
+    pub stop: Duration,
+    /// Time that a restart from a checkpoint takes.
+    pub restore: Duration,
     /// Layout in which job plans are written.
     pub plan_layout: PlanLayout,
 }
@@ -116,6 +122,8 @@
     health: HealthTracker,
     forecasts: Forecasts,
     speeds: SpeedTracker,
+    /// What the estimate of completion keeps between rounds.
+    completion: CompletionState,
     waits: WaitLog,
     evicted_since: BTreeMap<InstanceId, Duration>,
     departed_since: BTreeMap<InstanceId, Duration>,
@@ -171,6 +179,7 @@
             health: HealthTracker::default(),
             forecasts: Forecasts::default(),
             speeds: SpeedTracker::default(),
+            completion: CompletionState::default(),
             waits: WaitLog::default(),
             evicted_since: BTreeMap::new(),
             departed_since: BTreeMap::new(),
@@ -196,6 +205,7 @@
         self.reset_returned_workers(inputs);
         self.forecasts.update(inputs.table);
         let workers = WorkerViews::new(inputs, &self.known_since);
+        self.observe_ended_runs(inputs);
         let mut draft = Draft::new(inputs.table);
         settle::apply_ends(&mut draft, inputs, &mut self.health);
         if !std::mem::replace(&mut self.lost_runs_checked, true) {
@@ -218,6 +228,7 @@
         self.unanswered.expire(&mut draft, inputs);
         expire::expire(self, &mut draft, inputs);
         expire::expire_registrations(self, &mut draft, inputs);
+        self.observe_changed_plans(&draft, inputs);
         draft.into_records(self.settings.plan_layout)
     }
 
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/completion/pace.rs
@@ -0,0 +1,236 @@
+//! The pace of a run, by the reports of its agent.
+//!
+//! Reports may come late, out of order, more than once or not at all, and the process that writes them may be restarted,
+//! which then counts the run's time anew. So the rate is measured by the run's own time, and a report that contradicts
+//! earlier ones moves the expected end by no more than the time since the report before.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::job::Checkpoint;
+use crate::planner::progress::FULL_PERCENT;
+use crate::record::RunProgress;
+
+/// Shortest time over which a rate is measured, in milliseconds.
+const MIN_RATE_TIME_MS: u64 = 900;
+/// Time, in milliseconds, after which a mark is replaced, so that the rate is that of the last seconds.
+const MARK_AGE_MS: u64 = 3_000;
+/// Progress after which a mark is replaced. Progress is reported in whole percents, so that a rate over less of it is
+/// off by more than a tenth.
+const MARK_PERCENT: u32 = 10;
+/// Time, in milliseconds, from which a stretch with little progress may be a stall. A shorter one may come from reports
+/// a second apart.
+const MIN_STALL_MS: u64 = 2_000;
+/// Share of the progress expected by the rate below which such a stretch is a stall.
+const STALL_SHARE: f64 = 0.5;
+
+/// Progress of a run at a time of its own clock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Mark {
+    percent: u32,
+    ran_ms: u64,
+}
+
+/// The pace of a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pace {
+    /// Greatest reported progress, and the time by the run's clock at which it was last seen.
+    latest: Mark,
+    /// Time by the run's clock at which the progress last grew.
+    grew_at_ms: u64,
+    /// Marks from which the rate is measured.
+    older: Mark,
+    newer: Mark,
+    percent_per_s: Option<f64>,
+    /// Progress over which the rate was measured.
+    rate_percent: u32,
+    /// Whether the last growth followed a stall.
+    has_stalled: bool,
+    /// Whole time of the run as estimated by the first rate.
+    first_total_ms: Option<u64>,
+    /// Start of the run by the receiver's clock.
+    started_at: Instant,
+    /// Difference between the run's clock and that of the process which reports.
+    offset_ms: u64,
+    received_at: Instant,
+    checkpoint: Checkpoint,
+    checkpoint_percent: u32,
+}
+
+impl Pace {
+    /// Begins with the first report on a run.
+    #[must_use]
+    pub fn begin(run: &RunProgress, received_at: Instant) -> Self {
+        let mark = Mark { percent: run.percent, ran_ms: run.ran_ms };
+        Self {
+            latest: mark,
+            grew_at_ms: mark.ran_ms,
+            older: mark,
+            newer: mark,
+            percent_per_s: None,
+            rate_percent: 0,
+            has_stalled: false,
+            first_total_ms: None,
+            started_at: before(received_at, run.ran_ms),
+            offset_ms: 0,
+            received_at,
+            checkpoint: run.checkpoint.clone(),
+            checkpoint_percent: run.percent,
+        }
+    }
+
+    /// Returns the pace after another report on the run.
+    #[must_use]
+    pub fn after(&self, run: &RunProgress, received_at: Instant) -> Self {
+        let mut pace = self.clone();
+        pace.advance(run, received_at);
+        pace
+    }
+
+    fn advance(&mut self, run: &RunProgress, received_at: Instant) {
+        let since = received_at.saturating_duration_since(self.received_at).as_millis() as u64;
+        let reported_ms = run.ran_ms + self.offset_ms;
+        let is_earlier = reported_ms < self.latest.ran_ms;
+        if is_earlier && self.is_outdated(run, since) {
+            return;
+        }
+        let ran_ms = if is_earlier { self.latest.ran_ms + since } else { reported_ms };
+        self.offset_ms = ran_ms - run.ran_ms;
+        self.received_at = received_at.max(self.received_at);
+        self.note_checkpoint(run);
+        let has_grown = run.percent > self.latest.percent;
+        self.synchronize(ran_ms, received_at, has_grown);
+        self.latest.ran_ms = ran_ms;
+        if has_grown {
+            self.grow(Mark { percent: run.percent, ran_ms });
+        }
+    }
+
+    /// Returns whether a report that shows less time than the latest one is older than that. Otherwise a restarted
+    /// process has written it, which counts the run's time from its own start, and so at most from the latest report.
+    const fn is_outdated(&self, run: &RunProgress, since_ms: u64) -> bool {
+        if run.percent == self.latest.percent {
+            return run.ran_ms > since_ms;
+        }
+        run.percent < self.latest.percent
+    }
+
+    fn note_checkpoint(&mut self, run: &RunProgress) {
+        if run.checkpoint != self.checkpoint {
+            self.checkpoint.clone_from(&run.checkpoint);
+            self.checkpoint_percent = run.percent.max(self.latest.percent);
+        }
+    }
+
+    /// Updates the start of the run by the receiver's clock. A report that was under way for less time than the ones
+    /// before shows an earlier start. A later one, as after a suspension of the machine, is taken over step by step: by
+    /// the time since the report before, and only with progress, which else moves the expected end by that time already.
+    fn synchronize(&mut self, ran_ms: u64, received_at: Instant, has_grown: bool) {
+        let interval_ms = if has_grown { ran_ms - self.latest.ran_ms } else { 0 };
+        let latest = self.started_at + Duration::from_millis(interval_ms);
+        self.started_at = before(received_at, ran_ms).min(latest);
+    }
+
+    fn grow(&mut self, to: Mark) {
+        let is_stalled = !self.has_stalled && self.is_below_pace(to);
+        self.latest = to;
+        self.grew_at_ms = to.ran_ms;
+        self.has_stalled = is_stalled;
+        if is_stalled {
+            // The time of a stall isn't part of the rate.
+            (self.older, self.newer) = (to, to);
+        } else if to.percent < FULL_PERCENT {
+            self.measure(to);
+        }
+    }
+
+    /// Returns whether the progress since the last growth is so little that the run has stalled in between.
+    fn is_below_pace(&self, to: Mark) -> bool {
+        let Some(rate) = self.percent_per_s else { return false };
+        let stretch_ms = to.ran_ms - self.grew_at_ms;
+        let expected = rate * stretch_ms as f64 / 1000.0;
+        let gained = f64::from(to.percent - self.latest.percent);
+        stretch_ms >= MIN_STALL_MS && gained < expected * STALL_SHARE
+    }
+
+    fn measure(&mut self, to: Mark) {
+        let time_ms = to.ran_ms - self.older.ran_ms;
+        if time_ms < MIN_RATE_TIME_MS {
+            return;
+        }
+        let gained = to.percent - self.older.percent;
+        let rate = f64::from(gained) * 1000.0 / time_ms as f64;
+        self.percent_per_s = Some(rate);
+        self.rate_percent = gained;
+        let left_ms = by_rate_ms(to.percent, rate);
+        self.first_total_ms.get_or_insert(to.ran_ms.saturating_add(left_ms));
+        let is_old = to.ran_ms - self.newer.ran_ms >= MARK_AGE_MS;
+        if is_old || to.percent - self.newer.percent >= MARK_PERCENT {
+            self.older = self.newer;
+            self.newer = to;
+        }
+    }
+
+    /// Returns the progress in percent, the greatest that was reported.
+    #[must_use]
+    pub const fn percent(&self) -> u32 {
+        self.latest.percent
+    }
+
+    /// Returns the rate in percent a second, once two reports give it. Time in which the run stalled doesn't count.
+    #[must_use]
+    pub const fn percent_per_s(&self) -> Option<f64> {
+        self.percent_per_s
+    }
+
+    /// Returns the deviation of the rate because progress is reported in whole percents, as a share of it.
+    #[must_use]
+    pub fn rounding(&self) -> f64 {
+        1.0 / f64::from(self.rate_percent.max(1))
+    }
+
+    /// Returns the latest checkpoint that was reported.
+    #[must_use]
+    pub const fn checkpoint(&self) -> &Checkpoint {
+        &self.checkpoint
+    }
+
+    /// Returns the progress that the run had when its latest checkpoint was first reported, in percent.
+    #[must_use]
+    pub const fn checkpoint_percent(&self) -> u32 {
+        self.checkpoint_percent
+    }
+
+    /// Returns the time since the progress was observed, which is longer than since its report was received if that came
+    /// late.
+    #[must_use]
+    pub fn observed_ago(&self, now: Instant) -> Duration {
+        let observed_at = self.started_at + Duration::from_millis(self.latest.ran_ms);
+        now.saturating_duration_since(observed_at)
+    }
+
+    /// Returns the time since the run started, as far as reports tell.
+    #[must_use]
+    pub fn ran(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.started_at)
+    }
+
+    /// Returns the whole time of the run as it was estimated when two reports first gave its rate, in milliseconds.
+    #[must_use]
+    pub const fn first_total_ms(&self) -> Option<u64> {
+        self.first_total_ms
+    }
+}
+
+/// Returns the time that a run still needs at a rate, in milliseconds.
+#[must_use]
+pub fn by_rate_ms(percent: u32, percent_per_s: f64) -> u64 {
+    let left = f64::from(FULL_PERCENT.saturating_sub(percent));
+    // A run without progress never ends: the quotient is too large, and the cast saturates at the longest time.
+    (left * 1000.0 / percent_per_s.max(f64::MIN_POSITIVE)) as u64
+}
+
+fn before(at: Instant, ms: u64) -> Instant {
+    at.checked_sub(Duration::from_millis(ms)).unwrap_or(at)
+}
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -41,6 +41,11 @@
         self.table.jobs.get(id)?.plan.as_ref()
     }
 
+    /// Iterates over the plans that this round has accessed for changing them.
+    pub fn changed_plans(&self) -> impl Iterator<Item = (&JobId, &JobPlan)> {
+        self.changed.iter()
+    }
+
     /// Returns the plan of a job for changing it.
     pub fn edit(&mut self, id: &JobId) -> &mut JobPlan {
         let kept = self.table.jobs.get(id).and_then(|job| job.plan.as_deref());
--- a/crates/rampbay-jobs/src/planner/forecast.rs
+++ b/crates/rampbay-jobs/src/planner/forecast.rs
@@ -21,6 +21,8 @@
     mean_log: f64,
     /// Weight of a single estimate against the mean, 0 to 1.
     own_weight: f64,
+    /// Standard deviation of the logarithms of the estimates.
+    deviation: f64,
 }
 
 /// Expected durations by queue.
@@ -57,6 +59,11 @@
         (queue.own_weight * own + (1.0 - queue.own_weight) * queue.mean_log).exp() as u64
     }
 
+    /// Returns the standard deviation of the logarithms of the estimates of a job's queue; 0 if too few are known.
+    pub fn deviation(&self, submission: &Submission) -> f64 {
+        self.queues.get(&submission.queue).map_or(0.0, |queue| queue.deviation)
+    }
+
     /// Returns how long each step of a job is expected to take, in milliseconds.
     pub fn durations_ms(&self, submission: &Submission) -> Vec<u64> {
         submission.steps.iter().map(|step| self.duration_ms(submission, step)).collect()
@@ -67,5 +74,6 @@
     let count = logs.len() as f64;
     let mean_log = logs.iter().sum::<f64>() / count;
     let variance = logs.iter().map(|log| (log - mean_log).powi(2)).sum::<f64>() / count;
-    QueueForecast { mean_log, own_weight: (EXPECTED_LOG_VARIANCE / variance).min(1.0) }
+    let own_weight = (EXPECTED_LOG_VARIANCE / variance).min(1.0);
+    QueueForecast { mean_log, own_weight, deviation: variance.sqrt() }
 }
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -9,6 +9,8 @@
 use crate::job::{Checkpoint, InstanceId, TaskId};
 use crate::record::{KeyedRecord, ProgressReport, RunProgress};
 
+use super::completion::pace::Pace;
+
 /// A run's latest progress.
 #[derive(Clone, Debug)]
 pub struct ObservedProgress {
@@ -24,6 +26,8 @@
     pub instance: InstanceId,
     /// Rate of its progress.
     pub rate: Rate,
+    /// Pace of the run, by all of its reports.
+    pub pace: Pace,
 }
 
 /// Rate of a run's progress, measured between two reports of its agent.
@@ -222,6 +226,7 @@
         now: Instant,
     ) -> ObservedRun {
         let rate = known.map_or_else(|| Rate::begin(&run), |seen| seen.rate.advance(&run));
+        let pace = known.map_or_else(|| Pace::begin(&run, now), |seen| seen.pace.after(&run, now));
         let same = known.filter(|seen| seen.percent == run.percent);
         let seen = ObservedProgress {
             percent: run.percent,
@@ -230,6 +235,7 @@
             checkpoint: run.checkpoint,
             instance: instance.to_owned(),
             rate,
+            pace,
         };
         ObservedRun { task: run.task, attempt: run.attempt, seen }
     }
--- a/crates/rampbay-jobs/src/planner/speed.rs
+++ b/crates/rampbay-jobs/src/planner/speed.rs
@@ -32,6 +32,10 @@
 /// Lower bound of the rates that are compared, in percent a second; a lower rate means a stalled run.
 const MIN_RATE: f64 = 1.0;
 
+/// Bounds of the measured slowness of a worker. Machines differ by less; what goes beyond comes from tasks that aren't
+/// alike.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.25, 4.0);
+
 /// Speed class of a machine against others, fastest first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MachineSpeed {
@@ -56,6 +60,15 @@
     current_jobs: BTreeSet<JobId>,
     mean_log_ratio: f64,
     intervals: u32,
+    /// Slowness against other workers.
+    slowness: Slowness,
+}
+
+/// Mean logarithm of the factor by which tasks take longer at a worker than on an average one.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slowness {
+    mean_log: f64,
+    intervals: u32,
 }
 
 /// Speed measurements of all workers.
@@ -112,15 +125,39 @@
             return;
         }
         let mean = logs.iter().sum::<f64>() / logs.len() as f64;
-        for ((key, seen), log) in runs.iter().zip(&logs) {
+        let against_others = self.slowness_of_runs(runs);
+        for (((key, seen), log), slowness) in runs.iter().zip(&logs).zip(against_others) {
             let counted = self.counted.entry(key.clone()).or_default();
             if *counted < seen.rate.intervals {
                 *counted = seen.rate.intervals;
-                self.workers.entry(seen.instance.clone()).or_default().add_interval(log - mean);
+                let worker = self.workers.entry(seen.instance.clone()).or_default();
+                worker.add_interval(log - mean);
+                slowness.into_iter().for_each(|log| worker.slowness.add(log));
             }
         }
     }
 
+    /// Returns for each run of a step the logarithm of its worker's slowness, as a comparison of the runs gives it. Runs
+    /// that make no progress say nothing of their workers.
+    fn slowness_of_runs(&self, runs: &[(RunKey, &ObservedProgress)]) -> Vec<Option<f64>> {
+        let mut rates = Rates::default();
+        for (_, seen) in runs {
+            let Some(log) = log_rate(seen) else { continue };
+            let known = self.workers.get(&seen.instance).and_then(|worker| worker.slowness.known());
+            rates.add(log, known);
+        }
+        let on_average_worker = rates.on_average_worker();
+        runs.iter().map(|(_, seen)| Some(on_average_worker? - log_rate(seen)?)).collect()
+    }
+
+    /// Returns the slowness of a worker: the factor by which tasks take longer there than on an average one. Returns
+    /// `None` before it has been measured over enough intervals.
+    pub fn slowness(&self, instance: &str) -> Option<f64> {
+        let (least, most) = SLOWNESS_BOUNDS;
+        let log = self.workers.get(instance)?.slowness.known()?;
+        Some(log.exp().clamp(least, most))
+    }
+
     /// Returns whether a worker is slow now.
     pub fn is_slow(&self, instance: &str) -> bool {
         self.workers.get(instance).is_some_and(|worker| {
@@ -143,6 +180,67 @@
     }
 }
 
+impl Slowness {
+    /// Returns the mean logarithm, if it was measured over enough intervals.
+    fn known(&self) -> Option<f64> {
+        (self.intervals >= MIN_INTERVALS).then_some(self.mean_log)
+    }
+
+    fn add(&mut self, log: f64) {
+        let (least, most) = SLOWNESS_BOUNDS;
+        self.intervals += 1;
+        let weight = INTERVAL_WEIGHT.max(1.0 / f64::from(self.intervals));
+        self.mean_log += weight * (log.clamp(least.ln(), most.ln()) - self.mean_log);
+    }
+}
+
+/// Returns the logarithm of a run's rate, if it makes progress.
+fn log_rate(seen: &ObservedProgress) -> Option<f64> {
+    seen.rate.percent_per_s.filter(|rate| *rate >= MIN_RATE).map(f64::ln)
+}
+
+/// Rates of runs of one step.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rates {
+    /// Logarithms of the rates on workers whose slowness is known, each as it would be on an average worker.
+    known: Total,
+    /// Logarithms of the rates on other workers.
+    unknown: Total,
+}
+
+impl Rates {
+    fn add(&mut self, log: f64, slowness_log: Option<f64>) {
+        match slowness_log {
+            Some(slowness) => self.known.add(log + slowness),
+            None => self.unknown.add(log),
+        }
+    }
+
+    /// Returns the logarithm of the step's rate on an average worker. Workers whose slowness is known decide: were all
+    /// taken as average, those that are all fast would seem average once they are compared only with each other.
+    fn on_average_worker(&self) -> Option<f64> {
+        self.known.mean().or_else(|| self.unknown.mean())
+    }
+}
+
+/// A sum with the number of its terms.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    sum: f64,
+    count: u32,
+}
+
+impl Total {
+    fn add(&mut self, term: f64) {
+        self.sum += term;
+        self.count += 1;
+    }
+
+    fn mean(self) -> Option<f64> {
+        (self.count > 0).then(|| self.sum / f64::from(self.count))
+    }
+}
+
 impl WorkerSpeed {
     fn reset_current(&mut self) {
         self.best_ratio = 0.0;
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -8,6 +8,7 @@
 use crate::metrics::metrics;
 use crate::plan::{TaskPlan, TaskStatus};
 
+use super::completion::pace::by_rate_ms;
 use super::departure::{DepartingRun, RemainingTime};
 use super::draft::Draft;
 use super::progress::{FULL_PERCENT, ObservedProgress};
@@ -156,8 +157,5 @@
 
 /// Returns the time that a run still needs at its present rate, in milliseconds.
 fn remaining_by_rate_ms(seen: &ObservedProgress) -> Option<u64> {
-    let rate = seen.rate.percent_per_s?;
-    let left = f64::from(FULL_PERCENT.saturating_sub(seen.percent));
-    // A run without progress never ends: the quotient is too large, and the cast saturates at the longest time.
-    Some((left * 1000.0 / rate.max(f64::MIN_POSITIVE)) as u64)
+    seen.rate.percent_per_s.map(|rate| by_rate_ms(seen.percent, rate))
 }
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -74,6 +74,9 @@
     pub grace_s: f64,
     /// Factor by which work takes longer away from its data.
     pub remote_penalty: u64,
+    /// Time that a restart from a checkpoint takes.
+    #[serde(default = "default_restore_ms")]
+    pub restore_ms: u64,
     /// Minimum time for which a candidate for leadership may be silent.
     pub leader_ttl_ms: u64,
     /// How a leader writes the plans of wide jobs: `in_parts`, or `whole` as long as processes of a release without parts
@@ -110,6 +113,10 @@
     5000
 }
 
+const fn default_restore_ms() -> u64 {
+    250
+}
+
 const fn default_cores() -> f64 {
     1.0
 }
@@ -228,6 +235,8 @@
                 self.drain_ms * DRAIN_MARGIN_PERMILLE / 1000,
             ),
             remote_penalty: self.remote_penalty.max(1),
+            stop: Duration::from_millis(self.stop_ms),
+            restore: Duration::from_millis(self.restore_ms),
             plan_layout: self.wide_accounts,
         }
     }
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -5,6 +5,7 @@
 use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Step, Submission, TaskId};
 use rampbay_jobs::plan::{JobStatus, TaskStatus};
+use rampbay_jobs::planner::completion::view::CompletionView;
 use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
     EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord,
@@ -97,6 +98,34 @@
         })
     }
 
+    /// Asks the estimate of completion a question, by what the planner knew at its last round.
+    pub fn ask<T>(&self, question: impl FnOnce(&CompletionView<'_>) -> T) -> T {
+        let inputs = RoundInputs {
+            table: &self.table,
+            routing: &self.routing,
+            drained: &self.drained,
+            drain_orders_age: self.drain_orders_age,
+            progress: &self.progress,
+            now: self.started.elapsed(),
+            wall: self.wall,
+        };
+        question(&self.planner.completion_view(&inputs))
+    }
+
+    /// Replaces the planner by that of a new leader, which knows the table but no reports.
+    pub fn take_over(&mut self) {
+        self.planner = Planner::new(settings().planner());
+        self.progress = ProgressTable::default();
+        self.progress.note_read(Instant::now());
+        self.started = Instant::now();
+    }
+
+    /// Lets an agent report on the runs of its worker.
+    pub fn report(&mut self, instance: &str, runs: Vec<RunProgress>) {
+        self.progress.note_read(Instant::now());
+        self.progress.insert(instance, ProgressReport { silent_ms: 0, runs }, Instant::now());
+    }
+
     /// Runs rounds and applies their records until a round changes nothing.
     ///
     /// # Panics
