test: failures of the estimate of completion, and its cost

Guards the estimate against late, lost, repeated and contradictory reports, restarted agents, a new leader, workers that are gone, runs past their estimate, gangs with one slow member, checkpoints and the remote penalty. Property tests draw disturbed streams of reports, and compare the time of room with a trial of every end.

They showed three faults, which are mended here: a report that came late delayed the expected end by a second; the last report of a replaced agent process moved the run's clock ahead by the time of the process; and a rate was measured across a restart, whose length isn't known.

--- a/crates/rampbay-jobs/benches/round.rs
+++ b/crates/rampbay-jobs/benches/round.rs
@@ -5,7 +5,9 @@
 use std::hint::black_box;
 use std::time::Duration;
 
-use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use rampbay_jobs::planner::completion::room::RoomScope;
+use rampbay_jobs::planner::completion::view::CompletionView;
 use support::fleet::Fleet;
 
 #[path = "../tests/support/mod.rs"]
@@ -30,5 +32,43 @@
     group.finish();
 }
 
-criterion_group!(benches, round);
+/// Number of waiting steps for which room is asked for in a round.
+const ASKED_STEPS: usize = 10;
+
+/// Time that the estimate of completion takes in a round: the ends of all runs, with the first question, and the questions
+/// of the first waiting steps, each for one rack and for anywhere.
+fn completion(c: &mut Criterion) {
+    let mut group = c.benchmark_group("completion");
+    group.sample_size(20);
+    for workers in WORKERS {
+        support::run_in_virtual_time(async {
+            let mut fleet = Fleet::new(workers, 1);
+            fleet.advance(WARM_UP).await;
+            let inputs = fleet.inputs();
+            for (name, steps) in [("ends", 1), ("room", ASKED_STEPS)] {
+                group.bench_function(BenchmarkId::new(name, workers), |bencher| {
+                    bencher.iter_batched_ref(
+                        || fleet.planner.completion_view(&inputs),
+                        |view| black_box(ask_room(view, steps)),
+                        BatchSize::PerIteration,
+                    );
+                });
+            }
+        });
+    }
+    group.finish();
+}
+
+/// Asks when there will be room for the first waiting steps. Returns how many will find some.
+fn ask_room(view: &CompletionView<'_>, steps: usize) -> usize {
+    let asked = view.waiting().iter().take(steps);
+    let scopes = [RoomScope::OneRack, RoomScope::Anywhere];
+    let rooms = asked.flat_map(|waiting| {
+        let count = waiting.tasks.len();
+        scopes.map(|scope| view.room(&waiting.job, waiting.step, count, scope))
+    });
+    rooms.flatten().count()
+}
+
+criterion_group!(benches, round, completion);
 criterion_main!(benches);
--- a/crates/rampbay-jobs/src/planner/completion/pace.rs
+++ b/crates/rampbay-jobs/src/planner/completion/pace.rs
@@ -25,6 +25,12 @@
 /// Share of the progress expected by the rate below which such a stretch is a stall.
 const STALL_SHARE: f64 = 0.5;
 
+/// Number of earlier reports by which the start of a run is confirmed.
+const RECENT_STARTS: usize = 3;
+
+/// Time by which a report may be later than the fastest one so that its time is taken as certain.
+const TIMELY: Duration = Duration::from_millis(300);
+
 /// Progress of a run at a time of its own clock.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct Mark {
@@ -51,8 +57,12 @@
     first_total_ms: Option<u64>,
     /// Start of the run by the receiver's clock.
     started_at: Instant,
+    /// The starts that the last reports showed.
+    recent_starts: [Instant; RECENT_STARTS],
     /// Difference between the run's clock and that of the process which reports.
     offset_ms: u64,
+    /// Start of the process that reports, if it was restarted since the first report.
+    process_started_at: Option<Instant>,
     received_at: Instant,
     checkpoint: Checkpoint,
     checkpoint_percent: u32,
@@ -63,6 +73,7 @@
     #[must_use]
     pub fn begin(run: &RunProgress, received_at: Instant) -> Self {
         let mark = Mark { percent: run.percent, ran_ms: run.ran_ms };
+        let started_at = before(received_at, run.ran_ms);
         Self {
             latest: mark,
             grew_at_ms: mark.ran_ms,
@@ -72,8 +83,10 @@
             rate_percent: 0,
             has_stalled: false,
             first_total_ms: None,
-            started_at: before(received_at, run.ran_ms),
+            started_at,
+            recent_starts: [started_at; RECENT_STARTS],
             offset_ms: 0,
+            process_started_at: None,
             received_at,
             checkpoint: run.checkpoint.clone(),
             checkpoint_percent: run.percent,
@@ -92,21 +105,40 @@
         let since = received_at.saturating_duration_since(self.received_at).as_millis() as u64;
         let reported_ms = run.ran_ms + self.offset_ms;
         let is_earlier = reported_ms < self.latest.ran_ms;
-        if is_earlier && self.is_outdated(run, since) {
+        if is_earlier && self.is_outdated(run, since)
+            || self.is_of_earlier_process(run, received_at)
+        {
             return;
         }
         let ran_ms = if is_earlier { self.latest.ran_ms + since } else { reported_ms };
-        self.offset_ms = ran_ms - run.ran_ms;
+        if is_earlier {
+            self.offset_ms = ran_ms - run.ran_ms;
+            self.process_started_at = Some(before(received_at, run.ran_ms));
+        } else if let Some(started) = &mut self.process_started_at {
+            *started = before(received_at, run.ran_ms).min(*started);
+        }
         self.received_at = received_at.max(self.received_at);
         self.note_checkpoint(run);
         let has_grown = run.percent > self.latest.percent;
-        self.synchronize(ran_ms, received_at, has_grown);
+        let is_timely = before(received_at, ran_ms) <= self.started_at + TIMELY;
+        self.synchronize(ran_ms, received_at, has_grown && !is_earlier);
         self.latest.ran_ms = ran_ms;
-        if has_grown {
-            self.grow(Mark { percent: run.percent, ran_ms });
+        let to = Mark { percent: run.percent.max(self.latest.percent), ran_ms };
+        if is_earlier || (has_grown && !is_timely) {
+            // The report came late, or the process was restarted: the time since the one before isn't certain.
+            self.restart_measurement(to);
+        } else if has_grown {
+            self.grow(to);
         }
     }
 
+    /// Restarts the measurement of the rate, and keeps the rate that is known.
+    fn restart_measurement(&mut self, from: Mark) {
+        self.latest = from;
+        self.grew_at_ms = from.ran_ms;
+        (self.older, self.newer) = (from, from);
+    }
+
     /// Returns whether a report that shows less time than the latest one is older than that. Otherwise a restarted
     /// process has written it, which counts the run's time from its own start, and so at most from the latest report.
     const fn is_outdated(&self, run: &RunProgress, since_ms: u64) -> bool {
@@ -116,6 +148,14 @@
         run.percent < self.latest.percent
     }
 
+    /// Returns whether a report without progress was written before the last restart of the reporting process: it shows
+    /// more time than that process has existed.
+    fn is_of_earlier_process(&self, run: &RunProgress, received_at: Instant) -> bool {
+        let has_grown = run.percent > self.latest.percent;
+        let shown = before(received_at, run.ran_ms);
+        !has_grown && self.process_started_at.is_some_and(|started| shown < started)
+    }
+
     fn note_checkpoint(&mut self, run: &RunProgress) {
         if run.checkpoint != self.checkpoint {
             self.checkpoint.clone_from(&run.checkpoint);
@@ -124,23 +164,29 @@
     }
 
     /// Updates the start of the run by the receiver's clock. A report that was under way for less time than the ones
-    /// before shows an earlier start. A later one, as after a suspension of the machine, is taken over step by step: by
-    /// the time since the report before, and only with progress, which else moves the expected end by that time already.
+    /// before shows an earlier start. A later one, as after a suspension of the machine, is taken over once several
+    /// reports in a row show it, and step by step: by the time since the report before, and only with progress, which
+    /// else moves the expected end by that time already.
     fn synchronize(&mut self, ran_ms: u64, received_at: Instant, has_grown: bool) {
         let interval_ms = if has_grown { ran_ms - self.latest.ran_ms } else { 0 };
         let latest = self.started_at + Duration::from_millis(interval_ms);
-        self.started_at = before(received_at, ran_ms).min(latest);
+        let shown = before(received_at, ran_ms);
+        let earliest = self.recent_starts.into_iter().fold(shown, Instant::min);
+        self.started_at = earliest.min(latest);
+        self.recent_starts.rotate_left(1);
+        self.recent_starts[RECENT_STARTS - 1] = shown;
     }
 
     fn grow(&mut self, to: Mark) {
-        let is_stalled = !self.has_stalled && self.is_below_pace(to);
+        self.has_stalled = !self.has_stalled && self.is_below_pace(to);
+        if self.has_stalled {
+            // The time of a stall isn't part of the rate.
+            self.restart_measurement(to);
+            return;
+        }
         self.latest = to;
         self.grew_at_ms = to.ran_ms;
-        self.has_stalled = is_stalled;
-        if is_stalled {
-            // The time of a stall isn't part of the rate.
-            (self.older, self.newer) = (to, to);
-        } else if to.percent < FULL_PERCENT {
+        if to.percent < FULL_PERCENT {
             self.measure(to);
         }
     }
--- a/crates/rampbay-jobs/src/planner/completion/view.rs
+++ b/crates/rampbay-jobs/src/planner/completion/view.rs
@@ -8,7 +8,6 @@
 use crate::planner::workers::WorkerViews;
 use crate::planner::{Planner, RoundInputs, WorkerIndex};
 
-use super::durations::Batch;
 use super::options::{ExpectedTimes, StartOption};
 use super::room::{Room, RoomScope};
 use super::{Completion, Estimate};
@@ -41,6 +40,12 @@
         self.waiting.iter().find(|waiting| waiting.job == *job && waiting.step == step)
     }
 
+    /// Returns the steps that wait, in the order in which they are placed.
+    #[must_use]
+    pub fn waiting(&self) -> &[WaitingStep] {
+        &self.waiting
+    }
+
     /// Returns the index of a worker.
     #[must_use]
     pub fn place(&self, worker: &InstanceId) -> Option<WorkerIndex> {
@@ -97,9 +102,25 @@
         self.completion.expected_times(&self.fleet, &need, &batch, count, option)
     }
 
-    /// Returns a batch of the waiting tasks of a step.
-    #[must_use]
-    pub fn batch(&self, job: &JobId, step: u32) -> Option<Batch<'_>> {
-        Some(self.completion.batch(self.step(job, step)?, self.draft.plan(job)))
+    /// Stops a unit, as a round does. `unit` is one of its tasks.
+    pub fn note_stopped(&mut self, unit: &TaskId) {
+        self.completion.note_stopped(&self.fleet, unit);
+        for member in self.draft.unit_of(unit) {
+            let Ok(run) = self.fleet.running.binary_search_by(|run| run.id.cmp(&member)) else {
+                continue;
+            };
+            let (place, held) = (self.fleet.running[run].place, self.fleet.running[run].held);
+            self.fleet.add_freed_soon(place, &held);
+        }
+    }
+
+    /// Starts tasks of a waiting step on the workers `places`, as a round does, one entry a task.
+    pub fn note_started(&mut self, job: &JobId, step: u32, places: &[WorkerIndex]) {
+        let found = self.waiting.iter().find(|known| known.job == *job && known.step == step);
+        let Some(waiting) = found else { return };
+        let batch = self.completion.batch(waiting, self.draft.plan(job));
+        self.completion.note_started(&self.fleet, &batch, places);
+        let key = (job.clone(), waiting.occurrence, step);
+        places.iter().for_each(|&place| self.fleet.occupy(place, batch.step, &key));
     }
 }
--- a/crates/rampbay-jobs/tests/support/fleet.rs
+++ b/crates/rampbay-jobs/tests/support/fleet.rs
@@ -103,6 +103,8 @@
     pub progress: ProgressTable,
     /// The configuration.
     pub routing: Routing,
+    /// The failure domains that operators have drained.
+    pub drained: DrainedDomains,
     /// Starts and stops so far, one per entry.
     pub decisions: Vec<String>,
     rng: ChaCha8Rng,
@@ -123,6 +125,7 @@
             table: JobTable::default(),
             progress: ProgressTable::default(),
             routing: Routing { workspaces: workspaces(workers), ..Routing::default() },
+            drained: DrainedDomains::default(),
             decisions: Vec::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             speeds: BTreeMap::new(),
@@ -178,12 +181,25 @@
         self.apply(&records);
     }
 
+    /// Returns the inputs of a round.
+    pub fn inputs(&self) -> RoundInputs<'_> {
+        RoundInputs {
+            table: &self.table,
+            routing: &self.routing,
+            drained: &self.drained,
+            drain_orders_age: Some(Duration::ZERO),
+            progress: &self.progress,
+            now: self.started.elapsed(),
+            wall: 1_000_000 + self.now_ms(),
+        }
+    }
+
     /// Runs one round without applying its records.
     pub fn round(&mut self) -> Vec<KeyedRecord> {
         self.planner.round(&RoundInputs {
             table: &self.table,
             routing: &self.routing,
-            drained: &DrainedDomains::default(),
+            drained: &self.drained,
             drain_orders_age: Some(Duration::ZERO),
             progress: &self.progress,
             now: self.started.elapsed(),
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -8,7 +8,7 @@
 use rampbay_jobs::planner::completion::view::CompletionView;
 use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
-    EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord,
+    EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord, removal,
 };
 use rampbay_jobs::routing::{Routing, Workspace};
 use rampbay_jobs::table::JobTable;
@@ -98,9 +98,9 @@
         })
     }
 
-    /// Asks the estimate of completion a question, by what the planner knew at its last round.
-    pub fn ask<T>(&self, question: impl FnOnce(&CompletionView<'_>) -> T) -> T {
-        let inputs = RoundInputs {
+    /// Returns the inputs of a round.
+    pub fn inputs(&self) -> RoundInputs<'_> {
+        RoundInputs {
             table: &self.table,
             routing: &self.routing,
             drained: &self.drained,
@@ -108,10 +108,25 @@
             progress: &self.progress,
             now: self.started.elapsed(),
             wall: self.wall,
-        };
+        }
+    }
+
+    /// Asks the estimate of completion a question, by what the planner knew at its last round.
+    pub fn ask<T>(&self, question: impl FnOnce(&CompletionView<'_>) -> T) -> T {
+        let inputs = self.inputs();
         question(&self.planner.completion_view(&inputs))
     }
 
+    /// Advances the time while all agents report that nothing runs at their workers.
+    pub async fn advance_idle(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let instances: Vec<String> = self.table.workers.keys().cloned().collect();
+            instances.iter().for_each(|instance| self.report(instance, Vec::new()));
+        }
+    }
+
     /// Replaces the planner by that of a new leader, which knows the table but no reports.
     pub fn take_over(&mut self) {
         self.planner = Planner::new(settings().planner());
@@ -120,6 +135,14 @@
         self.started = Instant::now();
     }
 
+    /// Removes a worker, as after the end of its incarnation.
+    pub fn remove_worker(&mut self, instance: &str) {
+        let keys: Vec<String> = self.table.registrations().keys(instance).collect();
+        for key in keys {
+            self.table.apply(&removal(key));
+        }
+    }
+
     /// Lets an agent report on the runs of its worker.
     pub fn report(&mut self, instance: &str, runs: Vec<RunProgress>) {
         self.progress.note_read(Instant::now());
