refactor: ends of all runs estimated in one pass

The ends of all runs cost 5.0 ms at 2,500 workers. Each run was searched for by the names of its worker, job and task, copied its task's id, compared names of racks, and computed the range of its end, which is asked for only of one. Now the workers' reports and speeds are passed over once, what a step's tasks share is computed once, and ranges only where they are asked for.

--- a/crates/rampbay-jobs/src/planner/completion.rs
+++ b/crates/rampbay-jobs/src/planner/completion.rs
@@ -30,7 +30,7 @@
 use observed::{StartedRuns, observe_changes, observe_ends};
 use room::Ends;
 use saved::SavedCheckpoints;
-use spread::ErrorSpreads;
+use spread::{ErrorSpreads, Spread};
 
 /// What an estimate is based on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -138,6 +138,8 @@
     state: &'a CompletionState,
     inputs: &'a RoundInputs<'a>,
     now: Instant,
+    /// Spread of estimates from the rates of runs.
+    rate_spread: Spread,
     /// Ends of the runs; computed when first needed.
     ends: OnceCell<Ends>,
     /// Measured slowness of each worker; computed when first needed.
@@ -161,6 +163,7 @@
             state,
             inputs,
             now: Instant::now(),
+            rate_spread: state.spreads.of_rates(),
             ends: OnceCell::new(),
             slowness: OnceCell::new(),
         }
--- a/crates/rampbay-jobs/src/planner/completion/durations.rs
+++ b/crates/rampbay-jobs/src/planner/completion/durations.rs
@@ -4,6 +4,8 @@
 //! remote penalty if the tasks run away from their data or are spread over racks although they want one, plus the time
 //! of a restart if there is a checkpoint.
 
+use std::time::Duration;
+
 use crate::job::{InstanceId, Step, Submission};
 use crate::planner::WorkerIndex;
 use crate::planner::fleet_state::FleetState;
@@ -34,25 +36,72 @@
     pub is_remote: bool,
 }
 
-/// A worker as far as durations depend on it.
+/// A worker as far as durations depend on it. `Rack` names its rack: comparing numbers is much cheaper than comparing names.
 #[derive(Clone, Copy, Debug)]
-struct Site<'a> {
+struct Site<Rack> {
     /// Its rack; `None` if the worker is no longer registered.
-    rack: Option<&'a str>,
+    rack: Option<Rack>,
+    /// Whether it is away from the step's data.
+    is_away: bool,
     slowness: Option<f64>,
 }
 
+/// How long a batch takes under some conditions. The range is computed only when it is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct WholeTime {
+    work_ms: u64,
+    restore_ms: u64,
+    spread: Spread,
+}
+
+impl WholeTime {
+    /// Returns the expected time, in milliseconds.
+    #[must_use]
+    pub const fn ms(&self) -> u64 {
+        self.restore_ms.saturating_add(self.work_ms)
+    }
+
+    /// Returns the spread of the work, which is nearly all of the time.
+    #[must_use]
+    pub const fn spread(&self) -> Spread {
+        self.spread
+    }
+
+    /// Returns the time with its range.
+    #[must_use]
+    pub fn estimate(&self) -> Estimate {
+        Estimate {
+            ms: self.ms(),
+            early_ms: self.restore_ms.saturating_add(self.spread.early_ms(self.work_ms)),
+            late_ms: self.restore_ms.saturating_add(self.spread.late_ms(self.work_ms)),
+            source: Source::Forecast,
+        }
+    }
+}
+
+/// What the tasks of a step take on an average worker, near their data.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StepForecast {
+    expected_ms: u64,
+    /// Spread where the speeds of all workers are known.
+    known: Spread,
+    /// Spread where they aren't.
+    unknown: Spread,
+}
+
 /// Returns the conditions at some workers.
-fn conditions<'a>(step: &Step, sites: impl Iterator<Item = Site<'a>>) -> Conditions {
+fn conditions<Rack: PartialEq + Copy>(
+    step: &Step,
+    sites: impl Iterator<Item = Site<Rack>>,
+) -> Conditions {
     let mut found = Conditions { slowness: 0.0, is_speed_known: true, is_remote: false };
     let mut first_rack = None;
     for site in sites {
         found.slowness = found.slowness.max(site.slowness.unwrap_or(1.0));
         found.is_speed_known &= site.slowness.is_some();
         let Some(rack) = site.rack else { continue };
-        let is_away = !step.data_rack.is_empty() && step.data_rack != rack;
         let is_spread = step.same_rack && *first_rack.get_or_insert(rack) != rack;
-        found.is_remote |= is_away || is_spread;
+        found.is_remote |= site.is_away || is_spread;
     }
     if found.slowness == 0.0 {
         // No worker is given.
@@ -61,6 +110,11 @@
     found
 }
 
+/// Returns whether a worker's rack isn't that of the step's data.
+fn is_away<'a>(step: &Step, rack: impl FnOnce() -> &'a str) -> bool {
+    !step.data_rack.is_empty() && step.data_rack != rack()
+}
+
 impl Completion<'_> {
     /// Returns how long the tasks of a batch take on the workers `places`, one entry a task or a worker, until the last
     /// one ends.
@@ -83,19 +137,34 @@
     /// Returns how long the tasks of a batch take under some conditions.
     #[must_use]
     pub fn duration_under(&self, batch: &Batch<'_>, conditions: Conditions) -> Estimate {
-        let expected_ms = self.forecasts.duration_ms(batch.submission, batch.step);
+        let forecast = self.step_forecast(batch.submission, batch.step);
+        self.whole_time(forecast, batch.saved, conditions).estimate()
+    }
+
+    pub(super) fn step_forecast(&self, submission: &Submission, step: &Step) -> StepForecast {
+        let of_estimates = self.forecasts.deviation(submission);
+        let known = self.state.spreads.of_forecasts(&submission.queue, of_estimates);
+        StepForecast {
+            expected_ms: self.forecasts.duration_ms(submission, step),
+            known,
+            unknown: known.with_unknown_speed(),
+        }
+    }
+
+    pub(super) fn whole_time(
+        &self,
+        forecast: StepForecast,
+        saved: Saved,
+        conditions: Conditions,
+    ) -> WholeTime {
         let penalty = if conditions.is_remote { self.settings.remote_penalty } else { 1 };
-        let work_ms = expected_ms as f64 * batch.saved.share_left() * conditions.slowness;
-        let work_ms = (work_ms as u64).saturating_mul(penalty);
-        let restore =
-            if batch.saved.has_checkpoint { self.settings.restore } else { Default::default() };
-        let restore_ms = restore.as_millis() as u64;
-        let spread = self.forecast_spread(batch.submission, conditions.is_speed_known);
-        Estimate {
-            ms: restore_ms.saturating_add(work_ms),
-            early_ms: restore_ms.saturating_add(spread.early_ms(work_ms)),
-            late_ms: restore_ms.saturating_add(spread.late_ms(work_ms)),
-            source: Source::Forecast,
+        let work_ms = forecast.expected_ms as f64 * saved.share_left() * conditions.slowness;
+        let restore = if saved.has_checkpoint { self.settings.restore } else { Duration::ZERO };
+        let is_speed_known = conditions.is_speed_known;
+        WholeTime {
+            work_ms: (work_ms as u64).saturating_mul(penalty),
+            restore_ms: restore.as_millis() as u64,
+            spread: if is_speed_known { forecast.known } else { forecast.unknown },
         }
     }
 
@@ -115,9 +184,10 @@
         places: impl Iterator<Item = WorkerIndex>,
     ) -> Conditions {
         let slowness = self.slowness_of_all(fleet);
-        let sites = places.map(|place| Site {
-            rack: Some(fleet.workers[place].record.rack()),
-            slowness: slowness[place],
+        let sites = places.map(|place| {
+            let worker = &fleet.workers[place];
+            let is_away = is_away(step, || worker.record.rack());
+            Site { rack: Some(worker.rack), is_away, slowness: slowness[place] }
         });
         conditions(step, sites)
     }
@@ -126,24 +196,20 @@
     #[must_use]
     pub fn conditions_on(&self, step: &Step, workers: &[&InstanceId]) -> Conditions {
         let known = &self.inputs.table.workers;
-        let sites = workers.iter().map(|instance| Site {
-            rack: known.get(*instance).map(|worker| worker.rack()),
-            slowness: self.speeds.slowness(instance),
+        let sites = workers.iter().map(|instance| {
+            let rack = known.get(*instance).map(|worker| worker.rack());
+            Site {
+                rack,
+                is_away: rack.is_some_and(|rack| is_away(step, || rack)),
+                slowness: self.speeds.slowness(instance),
+            }
         });
         conditions(step, sites)
     }
 
-    /// Returns the spread of forecasts for a job.
-    pub(super) fn forecast_spread(&self, submission: &Submission, is_speed_known: bool) -> Spread {
-        let of_estimates = self.forecasts.deviation(submission);
-        let spread = self.state.spreads.of_forecasts(&submission.queue, of_estimates);
-        if is_speed_known { spread } else { spread.with_unknown_speed() }
-    }
-
     fn slowness_of_all(&self, fleet: &FleetState) -> &[Option<f64>] {
-        self.slowness.get_or_init(|| {
-            let workers = fleet.workers.iter();
-            workers.map(|worker| self.speeds.slowness(&worker.instance)).collect()
-        })
+        // The workers of a fleet are in the order of their ids.
+        let instances = fleet.workers.iter().map(|worker| &worker.instance);
+        self.slowness.get_or_init(|| self.speeds.slowness_of_each(instances))
     }
 }
--- a/crates/rampbay-jobs/src/planner/completion/pace.rs
+++ b/crates/rampbay-jobs/src/planner/completion/pace.rs
@@ -8,7 +8,6 @@
 
 use tokio::time::Instant;
 
-use crate::job::Checkpoint;
 use crate::planner::progress::FULL_PERCENT;
 use crate::record::RunProgress;
 
@@ -39,7 +38,7 @@
 }
 
 /// The pace of a run.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Pace {
     /// Greatest reported progress, and the time by the run's clock at which it was last seen.
     latest: Mark,
@@ -64,7 +63,7 @@
     /// Start of the process that reports, if it was restarted since the first report.
     process_started_at: Option<Instant>,
     received_at: Instant,
-    checkpoint: Checkpoint,
+    /// Progress when the latest checkpoint was first reported.
     checkpoint_percent: u32,
 }
 
@@ -88,17 +87,21 @@
             offset_ms: 0,
             process_started_at: None,
             received_at,
-            checkpoint: run.checkpoint.clone(),
             checkpoint_percent: run.percent,
         }
     }
 
     /// Returns the pace after another report on the run.
     #[must_use]
-    pub fn after(&self, run: &RunProgress, received_at: Instant) -> Self {
-        let mut pace = self.clone();
-        pace.advance(run, received_at);
-        pace
+    pub fn after(mut self, run: &RunProgress, received_at: Instant) -> Self {
+        self.advance(run, received_at);
+        self
+    }
+
+    /// Returns the pace after a checkpoint was reported that hadn't been before.
+    #[must_use]
+    pub const fn with_new_checkpoint(self) -> Self {
+        Self { checkpoint_percent: self.latest.percent, ..self }
     }
 
     fn advance(&mut self, run: &RunProgress, received_at: Instant) {
@@ -118,7 +121,6 @@
             *started = before(received_at, run.ran_ms).min(*started);
         }
         self.received_at = received_at.max(self.received_at);
-        self.note_checkpoint(run);
         let has_grown = run.percent > self.latest.percent;
         let is_timely = before(received_at, ran_ms) <= self.started_at + TIMELY;
         self.synchronize(ran_ms, received_at, has_grown && !is_earlier);
@@ -156,13 +158,6 @@
         !has_grown && self.process_started_at.is_some_and(|started| shown < started)
     }
 
-    fn note_checkpoint(&mut self, run: &RunProgress) {
-        if run.checkpoint != self.checkpoint {
-            self.checkpoint.clone_from(&run.checkpoint);
-            self.checkpoint_percent = run.percent.max(self.latest.percent);
-        }
-    }
-
     /// Updates the start of the run by the receiver's clock. A report that was under way for less time than the ones
     /// before shows an earlier start. A later one, as after a suspension of the machine, is taken over once several
     /// reports in a row show it, and step by step: by the time since the report before, and only with progress, which
@@ -236,12 +231,6 @@
         1.0 / f64::from(self.rate_percent.max(1))
     }
 
-    /// Returns the latest checkpoint that was reported.
-    #[must_use]
-    pub const fn checkpoint(&self) -> &Checkpoint {
-        &self.checkpoint
-    }
-
     /// Returns the progress that the run had when its latest checkpoint was first reported, in percent.
     #[must_use]
     pub const fn checkpoint_percent(&self) -> u32 {
--- a/crates/rampbay-jobs/src/planner/completion/room.rs
+++ b/crates/rampbay-jobs/src/planner/completion/room.rs
@@ -7,15 +7,18 @@
 use std::cell::OnceCell;
 use std::ops::Range;
 
-use crate::job::{Resources, TaskId};
+use crate::job::{Resources, Step, TaskId};
 use crate::metrics::metrics;
+use crate::plan::JobPlan;
 use crate::planner::WorkerIndex;
 use crate::planner::fit::Need;
 use crate::planner::fleet_state::FleetState;
+use crate::planner::progress::RunsAt;
 use crate::planner::running::RunningTask;
 
 use super::durations::Batch;
-use super::remaining::Run;
+use super::remaining::{Remaining, Run};
+use super::saved::Saved;
 use super::{Completion, Estimate};
 
 /// Where tasks should fit.
@@ -36,29 +39,70 @@
     pub places: Vec<WorkerIndex>,
 }
 
-/// The end of a run, by its index in [`Ends::runs`].
-type EndOf = (u64, u32);
-
 /// A run whose end frees resources.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct EndingRun {
     place: WorkerIndex,
     held: Resources,
-    end: Estimate,
-    /// Whether it is being stopped, so that its resources count as those of stops under way.
+    /// Its unit, as an index into [`Ends::units`].
+    unit: u32,
+}
+
+/// Runs that end together: the members of a gang, or a single run.
+#[derive(Clone, Debug)]
+struct EndingUnit {
+    end: UnitEnd,
+    /// Whether this round stops it, so that its resources count as those of stops under way.
     is_stopped: bool,
 }
 
+/// When a unit ends.
+#[derive(Clone, Debug)]
+enum UnitEnd {
+    /// When the last one of these ends, a range of [`Ends::remaining`].
+    Last(Range<usize>),
+    /// As estimated already.
+    Estimated(Estimate),
+    /// Not by itself.
+    Never,
+}
+
 /// Estimated ends of all runs.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Ends {
+    /// The runs, those of the fleet first and in the same order.
     runs: Vec<EndingRun>,
-    /// The runs by their expected ends.
+    units: Vec<EndingUnit>,
+    remaining: Vec<Remaining>,
+    /// The runs in the order of their expected ends.
     expected: OnceCell<Vec<EndOf>>,
-    /// The runs by the early ends of their ranges.
+    /// The runs in the order of the early ends of their ranges.
     early: OnceCell<Vec<EndOf>>,
 }
 
+/// The end of a run and its index in [`Ends::runs`], in one number, which is sorted several times as fast as a pair.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct EndOf(u64);
+
+impl EndOf {
+    /// Bits for the index of a run; enough for ten times the runs of the largest fleet that is planned for.
+    const INDEX_BITS: u32 = 20;
+    const MAX_MS: u64 = u64::MAX >> Self::INDEX_BITS;
+
+    const fn new(ms: u64, run: usize) -> Self {
+        let ms = if ms < Self::MAX_MS { ms } else { Self::MAX_MS };
+        Self(ms << Self::INDEX_BITS | run as u64)
+    }
+
+    const fn ms(self) -> u64 {
+        self.0 >> Self::INDEX_BITS
+    }
+
+    const fn run(self) -> usize {
+        (self.0 & ((1 << Self::INDEX_BITS) - 1)) as usize
+    }
+}
+
 /// Which end of a range counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Bound {
@@ -66,58 +110,78 @@
     Early,
 }
 
-impl Bound {
-    const fn of(self, end: &Estimate) -> u64 {
-        match self {
-            Self::Expected => end.ms,
-            Self::Early => end.early_ms,
+impl Ends {
+    fn with_capacity(runs: usize) -> Self {
+        Self {
+            runs: Vec::with_capacity(runs),
+            units: Vec::with_capacity(runs),
+            remaining: Vec::with_capacity(runs),
+            ..Self::default()
         }
     }
-}
 
-impl Ends {
+    /// Returns when a unit ends; `None` if it doesn't by itself.
+    fn end(&self, unit: &EndingUnit) -> Option<Estimate> {
+        match &unit.end {
+            UnitEnd::Last(range) => {
+                let ends = self.remaining[range.clone()].iter().map(Remaining::estimate);
+                ends.reduce(Estimate::later)
+            }
+            UnitEnd::Estimated(end) => Some(*end),
+            UnitEnd::Never => None,
+        }
+    }
+
+    fn end_ms(&self, unit: &EndingUnit, bound: Bound) -> Option<u64> {
+        match (bound, &unit.end) {
+            (Bound::Expected, UnitEnd::Last(range)) => {
+                self.remaining[range.clone()].iter().map(Remaining::ms).max()
+            }
+            (Bound::Expected, _) => self.end(unit).map(|end| end.ms),
+            (Bound::Early, _) => self.end(unit).map(|end| end.early_ms),
+        }
+    }
+
+    /// Returns the runs in the order of their ends, without those that don't end by themselves.
     fn by(&self, bound: Bound) -> &[EndOf] {
         let known = match bound {
             Bound::Expected => &self.expected,
             Bound::Early => &self.early,
         };
         known.get_or_init(|| {
+            let units: Vec<Option<u64>> =
+                self.units.iter().map(|unit| self.end_ms(unit, bound)).collect();
             let runs = self.runs.iter().enumerate();
-            let mut ends: Vec<EndOf> =
-                runs.map(|(index, run)| (bound.of(&run.end), index as u32)).collect();
+            let ends =
+                runs.filter_map(|(index, run)| Some(EndOf::new(units[run.unit as usize]?, index)));
+            let mut ends: Vec<EndOf> = ends.collect();
             ends.sort_unstable();
             ends
         })
     }
 
-    fn push(&mut self, run: EndingRun) {
-        let index = self.runs.len() as u32;
-        for (known, bound) in
-            [(&mut self.expected, Bound::Expected), (&mut self.early, Bound::Early)]
-        {
-            let Some(ends) = known.get_mut() else { continue };
-            let end = (bound.of(&run.end), index);
-            let at = ends.partition_point(|other| *other < end);
-            ends.insert(at, end);
-        }
-        self.runs.push(run);
+    /// Adds runs of which nothing more is known.
+    fn add_unending(&mut self, runs: &[RunningTask]) {
+        let unit = self.units.len() as u32;
+        self.units.push(EndingUnit { end: UnitEnd::Never, is_stopped: false });
+        let ending = runs.iter().map(|run| EndingRun { place: run.place, held: run.held, unit });
+        self.runs.extend(ending);
     }
-}
 
-/// Returns the ranges of the runs that end together. The members of a gang follow each other in the list of runs.
-fn units(running: &[RunningTask]) -> impl Iterator<Item = Range<usize>> {
-    let is_same_gang = |one: &RunningTask, other: &RunningTask| {
-        one.gang
-            && one.id.step == other.id.step
-            && one.id.occurrence == other.id.occurrence
-            && one.id.job == other.id.job
-    };
-    let mut start = 0;
-    running.chunk_by(is_same_gang).map(move |unit| {
-        let range = start..start + unit.len();
-        start = range.end;
-        range
-    })
+    /// Adds runs that end together at some workers, one entry a run.
+    fn add(&mut self, places: &[WorkerIndex], held: Resources, end: Estimate) {
+        let unit = self.units.len() as u32;
+        self.units.push(EndingUnit { end: UnitEnd::Estimated(end), is_stopped: false });
+        for &place in places {
+            let index = self.runs.len();
+            self.runs.push(EndingRun { place, held, unit });
+            for (known, ms) in [(&mut self.expected, end.ms), (&mut self.early, end.early_ms)] {
+                let Some(ends) = known.get_mut() else { continue };
+                let end = EndOf::new(ms, index);
+                ends.insert(ends.partition_point(|other| *other < end), end);
+            }
+        }
+    }
 }
 
 impl Completion<'_> {
@@ -155,24 +219,19 @@
         self.ends(fleet);
         let Some(ends) = self.ends.get_mut() else { return };
         // The runs are listed in the order of their ids.
-        let Ok(found) = fleet.running.binary_search_by(|run| run.id.cmp(unit)) else { return };
-        let gang = units(&fleet.running).find(|range| range.contains(&found));
-        for run in gang.into_iter().flatten() {
-            ends.runs[run].is_stopped = true;
-        }
+        let Ok(run) = fleet.running.binary_search_by(|run| run.id.cmp(unit)) else { return };
+        ends.units[ends.runs[run].unit as usize].is_stopped = true;
     }
 
-    /// Takes into account that this round starts tasks at some workers, one entry a task.
+    /// Takes into account that this round starts the tasks of a batch on the workers `places`, one entry a task.
     pub fn note_started(&mut self, fleet: &FleetState, batch: &Batch<'_>, places: &[WorkerIndex]) {
-        let end = self.duration(fleet, batch, places);
-        let held = batch.step.charge();
-        self.ends(fleet);
-        let Some(ends) = self.ends.get_mut() else { return };
         if batch.step.long_running {
             return;
         }
-        for &place in places {
-            ends.push(EndingRun { place, held, end, is_stopped: false });
+        let end = self.duration(fleet, batch, places);
+        self.ends(fleet);
+        if let Some(ends) = self.ends.get_mut() {
+            ends.add(places, batch.step.charge(), end);
         }
     }
 
@@ -181,51 +240,70 @@
     }
 
     fn estimate_ends(&self, fleet: &FleetState) -> Ends {
-        let mut runs = Vec::with_capacity(fleet.running.len());
-        for unit in units(&fleet.running) {
-            let unit = &fleet.running[unit];
-            let end = self.end_of(fleet, unit);
-            runs.extend(unit.iter().map(|run| EndingRun {
-                place: run.place,
-                held: run.held,
-                end: end.unwrap_or(NEVER),
-                is_stopped: false,
+        let instances = fleet.workers.iter().map(|worker| &worker.instance);
+        let known = self.inputs.progress.runs_at_each(instances);
+        let mut ends = Ends::with_capacity(fleet.running.len());
+        // The tasks of a step follow each other in the list of runs.
+        let is_same_step = |one: &RunningTask, other: &RunningTask| {
+            one.id.step == other.id.step
+                && one.id.occurrence == other.id.occurrence
+                && one.id.job == other.id.job
+        };
+        for runs in fleet.running.chunk_by(is_same_step) {
+            self.add_ends_of_step(fleet, &known, runs, &mut ends);
+        }
+        ends
+    }
+
+    /// Adds the ends of the runs of one step.
+    fn add_ends_of_step(
+        &self,
+        fleet: &FleetState,
+        known: &[RunsAt<'_>],
+        runs: &[RunningTask],
+        ends: &mut Ends,
+    ) {
+        let job = runs.first().and_then(|run| self.inputs.table.jobs.get(&run.id.job));
+        let step = job.and_then(|job| job.submission.steps.get(runs[0].id.step as usize));
+        let (Some(job), Some(step)) = (job, step) else {
+            ends.add_unending(runs);
+            return;
+        };
+        let forecast = self.step_forecast(&job.submission, step);
+        let plan = job.plan.as_deref();
+        let size = if step.gang { runs.len() } else { 1 };
+        for runs in runs.chunks(size) {
+            let unit = ends.units.len() as u32;
+            let ending = |run: &RunningTask| EndingRun { place: run.place, held: run.held, unit };
+            ends.runs.extend(runs.iter().map(ending));
+            let saved = self.saved_of_runs(step, plan, runs);
+            let conditions = self.conditions_at(fleet, step, runs.iter().map(|run| run.place));
+            let whole = self.whole_time(forecast, saved, conditions);
+            let first = ends.remaining.len();
+            ends.remaining.extend(runs.iter().map(|run| {
+                let seen = known[run.place].find(&run.id, run.attempt);
+                let run = Run { task: &run.id, attempt: run.attempt, is_gang: step.gang };
+                self.remaining_of_run(whole, run, seen)
             }));
+            let last = UnitEnd::Last(first..ends.remaining.len());
+            let end = if step.long_running { UnitEnd::Never } else { last };
+            ends.units.push(EndingUnit { end, is_stopped: false });
         }
-        Ends { runs, expected: OnceCell::new(), early: OnceCell::new() }
     }
 
-    /// Returns when a unit ends; `None` if it doesn't end by itself.
-    fn end_of(&self, fleet: &FleetState, unit: &[RunningTask]) -> Option<Estimate> {
-        let first = &unit.first()?.id;
-        let job = self.inputs.table.jobs.get(&first.job)?;
-        let step = job.submission.steps.get(first.step as usize)?;
-        if step.long_running {
-            return None;
+    /// Returns what the checkpoints hold from which some runs continue.
+    fn saved_of_runs(&self, step: &Step, plan: Option<&JobPlan>, runs: &[RunningTask]) -> Saved {
+        if !step.checkpointing {
+            return Saved::default();
         }
-        let of_unit = unit.iter().filter_map(|run| {
-            let plan = job.plan.as_ref()?;
-            Some((run.id.clone(), plan.task(&run.id)?))
+        let tasks = runs.iter().filter_map(|run| {
+            let task = plan?.task(&run.id).filter(|task| !task.checkpoint.is_empty())?;
+            Some((run.id.clone(), task))
         });
-        let saved =
-            self.saved_of(step.gang, of_unit.filter(|(_, task)| !task.checkpoint.is_empty()));
-        let places = unit.iter().map(|run| run.place);
-        let conditions = self.conditions_at(fleet, step, places);
-        let whole =
-            self.duration_under(&Batch { submission: &job.submission, step, saved }, conditions);
-        let runs = unit.iter().map(|run| Run {
-            task: &run.id,
-            attempt: run.attempt,
-            instance: &fleet.workers[run.place].instance,
-            is_gang: run.gang,
-        });
-        self.remaining_of(whole, runs)
+        self.saved_of(step.gang, tasks)
     }
 }
 
-/// The end of a run that doesn't end by itself.
-const NEVER: Estimate = Estimate::exact(u64::MAX);
-
 /// When and where tasks fit.
 #[derive(Clone, Copy, Debug)]
 struct Found {
@@ -310,27 +388,22 @@
         }
         let ends = self.ends;
         let mut stops_ended = false;
-        for &(at_ms, run) in ends.by(bound) {
-            if !stops_ended && at_ms > self.stop_ms {
+        for end in ends.by(bound) {
+            if !stops_ended && end.ms() > self.stop_ms {
                 stops_ended = true;
                 if let Some(group) = self.end_stops(count) {
                     return Some(Found { time: Estimate::exact(self.stop_ms), group });
                 }
             }
-            let run = &ends.runs[run as usize];
-            if at_ms == u64::MAX {
-                return None;
-            }
-            if run.is_stopped {
-                continue;
-            }
+            let run = &ends.runs[end.run()];
+            let unit = &ends.units[run.unit as usize];
             let position = self.positions[run.place];
-            if position == NOT_ELIGIBLE {
+            if unit.is_stopped || position == NOT_ELIGIBLE {
                 continue;
             }
             let group = self.end_run(position as usize, &run.held);
             if self.totals[group] >= count {
-                return Some(Found { time: run.end, group });
+                return Some(Found { time: ends.end(unit)?, group });
             }
         }
         if stops_ended {
--- a/crates/rampbay-jobs/src/planner/completion/saved.rs
+++ b/crates/rampbay-jobs/src/planner/completion/saved.rs
@@ -68,10 +68,10 @@
     task: &TaskPlan,
     checkpoint: &Checkpoint,
 ) -> Option<u32> {
-    let pace = &progress.run(&task.instance, id, task.attempt)?.pace;
+    let seen = progress.run(&task.instance, id, task.attempt)?;
     // A checkpoint that no report has listed was saved after the last one.
-    let is_listed = pace.checkpoint() == checkpoint;
-    Some(if is_listed { pace.checkpoint_percent() } else { pace.percent() })
+    let is_listed = seen.checkpoint == *checkpoint;
+    Some(if is_listed { seen.pace.checkpoint_percent() } else { seen.pace.percent() })
 }
 
 impl Completion<'_> {
--- a/crates/rampbay-jobs/src/planner/completion/spread.rs
+++ b/crates/rampbay-jobs/src/planner/completion/spread.rs
@@ -38,7 +38,8 @@
     /// Adds an independent cause of errors.
     #[must_use]
     pub fn with(self, deviation: f64) -> Self {
-        Self::of(self.0.hypot(deviation))
+        // Both are small, so that the squares don't overflow; `hypot`, which guards against that, takes several times as long.
+        Self::of((self.0 * self.0 + deviation * deviation).sqrt())
     }
 
     /// Adds the uncertainty of a worker whose speed isn't known.
--- a/crates/rampbay-jobs/src/planner/progress.rs
+++ b/crates/rampbay-jobs/src/planner/progress.rs
@@ -1,6 +1,7 @@
 //! Progress of all runs, as reported by the agents.
 
 use std::collections::BTreeMap;
+use std::iter::Peekable;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -81,7 +82,12 @@
 
 impl ObservedRun {
     fn matches(&self, task: &TaskId, attempt: u32) -> bool {
-        self.attempt == attempt && self.task == *task
+        // The numbers are compared first: the runs of a worker are often tasks of one job.
+        self.attempt == attempt
+            && self.task.index == task.index
+            && self.task.step == task.step
+            && self.task.occurrence == task.occurrence
+            && self.task.job == task.job
     }
 }
 
@@ -188,6 +194,21 @@
         }
     }
 
+    /// Returns the known runs of each of some workers, which are given in the order of their ids. Passes over the workers
+    /// once, where a search for each costs more than what is then done with their runs.
+    pub fn runs_at_each<'a>(
+        &'a self,
+        instances: impl Iterator<Item = &'a InstanceId>,
+    ) -> Vec<RunsAt<'a>> {
+        let mut reports = self.reports.iter().peekable();
+        let mut ended = self.ended.iter().peekable();
+        let runs = instances.map(|instance| RunsAt {
+            listed: next_at(&mut reports, instance).map_or(&[], |report| &report.runs),
+            ended: next_at(&mut ended, instance).map_or(&[], Vec::as_slice),
+        });
+        runs.collect()
+    }
+
     /// Iterates over all known runs, first the reported ones and then those no longer reported.
     pub fn runs(&self) -> impl Iterator<Item = (&TaskId, u32, &ObservedProgress)> {
         let listed = self.reports.values().flat_map(|report| &report.runs);
@@ -227,6 +248,8 @@
     ) -> ObservedRun {
         let rate = known.map_or_else(|| Rate::begin(&run), |seen| seen.rate.advance(&run));
         let pace = known.map_or_else(|| Pace::begin(&run, now), |seen| seen.pace.after(&run, now));
+        let is_saved = known.is_none_or(|seen| seen.checkpoint == run.checkpoint);
+        let pace = if is_saved { pace } else { pace.with_new_checkpoint() };
         let same = known.filter(|seen| seen.percent == run.percent);
         let seen = ObservedProgress {
             percent: run.percent,
@@ -261,6 +284,15 @@
     }
 }
 
+/// Advances a sorted sequence to a worker, and returns its entry if there is one.
+fn next_at<'a, T>(
+    entries: &mut Peekable<impl Iterator<Item = (&'a InstanceId, &'a T)>>,
+    instance: &InstanceId,
+) -> Option<&'a T> {
+    while entries.next_if(|(known, _)| *known < instance).is_some() {}
+    entries.next_if(|(known, _)| *known == instance).map(|(_, entry)| entry)
+}
+
 /// Returns when a run was first seen by its agent, computed from the report, so that a planner that takes over
 /// knows the ages of runs.
 fn first_seen_at(run: &RunProgress, now: Instant) -> Instant {
--- a/crates/rampbay-jobs/src/planner/speed.rs
+++ b/crates/rampbay-jobs/src/planner/speed.rs
@@ -153,9 +153,20 @@
     /// Returns the slowness of a worker: the factor by which tasks take longer there than on an average one. Returns
     /// `None` before it has been measured over enough intervals.
     pub fn slowness(&self, instance: &str) -> Option<f64> {
-        let (least, most) = SLOWNESS_BOUNDS;
-        let log = self.workers.get(instance)?.slowness.known()?;
-        Some(log.exp().clamp(least, most))
+        self.workers.get(instance)?.slowness.factor()
+    }
+
+    /// Returns the slowness of each of some workers, which are given in the order of their ids.
+    pub fn slowness_of_each<'a>(
+        &self,
+        instances: impl Iterator<Item = &'a InstanceId>,
+    ) -> Vec<Option<f64>> {
+        let mut workers = self.workers.iter().peekable();
+        let slowness = instances.map(|instance| {
+            while workers.next_if(|(known, _)| *known < instance).is_some() {}
+            workers.next_if(|(known, _)| *known == instance)?.1.slowness.factor()
+        });
+        slowness.collect()
     }
 
     /// Returns whether a worker is slow now.
@@ -186,6 +197,11 @@
         (self.intervals >= MIN_INTERVALS).then_some(self.mean_log)
     }
 
+    fn factor(&self) -> Option<f64> {
+        let (least, most) = SLOWNESS_BOUNDS;
+        Some(self.known()?.exp().clamp(least, most))
+    }
+
     fn add(&mut self, log: f64) {
         let (least, most) = SLOWNESS_BOUNDS;
         self.intervals += 1;
