--- a/crates/rampbay-jobs/src/planner/completion/observed.rs
+++ b/crates/rampbay-jobs/src/planner/completion/observed.rs
@@ -81,39 +81,35 @@
     pub saved: Vec<(JobId, SavedOfJob)>,
 }
 
-/// Finds the running units and the saved checkpoints of the jobs whose plans a round has edited.
+/// Finds the running units and the saved checkpoints of the jobs whose plans a round has edited. Of a job that has ended
+/// nothing is kept.
 #[must_use]
 pub fn observe_changes(completion: &Completion<'_>, draft: &Draft<'_>) -> Changes {
     let mut changes = Changes::default();
     for (id, plan) in draft.changed_plans() {
-        let Some(job) = draft.table.jobs.get(id) else { continue };
-        let started = started_units(completion, id, &job.submission, plan);
-        changes.started.push((id.clone(), started));
-        changes.saved.push((id.clone(), completion.saved_of_plan(id, plan)));
+        let job = draft.table.jobs.get(id).filter(|_| !plan.status.is_final());
+        let started = job.map(|job| started_units(completion, &job.submission, plan));
+        let saved = job.map(|_| completion.saved_of_plan(id, plan));
+        changes.started.push((id.clone(), started.unwrap_or_default()));
+        changes.saved.push((id.clone(), saved.unwrap_or_default()));
     }
     changes
 }
 
 fn started_units(
     completion: &Completion<'_>,
-    job: &JobId,
     submission: &Submission,
     plan: &JobPlan,
 ) -> StartedOfJob {
     let mut started = StartedOfJob::new();
     for occurrence in &plan.open {
-        for (number, (tasks, step)) in occurrence.steps.iter().zip(&submission.steps).enumerate() {
-            let id = |index: usize| TaskId {
-                job: job.clone(),
-                occurrence: occurrence.number,
-                step: number as u32,
-                index: index as u32,
-            };
+        let steps = occurrence.steps.iter().zip(&submission.steps).enumerate();
+        for (number, (tasks, step)) in steps.filter(|(_, (_, step))| !step.long_running) {
             let size = if step.gang { tasks.len().max(1) } else { 1 };
             for (index, unit) in tasks.chunks(size).enumerate() {
-                let first = id(index * size);
-                let found = started_unit(completion, submission, step, &first, unit);
-                started.extend(found.map(|found| (UnitId::of(&first, step.gang), found)));
+                let index = (index * size) as u32;
+                let id = UnitId { occurrence: occurrence.number, step: number as u32, index };
+                started.extend(started_unit(completion, submission, id, unit).map(|of| (id, of)));
             }
         }
     }
@@ -124,21 +120,26 @@
 fn started_unit(
     completion: &Completion<'_>,
     submission: &Submission,
-    step: &Step,
-    first: &TaskId,
+    unit: UnitId,
     tasks: &[TaskPlan],
 ) -> Option<StartedUnit> {
     let attempt = tasks.first()?.attempt;
     let is_running =
         |task: &TaskPlan| task.status == TaskStatus::Running && task.attempt == attempt;
-    if step.long_running || !tasks.iter().all(is_running) {
+    if !tasks.iter().all(is_running) {
         return None;
     }
-    let known = completion.state.started.get(&first.job, UnitId::of(first, step.gang), attempt);
-    if let Some(known) = known {
+    if let Some(known) = completion.state.started.get(&submission.id, unit, attempt) {
         return Some(*known);
     }
-    let expected = completion.duration_of_unit(submission, step, first, tasks);
+    let first = TaskId {
+        job: submission.id.clone(),
+        occurrence: unit.occurrence,
+        step: unit.step,
+        index: unit.index,
+    };
+    let step = submission.steps.get(unit.step as usize)?;
+    let expected = completion.duration_of_unit(submission, step, &first, tasks);
     Some(StartedUnit { attempt, at: completion.inputs.now, expected })
 }
 
--- a/crates/rampbay-jobs/tests/completion_pace.rs
+++ b/crates/rampbay-jobs/tests/completion_pace.rs
@@ -194,5 +194,5 @@
     let reports = [(1_000, 10, 1_000), (2_000, 20, 2_000), (4_000, 40, 200)];
     let pace = Pace::begin(&progress("00000000000000aa", 0, 0, 0), started);
     let pace = reports.into_iter().fold(pace, after);
-    assert_eq!(after(pace.clone(), (4_100, 30, 3_000)), pace);
+    assert_eq!(after(pace, (4_100, 30, 3_000)), pace);
 }
--- a/crates/rampbay-jobs/tests/completion_runs.rs
+++ b/crates/rampbay-jobs/tests/completion_runs.rs
@@ -4,11 +4,13 @@
 
 use std::time::Duration;
 
+use proptest::prelude::*;
 use rampbay_jobs::job::Step;
 use rampbay_jobs::planner::completion::{Estimate, Source};
 use rampbay_jobs::record::{EndReason, Record, RunEnd, RunProgress};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
+use support::property::config;
 use support::{job, run_in_virtual_time, step, task};
 use tokio::time::sleep;
 
@@ -261,3 +263,28 @@
         assert_eq!((found.ms, found.source), (EXPECTED_MS - 2_000, Source::Forecast));
     });
 }
+
+proptest! {
+    #![proptest_config(config(200))]
+
+    /// Whatever the agents report, an estimate lies within its range and is finite.
+    #[test]
+    fn remaining_within_its_range(
+        reports in prop::collection::vec((0..3_000_u64, 0..=100_u32, 0..20_000_u64), 0..8),
+    ) {
+        let mut estimates = Vec::new();
+        run_in_virtual_time(async {
+            let mut rig = rig_with(1, step(1, 8));
+            estimates.push(remaining(&rig));
+            for &(after_ms, percent, ran_ms) in &reports {
+                wait_ms(after_ms).await;
+                rig.report("i-0", vec![progress(JOB, 0, percent, ran_ms)]);
+                estimates.push(remaining(&rig));
+            }
+        });
+        for found in estimates {
+            prop_assert!(found.early_ms <= found.ms && found.ms <= found.late_ms, "{found:?}");
+            prop_assert!(found.late_ms < 1_000 * 3_600 * 24, "{found:?}");
+        }
+    }
+}
