--- a/crates/rampbay-jobs/benches/round.rs
+++ b/crates/rampbay-jobs/benches/round.rs
@@ -17,6 +17,8 @@
 const WORKERS: [usize; 3] = [240, 800, 2_500];
 /// Time for which a fleet is under load before its rounds are measured.
 const WARM_UP: Duration = Duration::from_secs(12);
+/// This time for the estimate of completion: by then many steps wait, and a round takes as long as it ever does.
+const BACKLOG_WARM_UP: Duration = Duration::from_secs(30);
 
 fn round(c: &mut Criterion) {
     let mut group = c.benchmark_group("round");
@@ -35,15 +37,18 @@
 /// Number of waiting steps for which room is asked for in a round.
 const ASKED_STEPS: usize = 10;
 
-/// Time that the estimate of completion takes in a round: the ends of all runs, with the first question, and the questions
-/// of the first waiting steps, each for one rack and for anywhere.
+/// Time that the estimate of completion takes of a round: the ends of all runs with the questions of one waiting step, and
+/// with those of several, each for one rack and for anywhere.
 fn completion(c: &mut Criterion) {
     let mut group = c.benchmark_group("completion");
     group.sample_size(20);
     for workers in WORKERS {
         support::run_in_virtual_time(async {
             let mut fleet = Fleet::new(workers, 1);
-            fleet.advance(WARM_UP).await;
+            fleet.advance(BACKLOG_WARM_UP).await;
+            group.bench_function(BenchmarkId::new("round", workers), |bencher| {
+                bencher.iter(|| black_box(fleet.round()));
+            });
             let inputs = fleet.inputs();
             for (name, steps) in [("ends", 1), ("room", ASKED_STEPS)] {
                 group.bench_function(BenchmarkId::new(name, workers), |bencher| {
@@ -62,10 +67,11 @@
 /// Asks when there will be room for the first waiting steps. Returns how many will find some.
 fn ask_room(view: &CompletionView<'_>, steps: usize) -> usize {
     let asked = view.waiting().iter().take(steps);
-    let scopes = [RoomScope::OneRack, RoomScope::Anywhere];
     let rooms = asked.flat_map(|waiting| {
+        let need = view.need(&waiting.job, waiting.step).expect("the step waits");
         let count = waiting.tasks.len();
-        scopes.map(|scope| view.room(&waiting.job, waiting.step, count, scope))
+        let room = |scope| view.completion.room(&view.fleet, &need, count, scope);
+        [RoomScope::OneRack, RoomScope::Anywhere].map(room)
     });
     rooms.flatten().count()
 }
--- a/crates/rampbay-jobs/src/planner/completion/room.rs
+++ b/crates/rampbay-jobs/src/planner/completion/room.rs
@@ -74,6 +74,8 @@
     runs: Vec<EndingRun>,
     units: Vec<EndingUnit>,
     remaining: Vec<Remaining>,
+    /// Capacity of each worker, side by side, since each question passes over them.
+    capacities: Vec<Resources>,
     /// The runs in the order of their expected ends.
     expected: OnceCell<Vec<EndOf>>,
     /// The runs in the order of the early ends of their ranges.
@@ -243,6 +245,7 @@
         let instances = fleet.workers.iter().map(|worker| &worker.instance);
         let known = self.inputs.progress.runs_at_each(instances);
         let mut ends = Ends::with_capacity(fleet.running.len());
+        ends.capacities = fleet.workers.iter().map(|worker| worker.record.capacity).collect();
         // The tasks of a step follow each other in the list of runs.
         let is_same_step = |one: &RunningTask, other: &RunningTask| {
             one.id.step == other.id.step
@@ -381,11 +384,24 @@
         group
     }
 
+    /// Returns whether `count` tasks would fit into one group if nothing ran.
+    fn could_hold(&self, count: u64) -> bool {
+        let mut totals = vec![0; self.totals.len()];
+        for (&place, &group) in self.eligible.iter().zip(&self.groups) {
+            let capacity = &self.ends.capacities[place];
+            totals[group] += u64::from(self.need.max_tasks_at(capacity, 0));
+        }
+        totals.into_iter().any(|total: u64| total >= count)
+    }
+
     fn run(&mut self, bound: Bound, count: usize) -> Option<Found> {
         let count = count as u64;
         if let Some(group) = self.totals.iter().position(|total| *total >= count) {
             return Some(Found { time: Estimate::exact(0), group });
         }
+        if !self.could_hold(count) {
+            return None;
+        }
         let ends = self.ends;
         let mut stops_ended = false;
         for end in ends.by(bound) {
--- a/crates/rampbay-jobs/src/planner/completion/view.rs
+++ b/crates/rampbay-jobs/src/planner/completion/view.rs
@@ -67,11 +67,17 @@
         self.completion.remaining(&self.draft.unit_of(task), plan)
     }
 
+    /// Returns the requirements of a waiting step. They hold the workers that may run it once those have been found, so
+    /// they should be used for all questions on the step.
+    #[must_use]
+    pub fn need(&self, job: &JobId, step: u32) -> Option<Need<'_>> {
+        Some(Need::of(self.step(job, step)?, Vec::new(), true))
+    }
+
     /// Returns when there will be room for `count` tasks of a waiting step.
     #[must_use]
     pub fn room(&self, job: &JobId, step: u32, count: usize, scope: RoomScope) -> Option<Room> {
-        let need = Need::of(self.step(job, step)?, Vec::new(), true);
-        self.completion.room(&self.fleet, &need, count, scope)
+        self.completion.room(&self.fleet, &self.need(job, step)?, count, scope)
     }
 
     /// Returns the earliest time at which there could be room for `count` tasks of a waiting step, in milliseconds.
@@ -83,8 +89,7 @@
         count: usize,
         scope: RoomScope,
     ) -> Option<u64> {
-        let need = Need::of(self.step(job, step)?, Vec::new(), true);
-        self.completion.earliest_room_ms(&self.fleet, &need, count, scope)
+        self.completion.earliest_room_ms(&self.fleet, &self.need(job, step)?, count, scope)
     }
 
     /// Returns when the waiting tasks of a step would start and end under an option.
