--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -5,6 +5,7 @@
 //! the store has kept its record. The state that a planner keeps between rounds ([`health`], times
 //! of evictions) only influences choices, so it may be lost when another planner takes over.
 
+pub mod completion;
 mod departure;
 mod displace;
 mod draft;
@@ -50,6 +51,7 @@
 pub use progress::{ObservedProgress, ProgressTable};
 pub use waits::WaitReason;
 
+use completion::CompletionState;
 use draft::Draft;
 use events::RunEvent;
 use forecast::Forecasts;
@@ -132,6 +134,8 @@
     health: HealthTracker,
     forecasts: Forecasts,
     speeds: SpeedTracker,
+    /// What the estimate of completion keeps between rounds.
+    completion: CompletionState,
     waits: WaitLog,
     evicted_since: BTreeMap<InstanceId, Duration>,
     departed_since: BTreeMap<InstanceId, Duration>,
@@ -195,6 +199,7 @@
             health: HealthTracker::default(),
             forecasts: Forecasts::default(),
             speeds: SpeedTracker::default(),
+            completion: CompletionState::default(),
             waits: WaitLog::default(),
             evicted_since: BTreeMap::new(),
             departed_since: BTreeMap::new(),
@@ -226,6 +231,7 @@
         self.reset_returned_workers(inputs);
         self.forecasts.update(inputs.table);
         let workers = WorkerViews::new(inputs, &self.known_since);
+        self.observe_ended_runs(inputs);
         let mut draft = Draft::new(inputs.table);
         settle::apply_ends(&mut draft, inputs, &mut self.health);
         if !std::mem::replace(&mut self.lost_runs_checked, true) {
@@ -251,6 +257,7 @@
         expire::expire(self, &mut draft, inputs);
         expire::expire_registrations(self, &mut draft, inputs);
         self.events = draft.take_events();
+        self.observe_changed_plans(&draft, inputs);
         draft.into_records(self.settings.plan_layout)
     }
 
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -124,14 +124,14 @@
     1.0
 }
 
-const fn default_restore_ms() -> f64 {
-    250.0
-}
-
 const fn default_drain_ms() -> u64 {
     5000
 }
 
+const fn default_restore_ms() -> f64 {
+    250.0
+}
+
 const fn default_cores() -> f64 {
     1.0
 }
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -5,9 +5,10 @@
 use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Step, Submission, TaskId};
 use rampbay_jobs::plan::{JobStatus, TaskStatus};
+use rampbay_jobs::planner::completion::view::CompletionView;
 use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
-    EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord,
+    EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord, removal,
 };
 use rampbay_jobs::routing::{Routing, Workspace};
 use rampbay_jobs::table::JobTable;
@@ -97,6 +98,57 @@
         })
     }
 
+    /// Returns the inputs of a round.
+    pub fn inputs(&self) -> RoundInputs<'_> {
+        RoundInputs {
+            table: &self.table,
+            routing: &self.routing,
+            drained: &self.drained,
+            drain_orders_age: self.drain_orders_age,
+            progress: &self.progress,
+            now: self.started.elapsed(),
+            wall: self.wall,
+        }
+    }
+
+    /// Asks the estimate of completion a question, by what the planner knew at its last round.
+    pub fn ask<T>(&self, question: impl FnOnce(&CompletionView<'_>) -> T) -> T {
+        let inputs = self.inputs();
+        question(&self.planner.completion_view(&inputs))
+    }
+
+    /// Advances the time while all agents report that nothing runs at their workers.
+    pub async fn advance_idle(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            let instances: Vec<String> = self.table.workers.keys().cloned().collect();
+            instances.iter().for_each(|instance| self.report(instance, Vec::new()));
+        }
+    }
+
+    /// Replaces the planner by that of a new leader, which knows the table but no reports.
+    pub fn take_over(&mut self) {
+        self.planner = Planner::new(settings().planner());
+        self.progress = ProgressTable::default();
+        self.progress.note_read(Instant::now());
+        self.started = Instant::now();
+    }
+
+    /// Removes a worker, as after the end of its incarnation.
+    pub fn remove_worker(&mut self, instance: &str) {
+        let keys: Vec<String> = self.table.registrations().keys(instance).collect();
+        for key in keys {
+            self.table.apply(&removal(key));
+        }
+    }
+
+    /// Lets an agent report on the runs of its worker.
+    pub fn report(&mut self, instance: &str, runs: Vec<RunProgress>) {
+        self.progress.note_read(Instant::now());
+        self.progress.insert(instance, ProgressReport { silent_ms: 0, runs }, Instant::now());
+    }
+
     /// Runs rounds and applies their records until a round changes nothing.
     ///
     /// # Panics
