test: decisions that don't depend on the policy are checked under both

Tests could run rounds only under the policy that the settings of the first deployments choose, so a fault of by_completion in a decision that both policies must make alike would have gone unseen.

The planner rig and the generated fleet take a policy; 18 tests of tests/planner.rs and tests/decisions.rs run under both. The rig keeps its settings, so that a test of a new leader replaces the planner by one with the same settings.

--- a/crates/rampbay-jobs/tests/decisions.rs
+++ b/crates/rampbay-jobs/tests/decisions.rs
@@ -6,11 +6,11 @@
 
 use rampbay_jobs::job::{Step, Submission};
 use rampbay_jobs::plan::TaskStatus;
-use rampbay_jobs::planner::{Planner, WaitReason};
+use rampbay_jobs::planner::{Placement, WaitReason};
 use rampbay_jobs::record::{EndReason, ProgressReport};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
-use support::{job, run_in_virtual_time, settings, step, task};
+use support::{job, run_in_virtual_time, step, task};
 use tokio::time::Instant;
 
 const JOB: &str = "00000000000000aa";
@@ -21,9 +21,13 @@
 #[rstest]
 #[case::young(Duration::from_secs(2), TaskStatus::Stopping)]
 #[case::old(Duration::from_secs(12), TaskStatus::Running)]
-fn urgent_work_stops_in_proportion(#[case] ran: Duration, #[case] expected: TaskStatus) {
+fn urgent_work_stops_in_proportion(
+    #[case] ran: Duration,
+    #[case] expected: TaskStatus,
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
     run_in_virtual_time(async move {
-        let mut rig = PlannerRig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1).with_placement(placement);
         rig.submit(job(JOB, 1, step(1, 8)));
         rig.plan();
         rig.advance(ran).await;
@@ -77,9 +81,10 @@
     #[case] busy_per_rack: u32,
     #[case] members: u32,
     #[case] running_soon: usize,
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
 ) {
     run_in_virtual_time(async move {
-        let mut rig = PlannerRig::of_workers(6);
+        let mut rig = PlannerRig::of_workers(6).with_placement(placement);
         rig.submit(job(JOB, 0, Step { required_label: "r0".to_owned(), ..step(busy_per_rack, 8) }));
         rig.submit(job(
             URGENT,
@@ -101,10 +106,12 @@
 }
 
 /// Widely scattered estimates say little: the job with fewer tasks goes first, whatever its estimate is.
-#[test]
-fn scattered_estimates_shrunk_to_mean() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(1);
+#[rstest]
+fn scattered_estimates_shrunk_to_mean(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1).with_placement(placement);
         let estimated = |id: &str, count: u32, estimate_ms: u64| {
             job(id, 1, Step { estimate_ms, ..step(count, 4) })
         };
@@ -128,9 +135,13 @@
 #[rstest]
 #[case::two_jobs(true, "i-1")]
 #[case::one_job(false, "i-0")]
-fn slow_worker_avoided(#[case] both_slow: bool, #[case] expected: &str) {
+fn slow_worker_avoided(
+    #[case] both_slow: bool,
+    #[case] expected: &str,
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
     run_in_virtual_time(async move {
-        let mut rig = PlannerRig::of_workers(2);
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
         rig.submit(job(JOB, 1, step(1, 2)));
         rig.submit(job(OTHER, 1, step(1, 2)));
         rig.plan();
@@ -184,9 +195,14 @@
 #[case::urgent(0, step(1, 8), WaitReason::StopsUnderWay)]
 #[case::not_urgent(1, step(1, 8), WaitReason::NoRoom)]
 #[case::wants_rack(1, Step { same_rack: true, ..gang(2, 4) }, WaitReason::NoRack)]
-fn wait_reason(#[case] priority: u32, #[case] waiting_step: Step, #[case] expected: WaitReason) {
+fn wait_reason(
+    #[case] priority: u32,
+    #[case] waiting_step: Step,
+    #[case] expected: WaitReason,
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
     run_in_virtual_time(async move {
-        let mut rig = PlannerRig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1).with_placement(placement);
         rig.submit(job(JOB, 1, step(1, 8)));
         rig.plan();
         assert_eq!(rig.planner.wait_reason(JOB, 0, 0), None);
@@ -199,10 +215,12 @@
 
 /// A planner that takes over knows from the agents' reports how long the runs have gone on, so it
 /// stops the youngest run. Without the reports all runs would seem equally young.
-#[test]
-fn youngest_run_stopped_after_takeover() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(2);
+#[rstest]
+fn youngest_run_stopped_after_takeover(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
         rig.submit(job(JOB, 1, step(2, 8)));
         rig.plan();
         tokio::time::sleep(Duration::from_secs(10)).await;
@@ -212,7 +230,7 @@
                 ProgressReport { silent_ms: 0, runs: vec![progress(JOB, index, 20, ran_ms)] };
             rig.progress.insert(&instance, report, Instant::now());
         }
-        rig.planner = Planner::new(settings().planner());
+        rig.replace_planner();
         rig.guarantee(16);
         rig.submit(job(URGENT, 0, step(1, 8)));
         rig.plan();
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -6,6 +6,7 @@
 
 use rampbay_jobs::job::{Step, Submission, TaskId};
 use rampbay_jobs::plan::{JobStatus, TaskStatus};
+use rampbay_jobs::planner::Placement;
 use rampbay_jobs::record::{EndReason, ProgressReport, Record, RunEnd, WorkerRecord};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang, progress};
@@ -16,10 +17,12 @@
 const OTHER: &str = "00000000000000bb";
 const URGENT: &str = "00000000000000cc";
 
-#[test]
-fn gang_placed_whole() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(2);
+#[rstest]
+fn gang_placed_whole(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
         rig.submit(job(JOB, 1, gang(2, 8)));
         rig.plan();
         assert_eq!(rig.statuses(JOB), vec![TaskStatus::Running; 2]);
@@ -27,20 +30,24 @@
     });
 }
 
-#[test]
-fn gang_without_room_not_placed_in_part() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(2);
+#[rstest]
+fn gang_without_room_not_placed_in_part(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
         rig.submit(job(JOB, 1, gang(3, 8)));
         rig.plan();
         assert!(rig.statuses(JOB).iter().all(|status| *status == TaskStatus::Waiting));
     });
 }
 
-#[test]
-fn gang_wanting_rack_placed_in_one() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(6);
+#[rstest]
+fn gang_wanting_rack_placed_in_one(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(6).with_placement(placement);
         rig.submit(job(JOB, 1, Step { same_rack: true, ..gang(3, 8) }));
         rig.plan();
         let racks: Vec<String> = (0..3)
@@ -117,10 +124,12 @@
 }
 
 /// Guards against assigning urgent work to a worker that was lost during an outage of the reports. Seen on the bench.
-#[test]
-fn worker_without_report_since_outage_avoided() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(2);
+#[rstest]
+fn worker_without_report_since_outage_avoided(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
         rig.advance(Duration::from_secs(1)).await;
         // No report can be read for a while; then only one agent reports.
         tokio::time::sleep(Duration::from_secs(5)).await;
@@ -168,10 +177,12 @@
 }
 
 /// A job that fails wherever it runs blocks no worker.
-#[test]
-fn job_failing_everywhere_blocks_no_worker() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(3);
+#[rstest]
+fn job_failing_everywhere_blocks_no_worker(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(3).with_placement(placement);
         for id in [JOB, OTHER] {
             rig.submit(job(id, 1, step(1, 8)));
             for _ in 0..3 {
@@ -187,10 +198,12 @@
     });
 }
 
-#[test]
-fn guaranteed_job_stops_borrower() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(1);
+#[rstest]
+fn guaranteed_job_stops_borrower(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1).with_placement(placement);
         rig.guarantee(8);
         rig.submit(job(JOB, 1, step(1, 8)));
         rig.plan();
@@ -205,10 +218,12 @@
     });
 }
 
-#[test]
-fn capacity_being_freed_reserved_for_guaranteed_job() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(1);
+#[rstest]
+fn capacity_being_freed_reserved_for_guaranteed_job(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1).with_placement(placement);
         rig.guarantee(8);
         rig.submit(job(JOB, 1, step(2, 4)));
         rig.plan();
@@ -224,9 +239,13 @@
 #[rstest]
 #[case::once(1, JobStatus::Running)]
 #[case::too_often(3, JobStatus::Failed)]
-fn gang_failures_counted_once_a_run(#[case] failures: u32, #[case] status: JobStatus) {
+fn gang_failures_counted_once_a_run(
+    #[case] failures: u32,
+    #[case] status: JobStatus,
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
     run_in_virtual_time(async move {
-        let mut rig = PlannerRig::of_workers(6);
+        let mut rig = PlannerRig::of_workers(6).with_placement(placement);
         rig.submit(job(JOB, 1, gang(2, 8)));
         for _ in 0..failures {
             rig.plan();
@@ -238,10 +257,12 @@
     });
 }
 
-#[test]
-fn gang_members_share_attempt() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(4);
+#[rstest]
+fn gang_members_share_attempt(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(4).with_placement(placement);
         rig.submit(job(JOB, 1, gang(2, 8)));
         rig.plan();
         rig.end(&task(JOB, 0), EndReason::NotStarted);
@@ -338,10 +359,12 @@
 /// Guards against preempting in vain for an urgent step that is wider than the fleet: it reserved
 /// nothing, so less urgent work took the capacity that was freed for it, and was stopped again at
 /// once. Seen on the bench.
-#[test]
-fn wide_urgent_step_keeps_freed_capacity() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(2);
+#[rstest]
+fn wide_urgent_step_keeps_freed_capacity(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
         rig.submit(job(JOB, 1, step(4, 4)));
         rig.plan();
         rig.submit(job(URGENT, 0, step(5, 8)));
@@ -376,10 +399,12 @@
 
 /// Guards against stopping all runs after an outage of the store: they counted as stalled, since no
 /// reports had been read. Seen on the bench.
-#[test]
-fn unreadable_reports_move_no_run() {
-    run_in_virtual_time(async {
-        let mut rig = PlannerRig::of_workers(1);
+#[rstest]
+fn unreadable_reports_move_no_run(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1).with_placement(placement);
         rig.submit(job(JOB, 1, step(2, 1)));
         rig.plan();
         rig.advance(Duration::from_secs(2)).await;
@@ -394,9 +419,13 @@
 #[rstest]
 #[case::stalled(40, TaskStatus::Stopping)]
 #[case::past_its_estimate(100, TaskStatus::Running)]
-fn same_progress_reported(#[case] percent: u32, #[case] expected: TaskStatus) {
+fn same_progress_reported(
+    #[case] percent: u32,
+    #[case] expected: TaskStatus,
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
     run_in_virtual_time(async move {
-        let mut rig = PlannerRig::of_workers(1);
+        let mut rig = PlannerRig::of_workers(1).with_placement(placement);
         rig.submit(job(JOB, 1, step(1, 1)));
         rig.plan();
         for _ in 0..6 {
--- a/crates/rampbay-jobs/tests/support/fleet.rs
+++ b/crates/rampbay-jobs/tests/support/fleet.rs
@@ -9,7 +9,7 @@
 use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Resources, Step, Submission, TaskId};
 use rampbay_jobs::plan::TaskStatus;
-use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
+use rampbay_jobs::planner::{Placement, Planner, PlannerSettings, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
     EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord,
 };
@@ -116,10 +116,16 @@
 }
 
 impl Fleet {
-    /// Creates a fleet of idle workers.
+    /// Creates a fleet of idle workers, planned by the policy that the settings of the first deployments choose.
     pub fn new(workers: usize, seed: u64) -> Self {
+        Self::with_placement(workers, seed, Placement::Auto)
+    }
+
+    /// Creates a fleet of idle workers that is planned by a policy.
+    pub fn with_placement(workers: usize, seed: u64, placement: Placement) -> Self {
+        let settings = PlannerSettings { placement, ..settings().planner() };
         let mut fleet = Self {
-            planner: Planner::new(settings().planner()),
+            planner: Planner::new(settings),
             table: JobTable::default(),
             progress: ProgressTable::default(),
             routing: Routing { workspaces: workspaces(workers), ..Routing::default() },
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -5,7 +5,7 @@
 use rampbay_jobs::drained::DrainedDomains;
 use rampbay_jobs::job::{Step, Submission, TaskId};
 use rampbay_jobs::plan::{JobStatus, TaskStatus};
-use rampbay_jobs::planner::{Planner, ProgressTable, RoundInputs};
+use rampbay_jobs::planner::{Placement, Planner, PlannerSettings, ProgressTable, RoundInputs};
 use rampbay_jobs::record::{
     EndReason, KeyedRecord, ProgressReport, Record, RunEnd, RunProgress, WorkerRecord,
 };
@@ -17,6 +17,8 @@
 
 /// A planner with the inputs of its rounds.
 pub struct PlannerRig {
+    /// Settings of the planner.
+    pub settings: PlannerSettings,
     /// The planner.
     pub planner: Planner,
     /// Its table.
@@ -38,8 +40,10 @@
 impl PlannerRig {
     /// Creates a rig with some workers.
     pub fn new(workers: &[(&str, WorkerRecord)]) -> Self {
+        let settings = settings().planner();
         let mut rig = Self {
-            planner: Planner::new(settings().planner()),
+            settings,
+            planner: Planner::new(settings),
             table: JobTable::default(),
             progress: ProgressTable::default(),
             routing: Routing::default(),
@@ -65,6 +69,19 @@
         Self::new(&workers)
     }
 
+    /// Lets the planner place work by a policy.
+    #[must_use]
+    pub fn with_placement(mut self, placement: Placement) -> Self {
+        self.settings.placement = placement;
+        self.replace_planner();
+        self
+    }
+
+    /// Replaces the planner by one without state from earlier rounds, as a new leader has it.
+    pub fn replace_planner(&mut self) {
+        self.planner = Planner::new(self.settings);
+    }
+
     /// Applies a record to the table.
     pub fn put(&mut self, record: &Record) {
         self.table.apply(&record.encode());
