feat: by_completion charges a stop what the run loses, and stops a task at most twice

Bursts of urgent gangs stopped the run that had just been restarted again and again, since it had lost nothing yet, and a checkpointing run was charged up to 0.8 s of work that it doesn't lose.

Under by_completion a checkpointing run is charged its restart and the stop, any other run its age and the stop, doubled with each step of priority as before. The policy counts the stops of each task for others; after two its runs cost u64::MAX, which only guaranteed work may pay. That is logged as J193. A new leader takes the attempts in the plan instead, less the failures and the run that goes on, and charges runs that no agent has reported yet their expected duration.

--- a/crates/rampbay-jobs/src/planner/displace.rs
+++ b/crates/rampbay-jobs/src/planner/displace.rs
@@ -98,6 +98,14 @@
             preemption.lost_work,
             preemption.cost
         );
+        if unit.cost == u64::MAX {
+            log::warn!(
+                "event=J193 protected run stopped for guaranteed work task={} for_job={} workspace={}",
+                unit.first,
+                waiting.job,
+                waiting.submission.workspace
+            );
+        }
         let reason = StopReason::Preempted { for_job: waiting.job.clone() };
         draft.stop_unit(&unit.first, &reason);
         for (place, held) in &unit.held {
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -2,6 +2,9 @@
 //!
 //! A rule that it doesn't replace is that of [`by_lost_work`](super::by_lost_work).
 
+mod preemptions;
+mod stops;
+
 use std::time::Duration;
 
 use crate::job::Step;
@@ -14,19 +17,27 @@
 
 use super::by_lost_work::ByLostWork;
 use super::{Candidate, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost, WorkerRank};
+use preemptions::PreemptionHistory;
+use stops::StopTimes;
 
 /// Weighs stops and waits by when the jobs are expected to end.
 #[derive(Debug)]
 pub struct ByCompletion {
     /// The rules that this policy doesn't replace.
     by_lost_work: ByLostWork,
+    stop_times: StopTimes,
+    preemptions: PreemptionHistory,
 }
 
 impl ByCompletion {
     /// Creates the policy without any state from earlier rounds.
     #[must_use]
-    pub const fn new(settings: &PlannerSettings) -> Self {
-        Self { by_lost_work: ByLostWork::new(settings) }
+    pub fn new(settings: &PlannerSettings) -> Self {
+        Self {
+            by_lost_work: ByLostWork::new(settings),
+            stop_times: StopTimes::new(settings),
+            preemptions: PreemptionHistory::default(),
+        }
     }
 }
 
@@ -36,7 +47,7 @@
     }
 
     fn begin_round(&mut self, start: &RoundStart<'_>) {
-        self.by_lost_work.begin_round(start);
+        self.preemptions.update(start);
     }
 
     fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
@@ -83,9 +94,9 @@
         &self,
         run: &RunningTask,
         seen: Option<&ObservedProgress>,
-        inputs: &RoundInputs<'_>,
+        _inputs: &RoundInputs<'_>,
     ) -> StopCost {
-        self.by_lost_work.stop_cost(run, seen, inputs)
+        self.stop_times.stop_cost(run, seen, &self.preemptions)
     }
 
     fn max_stop_cost(&self, waiting: &WaitingStep, count: usize, inputs: &RoundInputs<'_>) -> u64 {
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
@@ -20,6 +20,7 @@
 
 use super::{Candidate, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost, WorkerRank};
 pub use stops::MAX_WORK_SINCE_CHECKPOINT;
+pub(super) use stops::priority_weight;
 
 use stall::StallLimits;
 
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work/stops.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work/stops.rs
@@ -16,14 +16,14 @@
 const LOWEST_WEIGHTED_PRIORITY: u32 = 2;
 
 /// Returns the weight of a stop, which doubles with each step of priority.
-fn weight(priority: u32) -> u64 {
+pub const fn priority_weight(priority: u32) -> u64 {
     1 << LOWEST_WEIGHTED_PRIORITY.saturating_sub(priority)
 }
 
 /// Returns the cost of stopping a run, given its progress if it is known.
 pub fn stop_cost(run: &RunningTask, seen: Option<&ObservedProgress>) -> StopCost {
     let lost_work = lost_work(run, seen);
-    StopCost { lost_work, cost: lost_work * weight(run.priority) * u64::from(run.attempt) }
+    StopCost { lost_work, cost: lost_work * priority_weight(run.priority) * u64::from(run.attempt) }
 }
 
 /// Returns the work that a stop loses, in thousandths of core-seconds. Estimates are rough, so the work is computed
