feat: by_completion stops runs only for urgent work, also while that is a little late

Gangs of the middle queue caused three quarters of all stops, though they may take three times their work. Urgent jobs that were late by their own objective stopped nothing any more, although their callers still wait for them.

Under by_completion only guaranteed steps and steps of priority 0 may stop others; the others hold workers. A step of priority 0 keeps its base and its own work as the limit until it can't end within three times its objective. `WaitingStep` carries the latest start for that.

--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -2,6 +2,7 @@
 //!
 //! A rule that it doesn't replace is that of [`by_lost_work`](super::by_lost_work).
 
+mod allowance;
 mod preemptions;
 mod stops;
 
@@ -100,7 +101,7 @@
     }
 
     fn max_stop_cost(&self, waiting: &WaitingStep, count: usize, inputs: &RoundInputs<'_>) -> u64 {
-        self.by_lost_work.max_stop_cost(waiting, count, inputs)
+        allowance::max_stop_cost(waiting, count, inputs.wall)
     }
 
     fn stall_limit(&self, step: &Step, seen: &ObservedProgress) -> Duration {
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
@@ -19,6 +19,7 @@
 use crate::planner::{PlannerSettings, RoundInputs, WorkerIndex};
 
 use super::{Candidate, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost, WorkerRank};
+pub(super) use allowance::URGENT_BASE;
 pub use stops::MAX_WORK_SINCE_CHECKPOINT;
 pub(super) use stops::priority_weight;
 
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work/allowance.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work/allowance.rs
@@ -7,7 +7,7 @@
 use crate::planner::queue::WaitingStep;
 
 /// Work that may be lost for any urgent step that can still end in time, in thousandths of core-seconds.
-const URGENT_BASE: u64 = 200_000;
+pub const URGENT_BASE: u64 = 200_000;
 /// Work that may be lost for it in addition, as a share of the step's own work, in thousandths.
 const URGENT_SHARE_PERMILLE: u64 = 1_000;
 /// Work that may be lost for a gang that isn't urgent, as a share of its own work, in thousandths.
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -11,6 +11,9 @@
 use super::forecast::Forecasts;
 use super::policy::PlacementPolicy;
 
+/// Number of objectives after which a caller no longer wants a job's result.
+pub const USEFUL_OBJECTIVES: u64 = 3;
+
 /// A step of which some tasks wait and may start.
 #[derive(Clone, Debug)]
 pub struct WaitingStep {
@@ -32,6 +35,8 @@
     pub duration_ms: u64,
     /// Latest start time at which the job still ends in time.
     pub latest_start: EpochMillis,
+    /// Latest start time at which the job ends within [`USEFUL_OBJECTIVES`] times its objective.
+    pub latest_useful_start: EpochMillis,
 }
 
 impl WaitingStep {
@@ -151,7 +156,9 @@
     let chains = submission.chains_ms(&durations);
     let waits_since = submission.due_at(occurrence.number);
     let longest = chains.iter().copied().max().unwrap_or(0);
-    let objective_at = waits_since + submission.objective_ms(longest);
+    let objective_ms = submission.objective_ms(longest);
+    let objective_at = waits_since + objective_ms;
+    let useful_until = waits_since + objective_ms * USEFUL_OBJECTIVES;
     let ready = ready.into_iter().map(|(number, tasks)| WaitingStep {
         job: context.id.clone(),
         submission: Rc::clone(submission),
@@ -162,6 +169,7 @@
         waits_since,
         duration_ms: durations[number],
         latest_start: objective_at.saturating_sub(chains[number]),
+        latest_useful_start: useful_until.saturating_sub(chains[number]),
     });
     ready.collect()
 }
--- a/crates/rampbay-jobs/tests/completion_stops.rs
+++ b/crates/rampbay-jobs/tests/completion_stops.rs
@@ -248,3 +248,77 @@
         assert!(stops_for_burst(&mut rig, 1));
     });
 }
+
+/// A gang that has time to wait stopped bulk runs, which made up most of all stops. Under `by_completion` it stops none,
+/// and waits for the workers that it holds.
+#[rstest]
+#[case::by_lost_work(Placement::ByLostWork, TaskStatus::Stopping)]
+#[case::by_completion(Placement::ByCompletion, TaskStatus::Running)]
+fn gang_of_middle_queue_stops_nothing(#[case] placement: Placement, #[case] expected: TaskStatus) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
+        rig.submit(job(JOB, 2, checkpointing(step(2, 8))));
+        rig.plan();
+        let gang = Step { estimate_ms: 10_000, ..gang(2, 8) };
+        rig.submit(Submission { submitted_at: rig.wall, ..job(OTHER, 1, gang) });
+        rig.advance(Duration::from_secs(3)).await;
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), [expected; 2]);
+    });
+}
+
+/// Without stops, a gang of the middle queue would wait for ever behind single tasks that take each accelerator as it
+/// becomes free; so workers are held for it.
+#[test]
+fn gang_of_middle_queue_holds_worker() {
+    run_in_virtual_time(async {
+        let mut rig = rig_of_workers(4);
+        rig.submit(job(JOB, 2, step(32, 1)));
+        rig.plan();
+        rig.advance(Duration::from_secs(3)).await;
+        rig.submit(Submission { submitted_at: rig.wall, ..job(OTHER, 1, gang(1, 8)) });
+        rig.submit(Submission { submitted_at: rig.wall, ..job(URGENT, 2, step(4, 1)) });
+        for worker in 0..4 {
+            let (done, _) = rig.runs_at(&format!("i-{worker}")).remove(0);
+            rig.end(&done, EndReason::Done);
+        }
+        rig.plan();
+        let running = rig.statuses(URGENT).into_iter().filter(|is| *is == TaskStatus::Running);
+        assert_eq!(running.count(), 3, "one of four accelerators is kept for the gang");
+    });
+}
+
+/// Callers still want a job that is late by its own objective, 10.5 s here; after three times that they don't. Urgent
+/// jobs that were late by a little waited until the fleet had room.
+#[rstest]
+#[case::in_time(0, TaskStatus::Stopping)]
+#[case::late(20_000, TaskStatus::Stopping)]
+#[case::useless(27_000, TaskStatus::Running)]
+fn late_urgent_work_stops_runs_while_useful(#[case] late_ms: u64, #[case] expected: TaskStatus) {
+    run_in_virtual_time(async move {
+        let mut rig = rig_of_workers(1);
+        rig.wall = 100_000;
+        rig.submit(Submission { submitted_at: rig.wall, ..job(JOB, 1, step(1, 8)) });
+        rig.plan();
+        rig.submit(Submission { submitted_at: rig.wall - late_ms, ..job(URGENT, 0, step(1, 8)) });
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), expected);
+    });
+}
+
+/// A guaranteed step may stop whatever it needs, however old that is and however late the step.
+#[rstest]
+#[case::guaranteed(8, TaskStatus::Stopping)]
+#[case::not_guaranteed(0, TaskStatus::Running)]
+fn guaranteed_step_stops_whatever_it_needs(#[case] devices: u64, #[case] expected: TaskStatus) {
+    run_in_virtual_time(async move {
+        let mut rig = rig_of_workers(1);
+        rig.guarantee(devices);
+        rig.submit(Submission { submitted_at: rig.wall, ..job(JOB, 1, step(1, 8)) });
+        rig.plan();
+        rig.advance(Duration::from_secs(60)).await;
+        rig.submit(Submission { submitted_at: rig.wall - 50_000, ..job(URGENT, 0, step(1, 8)) });
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), expected);
+    });
+}
