feat: by_completion keeps idle workers for urgent work, as many as it has needed lately

An urgent gang has 0.3 to 0.9 s to spare, and a stop with the next start takes 0.3 to 0.6 s, so gangs that waited for stops ended late. The reserve of 15% counted workers that run urgent work already, and stood wherever racks are named first.

The reserve now holds idle workers only, the fastest first, then racks with the most idle workers. A worker stays in it until it is used. Its size follows the workers that urgent steps use at the same time (half-life 10 s) and the widest urgent gang of the last 20 s, from 10% to 30% of the usable workers; 20% until five urgent jobs were seen, also after a change of the leader. Other work may use it from 4 s before its latest start, and after 0.8 s of waiting while fewer than 60% of the accelerators are in use. J192 logs changes, the gauge `rampbay_reserved_workers` counts the workers.

The share in use is kept up to date by the fleet's state rather than summed for each step.

--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -65,6 +65,8 @@
     pub active_jobs: Gauge,
     /// Drained failure domains, as the leader knows them.
     pub drained_domains: Gauge,
+    /// Workers that are kept idle for urgent work, at the leader.
+    pub reserved_workers: Gauge,
     /// Time that a round of the planner takes, at the leader.
     pub round_seconds: Histogram,
     /// Workers that the planner examined in search of free capacity, counted each time.
@@ -93,6 +95,7 @@
             ends: Family::default(),
             active_jobs: Gauge::default(),
             drained_domains: Gauge::default(),
+            reserved_workers: Gauge::default(),
             round_seconds: histogram(),
             workers_searched: Counter::default(),
             view_age: Family::default(),
@@ -136,6 +139,8 @@
         registry.register("active_jobs", "Jobs with something to do", self.active_jobs.clone());
         let drained = self.drained_domains.clone();
         registry.register("drained_domains", "Failure domains that get nothing more", drained);
+        let reserved = self.reserved_workers.clone();
+        registry.register("reserved_workers", "Workers kept idle for urgent work", reserved);
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
     }
 
--- a/crates/rampbay-jobs/src/planner/fleet_state.rs
+++ b/crates/rampbay-jobs/src/planner/fleet_state.rs
@@ -64,6 +64,10 @@
     runs: Vec<u32>,
     /// Whether each worker is closed to further tasks, since an isolated task runs or will run there.
     closed: Vec<bool>,
+    /// Accelerators of the usable workers.
+    usable_devices: u64,
+    /// Accelerators that are free at the usable workers.
+    free_usable_devices: u64,
     /// Number of workers that are held for gangs.
     pub held_workers: usize,
     /// Demands that fit into no rack.
@@ -107,6 +111,7 @@
             fleet.charge_job(draft, id, &submission, workers);
             fleet.close_for_job(draft, id, workers, inputs);
         }
+        fleet.count_usable_devices();
         for place in 0..fleet.workers.len() {
             let freed = std::mem::take(&mut fleet.workers[place].freed_soon);
             fleet.add_freed_soon(place, &freed);
@@ -189,7 +194,7 @@
     /// Closes a worker to further tasks.
     pub fn close(&mut self, place: WorkerIndex) {
         self.closed[place] = true;
-        self.free[place] = Resources::default();
+        self.set_free(place, Resources::default());
     }
 
     /// Returns whether a worker is closed to further tasks.
@@ -232,7 +237,9 @@
 
     /// Takes the resources of one task at a worker.
     pub fn occupy(&mut self, place: WorkerIndex, step: &Step, key: &StepKey) {
-        self.free[place].take(&step.charge());
+        let mut left = self.free[place];
+        left.take(&step.charge());
+        self.set_free(place, left);
         self.runs[place] += 1;
         self.count_limited((&key.0, key.1, key.2), step, place);
     }
@@ -251,18 +258,32 @@
             devices: free.devices.min(total.devices),
         };
         total.take(&left);
-        self.free[place] = left;
         worker.freed_soon = total;
+        self.set_free(place, left);
         self.count_limited((&key.0, key.1, key.2), step, place);
     }
 
     /// Returns the share of the accelerators of usable workers that is in use, in percent.
     pub fn percent_used(&self) -> u64 {
+        let used = self.usable_devices - self.free_usable_devices;
+        (used * 100).checked_div(self.usable_devices).unwrap_or(0)
+    }
+
+    /// Counts the accelerators of the usable workers. Kept up to date from then on, since policies ask for the share in
+    /// use for many steps in a round.
+    fn count_usable_devices(&mut self) {
         let usable = self.workers.iter().zip(&self.free).filter(|(worker, _)| worker.usable);
-        let (free, all) = usable.fold((0, 0), |(free, all), (worker, left)| {
-            (free + left.devices, all + worker.record.capacity.devices)
-        });
-        ((all - free) * 100).checked_div(all).unwrap_or(0)
+        for (worker, free) in usable {
+            self.usable_devices += worker.record.capacity.devices;
+            self.free_usable_devices += free.devices;
+        }
+    }
+
+    fn set_free(&mut self, place: WorkerIndex, left: Resources) {
+        let before = std::mem::replace(&mut self.free[place], left);
+        if self.workers[place].usable {
+            self.free_usable_devices = self.free_usable_devices - before.devices + left.devices;
+        }
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -3,7 +3,9 @@
 //! A rule that it doesn't replace is that of [`by_lost_work`](super::by_lost_work).
 
 mod allowance;
+mod demand;
 mod preemptions;
+mod reserve;
 mod stops;
 
 use std::time::Duration;
@@ -18,7 +20,9 @@
 
 use super::by_lost_work::ByLostWork;
 use super::{Candidate, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost, WorkerRank};
+use demand::UrgentDemand;
 use preemptions::PreemptionHistory;
+use reserve::Reserve;
 use stops::StopTimes;
 
 /// Weighs stops and waits by when the jobs are expected to end.
@@ -28,6 +32,8 @@
     by_lost_work: ByLostWork,
     stop_times: StopTimes,
     preemptions: PreemptionHistory,
+    demand: UrgentDemand,
+    reserve: Reserve,
 }
 
 impl ByCompletion {
@@ -38,6 +44,8 @@
             by_lost_work: ByLostWork::new(settings),
             stop_times: StopTimes::new(settings),
             preemptions: PreemptionHistory::default(),
+            demand: UrgentDemand::default(),
+            reserve: Reserve::default(),
         }
     }
 }
@@ -49,6 +57,8 @@
 
     fn begin_round(&mut self, start: &RoundStart<'_>) {
         self.preemptions.update(start);
+        self.demand.update(start);
+        self.reserve.update(start.events);
     }
 
     fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
@@ -56,7 +66,7 @@
     }
 
     fn choose_reserve(&mut self, fleet: &FleetState, inputs: &RoundInputs<'_>) -> Vec<WorkerIndex> {
-        self.by_lost_work.choose_reserve(fleet, inputs)
+        self.reserve.choose(fleet, &self.demand, inputs.now)
     }
 
     fn may_use_reserve(
@@ -65,7 +75,7 @@
         fleet: &FleetState,
         inputs: &RoundInputs<'_>,
     ) -> bool {
-        self.by_lost_work.may_use_reserve(waiting, fleet, inputs)
+        reserve::may_use_reserve(waiting, fleet, inputs.wall)
     }
 
     fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank {
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -13,7 +13,7 @@
 use rampbay_jobs::table::JobTable;
 use tokio::time::Instant;
 
-use super::{settings, step, task, worker_record};
+use super::{job, settings, step, task, worker_record};
 
 /// A planner with the inputs of its rounds.
 pub struct PlannerRig {
@@ -158,6 +158,32 @@
         }
     }
 
+    /// Runs an urgent job on all workers until the planner knows their speeds, and ends it. `rates` are in percent a
+    /// second, in the order of the workers' ids. Each worker must be free and take one task of 8 accelerators.
+    pub async fn measure_speeds(&mut self, rates: &[u32]) {
+        const JOB: &str = "0000000000005eed";
+        let count = self.table.workers.len() as u32;
+        let submission = job(JOB, 0, step(count, 8));
+        self.submit(Submission { submitted_at: self.wall, ..submission });
+        self.plan();
+        for second in 0..8_u32 {
+            tokio::time::sleep(Duration::from_secs(1)).await;
+            self.wall += 1000;
+            self.progress.note_read(Instant::now());
+            for index in 0..count {
+                let instance = self.instance_of(&task(JOB, index));
+                let place = self.table.workers.keys().position(|known| *known == instance);
+                let rate = rates[place.expect("a known worker")];
+                let run = progress(JOB, index, second * rate, u64::from(second) * 1000);
+                let report = ProgressReport { silent_ms: 0, runs: vec![run] };
+                self.progress.insert(&instance, report, Instant::now());
+            }
+            self.plan();
+        }
+        (0..count).for_each(|index| self.end(&task(JOB, index), EndReason::Done));
+        self.plan();
+    }
+
     /// Lists the runs at a worker.
     pub fn runs_at(&self, instance: &str) -> Vec<(TaskId, u32)> {
         let mut runs = Vec::new();
