feat: by_completion leaves fast machines to urgent work, and places a gang by its slowest member

On uneven machines bulk work took fast workers as they came, and urgent gangs ran on slow ones, at the pace of the slowest member.

Under by_completion work of the lower priorities goes to slower machines first, and takes workers of the reserve last where it may use them. A rack counts by the least preferred member of the gang: for an urgent gang its slowest, for another one the fastest machine that it would hold. The number of slow members no longer counts. Ranks for stops are unchanged.

--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -4,6 +4,7 @@
 
 mod allowance;
 mod demand;
+mod packing;
 mod preemptions;
 mod reserve;
 mod stops;
@@ -79,7 +80,11 @@
     }
 
     fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank {
-        self.by_lost_work.worker_rank(need, candidate)
+        let rank = self.by_lost_work.worker_rank(need, candidate);
+        if candidate.stop_cost.is_some() {
+            return rank;
+        }
+        WorkerRank { slowness: packing::slowness(need, candidate.worker), ..rank }
     }
 
     fn rack_rank(
@@ -89,7 +94,8 @@
         rack: usize,
         places: &[WorkerIndex],
     ) -> RackRank {
-        self.by_lost_work.rack_rank(need, fleet, rack, places)
+        let rank = self.by_lost_work.rack_rank(need, fleet, rack, places);
+        RackRank { slowness: packing::gang_slowness(need, fleet, places), ..rank }
     }
 
     fn waits_for_rack(
--- /dev/null
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/packing.rs
@@ -0,0 +1,29 @@
+//! The ranks of workers and racks for a step.
+//!
+//! Load: urgent gangs beside steps that have time, on machines of uneven speed. A gang runs at the pace of its slowest
+//! member, and an urgent one is late on a slow machine. So urgent work goes to the fastest machines, and other work to
+//! the slowest, which leaves the fast ones free for the next burst. Other work that may use the reserve takes it last.
+
+use crate::planner::WorkerIndex;
+use crate::planner::fit::Need;
+use crate::planner::fleet_state::{FleetState, WorkerState};
+use crate::planner::speed::MachineSpeed;
+
+/// Added to the class of a reserved worker for work that isn't urgent: more than any class of speed.
+const RESERVED_SLOWNESS: u32 = MachineSpeed::Slower as u32 + 1;
+
+/// Returns the class of a worker for a step by its speed; lower is preferred.
+pub fn slowness(need: &Need<'_>, worker: &WorkerState) -> u32 {
+    if need.priority == 0 {
+        return worker.speed as u32;
+    }
+    let reversed = MachineSpeed::Slower as u32 - worker.speed as u32;
+    reversed + if worker.reserved { RESERVED_SLOWNESS } else { 0 }
+}
+
+/// Returns the class of the chosen workers for a gang: that of its least preferred member. For an urgent gang this is
+/// the slowest one, at whose pace it runs; for any other gang the fastest one, which it would hold at a slower pace.
+pub fn gang_slowness(need: &Need<'_>, fleet: &FleetState, places: &[WorkerIndex]) -> u64 {
+    let classes = places.iter().map(|&place| slowness(need, &fleet.workers[place]));
+    classes.max().map_or(0, u64::from)
+}
