--- a/crates/rampbay-jobs/tests/completion_packing.rs
+++ b/crates/rampbay-jobs/tests/completion_packing.rs
@@ -96,16 +96,15 @@
 #[test]
 fn run_on_slow_machine_spared() {
     run_in_virtual_time(async {
-        let mut rig = rig_of_workers(2);
-        rig.measure_speeds(&[SLOWER, FASTER]).await;
-        rig.submit(Submission { submitted_at: rig.wall, ..job(OTHER, 2, step(2, 8)) });
+        let mut rig = rig_of_workers(3);
+        rig.measure_speeds(&[SLOWER, USUAL, USUAL]).await;
+        rig.submit(Submission { submitted_at: rig.wall, ..job(OTHER, 2, step(3, 8)) });
         rig.plan();
         rig.submit(Submission { submitted_at: rig.wall, ..job(JOB, 0, step(1, 8)) });
         rig.plan();
-        let stopped =
-            (0..2).filter(|&index| rig.status_of(&task(OTHER, index)) == TaskStatus::Stopping);
-        let stopped: Vec<String> =
-            stopped.map(|index| rig.instance_of(&task(OTHER, index))).collect();
+        let runs = (0..3).map(|index| task(OTHER, index));
+        let stopped = runs.filter(|run| rig.status_of(run) == TaskStatus::Stopping);
+        let stopped: Vec<String> = stopped.map(|run| rig.instance_of(&run)).collect();
         assert_eq!(stopped, ["i-1"]);
     });
 }
