feat: under by_completion a stalled run waits for as long as its restart would cost

A gang of 10 s of work, nearly done, was stopped 0.5 s before it would have gone on: stalled runs were given up after 3.5 s, whatever they lose, and tasks that stand still go on after 6 s.

The limit is the run's unsaved work, from 3.5 s to 12 s; 3.5 s for a checkpointing run. The allowance for runs past their estimate is added as before.

--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -8,6 +8,7 @@
 mod preemptions;
 mod rack;
 mod reserve;
+mod stall;
 mod stops;
 
 use std::time::Duration;
@@ -38,6 +39,8 @@
     demand: UrgentDemand,
     reserve: Reserve,
     rack_waits: RackWaits,
+    /// Time without progress after which a run without unsaved work is moved.
+    stall_after: Duration,
 }
 
 impl ByCompletion {
@@ -51,6 +54,7 @@
             demand: UrgentDemand::default(),
             reserve: Reserve::default(),
             rack_waits: RackWaits::new(settings),
+            stall_after: settings.stall_after,
         }
     }
 }
@@ -125,6 +129,7 @@
     }
 
     fn stall_limit(&self, step: &Step, seen: &ObservedProgress) -> Duration {
-        self.by_lost_work.stall_limit(step, seen)
+        let limit = self.by_lost_work.stall_limit(step, seen);
+        limit + stall::additional_wait(step, seen, self.stall_after)
     }
 }
--- /dev/null
+++ b/crates/rampbay-jobs/tests/completion_watch.rs
@@ -0,0 +1,100 @@
+//! Runs that the policy `by_completion` moves: stalled ones, and those at workers that leave; and workers that it avoids.
+
+mod support;
+
+use std::time::Duration;
+
+use rampbay_jobs::job::Step;
+use rampbay_jobs::plan::TaskStatus;
+use rampbay_jobs::planner::Placement;
+use rampbay_jobs::record::ProgressReport;
+use rstest::rstest;
+use support::planner::{PlannerRig, progress};
+use support::{job, run_in_virtual_time, step, task};
+use tokio::time::Instant;
+
+const JOB: &str = "00000000000000aa";
+/// Time between two reports.
+const REPORT_INTERVAL_MS: u64 = 500;
+
+/// Creates a rig with one worker, whose planner places work by a policy, and starts a task there.
+fn rig_with_run(placement: Placement, step: Step) -> PlannerRig {
+    let mut rig = PlannerRig::of_workers(1).with_placement(placement);
+    rig.submit(job(JOB, 1, step));
+    rig.plan();
+    rig
+}
+
+/// Reports the run for some time: its progress grows with each report until `worked_ms` have passed, and stands still
+/// from then on. Returns whether the run goes on.
+async fn stands_still(rig: &mut PlannerRig, worked_ms: u64, still_ms: u64, percent: u32) -> bool {
+    let reports = (worked_ms + still_ms) / REPORT_INTERVAL_MS;
+    for number in 0..=reports {
+        let ran_ms = number * REPORT_INTERVAL_MS;
+        let steps_left = worked_ms.saturating_sub(ran_ms) / REPORT_INTERVAL_MS;
+        let run = progress(JOB, 0, percent - steps_left as u32, ran_ms);
+        let report = ProgressReport { silent_ms: 0, runs: vec![run] };
+        rig.progress.note_read(Instant::now());
+        rig.progress.insert("i-0", report, Instant::now());
+        rig.plan();
+        tokio::time::sleep(Duration::from_millis(REPORT_INTERVAL_MS)).await;
+    }
+    rig.status_of(&task(JOB, 0)) == TaskStatus::Running
+}
+
+/// A stalled run waits for as long as its restart would cost, from 3.5 s to 12 s. Tasks that stand still for 6 s go on
+/// then; a gang of 10 s of work that was given up after 3.5 s lost all of it.
+#[rstest]
+#[case::young_waits(1_000, 3_500, true)]
+#[case::young_moved(1_000, 4_000, false)]
+#[case::older_waits(7_000, 7_000, true)]
+#[case::older_moved(7_000, 7_500, false)]
+#[case::old_waits(20_000, 12_000, true)]
+#[case::old_moved(20_000, 12_500, false)]
+fn stalled_run_waits_for_unsaved_work(
+    #[case] worked_ms: u64,
+    #[case] still_ms: u64,
+    #[case] goes_on: bool,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = rig_with_run(Placement::ByCompletion, step(1, 1));
+        assert_eq!(stands_still(&mut rig, worked_ms, still_ms, 60).await, goes_on);
+    });
+}
+
+/// A checkpointing run has saved its work, so it is moved at once however old it is.
+#[rstest]
+#[case::waits(3_500, true)]
+#[case::moved(4_000, false)]
+fn stalled_checkpointing_run_moved_soon(#[case] still_ms: u64, #[case] goes_on: bool) {
+    run_in_virtual_time(async move {
+        let step = Step { checkpointing: true, ..step(1, 1) };
+        let mut rig = rig_with_run(Placement::ByCompletion, step);
+        assert_eq!(stands_still(&mut rig, 20_000, still_ms, 60).await, goes_on);
+    });
+}
+
+/// A run past its estimate reports no further progress, and is left the allowance of `by_lost_work` on top: three times
+/// its estimate of 5 s.
+#[rstest]
+#[case::waits(7_000, 22_000, true)]
+#[case::moved(7_000, 22_500, false)]
+fn run_past_estimate_waits_longer(
+    #[case] worked_ms: u64,
+    #[case] still_ms: u64,
+    #[case] goes_on: bool,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = rig_with_run(Placement::ByCompletion, step(1, 1));
+        assert_eq!(stands_still(&mut rig, worked_ms, still_ms, 100).await, goes_on);
+    });
+}
+
+/// `by_lost_work` goes on giving up after 3.5 s, whatever the restart costs.
+#[test]
+fn by_lost_work_moves_stalled_run_at_once() {
+    run_in_virtual_time(async {
+        let mut rig = rig_with_run(Placement::ByLostWork, step(1, 1));
+        assert!(!stands_still(&mut rig, 20_000, 4_000, 60).await);
+    });
+}
