feat: by_completion avoids a worker for 5 s after a failed run, also for gangs that fill a rack

Workers in trouble fail all that they start for some 6 s. They were passed over for 1.5 s, and not at all by a gang that wants one rack and takes all of its workers, so gangs failed again and again.

The policy gives the time for which a worker is avoided: 5 s under by_completion, 1.5 s as before under by_lost_work. Under by_completion a rack in which the gang would take an avoided worker is ranked after all others.

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -188,11 +188,12 @@
     /// Creates a planner with a given policy, without any state from earlier rounds.
     #[must_use]
     pub fn with_policy(settings: PlannerSettings, policy: Box<dyn PlacementPolicy>) -> Self {
+        let health = HealthTracker::new(policy.avoid_time());
         Self {
             settings,
             policy,
             events: Vec::new(),
-            health: HealthTracker::default(),
+            health,
             forecasts: Forecasts::default(),
             speeds: SpeedTracker::default(),
             waits: WaitLog::default(),
--- a/crates/rampbay-jobs/src/planner/health.rs
+++ b/crates/rampbay-jobs/src/planner/health.rs
@@ -17,8 +17,6 @@
 const FAILURE_RETENTION: Duration = Duration::from_secs(15);
 /// Time for which a worker is blocked after too many failures or a stalled run.
 const BLOCK_TIME: Duration = Duration::from_secs(5);
-/// Time for which other workers are preferred after a failure.
-const AVOID_TIME: Duration = Duration::from_millis(1500);
 /// Time for which other workers are preferred after a refused start, which is never the job's fault.
 const AVOID_TIME_AFTER_REFUSAL: Duration = Duration::from_millis(4000);
 
@@ -47,12 +45,20 @@
 }
 
 /// Failures of all workers.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct HealthTracker {
+    /// Time for which other workers are preferred after a failure.
+    avoid_time: Duration,
     workers: BTreeMap<InstanceId, WorkerHealth>,
 }
 
 impl HealthTracker {
+    /// Creates a tracker without failures. Other workers are preferred to one for `avoid_time` after a failure there.
+    #[must_use]
+    pub const fn new(avoid_time: Duration) -> Self {
+        Self { avoid_time, workers: BTreeMap::new() }
+    }
+
     /// Removes workers that are no longer registered.
     pub fn retain(&mut self, is_registered: impl Fn(&str) -> bool) {
         self.workers.retain(|instance, _| is_registered(instance));
@@ -65,7 +71,7 @@
             .failures
             .retain(|failure| failure.job != *job && now - failure.at < FAILURE_RETENTION);
         health.failures.push(Failure { job: job.clone(), at: now });
-        health.avoid_until = health.avoid_until.max(now + AVOID_TIME);
+        health.avoid_until = health.avoid_until.max(now + self.avoid_time);
         if self.failed_workers(job).len() > 1 {
             self.attribute_to_job(job);
             return;
--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -92,6 +92,9 @@
 
     /// Returns what a run at a worker that is about to leave loses beyond its work.
     fn departure_costs(&self) -> DepartureCosts;
+
+    /// Returns the time for which other workers are preferred to one at which a run has failed.
+    fn avoid_time(&self) -> Duration;
 }
 
 /// Order of a waiting step; lower goes first. The fields are compared one after the other.
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -33,6 +33,10 @@
 use reserve::Reserve;
 use stops::StopTimes;
 
+/// Time for which other workers are preferred to one at which a run has failed. A worker in trouble fails all that it
+/// starts for some 6 s; if 8% of the workers do, a gang of six hits one of them in two of five tries.
+const AVOID_TIME: Duration = Duration::from_secs(5);
+
 /// Weighs stops and waits by when the jobs are expected to end.
 #[derive(Debug)]
 pub struct ByCompletion {
@@ -143,4 +147,8 @@
     fn departure_costs(&self) -> DepartureCosts {
         departure::departure_costs(self.stop_time)
     }
+
+    fn avoid_time(&self) -> Duration {
+        AVOID_TIME
+    }
 }
--- a/crates/rampbay-jobs/src/planner/policy/by_completion/packing.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/packing.rs
@@ -11,6 +11,8 @@
 
 /// Added to the class of a reserved worker for work that isn't urgent: more than any class of speed.
 const RESERVED_SLOWNESS: u32 = MachineSpeed::Slower as u32 + 1;
+/// Added to the class of an avoided worker for a gang, which fails as a whole: more than any other class.
+const AVOIDED_SLOWNESS: u32 = 2 * RESERVED_SLOWNESS;
 
 /// Returns the class of a worker for a step by its speed; lower is preferred.
 pub fn slowness(need: &Need<'_>, worker: &WorkerState) -> u32 {
@@ -24,6 +26,9 @@
 /// Returns the class of the chosen workers for a gang: that of its least preferred member. For an urgent gang this is
 /// the slowest one, at whose pace it runs; for any other gang the fastest one, which it would hold at a slower pace.
 pub fn gang_slowness(need: &Need<'_>, fleet: &FleetState, places: &[WorkerIndex]) -> u64 {
-    let classes = places.iter().map(|&place| slowness(need, &fleet.workers[place]));
+    let classes = places.iter().map(|&place| {
+        let worker = &fleet.workers[place];
+        slowness(need, worker) + if worker.avoided { AVOIDED_SLOWNESS } else { 0 }
+    });
     classes.max().map_or(0, u64::from)
 }
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
@@ -28,6 +28,9 @@
 
 use stall::StallLimits;
 
+/// Time for which other workers are preferred to one at which a run has failed.
+const AVOID_TIME: Duration = Duration::from_millis(1500);
+
 /// Weighs stops and waits by the work that they lose. It keeps no state between rounds.
 #[derive(Clone, Copy, Debug)]
 pub struct ByLostWork {
@@ -114,4 +117,8 @@
     fn departure_costs(&self) -> DepartureCosts {
         DepartureCosts::default()
     }
+
+    fn avoid_time(&self) -> Duration {
+        AVOID_TIME
+    }
 }
--- a/crates/rampbay-jobs/tests/completion_watch.rs
+++ b/crates/rampbay-jobs/tests/completion_watch.rs
@@ -7,13 +7,14 @@
 use rampbay_jobs::job::Step;
 use rampbay_jobs::plan::TaskStatus;
 use rampbay_jobs::planner::Placement;
-use rampbay_jobs::record::{ProgressReport, Record, WorkerRecord};
+use rampbay_jobs::record::{EndReason, ProgressReport, Record, WorkerRecord};
 use rstest::rstest;
-use support::planner::{PlannerRig, progress};
+use support::planner::{PlannerRig, gang, progress};
 use support::{job, run_in_virtual_time, step, task};
 use tokio::time::Instant;
 
 const JOB: &str = "00000000000000aa";
+const OTHER: &str = "00000000000000bb";
 /// Time between two reports.
 const REPORT_INTERVAL_MS: u64 = 500;
 
@@ -130,3 +131,50 @@
         assert_eq!(rig.status_of(&task(JOB, 0)), expected);
     });
 }
+
+/// A worker that fails all that it starts for some seconds is passed over for 5 s. Free again after 1.5 s, it drew the
+/// retries of gangs, each of which failed as a whole.
+#[rstest]
+#[case::by_lost_work_avoids(Placement::ByLostWork, 1_000, "i-1")]
+#[case::by_lost_work_takes_again(Placement::ByLostWork, 2_000, "i-0")]
+#[case::by_completion_avoids(Placement::ByCompletion, 4_500, "i-1")]
+#[case::by_completion_takes_again(Placement::ByCompletion, 5_500, "i-0")]
+fn worker_avoided_after_failure(
+    #[case] placement: Placement,
+    #[case] later_ms: u64,
+    #[case] expected: &str,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2).with_placement(placement);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(JOB, 0)), "i-0");
+        rig.end(&task(JOB, 0), EndReason::Failed);
+        rig.put(&Record::Cancelled(JOB.to_owned()));
+        rig.plan();
+        rig.advance(Duration::from_millis(later_ms)).await;
+        rig.submit(job(OTHER, 1, step(1, 1)));
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(OTHER, 0)), expected);
+    });
+}
+
+/// A gang that wants one rack takes one without a worker at which a run has just failed. Workers were passed over one by
+/// one only, so a gang that filled its rack took the failing worker too, and failed as a whole.
+#[rstest]
+#[case::by_lost_work(Placement::ByLostWork, "r0")]
+#[case::by_completion(Placement::ByCompletion, "r1")]
+fn rack_with_failing_worker_avoided(#[case] placement: Placement, #[case] expected: &str) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(6).with_placement(placement);
+        let first = Step { required_label: "r0".to_owned(), ..step(1, 1) };
+        rig.submit(job(JOB, 0, first));
+        rig.plan();
+        rig.end(&task(JOB, 0), EndReason::Failed);
+        rig.put(&Record::Cancelled(JOB.to_owned()));
+        rig.plan();
+        rig.submit(job(OTHER, 0, Step { same_rack: true, ..gang(3, 8) }));
+        rig.plan();
+        assert_eq!(rig.table.workers[&rig.instance_of(&task(OTHER, 0))].rack(), expected);
+    });
+}
--- a/crates/rampbay-jobs/tests/policies.rs
+++ b/crates/rampbay-jobs/tests/policies.rs
@@ -174,6 +174,10 @@
     fn departure_costs(&self) -> DepartureCosts {
         self.rules.departure_costs()
     }
+
+    fn avoid_time(&self) -> Duration {
+        self.rules.avoid_time()
+    }
 }
 
 fn recording_rig(workers: usize) -> (PlannerRig, Told) {
