feat: under by_completion work that was stopped for others leaves the reserve alone

Work that was stopped for an urgent burst could start again on the reserve, where the next burst stopped it once more.

It uses the reserve from 4 s before its latest start, as other work, but on a fleet that is half idle only 2.3 s after its stop, so that the users' rule of 3 s holds. That it doesn't start where a more urgent step waits that would fit is ensured by the order of placement, under both policies; a test says so.

--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -95,7 +95,8 @@
         fleet: &FleetState,
         inputs: &RoundInputs<'_>,
     ) -> bool {
-        reserve::may_use_reserve(waiting, fleet, inputs.wall)
+        let preempted_at = self.preemptions.preempted_at(waiting);
+        reserve::may_use_reserve(waiting, fleet, preempted_at, inputs)
     }
 
     fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank {
--- a/crates/rampbay-jobs/src/planner/policy/by_completion/preemptions.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/preemptions.rs
@@ -8,7 +8,7 @@
 
 use crate::job::{JobId, TaskId};
 use crate::plan::{TaskPlan, TaskStatus};
-use crate::planner::policy::{RoundStart, RunChange, RunEvent, StopReason};
+use crate::planner::policy::{RoundStart, RunChange, RunEvent, StopReason, WaitingStep};
 
 /// Identifies a task of a job: occurrence, step and index.
 type TaskKey = (u32, u32, u32);
@@ -18,6 +18,8 @@
 struct TaskHistory {
     /// How often it was stopped for others.
     preemptions: u32,
+    /// When this planner last stopped it for others, as time since the planner began.
+    preempted_at: Option<Duration>,
     /// Its run from before this planner began.
     earlier_run: Option<EarlierRun>,
 }
@@ -44,16 +46,19 @@
         if !std::mem::replace(&mut self.has_begun, true) {
             self.count_earlier_runs(start);
         }
-        start.events.iter().for_each(|event| self.count(event));
+        let now = start.inputs.now;
+        start.events.iter().for_each(|event| self.count(event, now));
         let active = &start.inputs.table.active;
         self.jobs.retain(|job, _| active.contains(job));
     }
 
-    fn count(&mut self, event: &RunEvent) {
+    fn count(&mut self, event: &RunEvent, now: Duration) {
         if !matches!(event.change, RunChange::Stopped(StopReason::Preempted { .. })) {
             return;
         }
-        self.entry(&event.task).preemptions += 1;
+        let task = self.entry(&event.task);
+        task.preemptions += 1;
+        task.preempted_at = Some(now);
     }
 
     fn count_earlier_runs(&mut self, start: &RoundStart<'_>) {
@@ -87,6 +92,15 @@
         self.get(task).map_or(0, |known| known.preemptions)
     }
 
+    /// Returns when this planner last stopped a task of a step for others, as time since the planner began.
+    pub fn preempted_at(&self, waiting: &WaitingStep) -> Option<Duration> {
+        let tasks = self.jobs.get(&waiting.job)?.iter();
+        let of_step = tasks.filter(|((occurrence, step, _), _)| {
+            (*occurrence, *step) == (waiting.occurrence, waiting.step)
+        });
+        of_step.filter_map(|(_, task)| task.preempted_at).max()
+    }
+
     /// Returns the expected duration of a run that was assigned before this planner began.
     pub fn expected_of_earlier_run(&self, task: &TaskId, attempt: u32) -> Option<Duration> {
         let run = self.get(task)?.earlier_run?;
--- a/crates/rampbay-jobs/src/planner/policy/by_completion/reserve.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/reserve.rs
@@ -9,12 +9,12 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use crate::job::{EpochMillis, InstanceId};
+use crate::job::InstanceId;
 use crate::metrics::metrics;
-use crate::planner::WorkerIndex;
 use crate::planner::fleet_state::FleetState;
 use crate::planner::policy::{RunChange, RunEvent};
 use crate::planner::queue::WaitingStep;
+use crate::planner::{RoundInputs, WorkerIndex};
 
 use super::demand::UrgentDemand;
 
@@ -30,6 +30,9 @@
 /// Time for which other work leaves the reserve alone on a fleet that is half idle, in milliseconds. A job that waits
 /// for 3 s beside free capacity breaks the users' rule, and a gang may wait for one rack after this.
 const IDLE_FLEET_WAIT_MS: u64 = 800;
+/// This time for work that was stopped for others, from the stop on. Started on the reserve, it would be in the way of
+/// the next burst; for longer, the users' rule would be broken.
+const IDLE_FLEET_WAIT_OF_PREEMPTED: Duration = Duration::from_millis(2_300);
 /// Share of the accelerators in use below which the fleet is half idle, in percent: the users' rule holds below 50, and
 /// measures the load in another way.
 pub const IDLE_BELOW_PERCENT: u64 = 60;
@@ -120,11 +123,22 @@
     worker.usable && !worker.avoided && fleet.is_idle(place)
 }
 
-/// Returns whether a step may use the reserve: urgent work, work that would end late without it, and any work on a fleet
-/// that is half idle.
-pub fn may_use_reserve(waiting: &WaitingStep, fleet: &FleetState, wall: EpochMillis) -> bool {
-    if waiting.is_urgent() || wall + LEAD_TIME_MS > waiting.latest_start {
+/// Returns whether a step may use the reserve: urgent work, work that would end late without it, and other work on a
+/// fleet that is half idle. `preempted_at` is when a task of the step was last stopped for others.
+pub fn may_use_reserve(
+    waiting: &WaitingStep,
+    fleet: &FleetState,
+    preempted_at: Option<Duration>,
+    inputs: &RoundInputs<'_>,
+) -> bool {
+    if waiting.is_urgent() || inputs.wall + LEAD_TIME_MS > waiting.latest_start {
         return true;
     }
-    waiting.waited_ms(wall) >= IDLE_FLEET_WAIT_MS && fleet.percent_used() < IDLE_BELOW_PERCENT
+    if fleet.percent_used() >= IDLE_BELOW_PERCENT {
+        return false;
+    }
+    preempted_at.map_or_else(
+        || waiting.waited_ms(inputs.wall) >= IDLE_FLEET_WAIT_MS,
+        |at| inputs.now.saturating_sub(at) >= IDLE_FLEET_WAIT_OF_PREEMPTED,
+    )
 }
--- a/crates/rampbay-jobs/tests/completion_reserve.rs
+++ b/crates/rampbay-jobs/tests/completion_reserve.rs
@@ -289,3 +289,40 @@
         assert_eq!(rig.status_of(&task(JOB, 0)) == TaskStatus::Running, expected);
     });
 }
+
+/// A gang that was stopped for urgent work doesn't start again on the reserve at once, where the next burst would find
+/// it in the way. It does before it would end late, and before it has stood still for the 3 s that the users allow on a
+/// fleet that is half idle.
+#[rstest]
+#[case::has_time(60_000, 0, TaskStatus::Waiting)]
+#[case::has_time_but_stands_still(60_000, 2_500, TaskStatus::Running)]
+#[case::nearly_late(3_000, 0, TaskStatus::Running)]
+fn preempted_gang_leaves_reserve(
+    #[case] target_ms: u64,
+    #[case] later_ms: u64,
+    #[case] expected: TaskStatus,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = rig_of_workers(10);
+        let gang = Step { checkpointing: true, ..gang(6, 8) };
+        rig.submit(Submission {
+            target_ms,
+            stretch_permille: 1000,
+            submitted_at: rig.wall,
+            ..job(JOB, 2, gang)
+        });
+        submit(&mut rig, OTHER, 1, step(2, 8));
+        rig.plan();
+        rig.advance(Duration::from_secs(4)).await;
+        submit(&mut rig, URGENT, 0, step(3, 8));
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), [TaskStatus::Stopping; 6], "two of three fit the reserve");
+        (0..6).for_each(|index| rig.end(&task(JOB, index), EndReason::Stopped));
+        (0..2).for_each(|index| rig.end(&task(OTHER, index), EndReason::Done));
+        rig.plan();
+        rig.advance(Duration::from_millis(later_ms)).await;
+        rig.plan();
+        assert_eq!(rig.statuses(URGENT), [TaskStatus::Running; 3]);
+        assert_eq!(rig.statuses(JOB), [expected; 6], "it needs one of the two reserved workers");
+    });
+}
--- a/crates/rampbay-jobs/tests/completion_stops.rs
+++ b/crates/rampbay-jobs/tests/completion_stops.rs
@@ -322,3 +322,30 @@
         assert_eq!(rig.status_of(&task(JOB, 0)), expected);
     });
 }
+
+/// A stopped task doesn't start again where a more urgent step waits that would fit there. Under both policies the order
+/// of placement ensures that: the more urgent step goes first, and in each round keeps the room that its stops free.
+/// Otherwise the stopped tasks would take each worker as it becomes free, and be stopped again.
+#[rstest]
+fn stopped_tasks_wait_for_more_urgent_gang(
+    #[values(Placement::ByLostWork, Placement::ByCompletion)] placement: Placement,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(4).with_placement(placement);
+        rig.submit(job(JOB, 2, checkpointing(step(4, 8))));
+        rig.plan();
+        submit_urgent(&mut rig, URGENT, gang(3, 8));
+        rig.plan();
+        let stopped =
+            (0..4).filter(|&index| rig.status_of(&task(JOB, index)) != TaskStatus::Running);
+        let stopped: Vec<u32> = stopped.collect();
+        assert_eq!(stopped.len(), 3);
+        for &index in &stopped {
+            assert_eq!(rig.statuses(URGENT), []);
+            rig.end(&task(JOB, index), EndReason::Stopped);
+            rig.plan();
+            assert_eq!(rig.status_of(&task(JOB, index)), TaskStatus::Waiting);
+        }
+        assert_eq!(rig.statuses(URGENT), [TaskStatus::Running; 3]);
+    });
+}
