--- a/crates/rampbay-jobs/tests/completion_stops.rs
+++ b/crates/rampbay-jobs/tests/completion_stops.rs
@@ -230,16 +230,18 @@
     });
 }
 
-/// Only stops for others protect a task. Counted as such, the starts that workers refuse would protect runs on a fleet
-/// in trouble, and urgent work would find nothing to stop.
-#[test]
-fn refused_starts_not_counted() {
-    run_in_virtual_time(async {
+/// Only stops for others protect a task. Counted as such, runs that fail, that workers refuse or that are lost with
+/// their workers would be protected on a fleet in trouble, and urgent work would find nothing to stop.
+#[rstest]
+fn other_ends_not_counted(
+    #[values(EndReason::NotStarted, EndReason::Failed, EndReason::Lapsed)] reason: EndReason,
+) {
+    run_in_virtual_time(async move {
         let mut rig = rig_of_workers(1);
         rig.submit(Submission { attempts: 9, ..job(JOB, 2, checkpointing(step(1, 8))) });
         for _ in 0..3 {
             rig.plan();
-            rig.end(&task(JOB, 0), EndReason::NotStarted);
+            rig.end(&task(JOB, 0), reason);
             rig.plan();
             rig.advance(Duration::from_secs(6)).await;
         }
--- a/crates/rampbay-jobs/tests/support/fleet.rs
+++ b/crates/rampbay-jobs/tests/support/fleet.rs
@@ -27,7 +27,7 @@
 const REPORT_TICKS: u64 = 20;
 /// Time that a stop takes, in milliseconds.
 const STOP_MS: u64 = 300;
-/// Share of the runs that fail.
+/// Share of the runs that fail, unless a test sets another one.
 const FAILURE_SHARE: f64 = 0.01;
 /// Factor by which a gang takes longer that is spread over racks.
 const SPREAD_FACTOR: u64 = 3;
@@ -109,7 +109,10 @@
     speeds: BTreeMap<String, u64>,
     runs: BTreeMap<(TaskId, u32), Run>,
     work_ms: BTreeMap<String, u64>,
-    load: f64,
+    /// Factor on the rates at which jobs arrive; 0 if only the test submits any.
+    pub load: f64,
+    /// Share of the runs that fail.
+    pub failure_share: f64,
     jobs: u64,
     ticks: u64,
     started: Instant,
@@ -135,6 +138,7 @@
             runs: BTreeMap::new(),
             work_ms: BTreeMap::new(),
             load: workers as f64 / 240.0,
+            failure_share: FAILURE_SHARE,
             jobs: 0,
             ticks: 0,
             started: Instant::now(),
@@ -161,7 +165,8 @@
         self.table.apply(&record.encode());
     }
 
-    fn now_ms(&self) -> u64 {
+    /// Returns the time since the fleet was created, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
         self.ticks * TICK.as_millis() as u64
     }
 
@@ -193,7 +198,7 @@
             drain_orders_age: Some(Duration::ZERO),
             progress: &self.progress,
             now: self.started.elapsed(),
-            wall: 1_000_000 + self.ticks * TICK.as_millis() as u64,
+            wall: self.wall_ms(),
         })
     }
 
@@ -246,7 +251,7 @@
             && plan.tasks(&key.0.job).any(|(_, task)| rack(&task.instance) != rack(&instance));
         let factor = if spread { SPREAD_FACTOR } else { 1 };
         let duration_ms = self.work_ms[&key.0.job] * 100 / self.speeds[&instance] * factor;
-        let fails = self.rng.random_bool(FAILURE_SHARE);
+        let fails = self.rng.random_bool(self.failure_share);
         let reason = if fails { EndReason::Failed } else { EndReason::Done };
         let run = Run { started_ms: now_ms, ends_ms: now_ms + duration_ms, reason };
         self.runs.insert(key.clone(), run);
@@ -287,13 +292,22 @@
                 same_rack: self.rng.random_bool(kind.same_rack_share),
                 ..Step::default()
             }],
-            submitted_at: 1_000_000 + self.now_ms(),
             ..Submission::default()
         };
+        self.submit_job(submission, work_ms);
+    }
+
+    /// Submits a job now, each of whose tasks takes `work_ms` on a machine of usual speed.
+    pub fn submit_job(&mut self, submission: Submission, work_ms: u64) {
         self.work_ms.insert(submission.id.clone(), work_ms);
+        let submission = Submission { submitted_at: self.wall_ms(), ..submission };
         self.put(&Record::Submitted(Box::new(submission)));
     }
 
+    fn wall_ms(&self) -> u64 {
+        1_000_000 + self.now_ms()
+    }
+
     fn end_runs(&mut self) {
         let now_ms = self.now_ms();
         let over = self.runs.iter().filter(|(_, run)| run.ends_ms <= now_ms);
