feat: counter of the jobs that runs were stopped for, by whether they ended in time

Operators saw how many runs were stopped, not whether the urgent work that got their room then ended in time.

`rampbay_stops` with the label `outcome` (in_time, late, unused) counts each such job once, when it has ended.

--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -44,6 +44,13 @@
     pub kind: &'static str,
 }
 
+/// A label that says what came of something.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OutcomeLabel {
+    /// The outcome.
+    pub outcome: &'static str,
+}
+
 /// The metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -65,6 +72,8 @@
     pub active_jobs: Gauge,
     /// Drained failure domains, as the leader knows them.
     pub drained_domains: Gauge,
+    /// Jobs for which runs were stopped, by what came of them, at the leader.
+    pub stops: Family<OutcomeLabel, Counter>,
     /// Workers that are kept idle for urgent work, at the leader.
     pub reserved_workers: Gauge,
     /// Time that a round of the planner takes, at the leader.
@@ -95,6 +104,7 @@
             ends: Family::default(),
             active_jobs: Gauge::default(),
             drained_domains: Gauge::default(),
+            stops: Family::default(),
             reserved_workers: Gauge::default(),
             round_seconds: histogram(),
             workers_searched: Counter::default(),
@@ -139,6 +149,7 @@
         registry.register("active_jobs", "Jobs with something to do", self.active_jobs.clone());
         let drained = self.drained_domains.clone();
         registry.register("drained_domains", "Failure domains that get nothing more", drained);
+        registry.register("stops", "Jobs that runs were stopped for", self.stops.clone());
         let reserved = self.reserved_workers.clone();
         registry.register("reserved_workers", "Workers kept idle for urgent work", reserved);
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
@@ -149,6 +160,11 @@
         self.decisions.get_or_create(&KindLabel { kind }).inc();
     }
 
+    /// Counts a job for which runs were stopped, by what came of it.
+    pub fn count_stops(&self, outcome: &'static str) {
+        self.stops.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts an order.
     pub fn count_order(&self, kind: &'static str) {
         self.orders.get_or_create(&KindLabel { kind }).inc();
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -5,6 +5,7 @@
 mod allowance;
 mod demand;
 mod departure;
+mod outcomes;
 mod packing;
 mod preemptions;
 mod rack;
@@ -28,6 +29,7 @@
     WorkerRank,
 };
 use demand::UrgentDemand;
+use outcomes::StopOutcomes;
 use preemptions::PreemptionHistory;
 use rack::RackWaits;
 use reserve::Reserve;
@@ -44,6 +46,7 @@
     by_lost_work: ByLostWork,
     stop_times: StopTimes,
     preemptions: PreemptionHistory,
+    outcomes: StopOutcomes,
     demand: UrgentDemand,
     reserve: Reserve,
     rack_waits: RackWaits,
@@ -61,6 +64,7 @@
             by_lost_work: ByLostWork::new(settings),
             stop_times: StopTimes::new(settings),
             preemptions: PreemptionHistory::default(),
+            outcomes: StopOutcomes::default(),
             demand: UrgentDemand::default(),
             reserve: Reserve::default(),
             rack_waits: RackWaits::new(settings),
@@ -77,6 +81,7 @@
 
     fn begin_round(&mut self, start: &RoundStart<'_>) {
         self.preemptions.update(start);
+        self.outcomes.update(start);
         self.demand.update(start);
         self.reserve.update(start.events);
     }
