--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -35,7 +35,7 @@
     pub duration_ms: u64,
     /// Latest start time at which the job still ends in time.
     pub latest_start: EpochMillis,
-    /// Latest start time at which the job ends within [`USEFUL_OBJECTIVES`] times its objective.
+    /// Latest start time at which the job ends within `USEFUL_OBJECTIVES` times its objective.
     pub latest_useful_start: EpochMillis,
 }
 
