feat: fair shares between workspaces under by_completion

Callers with a single job waited until another workspace's burst had been placed whole: steps of the same urgency were ordered by lateness and work alone, so hundreds of small tasks went first.

by_completion now orders work of the same urgency by its workspace's share first. FairShares measures usage over 10 s, weighted by guaranteed accelerators plus 1, and gives a rank for each doubling against all others, from twice on. Nothing of a burst has run when it arrives at once, so the work that waits before a step in its workspace counts as well; the order within a workspace stays as it is. A step that must start within 2 s to end in time has rank 1 at most. A new leader takes what runs to have run for 10 s. Under by_lost_work nothing changes.

The bench of rounds measures by_completion too.

--- a/crates/rampbay-jobs/benches/round.rs
+++ b/crates/rampbay-jobs/benches/round.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use rampbay_jobs::planner::Placement;
 use rampbay_jobs::planner::completion::room::RoomScope;
 use rampbay_jobs::planner::completion::view::CompletionView;
 use support::fleet::Fleet;
@@ -23,11 +24,13 @@
 fn round(c: &mut Criterion) {
     let mut group = c.benchmark_group("round");
     group.sample_size(20);
-    for workers in WORKERS {
+    let policies = [("loaded", Placement::Auto), ("by_completion", Placement::ByCompletion)];
+    let cases = policies.iter().flat_map(|policy| WORKERS.map(|workers| (*policy, workers)));
+    for ((name, placement), workers) in cases {
         support::run_in_virtual_time(async {
-            let mut fleet = Fleet::new(workers, 1);
+            let mut fleet = Fleet::with_placement(workers, 1, placement);
             fleet.advance(WARM_UP).await;
-            let name = BenchmarkId::new("loaded", workers);
+            let name = BenchmarkId::new(name, workers);
             group.bench_function(name, |bencher| bencher.iter(|| black_box(fleet.round())));
         });
     }
--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -61,6 +61,13 @@
     pub outcome: &'static str,
 }
 
+/// A label for one of the largest shares.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PlaceLabel {
+    /// `first`, `second` or `third`.
+    pub place: &'static str,
+}
+
 /// The metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -86,6 +93,10 @@
     pub stops: Family<OutcomeLabel, Counter>,
     /// Workers that are kept idle for urgent work, at the leader.
     pub reserved_workers: Gauge,
+    /// The largest parts of the usage of a workspace in the last 10 s, at the leader.
+    pub workspace_share: Family<PlaceLabel, Gauge<f64, AtomicU64>>,
+    /// Workspaces of which a waiting step goes after another workspace's because of their shares, at the leader.
+    pub workspaces_behind: Gauge,
     /// Time that a round of the planner takes, at the leader.
     pub round_seconds: Histogram,
     /// Workers that the planner examined in search of free capacity, counted each time.
@@ -118,6 +129,8 @@
             drained_domains: Gauge::default(),
             stops: Family::default(),
             reserved_workers: Gauge::default(),
+            workspace_share: Family::default(),
+            workspaces_behind: Gauge::default(),
             round_seconds: histogram(),
             workers_searched: Counter::default(),
             estimate_error_ratio: Family::new_with_constructor(|| Histogram::new(RATIO_BUCKETS)),
@@ -167,6 +180,10 @@
         registry.register("stops", "Jobs that runs were stopped for", self.stops.clone());
         let reserved = self.reserved_workers.clone();
         registry.register("reserved_workers", "Workers kept idle for urgent work", reserved);
+        let share = self.workspace_share.clone();
+        registry.register("workspace_share", "Largest parts of the usage of a workspace", share);
+        let behind = self.workspaces_behind.clone();
+        registry.register("workspaces_behind", "Workspaces that wait for others' shares", behind);
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
     }
 
@@ -180,6 +197,12 @@
         self.stops.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Sets one of the largest shares, in thousandths of the usage.
+    pub fn set_workspace_share(&self, place: &'static str, permille: u64) {
+        let share = permille as f64 / 1000.0;
+        self.workspace_share.get_or_create(&PlaceLabel { place }).set(share);
+    }
+
     /// Counts an order.
     pub fn count_order(&self, kind: &'static str) {
         self.orders.get_or_create(&KindLabel { kind }).inc();
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -13,6 +13,7 @@
 mod events;
 mod evict;
 mod expire;
+pub mod fair_share;
 mod fit;
 mod fleet_state;
 mod forecast;
--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -100,7 +100,7 @@
 /// Order of a waiting step; lower goes first. The fields are compared one after the other.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StepOrder {
-    /// Rank of its workspace by its share of the fleet; 0 if shares don't count.
+    /// Rank by its workspace's share of the fleet and by the workspace's work before it; 0 if shares don't count.
     pub share_rank: u32,
     /// Whether its job is no longer expected to end in time.
     pub late: bool,
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -10,6 +10,7 @@
 mod preemptions;
 mod rack;
 mod reserve;
+mod shares;
 mod stall;
 mod stops;
 
@@ -33,6 +34,7 @@
 use preemptions::PreemptionHistory;
 use rack::RackWaits;
 use reserve::Reserve;
+use shares::ShareOrder;
 use stops::StopTimes;
 
 /// Time for which other workers are preferred to one at which a run has failed. A worker in trouble fails all that it
@@ -50,6 +52,7 @@
     demand: UrgentDemand,
     reserve: Reserve,
     rack_waits: RackWaits,
+    shares: ShareOrder,
     /// Time without progress after which a run without unsaved work is moved.
     stall_after: Duration,
     /// Time that a stop takes at a worker.
@@ -68,6 +71,7 @@
             demand: UrgentDemand::default(),
             reserve: Reserve::default(),
             rack_waits: RackWaits::new(settings),
+            shares: ShareOrder::default(),
             stall_after: settings.stall_after,
             stop_time: settings.stop_time,
         }
@@ -84,10 +88,13 @@
         self.outcomes.update(start);
         self.demand.update(start);
         self.reserve.update(start.events);
+        let rules = &self.by_lost_work;
+        self.shares.update(start, |step| rules.step_order(step, start.inputs));
     }
 
     fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
-        self.by_lost_work.step_order(waiting, inputs)
+        let share_rank = self.shares.rank(waiting);
+        StepOrder { share_rank, ..self.by_lost_work.step_order(waiting, inputs) }
     }
 
     fn choose_reserve(&mut self, fleet: &FleetState, inputs: &RoundInputs<'_>) -> Vec<WorkerIndex> {
