test: bench of a round under by_completion

The bench of rounds runs the policy that the settings of the first deployments choose, which is by_lost_work. So it doesn't show what a round costs under the policy that asks the estimate of completion.

Adds the group by_completion: a round on 240, 800 and 2,500 workers after 30 s of load.

--- a/crates/rampbay-jobs/benches/round.rs
+++ b/crates/rampbay-jobs/benches/round.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use rampbay_jobs::planner::Placement;
 use rampbay_jobs::planner::completion::room::RoomScope;
 use rampbay_jobs::planner::completion::view::CompletionView;
 use support::fleet::Fleet;
@@ -37,6 +38,22 @@
 /// Number of waiting steps for which room is asked for in a round.
 const ASKED_STEPS: usize = 10;
 
+/// Time of a round under the policy that asks the estimate, on a fleet where many steps wait.
+fn round_by_completion(c: &mut Criterion) {
+    let mut group = c.benchmark_group("by_completion");
+    group.sample_size(20);
+    for workers in WORKERS {
+        support::run_in_virtual_time(async {
+            let mut fleet = Fleet::with_placement(workers, 1, Placement::ByCompletion);
+            fleet.advance(BACKLOG_WARM_UP).await;
+            group.bench_function(BenchmarkId::new("round", workers), |bencher| {
+                bencher.iter(|| black_box(fleet.round()));
+            });
+        });
+    }
+    group.finish();
+}
+
 /// Time that the estimate of completion takes of a round: the ends of all runs with the questions of one waiting step, and
 /// with those of several, each for one rack and for anywhere.
 fn completion(c: &mut Criterion) {
@@ -76,5 +93,5 @@
     rooms.flatten().count()
 }
 
-criterion_group!(benches, round, completion);
+criterion_group!(benches, round, round_by_completion, completion);
 criterion_main!(benches);
