feat: by_completion asks the estimate for stops, waits and the reserve

Callers of urgent gangs saw runs stopped although room came within the time to spare, gangs that waited 8 or 12 s for a rack that didn't come, or were spread shortly before one came, and gangs that started on slow workers and ended late while fast ones became free.

- A policy is asked with a StepQuestion: the step, its plan, the fleet, and the round's inputs and estimate.
The estimate computes nothing before the first question; decisions of the round made before are listed and applied then, so by_lost_work pays nothing for it.
Two methods with defaults are new: make_stops and start_at.
- Stops: waiting, stopping and starting spread are compared.
Nothing is stopped where room is expected in time, where a late step gains less than 1 s, or where its caller gains less than the others lose, their lateness included.
The expected room is held for the gang.
Guaranteed steps stop what they need, as before.
- Racks: a gang waits while the estimate says that it ends sooner that way, at most twice the former constants; these bound the wait while the errors of the estimate aren't measured.
It isn't kept beside room for it twice over for 3 s.
- An urgent gang that would end late on the free workers waits for faster ones that become free in time, up to 2.3 s.
- Other work uses the reserve where it would end late otherwise, asked from 30 s before its latest start.

A first try counted the gain of the urgent caller without the weight of its priority, which that of the stopped runs had; it stopped nothing for work past its objective (late_urgent_work_stops_runs_while_useful failed). Another let a gang compare the room that its own stops were freeing, and lost it to the stopped tasks (stopped_tasks_wait_for_more_urgent_gang failed).

Changed tests: Recording in policies.rs follows the trait. In preempted_gang_leaves_reserve the urgent job has less time, since for one with 5.5 s to spare the gang of six is no longer stopped; what the test asserts is the same.

--- a/crates/rampbay-jobs/src/planner/completion.rs
+++ b/crates/rampbay-jobs/src/planner/completion.rs
@@ -8,6 +8,8 @@
 //! ([`spread`]). A leader that has just taken over knows no speeds, no progress and no errors: it answers from the
 //! forecasts alone, and its ranges are wider.
 
+pub mod changes;
+pub mod deadline;
 pub mod durations;
 pub mod observed;
 pub mod options;
@@ -23,10 +25,13 @@
 
 use tokio::time::Instant;
 
+use crate::job::QueueName;
+
 use super::forecast::Forecasts;
 use super::speed::SpeedTracker;
 use super::{Planner, PlannerSettings, RoundInputs};
 
+use changes::RoundChange;
 use observed::{StartedRuns, observe_changes, observe_ends};
 use room::Ends;
 use saved::SavedCheckpoints;
@@ -142,6 +147,8 @@
     rate_spread: Spread,
     /// Ends of the runs; computed when first needed.
     ends: OnceCell<Ends>,
+    /// Decisions of the round that were made before that.
+    changes: Vec<RoundChange>,
     /// Measured slowness of each worker; computed when first needed.
     slowness: OnceCell<Vec<Option<f64>>>,
 }
@@ -165,11 +172,21 @@
             now: Instant::now(),
             rate_spread: state.spreads.of_rates(),
             ends: OnceCell::new(),
+            changes: Vec::new(),
             slowness: OnceCell::new(),
         }
     }
 }
 
+impl Completion<'_> {
+    /// Returns whether enough runs have ended to know how wrong the estimates are: those of a queue's durations, and those
+    /// by the rates of runs. A leader that has just taken over doesn't know it.
+    #[must_use]
+    pub fn is_measured(&self, queue: &QueueName) -> bool {
+        self.state.spreads.is_forecast_measured(queue) && self.state.spreads.is_rate_measured()
+    }
+}
+
 impl Planner {
     /// Returns the estimate of completion for a round.
     #[must_use]
--- a/crates/rampbay-jobs/src/planner/completion/durations.rs
+++ b/crates/rampbay-jobs/src/planner/completion/durations.rs
@@ -141,6 +141,12 @@
         self.whole_time(forecast, batch.saved, conditions).estimate()
     }
 
+    /// Returns how long a task of a step takes on an average worker, in milliseconds.
+    #[must_use]
+    pub fn step_duration_ms(&self, submission: &Submission, step: &Step) -> u64 {
+        self.forecasts.duration_ms(submission, step)
+    }
+
     pub(super) fn step_forecast(&self, submission: &Submission, step: &Step) -> StepForecast {
         let of_estimates = self.forecasts.deviation(submission);
         let known = self.state.spreads.of_forecasts(&submission.queue, of_estimates);
--- a/crates/rampbay-jobs/src/planner/completion/options.rs
+++ b/crates/rampbay-jobs/src/planner/completion/options.rs
@@ -8,6 +8,7 @@
 
 use super::durations::Batch;
 use super::room::RoomScope;
+use super::saved::Saved;
 use super::{Completion, Estimate};
 
 /// A way to start the tasks of a step.
@@ -35,6 +36,9 @@
     #[must_use]
     pub fn batch<'w>(&self, waiting: &'w WaitingStep, plan: Option<&JobPlan>) -> Batch<'w> {
         let step = waiting.definition();
+        if !step.checkpointing {
+            return Batch { submission: &waiting.submission, step, saved: Saved::default() };
+        }
         let tasks = waiting.tasks.iter().filter_map(|&index| {
             let id = waiting.task(index);
             let task = plan?.task(&id)?;
--- a/crates/rampbay-jobs/src/planner/completion/room.rs
+++ b/crates/rampbay-jobs/src/planner/completion/room.rs
@@ -16,7 +16,6 @@
 use crate::planner::progress::RunsAt;
 use crate::planner::running::RunningTask;
 
-use super::durations::Batch;
 use super::remaining::{Remaining, Run};
 use super::saved::Saved;
 use super::{Completion, Estimate};
@@ -170,8 +169,22 @@
         self.runs.extend(ending);
     }
 
+    /// Returns the index of the unit of a running task.
+    fn unit_of(&self, fleet: &FleetState, task: &TaskId) -> Option<usize> {
+        // The runs are listed in the order of their ids.
+        let run = fleet.running.binary_search_by(|run| run.id.cmp(task)).ok()?;
+        Some(self.runs[run].unit as usize)
+    }
+
+    /// Stops the unit of a running task, so that its resources count as those of stops under way.
+    pub(super) fn stop(&mut self, fleet: &FleetState, task: &TaskId) {
+        if let Some(unit) = self.unit_of(fleet, task) {
+            self.units[unit].is_stopped = true;
+        }
+    }
+
     /// Adds runs that end together at some workers, one entry a run.
-    fn add(&mut self, places: &[WorkerIndex], held: Resources, end: Estimate) {
+    pub(super) fn add(&mut self, places: &[WorkerIndex], held: Resources, end: Estimate) {
         let unit = self.units.len() as u32;
         self.units.push(EndingUnit { end: UnitEnd::Estimated(end), is_stopped: false });
         for &place in places {
@@ -216,29 +229,20 @@
         Search::new(self, fleet, need, scope).run(Bound::Early, count).map(|at| at.time.early_ms)
     }
 
-    /// Takes into account that this round stops a unit: a gang, or a single run. `unit` is one of its tasks.
-    pub fn note_stopped(&mut self, fleet: &FleetState, unit: &TaskId) {
-        self.ends(fleet);
-        let Some(ends) = self.ends.get_mut() else { return };
-        // The runs are listed in the order of their ids.
-        let Ok(run) = fleet.running.binary_search_by(|run| run.id.cmp(unit)) else { return };
-        ends.units[ends.runs[run].unit as usize].is_stopped = true;
-    }
-
-    /// Takes into account that this round starts the tasks of a batch on the workers `places`, one entry a task.
-    pub fn note_started(&mut self, fleet: &FleetState, batch: &Batch<'_>, places: &[WorkerIndex]) {
-        if batch.step.long_running {
-            return;
-        }
-        let end = self.duration(fleet, batch, places);
-        self.ends(fleet);
-        if let Some(ends) = self.ends.get_mut() {
-            ends.add(places, batch.step.charge(), end);
-        }
+    fn ends(&self, fleet: &FleetState) -> &Ends {
+        self.ends.get_or_init(|| {
+            let mut ends = self.estimate_ends(fleet);
+            self.apply_changes(fleet, &mut ends);
+            ends
+        })
     }
 
-    fn ends(&self, fleet: &FleetState) -> &Ends {
-        self.ends.get_or_init(|| self.estimate_ends(fleet))
+    /// Returns when the unit of a running task ends if it isn't stopped: its gang, or the task alone. Returns `None` if
+    /// it doesn't end by itself.
+    #[must_use]
+    pub fn end_of_unit(&self, fleet: &FleetState, task: &TaskId) -> Option<Estimate> {
+        let ends = self.ends(fleet);
+        ends.end(&ends.units[ends.unit_of(fleet, task)?])
     }
 
     fn estimate_ends(&self, fleet: &FleetState) -> Ends {
--- a/crates/rampbay-jobs/src/planner/completion/spread.rs
+++ b/crates/rampbay-jobs/src/planner/completion/spread.rs
@@ -119,6 +119,18 @@
         measured.unwrap_or_else(|| Spread::of(of_estimates.max(MIN_UNMEASURED_DEVIATION)))
     }
 
+    /// Returns whether the errors of the forecasts of a queue have been measured.
+    #[must_use]
+    pub fn is_forecast_measured(&self, queue: &QueueName) -> bool {
+        self.forecasts.get(queue).is_some_and(|errors| errors.spread().is_some())
+    }
+
+    /// Returns whether the errors of estimates from the rates of runs have been measured.
+    #[must_use]
+    pub fn is_rate_measured(&self) -> bool {
+        self.rates.spread().is_some()
+    }
+
     /// Returns the spread of estimates from the rates of runs.
     #[must_use]
     pub fn of_rates(&self) -> Spread {
--- a/crates/rampbay-jobs/src/planner/completion/view.rs
+++ b/crates/rampbay-jobs/src/planner/completion/view.rs
@@ -128,7 +128,7 @@
         let found = self.waiting.iter().find(|known| known.job == *job && known.step == step);
         let Some(waiting) = found else { return };
         let batch = self.completion.batch(waiting, self.draft.plan(job));
-        self.completion.note_started(&self.fleet, &batch, places);
+        self.completion.note_started(&self.fleet, waiting, batch.saved, places);
         let key = (job.clone(), waiting.occurrence, step);
         places.iter().for_each(|&place| self.fleet.occupy(place, batch.step, &key));
     }
--- a/crates/rampbay-jobs/src/planner/displace.rs
+++ b/crates/rampbay-jobs/src/planner/displace.rs
@@ -2,15 +2,16 @@
 
 use crate::metrics::metrics;
 
-use super::RoundInputs;
 use super::draft::Draft;
 use super::events::StopReason;
 use super::fit::Need;
 use super::fleet_state::FleetState;
+use super::policy::{RoundContext, StepAnswer, StepQuestion};
 use super::preempt::{Preemption, could_fit, preempt, preempt_in_rack};
 use super::progress::RunsAt;
 use super::queue::WaitingStep;
 use super::units::Units;
+use super::{RoundInputs, WorkerIndex};
 
 /// Largest share of all workers that may be held for waiting gangs, in percent.
 const MAX_HELD_PERCENT: usize = 34;
@@ -24,6 +25,17 @@
     Anywhere,
 }
 
+/// Stops that were found for a step.
+#[derive(Clone, Copy, Debug)]
+pub struct Stops<'a> {
+    /// The runs, and the workers where the tasks then fit.
+    pub preemption: &'a Preemption,
+    /// Number of tasks for which room may be missing; at least those that the stops make room for.
+    pub count: usize,
+    /// Highest cost of stops, above 0.
+    pub allowed: u64,
+}
+
 /// Finds the runs that would have to be stopped so that `count` tasks of a step fit.
 pub fn find_preemption(
     fleet: &mut FleetState,
@@ -55,24 +67,34 @@
     found
 }
 
-/// Stops the victims of a preemption unless it costs more than `allowed`, and reserves their
-/// capacity for the step. Returns whether the step will fit.
+/// Stops the victims of a preemption unless it costs more than `allowed` or the policy lets them go on, and reserves
+/// their capacity for `count` tasks of the step. Returns whether the tasks will fit, or where they wait for room.
 pub fn free_capacity(
     draft: &mut Draft<'_>,
     fleet: &mut FleetState,
     waiting: &WaitingStep,
     need: &Need<'_>,
-    preemption: &Preemption,
-    allowed: u64,
-) -> bool {
+    found: &Stops<'_>,
+    round: &mut RoundContext<'_>,
+) -> StepAnswer {
+    let Stops { preemption, count, allowed } = *found;
     if preemption.cost > allowed {
-        return false;
+        return StepAnswer::Wait(Vec::new());
     }
-    stop_victims(draft, fleet, waiting, preemption, allowed);
-    for &place in &preemption.places {
-        fleet.reserve(place, need.step, &need.key);
+    let plan = draft.plan(&waiting.job);
+    let question = StepQuestion { waiting, plan, count, fleet, round };
+    let answer = need.policy.make_stops(&question, need, preemption, allowed);
+    if answer == StepAnswer::Now {
+        stop_victims(draft, fleet, waiting, preemption, allowed);
+        let units = fleet.units.as_ref().map(|units| &units.units);
+        for unit in preemption.victims.iter().filter_map(|&victim| units?.get(victim)) {
+            round.completion.note_stopped(fleet, &unit.first);
+        }
+        for &place in &preemption.places {
+            fleet.reserve(place, need.step, &need.key);
+        }
     }
-    true
+    answer
 }
 
 fn stop_victims(
@@ -124,17 +146,25 @@
     fleet.held_workers < max_held(fleet)
 }
 
-/// Holds workers for a gang that will fit there once less urgent runs have ended. Until then, no
-/// work that is less urgent than the gang is placed on these workers.
-pub fn hold_workers(fleet: &mut FleetState, waiting: &WaitingStep, preemption: &Preemption) {
-    let limit = max_held(fleet);
-    let mut places = preemption.places.clone();
+/// Returns whether some workers, one entry a task, may all be held for a gang.
+pub fn may_hold_at(fleet: &FleetState, places: &[WorkerIndex]) -> bool {
+    fleet.held_workers + distinct(places).len() <= max_held(fleet)
+}
+
+fn distinct(places: &[WorkerIndex]) -> Vec<WorkerIndex> {
+    let mut places = places.to_vec();
     places.sort_unstable();
     places.dedup();
-    if fleet.held_workers + places.len() > limit {
+    places
+}
+
+/// Holds workers for a gang that will fit there once less urgent runs have ended. Until then, no
+/// work that is less urgent than the gang is placed on these workers.
+pub fn hold_workers(fleet: &mut FleetState, waiting: &WaitingStep, places: &[WorkerIndex]) {
+    if !may_hold_at(fleet, places) {
         return;
     }
-    for place in places {
+    for place in distinct(places) {
         let worker = &mut fleet.workers[place];
         let priority = waiting.submission.priority;
         fleet.held_workers += usize::from(worker.held_for.is_none());
--- a/crates/rampbay-jobs/src/planner/isolation.rs
+++ b/crates/rampbay-jobs/src/planner/isolation.rs
@@ -15,6 +15,7 @@
 use super::fit::{Need, place_all, place_in_rack, place_one};
 use super::fleet_state::FleetState;
 use super::lost::unit_of;
+use super::policy::{RoundContext, StepQuestion};
 use super::queue::WaitingStep;
 use super::rack::requires_one_rack;
 use super::{RoundInputs, WorkerIndex};
@@ -104,7 +105,7 @@
     fleet: &mut FleetState,
     part: &StepPart<'_>,
     need: &Need<'_>,
-    inputs: &RoundInputs<'_>,
+    round: &RoundContext<'_>,
 ) -> IsolatedPlacement {
     let StepPart { waiting, isolation } = part;
     let losses = waiting.tasks.first().and_then(|&index| losses_of(draft, &waiting.task(index)));
@@ -119,12 +120,14 @@
     };
     let elsewhere = idle.iter().copied().filter(|&place| !was_lost_at(place)).collect();
     for places in [elsewhere, idle] {
-        if let Some(found) = place_on(fleet, waiting, need, places, inputs) {
+        let plan = draft.plan(&waiting.job);
+        let question = StepQuestion { waiting, plan, count: waiting.tasks.len(), fleet, round };
+        if let Some(found) = place_on(&question, need, places) {
             found.iter().for_each(|&place| fleet.close(place));
             return IsolatedPlacement::Found(found);
         }
     }
-    let waited = losses.and_then(UnitLosses::latest).map(|at| inputs.wall.saturating_sub(at));
+    let waited = losses.and_then(UnitLosses::latest).map(|at| round.inputs.wall.saturating_sub(at));
     let max_wait = if is_first { MAX_WAIT_FIRST_MS } else { MAX_WAIT_PREFERRED_MS };
     if waited.is_none_or(|waited| waited > max_wait) {
         return IsolatedPlacement::Shared;
@@ -134,20 +137,18 @@
 }
 
 fn place_on(
-    fleet: &FleetState,
-    waiting: &WaitingStep,
+    question: &StepQuestion<'_>,
     need: &Need<'_>,
     places: Vec<WorkerIndex>,
-    inputs: &RoundInputs<'_>,
 ) -> Option<Vec<WorkerIndex>> {
+    let StepQuestion { count, fleet, .. } = *question;
     let need = need.at(places);
-    let count = waiting.tasks.len();
     if !need.step.gang {
         return place_one(fleet, &need, need.eligible(fleet)).map(|place| vec![place]);
     }
     if need.step.same_rack && count > 1 {
         let in_rack = place_in_rack(fleet, &need, count);
-        if in_rack.is_some() || requires_one_rack(waiting, fleet, &need, inputs) {
+        if in_rack.is_some() || requires_one_rack(question, &need) {
             return in_rack;
         }
     }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -5,13 +5,13 @@
 use crate::metrics::metrics;
 use crate::plan::{JobPlan, JobStatus, Occurrence, TaskStatus};
 
-use super::displace::{Scope, find_preemption, free_capacity, hold_workers, may_hold};
+use super::displace::{Scope, Stops, find_preemption, free_capacity, hold_workers, may_hold};
 use super::draft::Draft;
 use super::events::{RunChange, RunEvent};
 use super::fit::{Need, Trial, place_all, place_in_rack};
 use super::fleet_state::FleetState;
 use super::isolation::{IsolatedPlacement, StepPart, place_isolated, split_by_isolation};
-use super::policy::PlacementPolicy;
+use super::policy::{PlacementPolicy, Preemption, RoundContext, StepAnswer, StepQuestion};
 use super::queue::{WaitingStep, sort_steps};
 use super::rack::requires_one_rack;
 use super::unanswered::{BoundStep, split_bound};
@@ -41,9 +41,10 @@
         fleet.workers[place].reserved = true;
     }
     let policy = planner.policy.as_ref();
+    let mut round = RoundContext { inputs, completion: planner.completion(inputs) };
     // They can start nowhere else.
     for step in &bound {
-        waits.extend(place_bound(draft, &mut fleet, step, policy, workers, inputs));
+        waits.extend(place_bound(draft, &mut fleet, step, policy, workers, &mut round));
     }
     let mut parts: Vec<StepPart<'_>> =
         waiting.iter().flat_map(|step| split_by_isolation(draft, step)).collect();
@@ -52,7 +53,7 @@
     // and again.
     parts.sort_by_key(|part| (part.waiting.urgency(), part.isolation != Isolation::First));
     for part in &parts {
-        waits.extend(place_part(draft, &mut fleet, part, policy, inputs));
+        waits.extend(place_part(draft, &mut fleet, part, policy, &mut round));
     }
     waits
 }
@@ -62,46 +63,60 @@
     fleet: &mut FleetState,
     part: &StepPart<'_>,
     policy: &dyn PlacementPolicy,
-    inputs: &RoundInputs<'_>,
+    round: &mut RoundContext<'_>,
 ) -> Option<Wait> {
     let step = part.waiting.as_ref();
     let uses_reserve =
-        policy.may_use_reserve(step, fleet, inputs) || part.isolation == Isolation::First;
+        may_use_reserve(draft, fleet, step, policy, round) || part.isolation == Isolation::First;
     let need = Need::of(step, failed_workers(draft, step), uses_reserve, policy);
     if part.isolation != Isolation::None {
-        match place_isolated(draft, fleet, part, &need, inputs) {
+        match place_isolated(draft, fleet, part, &need, round) {
             IsolatedPlacement::Found(places) => {
-                start_at(draft, fleet, step, &need, &places);
+                start_at(draft, fleet, step, &need, &places, round);
                 return None;
             }
             IsolatedPlacement::Wait => {
-                return Some(Wait::new(step, step.tasks.len(), WaitReason::NoIdleWorker, inputs));
+                let reason = WaitReason::NoIdleWorker;
+                return Some(Wait::new(step, step.tasks.len(), reason, round.inputs));
             }
             IsolatedPlacement::Shared => {}
         }
     }
     if need.step.gang {
-        place_gang(draft, fleet, step, &need, inputs)
+        place_gang(draft, fleet, step, &need, round)
     } else {
-        place_tasks(draft, fleet, step, &need, inputs)
+        place_tasks(draft, fleet, step, &need, round)
     }
 }
 
+fn may_use_reserve(
+    draft: &Draft<'_>,
+    fleet: &FleetState,
+    waiting: &WaitingStep,
+    policy: &dyn PlacementPolicy,
+    round: &RoundContext<'_>,
+) -> bool {
+    let plan = draft.plan(&waiting.job);
+    let count = waiting.tasks.len();
+    policy.may_use_reserve(&StepQuestion { waiting, plan, count, fleet, round })
+}
+
 fn place_bound(
     draft: &mut Draft<'_>,
     fleet: &mut FleetState,
     bound: &BoundStep,
     policy: &dyn PlacementPolicy,
     workers: &WorkerViews<'_>,
-    inputs: &RoundInputs<'_>,
+    round: &mut RoundContext<'_>,
 ) -> Option<Wait> {
     let step = &bound.waiting;
-    let uses_reserve = policy.may_use_reserve(step, fleet, inputs);
+    let uses_reserve = may_use_reserve(draft, fleet, step, policy, round);
     let need = Need::of(step, Vec::new(), uses_reserve, policy);
     let Some(places) = bound.find_places(draft, fleet, &need, workers) else {
-        return Some(Wait::new(step, step.tasks.len(), WaitReason::UnansweredStart, inputs));
+        let reason = WaitReason::UnansweredStart;
+        return Some(Wait::new(step, step.tasks.len(), reason, round.inputs));
     };
-    start_at(draft, fleet, step, &need, &places);
+    start_at(draft, fleet, step, &need, &places, round);
     if bound.is_isolated(draft) {
         places.iter().for_each(|&place| fleet.close(place));
     }
@@ -114,7 +129,13 @@
     waiting: &WaitingStep,
     need: &Need<'_>,
     places: &[WorkerIndex],
+    round: &mut RoundContext<'_>,
 ) {
+    if places.is_empty() {
+        return;
+    }
+    let saved = round.completion.batch(waiting, draft.plan(&waiting.job)).saved;
+    round.completion.note_started(fleet, waiting, saved, places);
     if need.step.gang {
         start_gang(draft, fleet, waiting, need, places);
         return;
@@ -137,49 +158,94 @@
     fleet: &mut FleetState,
     waiting: &WaitingStep,
     need: &Need<'_>,
-    inputs: &RoundInputs<'_>,
+    round: &mut RoundContext<'_>,
 ) -> Option<Wait> {
     let count = waiting.tasks.len();
-    let allowed = need.policy.max_stop_cost(waiting, count, inputs);
+    let wait = |reason, round: &RoundContext<'_>| Wait::new(waiting, count, reason, round.inputs);
+    let allowed = need.policy.max_stop_cost(waiting, count, round.inputs);
     if need.step.same_rack && count > 1 {
         if let Some(places) = find_in_rack(fleet, need, count) {
-            start_gang(draft, fleet, waiting, need, &places);
-            return None;
+            return start_gang_or_wait(draft, fleet, waiting, need, &places, round);
         }
         // Spread over racks, the gang would hold its resources several times as long, and end late.
-        let requires_rack = requires_one_rack(waiting, fleet, need, inputs);
+        let plan = draft.plan(&waiting.job);
+        let question = StepQuestion { waiting, plan, count, fleet, round };
+        let requires_rack = requires_one_rack(&question, need);
         let in_rack = if allowed > 0 || (requires_rack && may_hold(fleet)) {
-            find_preemption(fleet, need, count, Scope::OneRack, inputs)
+            find_preemption(fleet, need, count, Scope::OneRack, round.inputs)
         } else {
             None
         };
+        let mut held = in_rack.as_ref().map(|found| found.places.clone());
         if let Some(found) = &in_rack
             && allowed > 0
-            && free_capacity(draft, fleet, waiting, need, found, allowed)
         {
-            return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
+            match stop_for_gang(draft, fleet, waiting, need, found, allowed, round) {
+                StepAnswer::Now => return Some(wait(WaitReason::StopsUnderWay, round)),
+                StepAnswer::Wait(places) => held = held.map(|found| preferred(places, found)),
+            }
         }
         if requires_rack {
-            if let Some(found) = &in_rack {
-                hold_workers(fleet, waiting, found);
+            if let Some(places) = &held {
+                hold_workers(fleet, waiting, places);
             }
-            return Some(Wait::new(waiting, count, WaitReason::NoRack, inputs));
+            return Some(wait(WaitReason::NoRack, round));
         }
     }
     if let Some(places) = find_anywhere(fleet, need, count) {
-        start_gang(draft, fleet, waiting, need, &places);
-        return None;
+        return start_gang_or_wait(draft, fleet, waiting, need, &places, round);
     }
     let may_displace = allowed > 0 || may_hold(fleet);
     if may_displace
-        && let Some(found) = find_preemption(fleet, need, count, Scope::Anywhere, inputs)
+        && let Some(found) = find_preemption(fleet, need, count, Scope::Anywhere, round.inputs)
     {
-        if allowed > 0 && free_capacity(draft, fleet, waiting, need, &found, allowed) {
-            return Some(Wait::new(waiting, count, WaitReason::StopsUnderWay, inputs));
+        let mut held = found.places.clone();
+        if allowed > 0 {
+            match stop_for_gang(draft, fleet, waiting, need, &found, allowed, round) {
+                StepAnswer::Now => return Some(wait(WaitReason::StopsUnderWay, round)),
+                StepAnswer::Wait(places) => held = preferred(places, held),
+            }
         }
-        hold_workers(fleet, waiting, &found);
+        hold_workers(fleet, waiting, &held);
     }
-    Some(Wait::new(waiting, count, WaitReason::NoRoom, inputs))
+    Some(wait(WaitReason::NoRoom, round))
+}
+
+/// Returns the workers at which a step is expected to find room, or else those of the stops that aren't made.
+fn preferred(expected: Vec<WorkerIndex>, of_stops: Vec<WorkerIndex>) -> Vec<WorkerIndex> {
+    if expected.is_empty() { of_stops } else { expected }
+}
+
+fn stop_for_gang(
+    draft: &mut Draft<'_>,
+    fleet: &mut FleetState,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    preemption: &Preemption,
+    allowed: u64,
+    round: &mut RoundContext<'_>,
+) -> StepAnswer {
+    let stops = Stops { preemption, count: waiting.tasks.len(), allowed };
+    free_capacity(draft, fleet, waiting, need, &stops, round)
+}
+
+/// Starts a gang on workers that are free now, unless the policy lets it wait for better ones.
+fn start_gang_or_wait(
+    draft: &mut Draft<'_>,
+    fleet: &mut FleetState,
+    waiting: &WaitingStep,
+    need: &Need<'_>,
+    places: &[WorkerIndex],
+    round: &mut RoundContext<'_>,
+) -> Option<Wait> {
+    let (plan, count) = (draft.plan(&waiting.job), waiting.tasks.len());
+    let question = StepQuestion { waiting, plan, count, fleet, round };
+    if let StepAnswer::Wait(better) = need.policy.start_at(&question, need, places) {
+        hold_workers(fleet, waiting, &better);
+        return Some(Wait::new(waiting, count, WaitReason::BetterWorkers, round.inputs));
+    }
+    start_at(draft, fleet, waiting, need, places, round);
+    None
 }
 
 /// Finds workers for a gang in one rack.
@@ -233,37 +299,42 @@
     fleet: &mut FleetState,
     waiting: &WaitingStep,
     need: &Need<'_>,
-    inputs: &RoundInputs<'_>,
+    round: &mut RoundContext<'_>,
 ) -> Option<Wait> {
-    let taken = find_up_to(fleet, need, waiting.waited_ms(inputs.wall), waiting.tasks.len());
-    for (&index, &place) in waiting.tasks.iter().zip(&taken) {
-        fleet.occupy(place, need.step, &need.key);
-        start_task(draft, waiting, index, &fleet.workers[place].instance, None);
-    }
+    let waited_ms = waiting.waited_ms(round.inputs.wall);
+    let taken = find_up_to(fleet, need, waited_ms, waiting.tasks.len());
+    start_at(draft, fleet, waiting, need, &taken, round);
     let left = &waiting.tasks[taken.len()..];
     if left.is_empty() {
         return None;
     }
     // As many tasks start as possible; those that don't fit yet mustn't delay the others.
     let will_fit = waiting.is_urgent()
-        && left.iter().all(|_| preempt_for_one(draft, fleet, waiting, need, inputs));
+        && (1..=left.len())
+            .rev()
+            .all(|count| preempt_for_one(draft, fleet, waiting, need, count, round));
     let reason = if will_fit { WaitReason::StopsUnderWay } else { WaitReason::NoRoom };
-    Some(Wait::new(waiting, left.len(), reason, inputs))
+    Some(Wait::new(waiting, left.len(), reason, round.inputs))
 }
 
+/// Stops runs for one of the last `count` tasks of a step. Returns whether it will fit.
 fn preempt_for_one(
     draft: &mut Draft<'_>,
     fleet: &mut FleetState,
     waiting: &WaitingStep,
     need: &Need<'_>,
-    inputs: &RoundInputs<'_>,
+    count: usize,
+    round: &mut RoundContext<'_>,
 ) -> bool {
-    let allowed = need.policy.max_stop_cost(waiting, 1, inputs);
+    let allowed = need.policy.max_stop_cost(waiting, 1, round.inputs);
     if allowed == 0 {
         return false;
     }
-    let found = find_preemption(fleet, need, 1, Scope::Anywhere, inputs);
-    found.is_some_and(|found| free_capacity(draft, fleet, waiting, need, &found, allowed))
+    let found = find_preemption(fleet, need, 1, Scope::Anywhere, round.inputs);
+    found.is_some_and(|preemption| {
+        let stops = Stops { preemption: &preemption, count, allowed };
+        free_capacity(draft, fleet, waiting, need, &stops, round) == StepAnswer::Now
+    })
 }
 
 /// Lists the workers where the tasks of a step may be placed now: those near their data, or all
--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -7,6 +7,7 @@
 pub mod by_completion;
 pub mod by_lost_work;
 mod choice;
+mod question;
 mod round_start;
 
 use std::time::Duration;
@@ -18,10 +19,12 @@
 pub use super::events::{RunChange, RunEvent, StopReason};
 pub use super::fit::Need;
 pub use super::fleet_state::{FleetState, WorkerState};
+pub use super::preempt::Preemption;
 pub use super::progress::ObservedProgress;
 pub use super::queue::WaitingStep;
 pub use super::running::RunningTask;
 pub use choice::{Placement, PlacementError, create_policy};
+pub use question::{ExpectedRoom, RoundContext, StepAnswer, StepQuestion};
 pub use round_start::{AssignedRun, RoundStart};
 
 use super::RoundInputs;
@@ -45,12 +48,7 @@
     fn choose_reserve(&mut self, fleet: &FleetState, inputs: &RoundInputs<'_>) -> Vec<WorkerIndex>;
 
     /// Returns whether a step may use the reserved workers.
-    fn may_use_reserve(
-        &self,
-        waiting: &WaitingStep,
-        fleet: &FleetState,
-        inputs: &RoundInputs<'_>,
-    ) -> bool;
+    fn may_use_reserve(&self, question: &StepQuestion<'_>) -> bool;
 
     /// Returns the rank of a worker for one task of a step. A rank changes only when something is placed at the worker
     /// or stopped there.
@@ -67,12 +65,18 @@
     ) -> RackRank;
 
     /// Returns whether a gang that wants one rack goes on waiting for it. Otherwise it may be spread over several.
-    fn waits_for_rack(
+    fn waits_for_rack(&self, question: &StepQuestion<'_>, need: &Need<'_>) -> bool;
+
+    /// Returns whether a gang starts on the workers `places`, one entry a task, which are free now, or waits for better
+    /// ones.
+    fn start_at(
         &self,
-        waiting: &WaitingStep,
-        fleet: &FleetState,
-        inputs: &RoundInputs<'_>,
-    ) -> bool;
+        _question: &StepQuestion<'_>,
+        _need: &Need<'_>,
+        _places: &[WorkerIndex],
+    ) -> StepAnswer {
+        StepAnswer::Now
+    }
 
     /// Returns the cost of stopping a run for more urgent work. `seen` is its progress, if that is known. It is called
     /// at most once for each run in a round; the costs of a gang's members are added up.
@@ -87,6 +91,18 @@
     /// is stopped for it.
     fn max_stop_cost(&self, waiting: &WaitingStep, count: usize, inputs: &RoundInputs<'_>) -> u64;
 
+    /// Returns whether runs are stopped for the tasks of a step, or go on. `allowed` is the highest cost of the stops,
+    /// which `stops` doesn't exceed.
+    fn make_stops(
+        &self,
+        _question: &StepQuestion<'_>,
+        _need: &Need<'_>,
+        _stops: &Preemption,
+        _allowed: u64,
+    ) -> StepAnswer {
+        StepAnswer::Now
+    }
+
     /// Returns the time without progress after which a run of a step is moved.
     fn stall_limit(&self, step: &Step, seen: &ObservedProgress) -> Duration;
 
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -3,15 +3,19 @@
 //! A rule that it doesn't replace is that of [`by_lost_work`](super::by_lost_work).
 
 mod allowance;
+mod choice;
 mod demand;
 mod departure;
+mod faster;
 mod outcomes;
 mod packing;
 mod preemptions;
+mod questions;
 mod rack;
 mod reserve;
 mod stall;
 mod stops;
+mod worth;
 
 use std::time::Duration;
 
@@ -25,12 +29,13 @@
 
 use super::by_lost_work::ByLostWork;
 use super::{
-    Candidate, DepartureCosts, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost,
-    WorkerRank,
+    Candidate, DepartureCosts, PlacementPolicy, Preemption, RackRank, RoundStart, StepAnswer,
+    StepOrder, StepQuestion, StopCost, WorkerRank,
 };
 use demand::UrgentDemand;
 use outcomes::StopOutcomes;
 use preemptions::PreemptionHistory;
+use questions::Questions;
 use rack::RackWaits;
 use reserve::Reserve;
 use stops::StopTimes;
@@ -50,6 +55,7 @@
     demand: UrgentDemand,
     reserve: Reserve,
     rack_waits: RackWaits,
+    questions: Questions,
     /// Time without progress after which a run without unsaved work is moved.
     stall_after: Duration,
     /// Time that a stop takes at a worker.
@@ -68,6 +74,7 @@
             demand: UrgentDemand::default(),
             reserve: Reserve::default(),
             rack_waits: RackWaits::new(settings),
+            questions: Questions::default(),
             stall_after: settings.stall_after,
             stop_time: settings.stop_time,
         }
@@ -84,6 +91,7 @@
         self.outcomes.update(start);
         self.demand.update(start);
         self.reserve.update(start.events);
+        self.questions.begin_round(start);
     }
 
     fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
@@ -94,14 +102,10 @@
         self.reserve.choose(fleet, &self.demand, inputs.now)
     }
 
-    fn may_use_reserve(
-        &self,
-        waiting: &WaitingStep,
-        fleet: &FleetState,
-        inputs: &RoundInputs<'_>,
-    ) -> bool {
-        let preempted_at = self.preemptions.preempted_at(waiting);
-        reserve::may_use_reserve(waiting, fleet, preempted_at, inputs)
+    fn may_use_reserve(&self, question: &StepQuestion<'_>) -> bool {
+        let preempted_at = self.preemptions.preempted_at(question.waiting);
+        let need = Need::of(question.waiting, Vec::new(), false, self);
+        reserve::may_use_reserve(question, &need, preempted_at, &self.questions)
     }
 
     fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank {
@@ -123,13 +127,17 @@
         RackRank { slowness: packing::gang_slowness(need, fleet, places), ..rank }
     }
 
-    fn waits_for_rack(
+    fn waits_for_rack(&self, question: &StepQuestion<'_>, need: &Need<'_>) -> bool {
+        self.rack_waits.waits(question, need, &self.questions)
+    }
+
+    fn start_at(
         &self,
-        waiting: &WaitingStep,
-        fleet: &FleetState,
-        inputs: &RoundInputs<'_>,
-    ) -> bool {
-        self.rack_waits.waits(waiting, fleet, inputs.wall)
+        question: &StepQuestion<'_>,
+        need: &Need<'_>,
+        places: &[WorkerIndex],
+    ) -> StepAnswer {
+        faster::start_at(question, need, places, &self.questions)
     }
 
     fn stop_cost(
@@ -145,6 +153,16 @@
         allowance::max_stop_cost(waiting, count, inputs.wall)
     }
 
+    fn make_stops(
+        &self,
+        question: &StepQuestion<'_>,
+        need: &Need<'_>,
+        stops: &Preemption,
+        allowed: u64,
+    ) -> StepAnswer {
+        choice::make_stops(question, need, stops, allowed, &self.questions)
+    }
+
     fn stall_limit(&self, step: &Step, seen: &ObservedProgress) -> Duration {
         let limit = self.by_lost_work.stall_limit(step, seen);
         limit + stall::additional_wait(step, seen, self.stall_after)
--- a/crates/rampbay-jobs/src/planner/policy/by_completion/reserve.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/reserve.rs
@@ -11,12 +11,14 @@
 
 use crate::job::InstanceId;
 use crate::metrics::metrics;
+use crate::planner::WorkerIndex;
+use crate::planner::completion::room::RoomScope;
+use crate::planner::fit::Need;
 use crate::planner::fleet_state::FleetState;
-use crate::planner::policy::{RunChange, RunEvent};
-use crate::planner::queue::WaitingStep;
-use crate::planner::{RoundInputs, WorkerIndex};
+use crate::planner::policy::{RunChange, RunEvent, StepQuestion};
 
 use super::demand::UrgentDemand;
+use super::questions::{Questions, Reason};
 
 /// Share of the usable workers that is reserved until the demand is known, in percent: the middle of the range.
 const UNKNOWN_DEMAND_PERCENT: usize = 20;
@@ -24,9 +26,12 @@
 const MIN_PERCENT: usize = 10;
 /// Largest share, in percent, so that other work isn't starved for urgent work that may not come.
 const MAX_PERCENT: usize = 30;
-/// Time before its latest start from which work that isn't urgent may use the reserve, in milliseconds: half of the
-/// time that a task of most queues takes.
+/// Time before its latest start from which work that isn't urgent may use the reserve where the estimate doesn't say
+/// when it would end, in milliseconds: half of the time that a task of most queues takes.
 const LEAD_TIME_MS: u64 = 4_000;
+/// Time before its latest start from which the estimate is asked, in milliseconds. Tasks of most queues take up to 10 s,
+/// and three times that if they are spread, so nearly all runs end within it.
+const ASK_BEFORE_MS: u64 = 30_000;
 /// Time for which other work leaves the reserve alone on a fleet that is half idle, in milliseconds. A job that waits
 /// for 3 s beside free capacity breaks the users' rule, and a gang may wait for one rack after this.
 const IDLE_FLEET_WAIT_MS: u64 = 800;
@@ -124,21 +129,45 @@
 }
 
 /// Returns whether a step may use the reserve: urgent work, work that would end late without it, and other work on a
-/// fleet that is half idle. `preempted_at` is when a task of the step was last stopped for others.
+/// fleet that is half idle. `need` is what the step needs if it doesn't use the reserve, and `preempted_at` is when a
+/// task of it was last stopped for others.
 pub fn may_use_reserve(
-    waiting: &WaitingStep,
-    fleet: &FleetState,
+    question: &StepQuestion<'_>,
+    need: &Need<'_>,
     preempted_at: Option<Duration>,
-    inputs: &RoundInputs<'_>,
+    questions: &Questions,
 ) -> bool {
-    if waiting.is_urgent() || inputs.wall + LEAD_TIME_MS > waiting.latest_start {
+    let inputs = question.inputs();
+    if question.waiting.is_urgent() || ends_late_without(question, need, questions) {
         return true;
     }
-    if fleet.percent_used() >= IDLE_BELOW_PERCENT {
+    if question.fleet.percent_used() >= IDLE_BELOW_PERCENT {
         return false;
     }
     preempted_at.map_or_else(
-        || waiting.waited_ms(inputs.wall) >= IDLE_FLEET_WAIT_MS,
+        || question.waited_ms() >= IDLE_FLEET_WAIT_MS,
         |at| inputs.now.saturating_sub(at) >= IDLE_FLEET_WAIT_OF_PREEMPTED,
     )
 }
+
+/// Returns whether a step would end late if it didn't use the reserve.
+fn ends_late_without(question: &StepQuestion<'_>, need: &Need<'_>, questions: &Questions) -> bool {
+    let (wall, waiting) = (question.inputs().wall, question.waiting);
+    if waiting.is_late(wall) {
+        return true;
+    }
+    let is_nearly_late = wall + LEAD_TIME_MS > waiting.latest_start;
+    if wall + ASK_BEFORE_MS <= waiting.latest_start || !questions.may_ask(1) {
+        return is_nearly_late;
+    }
+    let room = question.room(need, RoomScope::Anywhere);
+    // More single tasks than there is room for at once start one after the other, of which the estimate says nothing.
+    if room.is_none() && !need.step.gang {
+        return is_nearly_late;
+    }
+    let is_late = room.as_ref().is_none_or(|room| !question.is_in_time(room.times.end.ms));
+    if is_late && !is_nearly_late {
+        questions.note(question, Reason::LateWithoutReserve, None, room.map(|room| room.times));
+    }
+    is_late
+}
--- a/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_lost_work.rs
@@ -19,8 +19,8 @@
 use crate::planner::{PlannerSettings, RoundInputs, WorkerIndex};
 
 use super::{
-    Candidate, DepartureCosts, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost,
-    WorkerRank,
+    Candidate, DepartureCosts, PlacementPolicy, RackRank, RoundStart, StepOrder, StepQuestion,
+    StopCost, WorkerRank,
 };
 pub(super) use allowance::URGENT_BASE;
 pub use stops::MAX_WORK_SINCE_CHECKPOINT;
@@ -65,13 +65,8 @@
         reserve::choose_reserve(fleet)
     }
 
-    fn may_use_reserve(
-        &self,
-        waiting: &WaitingStep,
-        _fleet: &FleetState,
-        inputs: &RoundInputs<'_>,
-    ) -> bool {
-        reserve::may_use_reserve(waiting, inputs.wall)
+    fn may_use_reserve(&self, question: &StepQuestion<'_>) -> bool {
+        reserve::may_use_reserve(question.waiting, question.inputs().wall)
     }
 
     fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank {
@@ -88,13 +83,8 @@
         rank::rack_rank(need, fleet, rack, places)
     }
 
-    fn waits_for_rack(
-        &self,
-        waiting: &WaitingStep,
-        fleet: &FleetState,
-        inputs: &RoundInputs<'_>,
-    ) -> bool {
-        rack::waits_for_rack(waiting, fleet, inputs.wall)
+    fn waits_for_rack(&self, question: &StepQuestion<'_>, _need: &Need<'_>) -> bool {
+        rack::waits_for_rack(question.waiting, question.fleet, question.inputs().wall)
     }
 
     fn stop_cost(
--- a/crates/rampbay-jobs/src/planner/waits.rs
+++ b/crates/rampbay-jobs/src/planner/waits.rs
@@ -21,6 +21,8 @@
     /// A start of one of its tasks got no answer and may still be carried out, and the worker that rejects it can't
     /// take the task.
     UnansweredStart,
+    /// It would end late on the workers that are free, and others become free soon.
+    BetterWorkers,
     /// No capacity is free, and the runs that would have to be stopped are worth more.
     NoRoom,
 }
@@ -34,6 +36,7 @@
             Self::NoRack => "no_rack",
             Self::NoIdleWorker => "no_idle_worker",
             Self::UnansweredStart => "unanswered_start",
+            Self::BetterWorkers => "better_workers",
             Self::NoRoom => "no_room",
         }
     }
