--- a/crates/rampbay-jobs/tests/completion_load.rs
+++ b/crates/rampbay-jobs/tests/completion_load.rs
@@ -99,13 +99,27 @@
     arrivals
 }
 
+/// The machines of a fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Machines {
+    /// Speeds of 0.8 to 1.25.
+    Usual,
+    /// Tasks take 0.55 times as long on a quarter of the workers, and 1.2 times on the others.
+    Uneven,
+}
+
 /// Runs a load on a fleet without failures, so that runs are stopped only for others.
-fn run(seed: u64, placement: Placement) -> Outcome {
+fn run(seed: u64, placement: Placement, machines: Machines) -> Outcome {
     let mut outcome = Outcome::default();
     run_in_virtual_time(async {
         let mut fleet = Fleet::with_placement(WORKERS, seed, placement);
         fleet.routing = Routing::default();
         (fleet.load, fleet.failure_share) = (0.0, 0.0);
+        if machines == Machines::Uneven {
+            for (number, speed) in fleet.speeds.values_mut().enumerate() {
+                *speed = if number % 4 == 0 { 182 } else { 83 };
+            }
+        }
         let mut arrivals = load(seed).into_iter().peekable();
         let mut urgent: BTreeMap<String, (u64, u64)> = BTreeMap::new();
         while fleet.now_ms() < END_MS {
@@ -140,11 +154,11 @@
 }
 
 /// The outcomes of several loads under a policy, added up.
-fn run_all(placement: Placement) -> Outcome {
+fn run_all(placement: Placement, machines: Machines) -> Outcome {
     let mut total = Outcome::default();
     for seed in 1..=SEEDS {
-        let outcome = run(seed, placement);
-        println!("{placement:?} seed={seed} {outcome:?}");
+        let outcome = run(seed, placement, machines);
+        println!("{placement:?} {machines:?} seed={seed} {outcome:?}");
         total.starts += outcome.starts;
         total.stops += outcome.stops;
         total.max_stops = total.max_stops.max(outcome.max_stops);
@@ -158,8 +172,8 @@
 /// later than under `by_lost_work`, on average and by the number that ends in time.
 #[test]
 fn bursts_on_full_fleet() {
-    let before = run_all(Placement::ByLostWork);
-    let outcome = run_all(Placement::ByCompletion);
+    let before = run_all(Placement::ByLostWork, Machines::Usual);
+    let outcome = run_all(Placement::ByCompletion, Machines::Usual);
     assert!(outcome.max_stops <= 2, "{} stops of one task", outcome.max_stops);
     assert!(outcome.stops * 10 < outcome.starts, "{} of {}", outcome.stops, outcome.starts);
     assert_eq!(outcome.urgent_ms.len(), before.urgent_ms.len());
@@ -168,6 +182,18 @@
     assert!(outcome.in_time >= before.in_time, "{} < {}", outcome.in_time, before.in_time);
 }
 
+/// On uneven machines a gang that starts on a slow one ends late. Guards against gangs that wait for faster workers or
+/// for room that doesn't come: no fewer end in time than under `by_lost_work`.
+#[test]
+fn bursts_on_uneven_full_fleet() {
+    let before = run_all(Placement::ByLostWork, Machines::Uneven);
+    let outcome = run_all(Placement::ByCompletion, Machines::Uneven);
+    println!("{} in time, {} before", outcome.in_time, before.in_time);
+    assert!(outcome.max_stops <= 2, "{} stops of one task", outcome.max_stops);
+    assert!(outcome.stops * 10 < outcome.starts, "{} of {}", outcome.stops, outcome.starts);
+    assert!(outcome.in_time >= before.in_time, "{} < {}", outcome.in_time, before.in_time);
+}
+
 /// A fleet with failing runs, leaders that change and callers of all queues goes on under the policy: jobs of each
 /// priority end. Guards against rules that leave a step waiting for good.
 #[rstest]
--- a/crates/rampbay-jobs/tests/support/fleet.rs
+++ b/crates/rampbay-jobs/tests/support/fleet.rs
@@ -108,7 +108,8 @@
     /// Starts and stops so far, one per entry.
     pub decisions: Vec<String>,
     rng: ChaCha8Rng,
-    speeds: BTreeMap<String, u64>,
+    /// Speed of each worker, in percent.
+    pub speeds: BTreeMap<String, u64>,
     runs: BTreeMap<(TaskId, u32), Run>,
     work_ms: BTreeMap<String, u64>,
     /// Factor on the rates at which jobs arrive; 0 if only the test submits any.
