fix: usage of workspaces is measured four times a second

Tasks run for seconds, so the usage is measured every 250 ms now, and sums are kept for a job's runs at once.

Each rule was removed in turn to see a test fail. The order within a workspace with a pressing job was held by none: the short job of its test was pressing itself. It has 3.5 s left now, and the test fails without the rule.

--- a/crates/rampbay-jobs/src/planner/policy/by_completion/shares.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/shares.rs
@@ -22,6 +22,9 @@
 /// Highest rank of a pressing step. Fairness needs that the workspaces that haven't used more than the others (rank 0) go
 /// before it; it doesn't need that a job ends late for a workspace that has itself used twice its share.
 const MAX_PRESSING_RANK: u32 = 1;
+/// Time between two measurements of what the workspaces hold. Each reads all runs, a fiftieth of a round's time at 2,500
+/// workers; tasks run for seconds, so more of them would tell no more.
+const MEASURE_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest number of lines on workspaces that go after others within [`RANK_INTERVAL`].
 const MAX_LINES: usize = 2;
 /// The labels of the largest shares in the metrics.
@@ -34,6 +37,8 @@
 #[derive(Debug, Default)]
 pub struct ShareOrder {
     shares: FairShares,
+    /// When the usage was last measured.
+    measured_at: Option<Duration>,
     /// Ranks of the waiting steps, without those of rank 0.
     ranks: HashMap<StepKey, u32>,
     log: ShareLog,
@@ -43,11 +48,7 @@
     /// Measures the usage and ranks the waiting steps of a round. `order` is their order without shares.
     pub fn update(&mut self, start: &RoundStart<'_>, order: impl Fn(&WaitingStep) -> StepOrder) {
         let now = start.inputs.now;
-        self.shares.update(now, &usage(start));
-        let shares = self.shares.largest_shares(PLACES.len());
-        for (index, place) in PLACES.into_iter().enumerate() {
-            metrics().set_workspace_share(place, shares.get(index).copied().unwrap_or(0));
-        }
+        self.measure(start);
         let mut steps: Vec<&WaitingStep> = start.waiting.iter().collect();
         steps.sort_by_cached_key(|step| (step.urgency(), order(step), &step.job));
         let ranks = ranks(&self.shares, &steps, start.inputs.wall);
@@ -56,6 +57,21 @@
         self.ranks = ranked.map(|(step, rank)| (step_key(step), rank)).collect();
     }
 
+    /// Measures the usage if the last measurement is old enough.
+    fn measure(&mut self, start: &RoundStart<'_>) {
+        let now = start.inputs.now;
+        let is_recent = |at: Duration| now.saturating_sub(at) < MEASURE_INTERVAL;
+        if self.measured_at.is_some_and(is_recent) {
+            return;
+        }
+        self.measured_at = Some(now);
+        self.shares.update(now, &usage(start));
+        let shares = self.shares.largest_shares(PLACES.len());
+        for (index, place) in PLACES.into_iter().enumerate() {
+            metrics().set_workspace_share(place, shares.get(index).copied().unwrap_or(0));
+        }
+    }
+
     /// Returns the rank of a waiting step; a lower one goes first.
     pub fn rank(&self, waiting: &WaitingStep) -> u32 {
         if self.ranks.is_empty() {
@@ -79,9 +95,22 @@
     for waiting in start.waiting {
         held.entry(&waiting.submission.workspace).or_default();
     }
+    // The runs of a job follow each other.
+    let mut job: Option<(&str, u64)> = None;
     for run in start.running() {
         let weight = run.definition().map_or(0, |step| step.charge().weight());
-        *held.entry(&run.submission.workspace).or_default() += weight;
+        let workspace = run.submission.workspace.as_str();
+        match &mut job {
+            Some((last, sum)) if std::ptr::eq(*last, workspace) => *sum += weight,
+            _ => {
+                if let Some((last, sum)) = job.replace((workspace, weight)) {
+                    *held.entry(last).or_default() += sum;
+                }
+            }
+        }
+    }
+    if let Some((last, sum)) = job {
+        *held.entry(last).or_default() += sum;
     }
     let routing = start.inputs.routing;
     let usage = held.into_iter().map(|(workspace, running)| WorkspaceUsage {
--- a/crates/rampbay-jobs/tests/share_load.rs
+++ b/crates/rampbay-jobs/tests/share_load.rs
@@ -398,7 +398,8 @@
 fn order_within_workspace_unchanged(#[values(0, 4_000)] waited_ms: u64) {
     run_in_virtual_time(async move {
         let mut rig = rig_with_users();
-        let short = Step { estimate_ms: 1_000, ..step(1, 1) };
+        // It has 3.5 s to its latest start, and isn't pressing itself.
+        let short = Step { estimate_ms: 3_000, ..step(1, 1) };
         let long = Submission { submitted_at: rig.wall - waited_ms, ..job(BURST, 1, step(1, 1)) };
         rig.submit(owned("large", long));
         let short = Submission { submitted_at: rig.wall, ..job(OTHER, 1, short) };
--- a/crates/rampbay-jobs/tests/share_log.rs
+++ b/crates/rampbay-jobs/tests/share_log.rs
@@ -61,11 +61,15 @@
         let first: Vec<String> =
             (0..40).map(|number| submit(&mut rig, "large", 0xa0 + number, 1)).collect();
         rig.plan();
+        for _ in 0..4 {
+            rig.advance(Duration::from_millis(500)).await;
+            rig.plan();
+        }
         assert_eq!(take_lines(), Vec::<String>::new(), "nobody else waits");
         assert_eq!(metrics().workspaces_behind.get(), 0);
 
         let single = submit(&mut rig, "small", 0xffff, 2);
-        for _ in 0..8 {
+        for _ in 0..4 {
             rig.advance(Duration::from_millis(500)).await;
             rig.plan();
         }
