feat: runs that hold up their step start again elsewhere, under by_completion

Callers saw steps of many tasks wait for a single one on a slow worker, and gangs go at the pace of one slow member. Nothing moved such a run: it makes progress, so it isn't stalled.

At the end of a round, once waiting steps have been placed, the planner asks the policy for stragglers. by_lost_work has none. by_completion chooses the last tasks of a step, or a gang with a known slow member, if the step ends sooner by a quarter of the remaining time and 1 s, with the stop and the new start, at the late end of the new time's range, and loses no more work than it gains. It needs room that is free and not reserved, recent reports of nine tenths of the workers for 3 s, and a rate that was low since the run's start. A step is moved once. The slow worker is kept as the one to avoid in the plans, which also tells a later leader that the step was moved; no failure and no preemption is counted. Restarted tasks go to fast machines.

--- a/crates/rampbay-jobs/src/plan.rs
+++ b/crates/rampbay-jobs/src/plan.rs
@@ -33,7 +33,7 @@
     pub failed_attempt: u32,
     /// Worker of the latest run.
     pub instance: InstanceId,
-    /// Worker of the latest run that failed.
+    /// Worker of the latest run that failed, or that held up its step and was stopped; the next run avoids it.
     pub failed_at: InstanceId,
     /// Checkpoint from which the next run continues.
     pub checkpoint: Checkpoint,
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -249,7 +249,9 @@
         self.begin_round(&mut draft, &waiting, inputs);
         watch::move_runs(self, &mut draft, &workers, inputs);
         let waits = if drain::check_orders_recent(self, inputs) {
-            place::place(self, &mut draft, waiting, &workers, inputs)
+            let waits = place::place(self, &mut draft, waiting, &workers, inputs);
+            watch::move_stragglers(self, &mut draft, &workers, inputs);
+            waits
         } else {
             Vec::new()
         };
--- a/crates/rampbay-jobs/src/planner/completion.rs
+++ b/crates/rampbay-jobs/src/planner/completion.rs
@@ -13,6 +13,7 @@
 pub mod options;
 pub mod pace;
 pub mod remaining;
+pub mod restart;
 pub mod room;
 pub mod saved;
 pub mod spread;
--- a/crates/rampbay-jobs/src/planner/completion/durations.rs
+++ b/crates/rampbay-jobs/src/planner/completion/durations.rs
@@ -89,6 +89,13 @@
     unknown: Spread,
 }
 
+impl StepForecast {
+    /// Returns what runs of a step have shown: the time on an average worker, and the spread of such estimates.
+    pub(super) fn of_peers(expected_ms: u64, known: Spread) -> Self {
+        Self { expected_ms, known, unknown: known.with_unknown_speed() }
+    }
+}
+
 /// Returns the conditions at some workers.
 fn conditions<Rack: PartialEq + Copy>(
     step: &Step,
--- a/crates/rampbay-jobs/src/planner/events.rs
+++ b/crates/rampbay-jobs/src/planner/events.rs
@@ -3,6 +3,8 @@
 use crate::job::{InstanceId, JobId, TaskId};
 use crate::record::EndReason;
 
+use super::policy::Straggler;
+
 /// A change of a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunEvent {
@@ -38,6 +40,8 @@
     },
     /// It moves to another worker: its own leaves, or the run has stalled or isn't reported.
     Moved,
+    /// It holds up its step, and starts again elsewhere.
+    Straggler(Straggler),
     /// Its job is over, or another member of its gang has ended.
     NotNeeded,
 }
--- a/crates/rampbay-jobs/src/planner/fit.rs
+++ b/crates/rampbay-jobs/src/planner/fit.rs
@@ -103,6 +103,11 @@
         !rack.is_empty() && !worker.record.labels.contains(rack)
     }
 
+    /// Returns whether an earlier run of the waiting tasks failed, or was stopped since it held up its step.
+    pub const fn is_restart(&self) -> bool {
+        !self.failed_at.is_empty()
+    }
+
     /// Returns whether an earlier run of the waiting tasks failed at a worker.
     pub fn has_failed_at(&self, worker: &WorkerState) -> bool {
         !self.failed_at.is_empty() && self.failed_at.contains(&worker.instance)
--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -7,6 +7,7 @@
 pub mod by_completion;
 pub mod by_lost_work;
 mod choice;
+mod round_end;
 mod round_start;
 
 use std::time::Duration;
@@ -22,6 +23,7 @@
 pub use super::queue::WaitingStep;
 pub use super::running::RunningTask;
 pub use choice::{Placement, PlacementError, create_policy};
+pub use round_end::{RoundEnd, Straggler};
 pub use round_start::{AssignedRun, RoundStart};
 
 use super::RoundInputs;
@@ -95,6 +97,12 @@
 
     /// Returns the time for which other workers are preferred to one at which a run has failed.
     fn avoid_time(&self) -> Duration;
+
+    /// Chooses the runs that hold up their steps and start again elsewhere. It is called at the end of each round that
+    /// may start runs, once those that wait have been placed. By default none are chosen.
+    fn choose_stragglers(&self, _end: &RoundEnd<'_>) -> Vec<Straggler> {
+        Vec::new()
+    }
 }
 
 /// Order of a waiting step; lower goes first. The fields are compared one after the other.
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -12,6 +12,7 @@
 mod reserve;
 mod stall;
 mod stops;
+mod stragglers;
 
 use std::time::Duration;
 
@@ -25,8 +26,8 @@
 
 use super::by_lost_work::ByLostWork;
 use super::{
-    Candidate, DepartureCosts, PlacementPolicy, RackRank, RoundStart, StepOrder, StopCost,
-    WorkerRank,
+    Candidate, DepartureCosts, PlacementPolicy, RackRank, RoundEnd, RoundStart, StepOrder,
+    StopCost, Straggler, WorkerRank,
 };
 use demand::UrgentDemand;
 use outcomes::StopOutcomes;
@@ -34,6 +35,7 @@
 use rack::RackWaits;
 use reserve::Reserve;
 use stops::StopTimes;
+use stragglers::Stragglers;
 
 /// Time for which other workers are preferred to one at which a run has failed. A worker in trouble fails all that it
 /// starts for some 6 s; if 8% of the workers do, a gang of six hits one of them in two of five tries.
@@ -50,6 +52,7 @@
     demand: UrgentDemand,
     reserve: Reserve,
     rack_waits: RackWaits,
+    stragglers: Stragglers,
     /// Time without progress after which a run without unsaved work is moved.
     stall_after: Duration,
     /// Time that a stop takes at a worker.
@@ -68,6 +71,7 @@
             demand: UrgentDemand::default(),
             reserve: Reserve::default(),
             rack_waits: RackWaits::new(settings),
+            stragglers: Stragglers::new(settings),
             stall_after: settings.stall_after,
             stop_time: settings.stop_time,
         }
@@ -84,6 +88,7 @@
         self.outcomes.update(start);
         self.demand.update(start);
         self.reserve.update(start.events);
+        self.stragglers.update(start);
     }
 
     fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
@@ -91,7 +96,9 @@
     }
 
     fn choose_reserve(&mut self, fleet: &FleetState, inputs: &RoundInputs<'_>) -> Vec<WorkerIndex> {
-        self.reserve.choose(fleet, &self.demand, inputs.now)
+        let reserved = self.reserve.choose(fleet, &self.demand, inputs.now);
+        self.stragglers.note_reserve(fleet, &reserved);
+        reserved
     }
 
     fn may_use_reserve(
@@ -157,4 +164,8 @@
     fn avoid_time(&self) -> Duration {
         AVOID_TIME
     }
+
+    fn choose_stragglers(&self, end: &RoundEnd<'_>) -> Vec<Straggler> {
+        self.stragglers.choose(end, self)
+    }
 }
--- a/crates/rampbay-jobs/src/planner/policy/by_completion/packing.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/packing.rs
@@ -19,8 +19,13 @@
     if need.priority == 0 {
         return worker.speed as u32;
     }
+    let reserved = if worker.reserved { RESERVED_SLOWNESS } else { 0 };
+    if need.is_restart() {
+        // It is behind the other tasks of its step already, and would be the last to end on a slow machine.
+        return worker.speed as u32 + reserved;
+    }
     let reversed = MachineSpeed::Slower as u32 - worker.speed as u32;
-    reversed + if worker.reserved { RESERVED_SLOWNESS } else { 0 }
+    reversed + reserved
 }
 
 /// Returns the class of the chosen workers for a gang: that of its least preferred member. For an urgent gang this is
--- a/crates/rampbay-jobs/src/planner/policy/by_completion/preemptions.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/preemptions.rs
@@ -108,8 +108,10 @@
     }
 }
 
-/// Returns how many runs of a task have ended, or are about to end, without a failure.
+/// Returns how many runs of a task have ended, or are about to end, without a failure and without holding up its step.
 fn stopped_runs(task: &TaskPlan) -> u32 {
     let goes_on = u32::from(task.status == TaskStatus::Running);
-    task.attempt.saturating_sub(task.failures).saturating_sub(goes_on)
+    // A worker is avoided without a failure only by the restart of a straggler, of which there is one in a step.
+    let restarted = u32::from(task.failures == 0 && !task.failed_at.is_empty());
+    task.attempt.saturating_sub(task.failures).saturating_sub(goes_on + restarted)
 }
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -1,4 +1,4 @@
-//! Moves runs off workers that leave, and moves runs that have stalled or that no agent reports.
+//! Moves runs off workers that leave, and moves runs that have stalled, that no agent reports, or that hold up their step.
 
 use std::time::Duration;
 
@@ -12,6 +12,7 @@
 use super::departure::{DepartingRun, RemainingTime};
 use super::draft::Draft;
 use super::events::StopReason;
+use super::policy::{RoundEnd, Straggler};
 use super::progress::ObservedProgress;
 use super::unreported::UnreportedRuns;
 use super::workers::{WorkerView, WorkerViews};
@@ -77,6 +78,33 @@
     }
 }
 
+/// Stops the runs that hold up their steps, as the policy chooses them. They start again at other workers.
+pub fn move_stragglers(
+    planner: &Planner,
+    draft: &mut Draft<'_>,
+    workers: &WorkerViews<'_>,
+    inputs: &RoundInputs<'_>,
+) {
+    let end = RoundEnd::new(planner, draft, workers, inputs);
+    let chosen = planner.policy.choose_stragglers(&end);
+    for straggler in chosen {
+        straggler.log("moved");
+        metrics().count_decision("straggler");
+        restart(draft, &straggler);
+    }
+}
+
+/// Stops a unit, so that it starts again elsewhere. The worker to avoid is kept with the plans of its tasks, as after a
+/// failure, but no failure is counted.
+fn restart(draft: &mut Draft<'_>, straggler: &Straggler) {
+    for member in draft.unit_of(&straggler.task) {
+        if let Some(task) = draft.edit(&member.job).task_mut(&member) {
+            task.failed_at.clone_from(&straggler.worker);
+        }
+    }
+    draft.stop_unit(&straggler.task, &StopReason::Straggler(straggler.clone()));
+}
+
 /// A run that is checked.
 struct WatchedRun<'a> {
     id: &'a TaskId,
