--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -1,6 +1,6 @@
 //! What a caller submits: a job of steps, each a number of equal tasks.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Identifies a job; chosen by its caller, 16 hexadecimal digits.
 pub type JobId = String;
@@ -163,6 +163,18 @@
     pub occurrences: u32,
     /// When it was accepted.
     pub submitted_at: EpochMillis,
+    /// Numbers of the steps of whose tasks copies may run at the same time. It is the last field of the last part of its
+    /// record, and has to stay there before any later one: records of older releases end before it, and older releases
+    /// ignore what follows the fields that they know.
+    #[serde(default, deserialize_with = "empty_if_missing")]
+    pub speculative: Vec<u32>,
+}
+
+/// Reads a field that ends a record, and that records of older releases don't have.
+fn empty_if_missing<'de, D: Deserializer<'de>>(source: D) -> Result<Vec<u32>, D::Error> {
+    // The format has no field names, so a field that is missing can't be told from one that is cut off. Records are
+    // stored whole or not at all.
+    Ok(Vec::deserialize(source).unwrap_or_default())
 }
 
 impl Submission {
@@ -181,6 +193,12 @@
         self.first_run_ms + self.interval_ms * u64::from(number)
     }
 
+    /// Returns whether copies of a task of a step may run at the same time; whichever ends first counts.
+    #[must_use]
+    pub fn allows_copies(&self, step: u32) -> bool {
+        self.speculative.contains(&step)
+    }
+
     /// Returns whether the job is timed: its occurrences are due at set times.
     #[must_use]
     pub fn is_timed(&self) -> bool {
