feat: a gang takes no slow machine beside faster ones, under by_completion

Gangs that aren't urgent were placed worker by worker, the slowest first: one slow machine and several faster ones, in one rack as well as spread. The gang goes at the pace of the slow one and holds the others that long. The rank of racks looked at the least preferred member only, which for such a gang is the fastest.

If fewer than half of the chosen workers are slower machines, the gang is placed without these if it fits so, and not on reserved workers in their place; among racks with the same least preferred member, one without such a mixture is taken. Urgent gangs took the fastest first already. by_lost_work never compares members.

--- a/crates/rampbay-jobs/src/planner/fit.rs
+++ b/crates/rampbay-jobs/src/planner/fit.rs
@@ -237,7 +237,21 @@
 
 /// Finds workers for `count` tasks at once, or for none.
 pub fn place_all(fleet: &FleetState, need: &Need<'_>, count: usize) -> Option<Vec<WorkerIndex>> {
-    Trial::new(fleet, need, need.eligible(fleet)).place_all(count)
+    place_evenly(fleet, need, need.eligible(fleet), count)
+}
+
+/// Places `count` tasks at some workers, or none. If the policy knows workers among them that hold up the others less,
+/// and the tasks fit there, these are taken.
+fn place_evenly(
+    fleet: &FleetState,
+    need: &Need<'_>,
+    places: &[WorkerIndex],
+    count: usize,
+) -> Option<Vec<WorkerIndex>> {
+    let taken = Trial::new(fleet, need, places).place_all(count)?;
+    let even = need.policy.even_places(need, fleet, places, &taken);
+    let even = even.and_then(|places| Trial::new(fleet, need, &places).place_all(count));
+    Some(even.unwrap_or(taken))
 }
 
 /// Groups the workers that may run a step by rack, in the order of the racks' names.
@@ -263,7 +277,7 @@
 ) -> Option<Vec<WorkerIndex>> {
     let mut best: Option<(RackRank, Vec<WorkerIndex>)> = None;
     for (rack, places) in by_rack(fleet, need) {
-        let Some(taken) = Trial::new(fleet, need, &places).place_all(count) else { continue };
+        let Some(taken) = place_evenly(fleet, need, &places, count) else { continue };
         let rank = need.policy.rack_rank(need, fleet, rack, &taken);
         if best.as_ref().is_none_or(|(best, _)| rank < *best) {
             best = Some((rank, taken));
--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -58,6 +58,18 @@
     /// or stopped there.
     fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank;
 
+    /// Returns those of some workers that a gang should rather take than the workers `taken`, where some members would
+    /// hold up the others; `None` if none would. By default, members are never compared.
+    fn even_places(
+        &self,
+        _need: &Need<'_>,
+        _fleet: &FleetState,
+        _places: &[WorkerIndex],
+        _taken: &[WorkerIndex],
+    ) -> Option<Vec<WorkerIndex>> {
+        None
+    }
+
     /// Returns the rank of a rack for a gang, given its number in [`FleetState::racks`] and the workers there at which
     /// the gang's tasks would be placed.
     fn rack_rank(
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -119,6 +119,16 @@
         WorkerRank { slowness: packing::slowness(need, candidate.worker), ..rank }
     }
 
+    fn even_places(
+        &self,
+        need: &Need<'_>,
+        fleet: &FleetState,
+        places: &[WorkerIndex],
+        taken: &[WorkerIndex],
+    ) -> Option<Vec<WorkerIndex>> {
+        packing::even_places(need, fleet, places, taken)
+    }
+
     fn rack_rank(
         &self,
         need: &Need<'_>,
--- a/crates/rampbay-jobs/src/planner/policy/by_completion/packing.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/packing.rs
@@ -3,6 +3,7 @@
 //! Load: urgent gangs beside steps that have time, on machines of uneven speed. A gang runs at the pace of its slowest
 //! member, and an urgent one is late on a slow machine. So urgent work goes to the fastest machines, and other work to
 //! the slowest, which leaves the fast ones free for the next burst. Other work that may use the reserve takes it last.
+//! A gang that isn't urgent takes no slow machine beside faster ones, which it would hold at the slow one's pace.
 
 use crate::planner::WorkerIndex;
 use crate::planner::fit::Need;
@@ -35,5 +36,31 @@
         let worker = &fleet.workers[place];
         slowness(need, worker) + if worker.avoided { AVOIDED_SLOWNESS } else { 0 }
     });
-    classes.max().map_or(0, u64::from)
+    // Of chosen workers with the same least preferred member, those of one speed are preferred.
+    classes.max().map_or(0, u64::from) * 2 + u64::from(has_few_slower(fleet, places))
+}
+
+/// Returns whether some of the workers are slower machines, but fewer than half.
+fn has_few_slower(fleet: &FleetState, places: &[WorkerIndex]) -> bool {
+    let is_slower = |place: &&WorkerIndex| fleet.workers[**place].speed == MachineSpeed::Slower;
+    let slower = places.iter().filter(is_slower).count();
+    slower > 0 && slower * 2 < places.len()
+}
+
+/// Returns the workers without the slower machines if a gang would take few of these beside faster ones. Reserved
+/// workers aren't taken in their place.
+pub fn even_places(
+    need: &Need<'_>,
+    fleet: &FleetState,
+    places: &[WorkerIndex],
+    taken: &[WorkerIndex],
+) -> Option<Vec<WorkerIndex>> {
+    if !need.step.gang || !has_few_slower(fleet, taken) {
+        return None;
+    }
+    let faster = places.iter().copied().filter(|place| {
+        let worker = &fleet.workers[*place];
+        worker.speed != MachineSpeed::Slower && (!worker.reserved || taken.contains(place))
+    });
+    Some(faster.collect())
 }
--- a/crates/rampbay-jobs/tests/completion_packing.rs
+++ b/crates/rampbay-jobs/tests/completion_packing.rs
@@ -77,6 +77,29 @@
     });
 }
 
+/// A gang that isn't urgent takes slower machines, but not one of them beside faster ones, at whose pace it would hold the
+/// others. Placed by the rank of each worker alone, it took the slow one first, in a rack of its own as well as spread.
+#[rstest]
+#[case::spread(false, [SLOWER, USUAL, USUAL, USUAL, USUAL, USUAL], 3, false)]
+#[case::one_rack(true, [SLOWER, USUAL, USUAL, USUAL, USUAL, USUAL], 3, false)]
+#[case::spread_no_other(false, [SLOWER, USUAL, USUAL, SLOWER, USUAL, USUAL], 5, true)]
+#[case::spread_mostly_slow(false, [SLOWER, SLOWER, USUAL, USUAL, USUAL, USUAL], 3, true)]
+fn one_slow_member_avoided(
+    #[case] same_rack: bool,
+    #[case] speeds: [u32; 6],
+    #[case] members: u32,
+    #[case] is_taken: bool,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = rig_of_workers(6);
+        rig.measure_speeds(&speeds).await;
+        let gang = Step { same_rack, ..gang(members, 8) };
+        rig.submit(Submission { submitted_at: rig.wall, ..job(JOB, 1, gang) });
+        rig.plan();
+        assert_eq!(workers_of(&rig, JOB).contains("i-0"), is_taken);
+    });
+}
+
 /// One slow member makes the whole gang as slow as three do, so among racks with a slow machine the fuller one is
 /// taken. Chosen by the number of slow machines, the gang gained nothing and took the rack with more room.
 #[test]
--- a/crates/rampbay-jobs/tests/straggler_load.rs
+++ b/crates/rampbay-jobs/tests/straggler_load.rs
@@ -73,6 +73,16 @@
         self.rules.worker_rank(need, candidate)
     }
 
+    fn even_places(
+        &self,
+        need: &Need<'_>,
+        fleet: &FleetState,
+        places: &[WorkerIndex],
+        taken: &[WorkerIndex],
+    ) -> Option<Vec<WorkerIndex>> {
+        self.rules.even_places(need, fleet, places, taken)
+    }
+
     fn rack_rank(
         &self,
         need: &Need<'_>,
