merge: runs that hold up their step start again elsewhere, under by_completion

A gang with one slow member, and the last task of a step on a slow worker, kept their callers waiting. They start again on free faster workers where the estimate says that it pays, once a step. Tests: completion_stragglers, straggler_load and others of the part.

--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -8,6 +8,7 @@
 pub mod by_lost_work;
 mod choice;
 mod question;
+mod round_end;
 mod round_start;
 
 use std::time::Duration;
@@ -25,6 +26,7 @@
 pub use super::running::RunningTask;
 pub use choice::{Placement, PlacementError, create_policy};
 pub use question::{ExpectedRoom, RoundContext, StepAnswer, StepQuestion};
+pub use round_end::{RoundEnd, Straggler};
 pub use round_start::{AssignedRun, RoundStart};
 
 use super::RoundInputs;
@@ -54,6 +56,18 @@
     /// or stopped there.
     fn worker_rank(&self, need: &Need<'_>, candidate: &Candidate<'_>) -> WorkerRank;
 
+    /// Returns those of some workers that a gang should rather take than the workers `taken`, where some members would
+    /// hold up the others; `None` if none would. By default, members are never compared.
+    fn even_places(
+        &self,
+        _need: &Need<'_>,
+        _fleet: &FleetState,
+        _places: &[WorkerIndex],
+        _taken: &[WorkerIndex],
+    ) -> Option<Vec<WorkerIndex>> {
+        None
+    }
+
     /// Returns the rank of a rack for a gang, given its number in [`FleetState::racks`] and the workers there at which
     /// the gang's tasks would be placed.
     fn rack_rank(
@@ -111,6 +125,12 @@
 
     /// Returns the time for which other workers are preferred to one at which a run has failed.
     fn avoid_time(&self) -> Duration;
+
+    /// Chooses the runs that hold up their steps and start again elsewhere. It is called at the end of each round that
+    /// may start runs, once those that wait have been placed. By default none are chosen.
+    fn choose_stragglers(&self, _end: &RoundEnd<'_>) -> Vec<Straggler> {
+        Vec::new()
+    }
 }
 
 /// Order of a waiting step; lower goes first. The fields are compared one after the other.
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -16,6 +16,7 @@
 mod shares;
 mod stall;
 mod stops;
+mod stragglers;
 mod worth;
 
 use std::time::Duration;
@@ -30,8 +31,8 @@
 
 use super::by_lost_work::ByLostWork;
 use super::{
-    Candidate, DepartureCosts, PlacementPolicy, Preemption, RackRank, RoundStart, StepAnswer,
-    StepOrder, StepQuestion, StopCost, WorkerRank,
+    Candidate, DepartureCosts, PlacementPolicy, Preemption, RackRank, RoundEnd, RoundStart,
+    StepAnswer, StepOrder, StepQuestion, StopCost, Straggler, WorkerRank,
 };
 use demand::UrgentDemand;
 use outcomes::StopOutcomes;
@@ -41,6 +42,7 @@
 use reserve::Reserve;
 use shares::ShareOrder;
 use stops::StopTimes;
+use stragglers::Stragglers;
 
 /// Time for which other workers are preferred to one at which a run has failed. A worker in trouble fails all that it
 /// starts for some 6 s; if 8% of the workers do, a gang of six hits one of them in two of five tries.
@@ -59,6 +61,7 @@
     rack_waits: RackWaits,
     shares: ShareOrder,
     questions: Questions,
+    stragglers: Stragglers,
     /// Time without progress after which a run without unsaved work is moved.
     stall_after: Duration,
     /// Time that a stop takes at a worker.
@@ -79,6 +82,7 @@
             rack_waits: RackWaits::new(settings),
             shares: ShareOrder::default(),
             questions: Questions::default(),
+            stragglers: Stragglers::new(settings),
             stall_after: settings.stall_after,
             stop_time: settings.stop_time,
         }
@@ -98,6 +102,7 @@
         let rules = &self.by_lost_work;
         self.shares.update(start, |step| rules.step_order(step, start.inputs));
         self.questions.begin_round(start);
+        self.stragglers.update(start);
     }
 
     fn step_order(&self, waiting: &WaitingStep, inputs: &RoundInputs<'_>) -> StepOrder {
@@ -106,7 +111,9 @@
     }
 
     fn choose_reserve(&mut self, fleet: &FleetState, inputs: &RoundInputs<'_>) -> Vec<WorkerIndex> {
-        self.reserve.choose(fleet, &self.demand, inputs.now)
+        let reserved = self.reserve.choose(fleet, &self.demand, inputs.now);
+        self.stragglers.note_reserve(fleet, &reserved);
+        reserved
     }
 
     fn may_use_reserve(&self, question: &StepQuestion<'_>) -> bool {
@@ -123,6 +130,16 @@
         WorkerRank { slowness: packing::slowness(need, candidate.worker), ..rank }
     }
 
+    fn even_places(
+        &self,
+        need: &Need<'_>,
+        fleet: &FleetState,
+        places: &[WorkerIndex],
+        taken: &[WorkerIndex],
+    ) -> Option<Vec<WorkerIndex>> {
+        packing::even_places(need, fleet, places, taken)
+    }
+
     fn rack_rank(
         &self,
         need: &Need<'_>,
@@ -182,4 +199,8 @@
     fn avoid_time(&self) -> Duration {
         AVOID_TIME
     }
+
+    fn choose_stragglers(&self, end: &RoundEnd<'_>) -> Vec<Straggler> {
+        self.stragglers.choose(end, self)
+    }
 }
