feat: maintenance of machines in waves

Operators' records `wave/N` were answered by nothing, since no process read them and nothing ordered the maintenance of machines. The leader now decides in rounds, without a network, which machine has its turn (rampbay-jobs, `upkeep/`): an order is kept in the state (`upkeep/N`) before it is sent, and holds one of the `max_count` places until an answer or the list of machines shows what became of it. Nothing is called in the first 4 s of a term, nor once the store was silent for a second. Machines that are next in turn get nothing new; runs that end in the wave's time end there, others are stopped a second before the latest start. The planner gets the workers to close and to empty as an input; without waves the input is empty. `optional` of a step is decoded, stored after the job so that releases read each other's records, and limits the long-running tasks that waves take away. The platform's client, records and setting (`machines_address`, from `cloud.address`) stay in platform/.

A pause of 3 s in place of 4 broke the property test (calls of two leaders 2.7 s apart), since the earlier leader goes on for a second without the store. An order without an answer that doesn't hold its place for 12.5 s broke it too (two machines down in place of one).

--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub mod stored;
+
 /// Identifies a job; chosen by its caller, 16 hexadecimal digits.
 pub type JobId = String;
 /// Identifies one incarnation of a worker process.
@@ -121,6 +123,10 @@
     pub long_running: bool,
     /// Whether its tasks use only processor time that other tasks leave idle.
     pub fills: bool,
+    /// Number of its long-running tasks that may be away at once by the system's doing; `None` for no limit. It is stored
+    /// after the job, by [`stored`].
+    #[serde(skip)]
+    pub optional: Option<u32>,
 }
 
 impl Step {
--- a/crates/rampbay-jobs/src/keys.rs
+++ b/crates/rampbay-jobs/src/keys.rs
@@ -6,6 +6,7 @@
 use crate::job::TaskId;
 use crate::record::{EndReason, RunEnd};
 use crate::registrations::RegistrationNumber;
+use crate::upkeep::wave::WaveNumber;
 
 /// Returns the key of a run's end. A start that failed has a key of its own, so that its record can't
 /// replace an end that was reported before.
@@ -97,6 +98,12 @@
     Some((task.parse().ok()?, attempt.parse().ok()?))
 }
 
+/// Returns the key of what is kept of a wave of machine maintenance.
+#[must_use]
+pub fn upkeep_key(wave: WaveNumber) -> String {
+    format!("upkeep/{wave}")
+}
+
 /// Splits the key of a registration, or of an eviction, into the worker's id and the number.
 #[must_use]
 pub fn split_worker_key(key: &str) -> (&str, RegistrationNumber) {
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -16,6 +16,7 @@
 use crate::record::{KeyedRecord, Leader, Record, STATE_TOPIC};
 use crate::store::{AppendError, Fence, Offset, Store, split_into_appends};
 use crate::table::JobTable;
+use crate::upkeep::driver::{UpkeepParts, WaveService};
 
 /// Writer name shared by all leaders, so that a newer leader fences older ones.
 const WRITER: &str = "planner";
@@ -48,6 +49,8 @@
     pub progress_pace: Pace,
     /// Returns the time of day, for due times.
     pub wall_clock: fn() -> u64,
+    /// What serves waves of machine maintenance; `None` where they aren't served.
+    pub upkeep: Option<UpkeepParts>,
 }
 
 /// A leader that has lost leadership.
@@ -142,10 +145,11 @@
     parts.candidate.freshness.reach(end).await;
     log::info!("event=J120 leadership gained generation={generation} epoch={epoch} position={end}");
     let started = Instant::now();
+    let mut waves = WaveService::new(parts.upkeep.as_ref(), epoch);
     loop {
         let round_started = Instant::now();
         let mut changes = parts.candidate.freshness.subscribe();
-        let records = decide(parts, &mut planner, progress, started.elapsed());
+        let records = decide(parts, &mut planner, &mut waves, progress, started.elapsed());
         let took = round_started.elapsed();
         metrics().round_seconds.observe(took.as_secs_f64());
         let interval = MIN_ROUND_INTERVAL.max(took * ROUND_INTERVAL_FACTOR);
@@ -164,6 +168,7 @@
 fn decide(
     parts: &LeaderParts,
     planner: &mut Planner,
+    waves: &mut WaveService,
     progress: &RefCell<ProgressTable>,
     now: Duration,
 ) -> Vec<KeyedRecord> {
@@ -173,15 +178,22 @@
     let routing = parts.routing.get().unwrap_or_default();
     let orders_freshness = &parts.routing.freshness;
     let drained = parts.routing.drains.view(orders_freshness.position());
-    planner.round(&RoundInputs {
+    let before = waves.drains();
+    let inputs = RoundInputs {
         table: &table,
         routing: &routing,
         drained: &drained,
         drain_orders_age: orders_freshness.age(),
+        upkeep: &before,
         progress: &progress,
         now,
         wall: (parts.wall_clock)(),
-    })
+    };
+    let kept = waves.round(planner, &inputs, &parts.candidate.freshness, orders_freshness);
+    let upkeep = waves.drains();
+    let mut records = planner.round(&RoundInputs { upkeep: &upkeep, ..inputs });
+    records.extend(kept);
+    records
 }
 
 /// Returns an epoch that is higher than all that were seen and that no other process uses.
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -39,4 +39,5 @@
 pub mod settings;
 pub mod store;
 pub mod table;
+pub mod upkeep;
 pub mod worker;
--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -54,6 +54,13 @@
     pub source: &'static str,
 }
 
+/// A label that says in which state something is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StateLabel {
+    /// The state.
+    pub state: &'static str,
+}
+
 /// A label that says what came of something.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabel {
@@ -86,6 +93,8 @@
     pub stops: Family<OutcomeLabel, Counter>,
     /// Workers that are kept idle for urgent work, at the leader.
     pub reserved_workers: Gauge,
+    /// Machines of maintenance waves, by state, at the leader.
+    pub wave_machines: Family<StateLabel, Gauge>,
     /// Time that a round of the planner takes, at the leader.
     pub round_seconds: Histogram,
     /// Workers that the planner examined in search of free capacity, counted each time.
@@ -118,6 +127,7 @@
             drained_domains: Gauge::default(),
             stops: Family::default(),
             reserved_workers: Gauge::default(),
+            wave_machines: Family::default(),
             round_seconds: histogram(),
             workers_searched: Counter::default(),
             estimate_error_ratio: Family::new_with_constructor(|| Histogram::new(RATIO_BUCKETS)),
@@ -167,6 +177,8 @@
         registry.register("stops", "Jobs that runs were stopped for", self.stops.clone());
         let reserved = self.reserved_workers.clone();
         registry.register("reserved_workers", "Workers kept idle for urgent work", reserved);
+        let machines = self.wave_machines.clone();
+        registry.register("wave_machines", "Machines of maintenance waves", machines);
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
     }
 
@@ -205,6 +217,11 @@
         self.state.get_or_create(&KindLabel { kind }).set(count as i64);
     }
 
+    /// Sets the number of machines of maintenance waves in a state.
+    pub fn set_wave_machines(&self, state: &'static str, count: usize) {
+        self.wave_machines.get_or_create(&StateLabel { state }).set(count as i64);
+    }
+
     /// Counts a caller's call.
     pub fn record_call(&self, method: &str, status: u16, took: Duration) {
         let labels = CallLabels { method: method.to_owned(), status };
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -33,6 +33,7 @@
 mod unanswered;
 mod units;
 mod unreported;
+mod upkeep;
 mod waits;
 mod watch;
 mod workers;
@@ -46,6 +47,7 @@
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
 use crate::table::JobTable;
+use crate::upkeep::load::WorkerDrains;
 
 pub use policy::Placement;
 pub use progress::{ObservedProgress, ProgressTable};
@@ -115,6 +117,8 @@
     pub drained: &'a DrainedDomains,
     /// Age of the known drain orders; `None` before the first read.
     pub drain_orders_age: Option<Duration>,
+    /// The workers that maintenance waves take out of use.
+    pub upkeep: &'a WorkerDrains,
     /// Progress of the runs.
     pub progress: &'a ProgressTable,
     /// Monotonic time since the planner began.
@@ -248,6 +252,7 @@
         let waiting = queue::waiting_steps(&draft, inputs, &self.forecasts);
         self.begin_round(&mut draft, &waiting, inputs);
         watch::move_runs(self, &mut draft, &workers, inputs);
+        upkeep::stop_runs(&mut draft, inputs);
         let waits = if drain::check_orders_recent(self, inputs) {
             place::place(self, &mut draft, waiting, &workers, inputs)
         } else {
--- a/crates/rampbay-jobs/src/planner/fleet_state.rs
+++ b/crates/rampbay-jobs/src/planner/fleet_state.rs
@@ -301,6 +301,7 @@
         freed_soon: Resources::default(),
         usable: !view.record.draining
             && !is_drained(view.record, inputs)
+            && !inputs.upkeep.closed.contains(view.instance)
             && !planner.health.is_blocked(view.instance, inputs.now)
             && !inputs.table.evicted.contains(view.instance)
             && view.report_age < suspect_after
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -9,11 +9,12 @@
 };
 use crate::keys::{
     end_key, eviction_key, life_key, losses_key, part_key, plan_key, registrations_end_key,
-    split_number, unanswered_key, worker_key,
+    split_number, unanswered_key, upkeep_key, worker_key,
 };
 use crate::losses::{IncarnationEnd, JobLosses};
 use crate::plan::{JobPlan, TaskPlan};
 use crate::registrations::RegistrationNumber;
+use crate::upkeep::record::WaveProgress;
 
 /// Topic of the state, which must be durable.
 pub const STATE_TOPIC: &str = "keyed.rampbay";
@@ -122,7 +123,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
     /// A job was accepted.
-    Submitted(Box<Submission>),
+    Submitted(#[serde(with = "crate::job::stored")] Box<Submission>),
     /// A job was cancelled.
     Cancelled(JobId),
     /// The plan of a job; wide steps are empty.
@@ -149,6 +150,8 @@
     Part(TaskId, Vec<TaskPlan>),
     /// A start got no answer; the planner removes the record once the start can't be carried out any more.
     Unanswered(Box<UnansweredStart>),
+    /// What has been done of a wave of machine maintenance.
+    Upkeep(Box<WaveProgress>),
 }
 
 /// The process that leads, and runs the planner.
@@ -281,6 +284,7 @@
             Self::Losses(job, _) => losses_key(job),
             Self::Part(first, _) => part_key(first),
             Self::Unanswered(start) => unanswered_key(&start.task, start.attempt),
+            Self::Upkeep(progress) => upkeep_key(progress.wave),
         }
     }
 
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -55,6 +55,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Address of the interface for the maintenance of machines; entries only. Without it, waves aren't served.
+    pub machines_address: Option<SocketAddr>,
     /// Longest lease that a worker grants.
     pub lease_ms: u64,
     /// Time that a stop takes at a worker.
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -14,6 +14,8 @@
     EndReason, KeyedRecord, Leader, Member, Record, RunEnd, UnansweredStart, WorkerRecord,
 };
 use crate::registrations::{RegistrationNumber, Registrations};
+use crate::upkeep::record::WaveProgress;
+use crate::upkeep::wave::WaveNumber;
 
 /// One job.
 #[derive(Clone, Debug)]
@@ -84,6 +86,8 @@
     pub losses: BTreeMap<JobId, Rc<JobLosses>>,
     /// Starts that got no answer and may still be carried out, by task and attempt.
     pub unanswered: BTreeMap<TaskId, BTreeMap<u32, Rc<UnansweredStart>>>,
+    /// What has been done of waves of machine maintenance.
+    pub upkeep: BTreeMap<WaveNumber, Rc<WaveProgress>>,
     /// All registrations, including those that newer ones have replaced.
     registrations: Registrations,
     /// Agents of all workers that have been registered since the state was last read in full, also of workers that are
@@ -154,6 +158,9 @@
                 let of_task = self.unanswered.entry(start.task.clone()).or_default();
                 of_task.insert(start.attempt, Rc::new(*start));
             }
+            Record::Upkeep(progress) => {
+                self.upkeep.insert(progress.wave, Rc::new(*progress));
+            }
             Record::Evicted(instance) => {
                 let (_, number) = split_worker_key(key);
                 self.evictions.entry(instance.clone()).or_default().insert(number);
@@ -392,6 +399,7 @@
             }
             "evicted" => self.remove_eviction(key),
             "unanswered" => self.remove_unanswered(name),
+            "upkeep" => self.remove_wave(name),
             "member" => {
                 self.members.remove(name);
                 self.bump_membership_version();
@@ -400,6 +408,12 @@
         }
     }
 
+    fn remove_wave(&mut self, name: &str) {
+        if let Ok(wave) = name.parse() {
+            self.upkeep.remove(&wave);
+        }
+    }
+
     fn remove_unanswered(&mut self, name: &str) {
         let Some((task, attempt)) = split_unanswered_name(name) else { return };
         let Some(of_task) = self.unanswered.get_mut(&task) else { return };
--- a/crates/rampbay-jobs/tests/support/fleet.rs
+++ b/crates/rampbay-jobs/tests/support/fleet.rs
@@ -15,6 +15,7 @@
 };
 use rampbay_jobs::routing::{Routing, Workspace};
 use rampbay_jobs::table::JobTable;
+use rampbay_jobs::upkeep::load::WorkerDrains;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tokio::time::Instant;
@@ -118,6 +119,8 @@
     jobs: u64,
     ticks: u64,
     started: Instant,
+    /// The workers that maintenance waves take out of use.
+    pub upkeep: WorkerDrains,
 }
 
 impl Fleet {
@@ -145,6 +148,7 @@
             jobs: 0,
             ticks: 0,
             started: Instant::now(),
+            upkeep: WorkerDrains::default(),
         };
         for index in 0..workers {
             let instance = format!("i-{index:05}");
@@ -199,6 +203,7 @@
             routing: &self.routing,
             drained: &self.drained,
             drain_orders_age: Some(Duration::ZERO),
+            upkeep: &self.upkeep,
             progress: &self.progress,
             now: self.started.elapsed(),
             wall: 1_000_000 + self.now_ms(),
@@ -212,6 +217,7 @@
             routing: &self.routing,
             drained: &self.drained,
             drain_orders_age: Some(Duration::ZERO),
+            upkeep: &self.upkeep,
             progress: &self.progress,
             now: self.started.elapsed(),
             wall: self.wall_ms(),
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -80,6 +80,7 @@
         routing,
         progress_pace: pace,
         wall_clock: super::virtual_wall_clock,
+        upkeep: None,
     };
     tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
 }
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod property;
 pub mod site;
 pub mod store;
+pub mod upkeep;
 pub mod worker;
 
 use std::cell::{Cell, RefCell};
--- a/crates/rampbay-jobs/tests/support/planner.rs
+++ b/crates/rampbay-jobs/tests/support/planner.rs
@@ -12,6 +12,7 @@
 };
 use rampbay_jobs::routing::{Routing, Workspace};
 use rampbay_jobs::table::JobTable;
+use rampbay_jobs::upkeep::load::WorkerDrains;
 use tokio::time::Instant;
 
 use super::{job, settings, step, task, worker_record};
@@ -32,6 +33,8 @@
     pub drained: DrainedDomains,
     /// Age of the known drain orders.
     pub drain_orders_age: Option<Duration>,
+    /// The workers that maintenance waves take out of use.
+    pub upkeep: WorkerDrains,
     /// When the planner began.
     pub started: Instant,
     /// Wall-clock time, in milliseconds.
@@ -50,6 +53,7 @@
             routing: Routing::default(),
             drained: DrainedDomains::default(),
             drain_orders_age: Some(Duration::ZERO),
+            upkeep: WorkerDrains::default(),
             started: Instant::now(),
             wall: 2_000,
         };
@@ -109,6 +113,7 @@
             routing: &self.routing,
             drained: &self.drained,
             drain_orders_age: self.drain_orders_age,
+            upkeep: &self.upkeep,
             progress: &self.progress,
             now: self.started.elapsed(),
             wall: self.wall,
@@ -122,6 +127,7 @@
             routing: &self.routing,
             drained: &self.drained,
             drain_orders_age: self.drain_orders_age,
+            upkeep: &self.upkeep,
             progress: &self.progress,
             now: self.started.elapsed(),
             wall: self.wall,
--- a/crates/rampbay-peer/src/entry.rs
+++ b/crates/rampbay-peer/src/entry.rs
@@ -13,6 +13,7 @@
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::settings::Settings;
 use rampbay_jobs::store::Store;
+use rampbay_jobs::upkeep::driver::UpkeepParts;
 
 use crate::routes::Routes;
 
@@ -40,6 +41,8 @@
     pub live: LiveTable,
     /// The operators' orders, as far as this process knows them.
     pub routing: Rc<CurrentRouting>,
+    /// What serves waves of machine maintenance; `None` where they aren't served.
+    pub upkeep: Option<UpkeepParts>,
 }
 
 impl Entry {
@@ -69,6 +72,7 @@
             routing: self.routing,
             progress_pace: PROGRESS_PACE,
             wall_clock,
+            upkeep: self.upkeep,
         };
         let planner = self.settings.planner();
         leader::run(parts, || Planner::new(planner)).await;
--- a/crates/rampbay-scale/src/process.rs
+++ b/crates/rampbay-scale/src/process.rs
@@ -119,6 +119,7 @@
                 routes: stack.routes.clone(),
                 live: live.clone(),
                 routing: Rc::clone(&routing),
+                upkeep: None,
             };
             let orders =
                 ConfigurationSink { routing: Rc::clone(&routing), arrivals: Rc::clone(&arrivals) };
