feat: maintenance takes gangs whole, and runs that it takes aren't losses of their tasks

A run that went down with its machine in a wave counted as lost with its worker, so several waves could fail a job that crashed nothing. Workers that a wave has emptied are remembered for a minute, and what is lost there counts against no task. The members of a gang are stopped together, so all of them use up the step's `optional`. The work at workers is computed only for machines of waves that have something left to do, and the time of a wave counts from a second before the leader read it.

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -66,6 +66,7 @@
 use speed::SpeedTracker;
 use unanswered::UnansweredStarts;
 use unreported::UnreportedRuns;
+use upkeep::EmptiedWorkers;
 use waits::WaitLog;
 use workers::WorkerViews;
 
@@ -164,6 +165,8 @@
     unreported: UnreportedRuns,
     /// Starts that got no answer.
     unanswered: UnansweredStarts,
+    /// Workers that were emptied for maintenance.
+    emptied: EmptiedWorkers,
 }
 
 /// Largest number of workers that a log line names.
@@ -220,6 +223,7 @@
             lost_runs_checked: false,
             unreported: UnreportedRuns::default(),
             unanswered: UnansweredStarts::default(),
+            emptied: EmptiedWorkers::default(),
         }
     }
 
@@ -233,6 +237,7 @@
     #[must_use]
     pub fn round(&mut self, inputs: &RoundInputs<'_>) -> Vec<KeyedRecord> {
         self.update_known_workers(inputs);
+        self.emptied.note(inputs);
         self.reset_returned_workers(inputs);
         self.forecasts.update(inputs.table);
         let workers = WorkerViews::new(inputs, &self.known_since);
--- a/crates/rampbay-jobs/src/planner/lost.rs
+++ b/crates/rampbay-jobs/src/planner/lost.rs
@@ -132,7 +132,7 @@
     lost: &[OrphanedRun],
 ) {
     let over = inputs.table.ended_incarnations.get(instance);
-    if over.is_some_and(|over| over.gave_notice) {
+    if over.is_some_and(|over| over.gave_notice) || planner.emptied.contains(instance) {
         return;
     }
     let begun = over.and_then(|over| over.runs.as_deref());
--- a/crates/rampbay-jobs/src/upkeep/decision.rs
+++ b/crates/rampbay-jobs/src/upkeep/decision.rs
@@ -30,6 +30,9 @@
 
 /// Age of the contact with the store from which nothing is ordered: another process may lead.
 const MAX_STORE_AGE: Duration = Duration::from_millis(1000);
+/// Longest time after which a leader usually has read an operator's record, in milliseconds. The time of a wave counts from
+/// the acknowledgement of its record.
+const READ_TIME_MS: u64 = 1000;
 /// Time that must lie between the calls of two holders, by the users' bounds.
 const HOLDER_GAP: Duration = Duration::from_millis(3000);
 /// Time after the start of a term before which nothing is called. An earlier leader that doesn't hear from the store goes
@@ -117,7 +120,7 @@
     /// Machines whose turn is late, which are logged once.
     late: BTreeSet<TurnKey>,
     reports: outcomes::Reports,
-    /// Machines that waves name.
+    /// Machines of waves on which there is something left to do.
     named: BTreeSet<MachineName>,
 }
 
@@ -175,6 +178,13 @@
         round.into_actions()
     }
 
+    /// Returns the workers of the machines of open waves, as they were listed last. Only their work is of interest.
+    #[must_use]
+    pub fn workers(&self) -> BTreeSet<WorkerId> {
+        let listed = self.named.iter().filter_map(|name| self.machines.get(name));
+        listed.map(|machine| machine.worker.clone()).collect()
+    }
+
     /// Notes a list of all machines, and when it was requested.
     pub fn note_list(
         &mut self,
@@ -209,7 +219,8 @@
     /// Begins the progress of new waves, and replaces the orders of those with newer records.
     fn read_waves(&mut self, round: &mut Round<'_>) {
         let Some(waves) = round.inputs.waves else { return };
-        let (now, wall) = (round.inputs.now, round.inputs.wall);
+        let now = round.inputs.now;
+        let acknowledged_at = round.inputs.wall.saturating_sub(READ_TIME_MS);
         self.first_seen.retain(|wave, (order, _)| waves.get(wave) == Some(order));
         for (number, order) in waves {
             self.first_seen.entry(*number).or_insert_with(|| (order.clone(), now));
@@ -217,18 +228,19 @@
                 Some(known) if known.order == *order => continue,
                 Some(_) => {
                     if let Some(known) = round.edit(*number) {
-                        known.replace(order.clone(), wall);
+                        known.replace(order.clone(), acknowledged_at);
                     }
                 }
                 None => {
-                    let progress = WaveProgress::new(*number, order.clone(), wall);
+                    let progress = WaveProgress::new(*number, order.clone(), acknowledged_at);
                     round.waves.insert(*number, Rc::new(progress));
                 }
             }
             log_wave(*number, order);
         }
-        let open = round.waves.values().flat_map(|wave| wave.order.machines());
-        self.named = open.cloned().collect();
+        let open = round.waves.values().filter(|wave| wave.is_open() || wave.down() > 0);
+        let named = open.flat_map(|wave| wave.order.machines().iter().chain(wave.turns.keys()));
+        self.named = named.cloned().collect();
     }
 
     /// Removes waves that are no longer in force, once none of their machines may be down.
--- a/crates/rampbay-jobs/src/upkeep/driver.rs
+++ b/crates/rampbay-jobs/src/upkeep/driver.rs
@@ -102,7 +102,7 @@
         self.collect_outcomes();
         let control = Rc::clone(&self.parts.control);
         let worker_id = |instance: &str| control.worker_id(instance);
-        let load = Load::new(planner, inputs, worker_id);
+        let load = Load::new(planner, inputs, &self.upkeep.workers(), worker_id);
         let actions = self.upkeep.round(&UpkeepInputs {
             waves: orders.age().is_some().then_some(&*waves),
             kept,
--- a/crates/rampbay-jobs/src/upkeep/record.rs
+++ b/crates/rampbay-jobs/src/upkeep/record.rs
@@ -44,7 +44,7 @@
     pub wave: WaveNumber,
     /// What it asks for.
     pub order: WaveOrder,
-    /// When its record was acknowledged, at the latest.
+    /// When its record was acknowledged, as far as the leader knows that read it first.
     pub acknowledged_at: EpochMillis,
     /// The machines that have had their turn, also those that a newer record of the wave no longer names.
     pub turns: BTreeMap<MachineName, Turn>,
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -11,6 +11,7 @@
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::Store;
+use rampbay_jobs::upkeep::driver::UpkeepParts;
 use tokio::task::JoinHandle;
 
 use super::settings;
@@ -52,6 +53,17 @@
     node: &str,
     salt: u64,
     preferred_leaders: Option<Rc<dyn PreferredLeaders>>,
+) -> JoinHandle<()> {
+    start_leader_with_waves(store, node, salt, preferred_leaders, None)
+}
+
+/// Starts such a process that serves waves of machine maintenance.
+pub fn start_leader_with_waves(
+    store: &Rc<MemoryStore>,
+    node: &str,
+    salt: u64,
+    preferred_leaders: Option<Rc<dyn PreferredLeaders>>,
+    upkeep: Option<UpkeepParts>,
 ) -> JoinHandle<()> {
     let shared: Rc<dyn Store> = store.clone();
     let live = LiveTable::default();
@@ -80,7 +92,7 @@
         routing,
         progress_pace: pace,
         wall_clock: super::virtual_wall_clock,
-        upkeep: None,
+        upkeep,
     };
     tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
 }
--- a/crates/rampbay-jobs/tests/support/upkeep.rs
+++ b/crates/rampbay-jobs/tests/support/upkeep.rs
@@ -54,6 +54,8 @@
     late: Vec<(Duration, UpkeepOrder)>,
     /// Orders as they were sent, with their times.
     pub sent: Vec<(Duration, UpkeepOrder)>,
+    /// Time after which a list shows that a maintenance has begun.
+    pub list_lag: Duration,
     /// Number of lists that were requested.
     pub lists: usize,
     /// Times of all calls.
@@ -61,7 +63,8 @@
 }
 
 impl Interface {
-    fn carry_out(&mut self, order: &UpkeepOrder, now: Duration) -> Result<(), ControlError> {
+    /// Carries out an order.
+    pub fn carry_out(&mut self, order: &UpkeepOrder, now: Duration) -> Result<(), ControlError> {
         let machine = self.machines.get_mut(&order.machine).ok_or(ControlError::NoMachine)?;
         if order.token < machine.token {
             return Err(ControlError::Fenced);
@@ -78,7 +81,8 @@
         Ok(())
     }
 
-    fn advance(&mut self, now: Duration) {
+    /// Ends what is over by now.
+    pub fn advance(&mut self, now: Duration) {
         for machine in self.machines.values_mut() {
             if machine.down.is_some_and(|(until, _)| until <= now) {
                 machine.down = None;
@@ -92,11 +96,15 @@
         }
     }
 
-    fn list(&self) -> Vec<Machine> {
+    /// Lists the machines.
+    pub fn list(&self, now: Duration) -> Vec<Machine> {
+        let shows_down = |machine: &SimMachine| {
+            machine.down.is_some_and(|(until, _)| now + MAINTENANCE >= until + self.list_lag)
+        };
         let machine = |(name, machine): (&String, &SimMachine)| Machine {
             name: name.clone(),
             pool: "pool".to_owned(),
-            state: if machine.down.is_some() { MachineState::Upkeep } else { MachineState::Up },
+            state: if shows_down(machine) { MachineState::Upkeep } else { MachineState::Up },
             worker: format!("i-{name}"),
         };
         self.machines.iter().map(machine).collect()
@@ -274,7 +282,7 @@
             UpkeepCall::List => {
                 self.interface.lists += 1;
                 let list = match fate {
-                    Fate::Answered => Ok(self.interface.list()),
+                    Fate::Answered => Ok(self.interface.list(self.now)),
                     Fate::Refused(error) => Err(error),
                     _ => Err(ControlError::NoAnswer),
                 };
--- a/crates/rampbay-jobs/tests/upkeep_drains.rs
+++ b/crates/rampbay-jobs/tests/upkeep_drains.rs
@@ -76,8 +76,32 @@
     });
 }
 
+/// Guards against a job that fails since the maintenance of machines took its runs away several times.
+#[rstest]
+#[case::emptied_for_maintenance(true)]
+#[case::lost(false)]
+fn run_lost_to_maintenance_not_counted(#[case] is_emptied: bool) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2);
+        rig.submit(job(JOB, 1, step(1, 8)));
+        rig.plan();
+        let instance = rig.instance_of(&task(JOB, 0));
+        if is_emptied {
+            rig.upkeep.stopping = set([instance.as_str()]);
+            rig.plan();
+            rig.upkeep = WorkerDrains::default();
+        }
+        rig.remove_worker(&instance);
+        rig.plan();
+        let losses = rig.table.losses.get(JOB).map_or(0, |losses| losses.iter().count());
+        assert_eq!(losses, usize::from(!is_emptied));
+        assert_eq!(rig.statuses(JOB), [TaskStatus::Running], "it runs elsewhere");
+    });
+}
+
 fn load_of(rig: &PlannerRig) -> Load {
-    Load::new(&rig.planner, &rig.inputs(), str::to_owned)
+    let workers = rig.table.workers.keys().cloned().collect();
+    Load::new(&rig.planner, &rig.inputs(), &workers, str::to_owned)
 }
 
 /// Guards against a machine that counts as idle while work ends there, and against work without an end that is waited for.
@@ -98,6 +122,17 @@
     });
 }
 
+/// Guards against a gang that goes away as a whole and counts by one member.
+#[test]
+fn load_counts_whole_gang() {
+    run_in_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(2);
+        rig.submit(job(JOB, 1, Step { long_running: true, optional: Some(1), ..gang(2, 8) }));
+        rig.plan();
+        assert_eq!(load_of(&rig).workers["i-0"].limited[&(JOB.to_owned(), 0, 0)], 2);
+    });
+}
+
 /// Guards against tasks that are away and don't count, and against tasks that have never run and do.
 #[test]
 fn load_counts_tasks_that_are_away() {
--- a/crates/rampbay-jobs/tests/upkeep_failures.rs
+++ b/crates/rampbay-jobs/tests/upkeep_failures.rs
@@ -155,6 +155,17 @@
     assert!(rig.has_begun("m0", 1) && rig.has_begun("m1", 1));
 }
 
+/// Guards against a second machine that goes down since the list doesn't show the first one's maintenance yet.
+#[test]
+fn list_behind_answers_frees_no_place() {
+    let mut rig = rig(&["m0", "m1", "m2"], 1);
+    rig.interface.list_lag = Duration::from_millis(1500);
+    while !rig.told.contains(&(1, WaveStatus::Succeeded)) {
+        rig.step();
+        assert!(rig.interface.down(1) <= 1, "{:?}", rig.now);
+    }
+}
+
 /// Guards against a maintenance that is counted as begun by an order that was refused, since the machine is down for
 /// another reason.
 #[test]
