fix: a new leader calls nothing for waves before it has read the operators' topic

A leader whose view of the operators' topic wasn't there yet could order machines of a wave by what the state keeps of it, though the operators may have withdrawn the wave. Nothing is called before the topic has been read once in the process.

--- a/crates/rampbay-jobs/src/upkeep/decision.rs
+++ b/crates/rampbay-jobs/src/upkeep/decision.rs
@@ -60,9 +60,11 @@
 }
 
 impl UpkeepInputs<'_> {
-    /// Returns whether this process certainly leads, and no earlier leader calls any more.
+    /// Returns whether this process certainly leads, no earlier leader calls any more, and it is known which waves are in
+    /// force.
     fn may_call(&self) -> bool {
         self.now >= TAKEOVER_PAUSE
+            && self.waves.is_some()
             && self.newest_epoch == self.token
             && self.store_age.is_some_and(|age| age < MAX_STORE_AGE)
     }
--- a/crates/rampbay-jobs/tests/support/upkeep.rs
+++ b/crates/rampbay-jobs/tests/support/upkeep.rs
@@ -152,7 +152,9 @@
     pub leader: SimLeader,
     /// Earlier leaders that don't know that they were replaced.
     pub deposed: Vec<SimLeader>,
-    /// Whether the store answers.
+    /// Whether the operators' topic can't be read.
+    pub is_topic_unread: bool,
+    /// Since when the store doesn't answer.
     pub store_down_since: Option<Duration>,
     /// What operators were told, in order.
     pub told: Vec<(WaveNumber, WaveStatus)>,
@@ -191,6 +193,7 @@
             interface,
             leader: SimLeader::new(10, Duration::ZERO),
             deposed: Vec::new(),
+            is_topic_unread: false,
             store_down_since: None,
             told: Vec::new(),
             last: UpkeepActions::default(),
@@ -235,7 +238,7 @@
         let now = self.now.saturating_sub(leader.started);
         let kept = if silent_since.is_none() { self.kept.clone() } else { kept };
         let actions = leader.upkeep.round(&UpkeepInputs {
-            waves: Some(&self.waves),
+            waves: (!self.is_topic_unread).then_some(&self.waves),
             kept: &kept,
             token: leader.token,
             newest_epoch: leader.token,
--- a/crates/rampbay-jobs/tests/upkeep_failures.rs
+++ b/crates/rampbay-jobs/tests/upkeep_failures.rs
@@ -213,7 +213,23 @@
     assert!(rig.has_begun("m1", 1));
 }
 
-/// Guards against a wave that is forgotten while the operators' topic can't be read.
+/// Guards against a wave that is forgotten, or goes on although it may have been withdrawn, before a new leader has read the
+/// operators' topic.
+#[test]
+fn wave_waits_for_operators_topic() {
+    let mut rig = rig(&["m0", "m1"], 1);
+    until_first_order(&mut rig);
+    rig.change_leader();
+    rig.is_topic_unread = true;
+    rig.advance(seconds(2));
+    let calls = rig.interface.calls.len();
+    rig.advance(seconds(20));
+    assert_eq!(rig.interface.calls.len(), calls);
+    rig.is_topic_unread = false;
+    assert_eq!(rig.finish(1, MINUTE), WaveStatus::Succeeded);
+}
+
+/// Guards against a wave that isn't finished since its leaders change all the time.
 #[test]
 fn wave_goes_on_under_next_leader() {
     let mut rig = rig(&["m0", "m1", "m2"], 1);
