merge: maintenance of machines in waves

Operators' requests for maintenance (op/wave/N) went unanswered. The leader drains the machines of a wave, orders their maintenance within its count and time, and reports the wave's state; orders are kept in the store before they are sent. Tests: upkeep, upkeep_failures, upkeep_property, upkeep_drains, upkeep_leader, stored_jobs, and waves of the adapter.

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -34,6 +34,7 @@
 mod unanswered;
 mod units;
 mod unreported;
+mod upkeep;
 mod waits;
 mod watch;
 mod workers;
@@ -47,6 +48,7 @@
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
 use crate::table::JobTable;
+use crate::upkeep::load::WorkerDrains;
 
 pub use policy::Placement;
 pub use progress::{ObservedProgress, ProgressTable};
@@ -65,6 +67,7 @@
 use speed::SpeedTracker;
 use unanswered::UnansweredStarts;
 use unreported::UnreportedRuns;
+use upkeep::EmptiedWorkers;
 use waits::WaitLog;
 use workers::WorkerViews;
 
@@ -116,6 +119,8 @@
     pub drained: &'a DrainedDomains,
     /// Age of the known drain orders; `None` before the first read.
     pub drain_orders_age: Option<Duration>,
+    /// The workers that maintenance waves take out of use.
+    pub upkeep: &'a WorkerDrains,
     /// Progress of the runs.
     pub progress: &'a ProgressTable,
     /// Monotonic time since the planner began.
@@ -161,6 +166,8 @@
     unreported: UnreportedRuns,
     /// Starts that got no answer.
     unanswered: UnansweredStarts,
+    /// Workers that were emptied for maintenance.
+    emptied: EmptiedWorkers,
 }
 
 /// Largest number of workers that a log line names.
@@ -217,6 +224,7 @@
             lost_runs_checked: false,
             unreported: UnreportedRuns::default(),
             unanswered: UnansweredStarts::default(),
+            emptied: EmptiedWorkers::default(),
         }
     }
 
@@ -230,6 +238,7 @@
     #[must_use]
     pub fn round(&mut self, inputs: &RoundInputs<'_>) -> Vec<KeyedRecord> {
         self.update_known_workers(inputs);
+        self.emptied.note(inputs);
         self.reset_returned_workers(inputs);
         self.forecasts.update(inputs.table);
         let workers = WorkerViews::new(inputs, &self.known_since);
@@ -249,6 +258,7 @@
         let waiting = queue::waiting_steps(&draft, inputs, &self.forecasts);
         self.begin_round(&mut draft, &waiting, inputs);
         watch::move_runs(self, &mut draft, &workers, inputs);
+        upkeep::stop_runs(&mut draft, inputs);
         let waits = if drain::check_orders_recent(self, inputs) {
             let waits = place::place(self, &mut draft, waiting, &workers, inputs);
             watch::move_stragglers(self, &mut draft, &workers, inputs);
