feat: entries refuse jobs that certainly can't be served

A job that is wider than its service, or that gets room only when its caller no longer wants it, was accepted and waited in vain: its caller lost the waiting time, and others the room.

Under by_completion the leader writes an outlook: the shapes of the workers, and for each priority how many tasks are expected to fit at some times from now, also by the early ends of the ranges. Entries refuse by it, before anything is sent to the store, with 503 and a drawn Retry-After. The record isn't fenced and goes beside the leader's decisions, so that a slow store delays no plan; copies that are carried out late are ignored by epoch and number. An entry accepts where the outlook is old, of another leader, or came with the whole state, and where an earlier attempt of the job might be on its way.

--- a/crates/rampbay-jobs/src/freshness.rs
+++ b/crates/rampbay-jobs/src/freshness.rs
@@ -17,6 +17,8 @@
 #[derive(Debug)]
 pub struct Freshness {
     current_as_of: Cell<Option<Moment>>,
+    /// When the view became current after it had been stale.
+    current_from: Cell<Option<Moment>>,
     position: Cell<Offset>,
     changed: watch::Sender<u64>,
     recent: RefCell<Recent>,
@@ -28,6 +30,7 @@
     fn default() -> Self {
         Self {
             current_as_of: Cell::new(None),
+            current_from: Cell::new(None),
             position: Cell::new(0),
             changed: watch::channel(0).0,
             recent: RefCell::default(),
@@ -102,6 +105,13 @@
         self.current_as_of.get().map(|at| at.elapsed())
     }
 
+    /// Returns the time for which the view has been read without pause; `None` if it is stale now.
+    #[must_use]
+    pub fn current_for(&self) -> Option<Duration> {
+        let current_from = self.current_from.get()?;
+        self.is_within(STALE_AFTER).then(|| current_from.elapsed())
+    }
+
     /// Returns whether the view is no older than a limit.
     #[must_use]
     pub fn is_within(&self, limit: Duration) -> bool {
@@ -270,6 +280,7 @@
             self.current_as_of.set(Some(at));
         }
         if was_stale {
+            self.current_from.set(Some(Moment::now()));
             self.notify();
         }
     }
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -6,10 +6,12 @@
 
 use tokio::time::Instant;
 
+use crate::admission::gate::{AdmissionGate, ForecastRefusal};
 use crate::clock::Moment;
 use crate::drained::DrainOrders;
 use crate::freshness::Freshness;
 use crate::job::{JobId, Submission, WorkspaceName};
+use crate::metrics::metrics;
 use crate::plan::JobStatus;
 use crate::record::{Record, STATE_TOPIC};
 use crate::routing::{Queue, Routing};
@@ -52,6 +54,12 @@
     /// There is no such job.
     #[error("no such job")]
     NoJob,
+    /// The job certainly can't be served now, and nothing was sent to the store.
+    #[error("there is no room for the job")]
+    NoRoom {
+        /// Time after which the caller should come back, in whole seconds.
+        retry_after: Duration,
+    },
 }
 
 /// Limits of an intake.
@@ -160,6 +168,8 @@
     routing: Rc<CurrentRouting>,
     limits: IntakeLimits,
     waiting: Cell<usize>,
+    /// Refuses jobs by the leader's outlook, if that is wanted.
+    gate: Option<AdmissionGate>,
 }
 
 impl Intake {
@@ -172,7 +182,13 @@
         routing: Rc<CurrentRouting>,
         limits: IntakeLimits,
     ) -> Self {
-        Self { store, table, table_freshness, routing, limits, waiting: Cell::new(0) }
+        Self { store, table, table_freshness, routing, limits, waiting: Cell::new(0), gate: None }
+    }
+
+    /// Refuses jobs that certainly can't be served, by the leader's outlook.
+    #[must_use]
+    pub fn with_gate(self, gate: AdmissionGate) -> Self {
+        Self { gate: Some(gate), ..self }
     }
 
     /// Returns the ages of the configuration and of the table, by which calls are answered.
@@ -248,13 +264,43 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Refusal::Unavailable`] if the job certainly wasn't stored, and [`Refusal::Unknown`]
-    /// if it may have been.
+    /// Returns [`Refusal::NoRoom`] if the job certainly can't be served, [`Refusal::Unavailable`] if it certainly
+    /// wasn't stored, and [`Refusal::Unknown`] if it may have been.
     pub async fn submit(&self, submission: Submission, budget: WaitBudget) -> Result<(), Refusal> {
-        if self.table.borrow().jobs.contains_key(&submission.id) {
+        if self.is_known(&submission.id) {
             return Ok(());
         }
-        self.append_record(&Record::Submitted(Box::new(submission)), budget).await
+        let Some(gate) = &self.gate else {
+            return self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
+        };
+        let asked = Moment::now();
+        if gate.refusal(&submission, submission.submitted_at).is_some() {
+            let is_current = self.confirm_view(gate, asked, budget).await;
+            // Another entry may have stored the job before the call arrived.
+            if self.is_known(&submission.id) {
+                return Ok(());
+            }
+            let refusal = gate.refusal(&submission, submission.submitted_at);
+            if let Some(refusal) = refusal.filter(|_| is_current) {
+                return Err(report_refusal(&submission.id, &refusal));
+            }
+        }
+        gate.note_sent(&submission.id);
+        let stored = self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
+        if stored == Err(Refusal::Unknown) {
+            gate.note_unanswered();
+        }
+        stored
+    }
+
+    fn is_known(&self, id: &JobId) -> bool {
+        self.table.borrow().jobs.contains_key(id)
+    }
+
+    /// Waits until the table holds all that the store had acknowledged when a call arrived. Returns whether it does.
+    async fn confirm_view(&self, gate: &AdmissionGate, asked: Moment, budget: WaitBudget) -> bool {
+        let Some(_guard) = self.wait_for_store() else { return false };
+        gate.confirm_view(asked, budget.until).await
     }
 
     /// Cancels a job.
@@ -354,6 +400,20 @@
     }
 }
 
+/// Draws when a refused caller should come back, and logs and counts the refusal.
+fn report_refusal(job: &JobId, refusal: &ForecastRefusal) -> Refusal {
+    let retry_after = refusal.retry_after.draw(&mut rand::rng());
+    let reason = refusal.reason.label();
+    metrics().count_refusal(reason);
+    log::info!(
+        "event=J204 job refused job={job} reason={reason} outlook_age_ms={} expected_ms={} retry_after_s={}",
+        refusal.outlook_age.as_millis(),
+        refusal.expected_ms.map_or(-1, i128::from),
+        retry_after.as_secs()
+    );
+    Refusal::NoRoom { retry_after }
+}
+
 /// Counts a call that waits for the store until it is dropped.
 struct Waiting<'a>(&'a Cell<usize>);
 
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -11,6 +11,8 @@
 use crate::follower::Pace;
 use crate::intake::CurrentRouting;
 use crate::metrics::metrics;
+use crate::outlook::board::OutlookBoard;
+use crate::outlook::forecaster::OutlookForecaster;
 use crate::planner::{Planner, ProgressTable, RoundInputs};
 use crate::process::follow_progress;
 use crate::record::{KeyedRecord, Leader, Record, STATE_TOPIC};
@@ -114,8 +116,9 @@
     let progress = Rc::new(RefCell::new(ProgressTable::default()));
     let followed = Rc::clone(&progress);
     let follow = follow_progress(Rc::clone(&parts.candidate.store), followed, parts.progress_pace);
+    let board = OutlookBoard::default();
     let lead = async {
-        match try_lead(parts, generation, planner, &progress).await {
+        match try_lead(parts, generation, planner, &progress, &board).await {
             Err(deposed) => deposed,
             Ok(never) => match never {},
         }
@@ -123,6 +126,7 @@
     tokio::select! {
         deposed = lead => deposed,
         () = follow => Deposed,
+        () = board.publish_forever(parts.candidate.store.as_ref()) => Deposed,
     }
 }
 
@@ -131,6 +135,7 @@
     generation: u64,
     mut planner: Planner,
     progress: &RefCell<ProgressTable>,
+    board: &OutlookBoard,
 ) -> Result<std::convert::Infallible, Deposed> {
     // The new epoch must be higher than the last leader's, which is known once the state is read.
     parts.candidate.freshness.first_read().await;
@@ -142,10 +147,17 @@
     parts.candidate.freshness.reach(end).await;
     log::info!("event=J120 leadership gained generation={generation} epoch={epoch} position={end}");
     let started = Instant::now();
+    let mut outlook = OutlookForecaster::new(epoch);
     loop {
         let round_started = Instant::now();
         let mut changes = parts.candidate.freshness.subscribe();
-        let records = decide(parts, &mut planner, progress, started.elapsed());
+        let records =
+            decide(parts, &mut planner, progress, started.elapsed(), |planner, inputs| {
+                outlook
+                    .update(planner, inputs, board.is_store_steady())
+                    .into_iter()
+                    .for_each(|new| board.post(new));
+            });
         let took = round_started.elapsed();
         metrics().round_seconds.observe(took.as_secs_f64());
         let interval = MIN_ROUND_INTERVAL.max(took * ROUND_INTERVAL_FACTOR);
@@ -166,6 +178,7 @@
     planner: &mut Planner,
     progress: &RefCell<ProgressTable>,
     now: Duration,
+    after_round: impl FnOnce(&Planner, &RoundInputs<'_>),
 ) -> Vec<KeyedRecord> {
     let table = parts.table.borrow();
     metrics().active_jobs.set(table.active.len() as i64);
@@ -173,7 +186,7 @@
     let routing = parts.routing.get().unwrap_or_default();
     let orders_freshness = &parts.routing.freshness;
     let drained = parts.routing.drains.view(orders_freshness.position());
-    planner.round(&RoundInputs {
+    let inputs = RoundInputs {
         table: &table,
         routing: &routing,
         drained: &drained,
@@ -181,7 +194,10 @@
         progress: &progress,
         now,
         wall: (parts.wall_clock)(),
-    })
+    };
+    let records = planner.round(&inputs);
+    after_round(planner, &inputs);
+    records
 }
 
 /// Returns an epoch that is higher than all that were seen and that no other process uses.
--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -13,6 +13,7 @@
 //! Suggested reading order: [`job`], [`plan`], [`record`], [`parts`], [`table`], then [`planner`]
 //! and [`agent`].
 
+pub mod admission;
 pub mod agent;
 pub mod candidacy;
 pub mod clock;
@@ -27,6 +28,7 @@
 pub mod leader;
 pub mod losses;
 pub mod metrics;
+pub mod outlook;
 pub mod parts;
 pub mod plan;
 pub mod planner;
--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -61,6 +61,13 @@
     pub outcome: &'static str,
 }
 
+/// A label that says why a job was refused.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// The reason.
+    pub reason: &'static str,
+}
+
 /// The metrics of a process.
 pub struct Metrics {
     registry: Registry,
@@ -84,6 +91,8 @@
     pub drained_domains: Gauge,
     /// Jobs for which runs were stopped, by what came of them, at the leader.
     pub stops: Family<OutcomeLabel, Counter>,
+    /// Jobs that were refused by the leader's outlook, by reason.
+    pub refusals: Family<ReasonLabel, Counter>,
     /// Workers that are kept idle for urgent work, at the leader.
     pub reserved_workers: Gauge,
     /// Time that a round of the planner takes, at the leader.
@@ -117,6 +126,7 @@
             active_jobs: Gauge::default(),
             drained_domains: Gauge::default(),
             stops: Family::default(),
+            refusals: Family::default(),
             reserved_workers: Gauge::default(),
             round_seconds: histogram(),
             workers_searched: Counter::default(),
@@ -165,6 +175,8 @@
         let drained = self.drained_domains.clone();
         registry.register("drained_domains", "Failure domains that get nothing more", drained);
         registry.register("stops", "Jobs that runs were stopped for", self.stops.clone());
+        let refusals = self.refusals.clone();
+        registry.register("refusals", "Jobs refused by the outlook", refusals);
         let reserved = self.reserved_workers.clone();
         registry.register("reserved_workers", "Workers kept idle for urgent work", reserved);
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
@@ -180,6 +192,11 @@
         self.stops.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a job that was refused by the leader's outlook.
+    pub fn count_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts an order.
     pub fn count_order(&self, kind: &'static str) {
         self.orders.get_or_create(&KindLabel { kind }).inc();
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -27,6 +27,7 @@
 mod progress;
 mod queue;
 mod rack;
+pub mod room_forecast;
 mod running;
 mod settle;
 mod speed;
--- a/crates/rampbay-jobs/src/planner/completion.rs
+++ b/crates/rampbay-jobs/src/planner/completion.rs
@@ -23,6 +23,8 @@
 
 use tokio::time::Instant;
 
+use crate::job::QueueName;
+
 use super::forecast::Forecasts;
 use super::speed::SpeedTracker;
 use super::{Planner, PlannerSettings, RoundInputs};
@@ -170,6 +172,13 @@
     }
 }
 
+impl CompletionState {
+    /// Returns how wrong forecasts of a queue are; `of_estimates` is the deviation of its callers' estimates.
+    pub(super) fn spread_of(&self, queue: &QueueName, of_estimates: f64) -> Spread {
+        self.spreads.of_forecasts(queue, of_estimates)
+    }
+}
+
 impl Planner {
     /// Returns the estimate of completion for a round.
     #[must_use]
--- a/crates/rampbay-jobs/src/planner/completion/room.rs
+++ b/crates/rampbay-jobs/src/planner/completion/room.rs
@@ -216,6 +216,19 @@
         Search::new(self, fleet, need, scope).run(Bound::Early, count).map(|at| at.time.early_ms)
     }
 
+    /// Lists when each run of the fleet ends by itself, in the fleet's order: the expected time and the early end of its
+    /// range, in milliseconds; `None` where it isn't known to end.
+    #[must_use]
+    pub fn run_ends(&self, fleet: &FleetState) -> Vec<(Option<u64>, Option<u64>)> {
+        let ends = self.ends(fleet);
+        let of_unit = |unit: &EndingUnit| {
+            (ends.end_ms(unit, Bound::Expected), ends.end_ms(unit, Bound::Early))
+        };
+        let of_units: Vec<_> = ends.units.iter().map(of_unit).collect();
+        let runs = ends.runs.iter().take(fleet.running.len());
+        runs.map(|run| of_units[run.unit as usize]).collect()
+    }
+
     /// Takes into account that this round stops a unit: a gang, or a single run. `unit` is one of its tasks.
     pub fn note_stopped(&mut self, fleet: &FleetState, unit: &TaskId) {
         self.ends(fleet);
--- a/crates/rampbay-jobs/src/planner/forecast.rs
+++ b/crates/rampbay-jobs/src/planner/forecast.rs
@@ -59,6 +59,13 @@
         (queue.own_weight * own + (1.0 - queue.own_weight) * queue.mean_log).exp() as u64
     }
 
+    /// Returns the mean estimate of a queue in milliseconds, and the standard deviation of the logarithms of its
+    /// estimates; `None` if too few are known.
+    pub fn of_queue(&self, queue: &QueueName) -> Option<(u64, f64)> {
+        let known = self.queues.get(queue)?;
+        Some((known.mean_log.exp() as u64, known.deviation))
+    }
+
     /// Returns the standard deviation of the logarithms of the estimates of a job's queue; 0 if too few are known.
     pub fn deviation(&self, submission: &Submission) -> f64 {
         self.queues.get(&submission.queue).map_or(0.0, |queue| queue.deviation)
--- a/crates/rampbay-jobs/src/planner/policy.rs
+++ b/crates/rampbay-jobs/src/planner/policy.rs
@@ -34,6 +34,11 @@
     /// Returns its name, as in the setting `placement`.
     fn name(&self) -> &'static str;
 
+    /// Returns whether the leader writes an outlook, by which entries refuse jobs that certainly can't be served.
+    fn publishes_outlook(&self) -> bool {
+        false
+    }
+
     /// Tells the policy of a round before any of the other methods is called in it.
     fn begin_round(&mut self, start: &RoundStart<'_>);
 
--- a/crates/rampbay-jobs/src/planner/policy/by_completion.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion.rs
@@ -79,6 +79,10 @@
         "by_completion"
     }
 
+    fn publishes_outlook(&self) -> bool {
+        true
+    }
+
     fn begin_round(&mut self, start: &RoundStart<'_>) {
         self.preemptions.update(start);
         self.outcomes.update(start);
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -8,6 +8,8 @@
 use crate::follower::{Pace, Sink, apply_record, follow};
 use crate::freshness::Freshness;
 use crate::job::NodeName;
+use crate::outlook::OUTLOOK_KEY;
+use crate::outlook::received::ReceivedOutlook;
 use crate::planner::ProgressTable;
 use crate::recipients::AddressedRecord;
 use crate::record::{KeyedRecord, Member, PROGRESS_TOPIC, Record, STATE_TOPIC};
@@ -27,28 +29,51 @@
     /// The agent that this table belongs to, which receives only records that concern its worker;
     /// `None` if the table is complete.
     pub agent: Option<NodeName>,
+    /// Age of the leader's outlook in the table.
+    pub outlook: Rc<ReceivedOutlook>,
 }
 
 struct TableSink {
     table: Rc<RefCell<JobTable>>,
     agent: Option<NodeName>,
+    freshness: Rc<Freshness>,
+    outlook: Rc<ReceivedOutlook>,
+}
+
+impl TableSink {
+    /// Calls `apply`, and notes the arrival of an outlook that the record brought.
+    fn note_outlook<T>(&self, record: &KeyedRecord, apply: impl FnOnce(&mut JobTable) -> T) -> T {
+        let mut table = self.table.borrow_mut();
+        let version = |table: &JobTable| table.outlook.as_ref().map(|known| known.version());
+        let before = version(&table);
+        let applied = apply(&mut table);
+        if record.key == OUTLOOK_KEY
+            && before != version(&table)
+            && let Some(outlook) = &table.outlook
+        {
+            self.outlook.note(outlook, self.freshness.age());
+        }
+        applied
+    }
 }
 
 impl Sink for TableSink {
     fn reset(&mut self) {
+        self.outlook.forget();
         *self.table.borrow_mut() = JobTable::default();
     }
 
     fn load(&mut self, records: &[KeyedRecord]) {
+        self.outlook.forget();
         self.table.borrow_mut().load(records);
     }
 
     fn apply(&mut self, record: &KeyedRecord) {
-        self.table.borrow_mut().apply(record);
+        self.note_outlook(record, |table| table.apply(record));
     }
 
     fn apply_and_address(&mut self, record: &KeyedRecord) -> AddressedRecord {
-        self.table.borrow_mut().apply_and_address(record)
+        self.note_outlook(record, |table| table.apply_and_address(record))
     }
 
     fn has_gap(&self) -> bool {
@@ -64,7 +89,12 @@
     }
 
     fn sink(&self) -> TableSink {
-        TableSink { table: Rc::clone(&self.table), agent: self.agent.clone() }
+        TableSink {
+            table: Rc::clone(&self.table),
+            agent: self.agent.clone(),
+            freshness: Rc::clone(&self.freshness),
+            outlook: Rc::clone(&self.outlook),
+        }
     }
 
     /// Returns the newest record of each key to pass on: all of them, or those that an agent needs
--- a/crates/rampbay-jobs/src/recipients.rs
+++ b/crates/rampbay-jobs/src/recipients.rs
@@ -9,6 +9,7 @@
 
 use crate::job::{NodeName, TaskId};
 use crate::keys::{plan_job, plan_key, split_unanswered_name, split_worker_key};
+use crate::outlook::OUTLOOK_KEY;
 use crate::parts::tasks_from;
 use crate::plan::JobPlan;
 use crate::record::{KeyedRecord, Member, Record};
@@ -166,6 +167,10 @@
 
     /// Returns the agents that the current value of a key concerns; `None` for all processes.
     fn concerned(&self, key: &str) -> Option<Concerned> {
+        if key == OUTLOOK_KEY {
+            // Only entries use it.
+            return Some(Concerned::default());
+        }
         let (kind, name) = key.split_once('/')?;
         let mut concerned = Concerned::default();
         match kind {
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -12,6 +12,7 @@
     split_number, unanswered_key, worker_key,
 };
 use crate::losses::{IncarnationEnd, JobLosses};
+use crate::outlook::{OUTLOOK_KEY, Outlook};
 use crate::plan::{JobPlan, TaskPlan};
 use crate::registrations::RegistrationNumber;
 
@@ -149,6 +150,8 @@
     Part(TaskId, Vec<TaskPlan>),
     /// A start got no answer; the planner removes the record once the start can't be carried out any more.
     Unanswered(Box<UnansweredStart>),
+    /// What the leader expects of the fleet.
+    Outlook(Box<Outlook>),
 }
 
 /// The process that leads, and runs the planner.
@@ -281,6 +284,7 @@
             Self::Losses(job, _) => losses_key(job),
             Self::Part(first, _) => part_key(first),
             Self::Unanswered(start) => unanswered_key(&start.task, start.attempt),
+            Self::Outlook(_) => OUTLOOK_KEY.to_owned(),
         }
     }
 
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -8,6 +8,7 @@
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
 use crate::keys::{eviction_key, split_refusal_key, split_unanswered_name, split_worker_key};
 use crate::losses::{IncarnationEnd, JobLosses};
+use crate::outlook::Outlook;
 use crate::parts::{PlanLayout, merge_head, merge_part};
 use crate::plan::{JobPlan, JobStatus, TaskPlan, TaskStatus};
 use crate::record::{
@@ -84,6 +85,8 @@
     pub losses: BTreeMap<JobId, Rc<JobLosses>>,
     /// Starts that got no answer and may still be carried out, by task and attempt.
     pub unanswered: BTreeMap<TaskId, BTreeMap<u32, Rc<UnansweredStart>>>,
+    /// What the leader expects of the fleet, in its newest outlook.
+    pub outlook: Option<Rc<Outlook>>,
     /// All registrations, including those that newer ones have replaced.
     registrations: Registrations,
     /// Agents of all workers that have been registered since the state was last read in full, also of workers that are
@@ -172,6 +175,12 @@
                 self.members.insert(member.node.clone(), member);
                 self.bump_membership_version();
             }
+            Record::Outlook(outlook) => {
+                // A copy of an older one may be carried out late.
+                if self.outlook.as_ref().is_none_or(|known| known.version() < outlook.version()) {
+                    self.outlook = Some(Rc::new(*outlook));
+                }
+            }
             Record::Drained(drained) => {
                 if drained.read_to >= self.drained.read_to {
                     self.drained = drained;
--- a/crates/rampbay-jobs/tests/support/intake.rs
+++ b/crates/rampbay-jobs/tests/support/intake.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rampbay_jobs::admission::gate::AdmissionGate;
 use rampbay_jobs::follower::Pace;
 use rampbay_jobs::intake::{Admission, CallTarget, CurrentRouting, Intake, IntakeLimits, Refusal};
 use rampbay_jobs::job::Submission;
@@ -63,7 +64,8 @@
             Rc::clone(&live.freshness),
             Rc::clone(&routing),
             limits,
-        );
+        )
+        .with_gate(AdmissionGate::new(&live));
         Self { store, live, routing, intake }
     }
 
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -7,7 +7,7 @@
 use rampbay_jobs::follower::{Pace, Sink, follow};
 use rampbay_jobs::intake::CurrentRouting;
 use rampbay_jobs::leader::{self, LeaderParts};
-use rampbay_jobs::planner::Planner;
+use rampbay_jobs::planner::{Placement, Planner, PlannerSettings};
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::Store;
@@ -52,6 +52,17 @@
     node: &str,
     salt: u64,
     preferred_leaders: Option<Rc<dyn PreferredLeaders>>,
+) -> JoinHandle<()> {
+    start_leader_with(store, node, salt, preferred_leaders, Placement::Auto)
+}
+
+/// Starts a process that places work by a policy while it leads.
+pub fn start_leader_with(
+    store: &Rc<MemoryStore>,
+    node: &str,
+    salt: u64,
+    preferred_leaders: Option<Rc<dyn PreferredLeaders>>,
+    placement: Placement,
 ) -> JoinHandle<()> {
     let shared: Rc<dyn Store> = store.clone();
     let live = LiveTable::default();
@@ -81,5 +92,7 @@
         progress_pace: pace,
         wall_clock: super::virtual_wall_clock,
     };
-    tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
+    tokio::task::spawn_local(leader::run(parts, move || {
+        Planner::new(PlannerSettings { placement, ..settings().planner() })
+    }))
 }
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod intake;
 pub mod leader;
+pub mod outlook;
 pub mod planner;
 pub mod property;
 pub mod site;
