--- a/crates/rampbay-jobs/src/admission/gate.rs
+++ b/crates/rampbay-jobs/src/admission/gate.rs
@@ -2,8 +2,8 @@
 //!
 //! A refused job must never run, also if an earlier attempt of it got no answer. The record of such an attempt may still
 //! be on its way to the store, so an entry refuses only while it has no sign of that: it has not sent the job itself, its
-//! view has been current without a break for longer than a late call takes, none of its own appends went unanswered in
-//! that time, and the view, as of a moment after the call arrived, doesn't show the job. The outlook itself is withheld
+//! view has been current without a break for longer than a late call takes, none of its own appends went unanswered or
+//! was slow in that time, and the view, as of a moment after the call arrived, doesn't show the job. The outlook itself is withheld
 //! while the leader finds the store slow. docs/design/hard-load.md names the case that remains.
 
 use std::cell::{Cell, RefCell};
@@ -15,6 +15,7 @@
 use crate::clock::Moment;
 use crate::freshness::Freshness;
 use crate::job::{EpochMillis, JobId, Submission};
+use crate::outlook::board::SLOW_APPEND;
 use crate::outlook::received::ReceivedOutlook;
 use crate::process::LiveTable;
 use crate::table::JobTable;
@@ -51,7 +52,8 @@
     freshness: Rc<Freshness>,
     outlook: Rc<ReceivedOutlook>,
     sent: RefCell<SentJobs>,
-    unanswered_at: Cell<Option<Moment>>,
+    /// When an append of this entry last went unanswered, or was slow.
+    trouble_at: Cell<Option<Moment>>,
 }
 
 impl AdmissionGate {
@@ -63,7 +65,7 @@
             freshness: Rc::clone(&live.freshness),
             outlook: Rc::clone(&live.outlook),
             sent: RefCell::default(),
-            unanswered_at: Cell::new(None),
+            trouble_at: Cell::new(None),
         }
     }
 
@@ -72,9 +74,11 @@
         self.sent.borrow_mut().note(job);
     }
 
-    /// Records that the store hasn't answered an append.
-    pub fn note_unanswered(&self) {
-        self.unanswered_at.set(Some(Moment::now()));
+    /// Takes note of an append of a job: whether the store may have it without having answered, and how long it took.
+    pub fn note_append(&self, is_unanswered: bool, took: Duration) {
+        if is_unanswered || took >= SLOW_APPEND {
+            self.trouble_at.set(Some(Moment::now()));
+        }
     }
 
     /// Returns why a job is refused, if it is; `now` is the time of day. The table doesn't hold the job.
@@ -100,7 +104,7 @@
     fn is_certainly_unsent(&self, job: &JobId) -> bool {
         let is_long = |time: Duration| time >= SETTLE_TIME;
         self.freshness.current_for().is_some_and(is_long)
-            && self.unanswered_at.get().is_none_or(|at| is_long(at.elapsed()))
+            && self.trouble_at.get().is_none_or(|at| is_long(at.elapsed()))
             && self.sent.borrow_mut().is_not_sent(job)
     }
 
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -280,16 +280,16 @@
             if self.is_known(&submission.id) {
                 return Ok(());
             }
-            let refusal = gate.refusal(&submission, submission.submitted_at);
+            let waited_ms = asked.elapsed().as_millis() as u64;
+            let refusal = gate.refusal(&submission, submission.submitted_at + waited_ms);
             if let Some(refusal) = refusal.filter(|_| is_current) {
                 return Err(report_refusal(&submission.id, &refusal));
             }
         }
         gate.note_sent(&submission.id);
+        let sent = Instant::now();
         let stored = self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
-        if stored == Err(Refusal::Unknown) {
-            gate.note_unanswered();
-        }
+        gate.note_append(stored == Err(Refusal::Unknown), sent.elapsed());
         stored
     }
 
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -159,11 +159,12 @@
                     .for_each(|new| board.post(new));
             });
         let took = round_started.elapsed();
-        metrics().round_seconds.observe(took.as_secs_f64());
         let interval = MIN_ROUND_INTERVAL.max(took * ROUND_INTERVAL_FACTOR);
         let idle = records.is_empty();
         for group in split_into_appends(&records) {
+            let sent = Instant::now();
             let end = writer.append(group).await?;
+            board.note_append(sent.elapsed());
             parts.candidate.freshness.reach(end).await;
         }
         if idle {
@@ -195,7 +196,9 @@
         now,
         wall: (parts.wall_clock)(),
     };
+    let round_started = Instant::now();
     let records = planner.round(&inputs);
+    metrics().round_seconds.observe(round_started.elapsed().as_secs_f64());
     after_round(planner, &inputs);
     records
 }
--- a/crates/rampbay-jobs/src/outlook.rs
+++ b/crates/rampbay-jobs/src/outlook.rs
@@ -161,12 +161,9 @@
     /// compared, so the time may be too early but never too late; 0 for tasks without accelerators.
     #[must_use]
     pub fn no_room_until_ms(&self, devices: u64, count: u64) -> u64 {
-        let fits_at = first_fit(&self.early, devices, count);
-        match fits_at {
-            Some(0) => 0,
-            Some(horizon) => HORIZONS_MS[horizon - 1],
-            None => self.early.len().checked_sub(1).map_or(0, |last| HORIZONS_MS[last]),
-        }
+        let known = self.early.len().min(HORIZONS_MS.len());
+        let fits_at = first_fit(&self.early, devices, count).unwrap_or(known);
+        fits_at.checked_sub(1).map_or(0, |last_without| HORIZONS_MS[last_without])
     }
 
     /// Returns the time, in milliseconds from the outlook on, at which `count` tasks of `devices` accelerators each are
--- a/crates/rampbay-jobs/src/outlook/board.rs
+++ b/crates/rampbay-jobs/src/outlook/board.rs
@@ -17,7 +17,7 @@
 
 /// Time of an append from which the store counts as slow. A caller's call waits 1.3 s: an append that takes less is
 /// answered within it, so that no caller returns while its record is still on its way.
-const SLOW_APPEND: Duration = Duration::from_millis(400);
+pub const SLOW_APPEND: Duration = Duration::from_millis(400);
 /// Time without a slow or failed append from which the store counts as steady. The latest call that was seen to be
 /// carried out without an answer came after 12 s.
 const STEADY_AFTER: Duration = Duration::from_secs(15);
@@ -43,7 +43,14 @@
         self.newest.send_replace(Some(outlook));
     }
 
-    /// Returns whether all appends of outlooks have lately been answered at once.
+    /// Takes note of the time that an append of the leader took until it was answered.
+    pub fn note_append(&self, took: Duration) {
+        if took >= SLOW_APPEND {
+            self.trouble_at.set(Some(Instant::now()));
+        }
+    }
+
+    /// Returns whether all appends have lately been answered at once.
     #[must_use]
     pub fn is_store_steady(&self) -> bool {
         self.trouble_at.get().is_none_or(|at| at.elapsed() >= STEADY_AFTER)
@@ -77,9 +84,8 @@
         let append = store.append(STATE_TOPIC, &records, None);
         let is_stored =
             tokio::time::timeout(MIN_INTERVAL, append).await.is_ok_and(|outcome| outcome.is_ok());
-        if !is_stored || sent.elapsed() >= SLOW_APPEND {
-            self.trouble_at.set(Some(Instant::now()));
-        }
+        // One that was refused is as bad as one without an answer.
+        self.note_append(if is_stored { sent.elapsed() } else { MIN_INTERVAL });
         is_stored
     }
 }
--- a/crates/rampbay-jobs/src/outlook/forecaster.rs
+++ b/crates/rampbay-jobs/src/outlook/forecaster.rs
@@ -13,10 +13,10 @@
 
 /// Shortest time between two outlooks.
 pub const MIN_INTERVAL: Duration = Duration::from_secs(2);
-/// Longest time between two outlooks that describe a service: one may be lost without that entries' knowledge becomes
-/// too old.
+/// Longest time between two outlooks: one may be lost without that entries' knowledge becomes too old. Those that describe
+/// nothing are repeated as well, since their appends show whether the store answers at once.
 pub const MAX_INTERVAL: Duration = Duration::from_secs(3);
-/// Time between two looks at the fleet. A forecast takes a fraction of a round, so it isn't made in each.
+/// Time between two looks at the fleet. A forecast takes as long as a round, so it isn't made in each.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Part of the accelerators of a service, as a divisor, by which the room must change at a horizon before the change
 /// counts as material: a twentieth. What changes less is in the next outlook, a second later at most.
@@ -64,7 +64,7 @@
         }
         let knows_fleet = now >= FLEET_MEMORY && is_store_steady;
         let services = if knows_fleet { self.services(planner, inputs) } else { Vec::new() };
-        let is_refresh = !services.is_empty() && age + CHECK_INTERVAL >= MAX_INTERVAL;
+        let is_refresh = age + CHECK_INTERVAL >= MAX_INTERVAL;
         let guaranteed = guaranteed_workspaces(inputs);
         let is_material = has_changed(&last.services, &services)
             || (!services.is_empty() && last.guaranteed != guaranteed);
--- a/crates/rampbay-jobs/src/planner/room_forecast.rs
+++ b/crates/rampbay-jobs/src/planner/room_forecast.rs
@@ -11,6 +11,9 @@
 use crate::routing::Queue;
 
 use super::completion::spread::Spread;
+use super::draft::Draft;
+use super::fleet_state::FleetState;
+use super::workers::WorkerViews;
 use super::{Planner, RoundInputs};
 
 /// Factor of a spread in thousandths.
@@ -44,16 +47,18 @@
     #[must_use]
     pub fn room_forecast(&self, inputs: &RoundInputs<'_>) -> RoomForecast {
         let mut forecast = RoomForecast::default();
-        let view = self.completion_view(inputs);
-        let mut indices = Vec::with_capacity(view.fleet.workers.len());
-        for worker in &view.fleet.workers {
+        let draft = Draft::new(inputs.table);
+        let workers = WorkerViews::new(inputs, &self.known_since);
+        let fleet = FleetState::new(self, &draft, &workers, inputs);
+        let mut indices = Vec::with_capacity(fleet.workers.len());
+        for worker in &fleet.workers {
             let service = forecast.services.entry(worker.record.service.clone()).or_default();
             indices.push(service.capacities.len());
             service.capacities.push(worker.record.capacity.devices);
         }
-        let ends = view.completion.run_ends(&view.fleet);
-        for (run, (end_ms, early_end_ms)) in view.fleet.running.iter().zip(ends) {
-            let service = &view.fleet.workers[run.place].record.service;
+        let ends = self.completion(inputs).run_ends(&fleet);
+        for (run, (end_ms, early_end_ms)) in fleet.running.iter().zip(ends) {
+            let service = &fleet.workers[run.place].record.service;
             let Some(service) = forecast.services.get_mut(service) else { continue };
             service.runs.push(HeldDevices {
                 worker: indices[run.place],
--- a/crates/rampbay-jobs/tests/admission.rs
+++ b/crates/rampbay-jobs/tests/admission.rs
@@ -257,6 +257,21 @@
         prop_assert!(earliest.is_none_or(|earliest| known <= earliest), "{known} {earliest:?}");
     }
 
+    /// A later release may know more or fewer horizons; no outlook ends the process of an entry.
+    #[test]
+    fn any_number_of_horizons_read(
+        early in prop::collection::vec(any::<Slots>(), 0..40),
+        expected in prop::collection::vec(any::<Slots>(), 0..40),
+        (devices, count) in (0_u64..20, 0_u32..u32::MAX),
+    ) {
+        let is_empty = early.is_empty();
+        let forecast = forecast(early, expected);
+        let wait_ms = forecast.no_room_until_ms(devices, u64::from(count));
+        prop_assert!(wait_ms <= HORIZONS_MS[HORIZONS_MS.len() - 1]);
+        prop_assert!(!is_empty || wait_ms == 0, "nothing is known");
+        let _ = forecast.expected_room_ms(devices, u64::from(count));
+    }
+
     /// Whatever else the outlook says, a job that fits the idle fleet and has time is accepted when there is room now.
     #[test]
     fn room_now_admitted(
