fix: two calls for one job at an entry are never refused while either may store it

A call that the outlook speaks against waits for a view as of its arrival. A caller that gave up in that time and came back to the same entry could be refused although the first call stored the job a moment later. Calls are now counted for each job while they are under way, and a job with more than one isn't refused.

--- a/crates/rampbay-jobs/src/admission/gate.rs
+++ b/crates/rampbay-jobs/src/admission/gate.rs
@@ -1,12 +1,13 @@
 //! Refuses jobs at an entry, where the refusal is certainly true.
 //!
 //! A refused job must never run, also if an earlier attempt of it got no answer. The record of such an attempt may still
-//! be on its way to the store, so an entry refuses only while it has no sign of that: it has not sent the job itself, its
+//! be on its way to the store, so an entry refuses only while it has no sign of that: it has not sent the job itself and isn't about to, its
 //! view has been current without a break for longer than a late call takes, none of its own appends went unanswered or
 //! was slow in that time, and the view, as of a moment after the call arrived, doesn't show the job. The outlook itself is withheld
 //! while the leader finds the store slow. docs/design/hard-load.md names the case that remains.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -52,6 +53,8 @@
     freshness: Rc<Freshness>,
     outlook: Rc<ReceivedOutlook>,
     sent: RefCell<SentJobs>,
+    /// Number of calls under way for each job.
+    calls: RefCell<BTreeMap<JobId, usize>>,
     /// When an append of this entry last went unanswered, or was slow.
     trouble_at: Cell<Option<Moment>>,
 }
@@ -65,10 +68,19 @@
             freshness: Rc::clone(&live.freshness),
             outlook: Rc::clone(&live.outlook),
             sent: RefCell::default(),
+            calls: RefCell::default(),
             trouble_at: Cell::new(None),
         }
     }
 
+    /// Counts a call that submits a job, until the guard is dropped. While there is another one for the same job, which
+    /// may yet send it, neither is refused.
+    #[must_use]
+    pub fn enter(&self, job: &JobId) -> SubmitCall<'_> {
+        *self.calls.borrow_mut().entry(job.clone()).or_default() += 1;
+        SubmitCall { gate: self, job: job.clone() }
+    }
+
     /// Records that a job's record is about to be sent to the store.
     pub fn note_sent(&self, job: &JobId) {
         self.sent.borrow_mut().note(job);
@@ -106,6 +118,7 @@
         self.freshness.current_for().is_some_and(is_long)
             && self.trouble_at.get().is_none_or(|at| is_long(at.elapsed()))
             && self.sent.borrow_mut().is_not_sent(job)
+            && self.calls.borrow().get(job).is_none_or(|calls| *calls <= 1)
     }
 
     /// Waits until the table holds all that the store had acknowledged at a moment, but not so long that a call that may
@@ -122,3 +135,21 @@
         true
     }
 }
+
+/// A call that submits a job; it counts until it is dropped.
+pub struct SubmitCall<'a> {
+    gate: &'a AdmissionGate,
+    job: JobId,
+}
+
+impl Drop for SubmitCall<'_> {
+    fn drop(&mut self) {
+        let mut calls = self.gate.calls.borrow_mut();
+        if let Some(count) = calls.get_mut(&self.job) {
+            *count -= 1;
+            if *count == 0 {
+                calls.remove(&self.job);
+            }
+        }
+    }
+}
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -273,6 +273,7 @@
         let Some(gate) = &self.gate else {
             return self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
         };
+        let _call = gate.enter(&submission.id);
         let asked = Moment::now();
         if gate.refusal(&submission, submission.submitted_at).is_some() {
             let is_current = self.confirm_view(gate, asked, budget).await;
--- a/crates/rampbay-jobs/tests/admission_gate.rs
+++ b/crates/rampbay-jobs/tests/admission_gate.rs
@@ -240,6 +240,29 @@
     });
 }
 
+/// A caller that got no answer submits the job again while its first call is still under way, which may yet store the job:
+/// neither call may be told that the job never runs.
+#[test]
+fn job_submitted_twice_at_once_accepted() {
+    run_in_virtual_time(async {
+        let rig = Rig::settled().await;
+        let (first, second) = tokio::join!(rig.refuses(), rig.refuses());
+        assert!(!first && !second);
+        assert!(is_stored(&rig.intake));
+    });
+}
+
+/// The call before has ended, also if its caller has hung up: it stores nothing any more.
+#[test]
+fn job_of_abandoned_call_refused() {
+    run_in_virtual_time(async {
+        let rig = Rig::settled().await;
+        let abandoned = tokio::time::timeout(Duration::from_millis(1), rig.refuses()).await;
+        assert!(abandoned.is_err(), "it waited for a view as of the call");
+        assert!(rig.refuses().await);
+    });
+}
+
 /// An append of this entry went unanswered or was slow: so may one of another entry be, with any job.
 #[rstest]
 #[case::unanswered(true, 0, Err(Refusal::Unknown))]
