--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -11,6 +11,8 @@
 use crate::follower::Pace;
 use crate::intake::CurrentRouting;
 use crate::metrics::metrics;
+use crate::outlook::board::OutlookBoard;
+use crate::outlook::forecaster::OutlookForecaster;
 use crate::planner::{Planner, ProgressTable, RoundInputs};
 use crate::process::follow_progress;
 use crate::record::{KeyedRecord, Leader, Record, STATE_TOPIC};
@@ -117,8 +119,9 @@
     let progress = Rc::new(RefCell::new(ProgressTable::default()));
     let followed = Rc::clone(&progress);
     let follow = follow_progress(Rc::clone(&parts.candidate.store), followed, parts.progress_pace);
+    let board = OutlookBoard::default();
     let lead = async {
-        match try_lead(parts, generation, planner, &progress).await {
+        match try_lead(parts, generation, planner, &progress, &board).await {
             Err(deposed) => deposed,
             Ok(never) => match never {},
         }
@@ -126,6 +129,7 @@
     tokio::select! {
         deposed = lead => deposed,
         () = follow => Deposed,
+        () = board.publish_forever(parts.candidate.store.as_ref()) => Deposed,
     }
 }
 
@@ -134,6 +138,7 @@
     generation: u64,
     mut planner: Planner,
     progress: &RefCell<ProgressTable>,
+    board: &OutlookBoard,
 ) -> Result<std::convert::Infallible, Deposed> {
     // The new epoch must be higher than the last leader's, which is known once the state is read.
     parts.candidate.freshness.first_read().await;
@@ -146,16 +151,22 @@
     log::info!("event=J120 leadership gained generation={generation} epoch={epoch} position={end}");
     let started = Instant::now();
     let mut waves = WaveService::new(parts.upkeep.as_ref(), epoch);
+    let mut outlook = OutlookForecaster::new(epoch);
     loop {
         let round_started = Instant::now();
         let mut changes = parts.candidate.freshness.subscribe();
-        let records = decide(parts, &mut planner, &mut waves, progress, started.elapsed());
+        let publish = |planner: &Planner, inputs: &RoundInputs<'_>| {
+            let new = outlook.update(planner, inputs, board.is_store_steady());
+            new.into_iter().for_each(|new| board.post(new));
+        };
+        let records = decide(parts, &mut planner, &mut waves, progress, started.elapsed(), publish);
         let took = round_started.elapsed();
-        metrics().round_seconds.observe(took.as_secs_f64());
         let interval = MIN_ROUND_INTERVAL.max(took * ROUND_INTERVAL_FACTOR);
         let idle = records.is_empty();
         for group in split_into_appends(&records) {
+            let sent = Instant::now();
             let end = writer.append(group).await?;
+            board.note_append(sent.elapsed());
             parts.candidate.freshness.reach(end).await;
         }
         if idle {
@@ -171,6 +182,7 @@
     waves: &mut WaveService,
     progress: &RefCell<ProgressTable>,
     now: Duration,
+    after_round: impl FnOnce(&Planner, &RoundInputs<'_>),
 ) -> Vec<KeyedRecord> {
     let table = parts.table.borrow();
     metrics().active_jobs.set(table.active.len() as i64);
@@ -191,7 +203,11 @@
     };
     let kept = waves.round(planner, &inputs, &parts.candidate.freshness, orders_freshness);
     let upkeep = waves.drains();
-    let mut records = planner.round(&RoundInputs { upkeep: &upkeep, ..inputs });
+    let inputs = RoundInputs { upkeep: &upkeep, ..inputs };
+    let round_started = Instant::now();
+    let mut records = planner.round(&inputs);
+    metrics().round_seconds.observe(round_started.elapsed().as_secs_f64());
+    after_round(planner, &inputs);
     records.extend(kept);
     records
 }
--- a/crates/rampbay-jobs/src/planner/completion.rs
+++ b/crates/rampbay-jobs/src/planner/completion.rs
@@ -188,6 +188,13 @@
     }
 }
 
+impl CompletionState {
+    /// Returns how wrong forecasts of a queue are; `of_estimates` is the deviation of its callers' estimates.
+    pub(super) fn spread_of(&self, queue: &QueueName, of_estimates: f64) -> Spread {
+        self.spreads.of_forecasts(queue, of_estimates)
+    }
+}
+
 impl Planner {
     /// Returns the estimate of completion for a round.
     #[must_use]
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -12,6 +12,7 @@
     split_number, unanswered_key, upkeep_key, worker_key,
 };
 use crate::losses::{IncarnationEnd, JobLosses};
+use crate::outlook::{OUTLOOK_KEY, Outlook};
 use crate::plan::{JobPlan, TaskPlan};
 use crate::registrations::RegistrationNumber;
 use crate::upkeep::record::WaveProgress;
@@ -152,6 +153,8 @@
     Unanswered(Box<UnansweredStart>),
     /// What has been done of a wave of machine maintenance.
     Upkeep(Box<WaveProgress>),
+    /// What the leader expects of the fleet.
+    Outlook(Box<Outlook>),
 }
 
 /// The process that leads, and runs the planner.
@@ -285,6 +288,7 @@
             Self::Part(first, _) => part_key(first),
             Self::Unanswered(start) => unanswered_key(&start.task, start.attempt),
             Self::Upkeep(progress) => upkeep_key(progress.wave),
+            Self::Outlook(_) => OUTLOOK_KEY.to_owned(),
         }
     }
 
--- a/crates/rampbay-jobs/tests/support/leader.rs
+++ b/crates/rampbay-jobs/tests/support/leader.rs
@@ -7,7 +7,7 @@
 use rampbay_jobs::follower::{Pace, Sink, follow};
 use rampbay_jobs::intake::CurrentRouting;
 use rampbay_jobs::leader::{self, LeaderParts};
-use rampbay_jobs::planner::Planner;
+use rampbay_jobs::planner::{Placement, Planner, PlannerSettings};
 use rampbay_jobs::process::LiveTable;
 use rampbay_jobs::record::KeyedRecord;
 use rampbay_jobs::store::Store;
@@ -54,16 +54,18 @@
     salt: u64,
     preferred_leaders: Option<Rc<dyn PreferredLeaders>>,
 ) -> JoinHandle<()> {
-    start_leader_with_waves(store, node, salt, preferred_leaders, None)
+    let waves = None;
+    start_leader_with(store, node, salt, preferred_leaders, waves, Placement::Auto)
 }
 
-/// Starts such a process that serves waves of machine maintenance.
-pub fn start_leader_with_waves(
+/// Starts a process that serves waves of machine maintenance, and places work by a policy, while it leads.
+pub fn start_leader_with(
     store: &Rc<MemoryStore>,
     node: &str,
     salt: u64,
     preferred_leaders: Option<Rc<dyn PreferredLeaders>>,
     upkeep: Option<UpkeepParts>,
+    placement: Placement,
 ) -> JoinHandle<()> {
     let shared: Rc<dyn Store> = store.clone();
     let live = LiveTable::default();
@@ -94,5 +96,7 @@
         wall_clock: super::virtual_wall_clock,
         upkeep,
     };
-    tokio::task::spawn_local(leader::run(parts, || Planner::new(settings().planner())))
+    tokio::task::spawn_local(leader::run(parts, move || {
+        Planner::new(PlannerSettings { placement, ..settings().planner() })
+    }))
 }
--- a/crates/rampbay-jobs/tests/upkeep_leader.rs
+++ b/crates/rampbay-jobs/tests/upkeep_leader.rs
@@ -7,13 +7,14 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use rampbay_jobs::planner::Placement;
 use rampbay_jobs::record::STATE_TOPIC;
 use rampbay_jobs::store::{AppendError, Fence, Store};
 use rampbay_jobs::upkeep::control::{ControlError, MachineControl, UpkeepOrder};
 use rampbay_jobs::upkeep::driver::UpkeepParts;
 use rampbay_jobs::upkeep::machine::{Machine, WorkerId};
 use rampbay_jobs::upkeep::wave::{CurrentWaves, WaveNumber, WaveStatus};
-use support::leader::start_leader_with_waves;
+use support::leader::start_leader_with;
 use support::store::{MemoryStore, StoreFault};
 use support::upkeep::{Interface, SimMachine, wave};
 use support::{run_in_virtual_time, seed_running_job, table_of, task};
@@ -110,7 +111,7 @@
     let control = Rc::new(Control(Rc::clone(machines)));
     let parts = UpkeepParts { control, waves: Rc::clone(waves) };
     let salt = node.len() as u64;
-    start_leader_with_waves(&machines.store, node, salt, None, Some(parts))
+    start_leader_with(&machines.store, node, salt, None, Some(parts), Placement::Auto)
 }
 
 fn two_machines(store: &Rc<MemoryStore>) -> (Rc<Machines>, Rc<CurrentWaves>) {
