test: shares keep as many jobs in time where workspaces send evenly

Shares that override the order by lateness and work would make jobs late that end in time without them.

--- a/crates/rampbay-jobs/tests/share_load.rs
+++ b/crates/rampbay-jobs/tests/share_load.rs
@@ -244,6 +244,57 @@
     assert!(shares.0 * 100 >= without.0 * 99, "{shares:?} {without:?}");
 }
 
+/// Work of all kinds that six workspaces send evenly, somewhat more than the fleet can do. Returns how many jobs ended
+/// in time, and how many there were.
+fn run_even_load(seed: u64, owners: Owners) -> (usize, usize) {
+    let mut counts = (0, 0);
+    run_in_virtual_time(async {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut fleet = Fleet::with_placement(WORKERS, seed, Placement::ByCompletion);
+        fleet.routing = Routing::default();
+        (fleet.load, fleet.failure_share) = (0.0, 0.0);
+        let mut open: BTreeMap<String, u64> = BTreeMap::new();
+        while fleet.now_ms() < END_MS {
+            if fleet.now_ms() < LOAD_MS * 2 && rng.random_bool(0.1) {
+                let work_ms = rng.random_range(1_000..7_000);
+                let workspace = format!("workspace-{}", rng.random_range(0..6));
+                let devices = [1, 2, 4][rng.random_range(0..3)];
+                let mut next = arrival(&mut rng, 0, &workspace, devices, work_ms);
+                next.submission.steps[0].count = rng.random_range(1..9);
+                next.submission.steps[0].gang = rng.random_bool(0.5);
+                next.submission.priority = rng.random_range(0..3);
+                if owners == Owners::One {
+                    next.submission.workspace = "all".to_owned();
+                }
+                open.insert(next.submission.id.clone(), fleet.now_ms() + work_ms * 3 + 1_000);
+                counts.1 += 1;
+                fleet.submit_job(next.submission, work_ms);
+            }
+            fleet.step().await;
+            let now_ms = fleet.now_ms();
+            let is_over = |id: &str| fleet.table.jobs[id].status().is_final();
+            let over: Vec<String> = open.keys().filter(|id| is_over(id)).cloned().collect();
+            let ends = over.iter().filter_map(|id| open.remove(id));
+            counts.0 += ends.filter(|until_ms| now_ms <= *until_ms).count();
+        }
+    });
+    counts
+}
+
+/// Where workspaces send evenly, shares must not override the order by lateness and work, which keeps most jobs in
+/// time.
+#[test]
+fn even_load_as_much_in_time() {
+    let total = |owners: Owners| {
+        let counts = (1..=SEEDS * 2).map(|seed| run_even_load(seed, owners));
+        counts.fold((0, 0), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1))
+    };
+    let (shares, without) = (total(Owners::Separate), total(Owners::One));
+    println!("in time of all jobs: {shares:?}, without shares {without:?}");
+    assert_eq!(shares.1, without.1);
+    assert!(shares.0 * 100 >= without.0 * 97, "{shares:?} {without:?}");
+}
+
 const SINGLE: &str = "00000000000000bb";
 const BURST: &str = "00000000000000aa";
 const OTHER: &str = "00000000000000cc";
