fix: a single silent worker doesn't end the checks for stragglers

Two workers at least are needed now, and a tenth as before.

Tests: each rule was broken once, to see a test fail. Three weren't noticed: the rank of restarted tasks and the count of moves by a new leader have tests now.

--- a/crates/rampbay-jobs/src/planner/policy/by_completion/stragglers/calm.rs
+++ b/crates/rampbay-jobs/src/planner/policy/by_completion/stragglers/calm.rs
@@ -11,7 +11,8 @@
 
 /// Age of a report from which it is late. Agents report once a second.
 pub const MAX_REPORT_AGE: Duration = Duration::from_millis(2_000);
-/// Part of the workers of which late reports show a fault of the reports rather than of the workers.
+/// Part of the workers of which late reports show a fault of the reports rather than of the workers; a single one never
+/// does.
 const MANY_PART: usize = 10;
 /// Time for which nothing is moved after such a fault: that over which the rate of a run is measured.
 const QUIET_TIME: Duration = Duration::from_secs(3);
@@ -31,7 +32,7 @@
             let report = inputs.progress.report(instance, now);
             !report.has_reported || report.age > MAX_REPORT_AGE
         });
-        if late.count() > workers.len() / MANY_PART {
+        if late.count() > (workers.len() / MANY_PART).max(1) {
             self.disturbed_at = Some(inputs.now);
         }
     }
--- a/crates/rampbay-jobs/tests/completion_packing.rs
+++ b/crates/rampbay-jobs/tests/completion_packing.rs
@@ -8,6 +8,7 @@
 use rampbay_jobs::job::{Step, Submission};
 use rampbay_jobs::plan::TaskStatus;
 use rampbay_jobs::planner::Placement;
+use rampbay_jobs::record::EndReason;
 use rampbay_jobs::routing::Workspace;
 use rstest::rstest;
 use support::planner::{PlannerRig, gang};
@@ -77,6 +78,22 @@
     });
 }
 
+/// A task that starts again is behind the others of its step, and goes to the fastest machine, also if it isn't urgent.
+/// On the slowest one, which such work takes otherwise, it would hold up its step again.
+#[test]
+fn restarted_task_goes_to_fast_machine() {
+    run_in_virtual_time(async {
+        let mut rig = rig_of_workers(3);
+        rig.measure_speeds(&[USUAL, SLOWER, FASTER]).await;
+        rig.submit(Submission { submitted_at: rig.wall, ..job(JOB, 2, step(1, 1)) });
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(JOB, 0)), "i-1");
+        rig.end(&task(JOB, 0), EndReason::Failed);
+        rig.plan();
+        assert_eq!(rig.instance_of(&task(JOB, 0)), "i-2");
+    });
+}
+
 /// A gang that isn't urgent takes slower machines, but not one of them beside faster ones, at whose pace it would hold the
 /// others. Placed by the rank of each worker alone, it took the slow one first, in a rack of its own as well as spread.
 #[rstest]
--- a/crates/rampbay-jobs/tests/completion_stragglers.rs
+++ b/crates/rampbay-jobs/tests/completion_stragglers.rs
@@ -8,10 +8,10 @@
 use rampbay_jobs::job::{Step, Submission, TaskId};
 use rampbay_jobs::plan::{JobStatus, TaskStatus};
 use rampbay_jobs::planner::{Placement, ProgressTable};
-use rampbay_jobs::record::{EndReason, ProgressReport, RunProgress};
+use rampbay_jobs::record::{EndReason, ProgressReport, Record, RunProgress};
 use rstest::rstest;
 use support::planner::{PlannerRig, gang};
-use support::{job, run_in_virtual_time, step, task};
+use support::{job, run_in_virtual_time, running_plan, step, task};
 use tokio::time::Instant;
 
 const JOB: &str = "00000000000000aa";
@@ -232,6 +232,25 @@
     });
 }
 
+/// A new leader takes the earlier runs of a task as stopped for others, but not the one that held up its step. Counted as
+/// well, it would protect a task that was stopped for others once from urgent work.
+#[rstest]
+#[case::stopped_twice("", TaskStatus::Running)]
+#[case::stopped_once_and_moved("i-9", TaskStatus::Stopping)]
+fn move_not_counted_as_preemption(#[case] avoided: &str, #[case] expected: TaskStatus) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1).with_placement(Placement::ByCompletion);
+        rig.submit(job(JOB, 2, saving(step(1, 8))));
+        let mut plan = running_plan(1, "i-0", 3);
+        plan.open[0].steps[0][0].failed_at = avoided.to_owned();
+        rig.put(&Record::Plan(JOB.to_owned(), Box::new(plan)));
+        rig.plan();
+        rig.submit(Submission { submitted_at: rig.wall, ..job(OTHER, 0, step(1, 8)) });
+        rig.plan();
+        assert_eq!(rig.status_of(&task(JOB, 0)), expected);
+    });
+}
+
 /// A step is moved at most once. Slow at each worker, it would be started again and again and never end.
 #[rstest]
 #[case::same_leader(false)]
