--- a/crates/rampbay-jobs/src/admission.rs
+++ b/crates/rampbay-jobs/src/admission.rs
@@ -12,13 +12,11 @@
 
 use rand::{Rng, RngExt};
 
-use crate::job::{EpochMillis, Step, Submission};
+use crate::job::{EpochMillis, Step, Submission, USEFUL_OBJECTIVES};
 use crate::outlook::{Outlook, PriorityOutlook, ServiceOutlook};
 
 /// Age from which an outlook isn't used: two that a leader writes every 3 s have been missed.
 pub const MAX_OUTLOOK_AGE: Duration = Duration::from_secs(6);
-/// Objectives after which a caller no longer wants a job's result.
-const USEFUL_OBJECTIVES: u64 = 3;
 /// Longest estimate that is calculated with, in milliseconds (11 days), so that no sum overflows. Nothing that takes as
 /// long is refused for want of room.
 const MAX_ESTIMATE_MS: u64 = 1_000_000_000;
--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -4,6 +4,9 @@
 
 pub mod stored;
 
+/// Number of objectives after which a caller no longer wants a job's result.
+pub const USEFUL_OBJECTIVES: u64 = 3;
+
 /// Identifies a job; chosen by its caller, 16 hexadecimal digits.
 pub type JobId = String;
 /// Identifies one incarnation of a worker process.
--- a/crates/rampbay-jobs/src/planner/completion/deadline.rs
+++ b/crates/rampbay-jobs/src/planner/completion/deadline.rs
@@ -1,7 +1,7 @@
 //! By when the tasks of a step have to end.
 
-use crate::job::{EpochMillis, Submission};
-use crate::planner::queue::{USEFUL_OBJECTIVES, WaitingStep};
+use crate::job::{EpochMillis, Submission, USEFUL_OBJECTIVES};
+use crate::planner::queue::WaitingStep;
 
 use super::Completion;
 
--- a/crates/rampbay-jobs/src/planner/policy/round_end.rs
+++ b/crates/rampbay-jobs/src/planner/policy/round_end.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use crate::job::{InstanceId, JobId, Submission, TaskId};
+use crate::job::{InstanceId, JobId, Submission, TaskId, USEFUL_OBJECTIVES};
 use crate::plan::JobPlan;
 use crate::planner::draft::Draft;
 use crate::planner::fleet_state::FleetState;
-use crate::planner::queue::{USEFUL_OBJECTIVES, WaitingStep};
+use crate::planner::queue::WaitingStep;
 use crate::planner::workers::WorkerViews;
 use crate::planner::{Planner, RoundInputs};
 
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use crate::job::{EpochMillis, JobId, Step, Submission, TaskId, WorkspaceName};
+use crate::job::{EpochMillis, JobId, Step, Submission, TaskId, USEFUL_OBJECTIVES, WorkspaceName};
 use crate::plan::{JobStatus, Occurrence, TaskPlan, TaskStatus};
 
 use super::RoundInputs;
@@ -11,9 +11,6 @@
 use super::forecast::Forecasts;
 use super::policy::PlacementPolicy;
 
-/// Number of objectives after which a caller no longer wants a job's result.
-pub const USEFUL_OBJECTIVES: u64 = 3;
-
 /// A step of which some tasks wait and may start.
 #[derive(Clone, Debug)]
 pub struct WaitingStep {
