refactor: one constant for the longest delay of a call

The time after which a call without an answer is still carried out stood in the settings and in the waves' orders. Same value; clippy and documentation of rampbay-jobs pass.

--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -17,7 +17,7 @@
 /// Time added to the end of a lease before a run counts as gone.
 const EXPIRY_SLACK: Duration = Duration::from_millis(300);
 /// Longest time after which a call that got no answer is still carried out.
-const MAX_CALL_DELAY: Duration = Duration::from_millis(12_500);
+pub const MAX_CALL_DELAY: Duration = Duration::from_millis(12_500);
 /// Share of the time allowed for the removal of a key, in thousandths: an entry whose configuration is older
 /// than this share stops answering.
 const REVOCATION_MARGIN_PERMILLE: u64 = 550;
--- a/crates/rampbay-jobs/src/upkeep/decision/attempts.rs
+++ b/crates/rampbay-jobs/src/upkeep/decision/attempts.rs
@@ -4,9 +4,8 @@
 
 use crate::upkeep::control::ControlError;
 
-/// Longest time after which a call without an answer is still carried out, as measured at the users' platform: 12 s, and a
-/// margin.
-pub const MAX_CALL_DELAY: Duration = Duration::from_millis(12_500);
+pub use crate::settings::MAX_CALL_DELAY;
+
 /// First pause before a busy machine is asked again; doubled each time. A worker that leaves or starts needs about as long.
 const FIRST_BUSY_PAUSE: Duration = Duration::from_millis(1000);
 /// Longest of these pauses: a machine that is free again still gets its turn within a few turns of other machines.
