fix: the record of an unanswered start is stored when several runs are given up together

What callers saw (in tests): a task ran again after its acknowledged end, or could have run twice. Its start got no answer and was given up; the task was started elsewhere at once, though the start could still be carried out.

Cause: when several unanswered runs are stopped at one moment, each stop is followed by a poll, and the listings show the end of each run more than once. The second report of an end removed the run from the open ones before the append of the first had looked up when the run's start was sent. The record of the start was then measured from the start of the agent's process: too short, or, 19 s after that, not written at all. So the planner didn't bind the task.

Evidence: traces of `late_calls_across_restarts`. `unanswered_starts_recorded_when_given_up_together` failed for 2, 4 and 8 runs ("has no record of its start") and held for one.

Fix: a run whose end is being appended stays open until the store holds it.

--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -50,6 +50,7 @@
         if ends.is_empty() || self.listed_append_in_flight.replace(true) {
             return;
         }
+        self.mark_append_in_flight(&ends);
         let incarnation = Rc::clone(self);
         tokio::task::spawn_local(async move {
             incarnation.store_ends(ends).await;
@@ -61,18 +62,34 @@
 
     /// Stores the end of a run that the worker doesn't list as ended.
     pub(super) fn report_end(self: &Rc<Self>, end: PendingEnd) {
-        let is_new = self.runs.borrow_mut().ended.insert(end.key.clone());
-        if !is_new {
-            self.runs.borrow_mut().open.remove(&end.key);
+        let mut runs = self.runs.borrow_mut();
+        if !runs.ended.insert(end.key.clone()) {
+            // Listings that follow each other closely show the same end. Its run stays open until
+            // the store holds the end, together with the record of an unanswered start.
+            if runs.open.get(&end.key).is_some_and(|run| !run.append_in_flight) {
+                runs.open.remove(&end.key);
+            }
             return;
         }
         if end.reason == EndReason::NotStarted {
-            self.runs.borrow_mut().never_started.insert(end.key.clone());
+            runs.never_started.insert(end.key.clone());
         }
+        drop(runs);
+        self.mark_append_in_flight(std::slice::from_ref(&end));
         let incarnation = Rc::clone(self);
         tokio::task::spawn_local(async move { incarnation.store_ends(vec![end]).await });
     }
 
+    /// Marks the runs whose ends are about to be appended.
+    fn mark_append_in_flight(&self, ends: &[PendingEnd]) {
+        let mut runs = self.runs.borrow_mut();
+        for end in ends {
+            if let Some(run) = runs.open.get_mut(&end.key) {
+                run.append_in_flight = true;
+            }
+        }
+    }
+
     async fn store_ends(&self, ends: Vec<PendingEnd>) {
         self.appends_in_flight.set(self.appends_in_flight.get() + 1);
         self.append_ends(ends).await;
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -38,6 +38,8 @@
     pub poll_in_flight: bool,
     /// Whether a stop is in flight.
     pub stop_in_flight: bool,
+    /// Whether the run's end is being appended to the store.
+    pub append_in_flight: bool,
     /// When the run's stop was answered, or the worker said that the run has ended.
     pub stop_answered: Option<Instant>,
     /// Progress in percent, 0 to 100, when the run was listed last.
@@ -65,6 +67,7 @@
             may_hold_resources: true,
             poll_in_flight: false,
             stop_in_flight: false,
+            append_in_flight: false,
             stop_answered: None,
             percent: 0,
             checkpoint: String::new(),
--- a/crates/rampbay-jobs/tests/unanswered_starts.rs
+++ b/crates/rampbay-jobs/tests/unanswered_starts.rs
@@ -10,8 +10,9 @@
 use rstest::rstest;
 use support::acknowledged::{AcknowledgedEnds, assert_runs_once};
 use support::site::{Machine, Site, Work};
-use support::worker::LateCalls;
-use support::{plan_of, run_in_virtual_time, step};
+use support::store::MemoryStore;
+use support::worker::{FakeWorker, LateCalls};
+use support::{AgentRig, plan_of, run_in_virtual_time, seed_running_job, step, table_of, task};
 use tokio::time::{Instant, sleep};
 
 const JOB: &str = "00000000000000aa";
@@ -210,3 +211,27 @@
         assert!(took < reached_again + WORK + Duration::from_secs(3), "{took:?}");
     });
 }
+
+/// Guards against a task that starts elsewhere although its start may still be carried out: several
+/// runs were stopped at one moment, the listings that followed showed each of their ends more than
+/// once, and the ends were stored without the records of the unanswered starts.
+#[rstest]
+fn unanswered_starts_recorded_when_given_up_together(#[values(1, 2, 4, 8)] tasks: u32) {
+    run_in_virtual_time(async move {
+        const INSTANCE: &str = "i-1~1000";
+        let store = MemoryStore::new();
+        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(INSTANCE));
+        rig.heartbeat(INSTANCE, 1);
+        // By then, a start that was sent when the process began couldn't be carried out any more.
+        sleep(Duration::from_secs(20)).await;
+        rig.worker.late_calls.set(Some(LateCalls::Starts(Duration::from_secs(8))));
+        seed_running_job(&store, JOB, tasks, INSTANCE);
+        sleep(Duration::from_secs(5)).await;
+        let table = table_of(&store);
+        for index in 0..tasks {
+            let task = task(JOB, index);
+            assert!(table.has_refusal(&task, 1), "{task} was given up");
+            assert!(table.unanswered.contains_key(&task), "{task} has no record of its start");
+        }
+    });
+}
