fix: an end isn't acknowledged while a start of its task may still be carried out

What callers saw (in tests): a task ran again after it had been done and its end acknowledged (TWICE). Its start got no answer, a repeat or a later attempt did, the task was done, its worker restarted under its id, and the new incarnation carried out the first start before its agent had reached it.

Cause: the agent acknowledged each end as soon as the store held it. A start without an answer may be carried out up to 12.5 s after it was sent, by an incarnation that knows nothing of the run.

Fix: the end is stored and used at once, but the acknowledgement waits until no unanswered start of the task can be carried out any more: by the starts that the agent sent, by those that the process before it may have sent, and by the records of unanswered starts in the state. The incarnation that lists the end rejects the late start, since a task with such a start runs nowhere else. So only a successor can carry it out, and with the incarnation the end is gone that wasn't acknowledged: it never will be. A process that takes over stores a listed end only if the state doesn't include it yet. A run that an incarnation lists and that its agent didn't order may have been ordered for the one before, so the time of its start is taken as late as when the incarnation was discovered.

The answer to callers, dependent tasks, capacity and the ends of other tasks don't wait (`withheld_end_delays_no_task`, `withheld_end_stored_once`, `withheld_ends_stay_below_length_of_list`).

`unreached_life_starts_nothing` still fails.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -17,6 +17,7 @@
 mod stops;
 mod successor;
 mod unanswered;
+mod withheld;
 
 use std::cell::RefCell;
 use std::cmp::Ordering;
--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -36,6 +36,7 @@
     pub(super) fn store_listed_ends(self: &Rc<Self>, listing: &Listing) {
         let ends = listing.ended.iter().filter(|end| end.number > self.last_seen.get());
         let ends: Vec<PendingEnd> = ends
+            .inspect(|end| self.withhold(end))
             .map(|end| PendingEnd {
                 key: (end.task.clone(), end.attempt),
                 reason: end.reason,
@@ -97,11 +98,15 @@
     }
 
     async fn append_ends(&self, ends: Vec<PendingEnd>) {
-        let mut records: Vec<KeyedRecord> = ends.iter().map(|end| self.end_record(end)).collect();
+        self.wait_for_state().await;
+        let new: Vec<&PendingEnd> = ends.iter().filter(|end| !self.is_stored(end)).collect();
+        let mut records: Vec<KeyedRecord> = new.iter().map(|end| self.end_record(end)).collect();
         // In the same append as the ends: the planner starts the tasks again as soon as it reads them.
-        let ends_to_repeat = ends.iter().filter(|end| end.reason != EndReason::Done);
+        let ends_to_repeat = new.iter().filter(|end| end.reason != EndReason::Done);
         records.extend(ends_to_repeat.filter_map(|end| self.unanswered_start_record(&end.key)));
-        while self.parts.store.append(STATE_TOPIC, &records, None).await.is_err() {
+        while !records.is_empty()
+            && self.parts.store.append(STATE_TOPIC, &records, None).await.is_err()
+        {
             if self.has_ended() {
                 return;
             }
@@ -115,6 +120,23 @@
         }
     }
 
+    /// Waits until the state has been read once: an earlier process may have stored the ends that the worker still
+    /// lists.
+    async fn wait_for_state(&self) {
+        let mut changes = self.parts.freshness.subscribe();
+        while self.parts.freshness.age().is_none() && !self.has_ended() {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether an earlier process has stored an end that the worker lists.
+    fn is_stored(&self, end: &PendingEnd) -> bool {
+        let (task, attempt) = &end.key;
+        end.number > 0 && self.parts.table.borrow().includes_end(task, *attempt)
+    }
+
     fn end_record(&self, end: &PendingEnd) -> KeyedRecord {
         let (task, attempt) = end.key.clone();
         metrics().count_end(end.reason.label());
--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -17,6 +17,7 @@
 
 use super::held_back::HeldBack;
 use super::runs::{Phase, RunKey, Runs};
+use super::withheld::WithheldEnds;
 use super::{AgentParts, POLL_INTERVAL};
 
 /// Time between two calls that check whether a deregistered worker has stopped listening.
@@ -52,6 +53,9 @@
     pub(super) parts: Rc<AgentParts>,
     /// When this process started. Starts by an earlier process of the same agent were sent before.
     pub(super) process_started_at: Instant,
+    /// Starts by an earlier process, or for an earlier incarnation, were sent before: when this process discovered the
+    /// incarnation.
+    pub(super) foreign_starts_until: Instant,
     pub(super) worker: Rc<dyn Worker>,
     pub(super) runs: RefCell<Runs>,
     pub(super) wake: Notify,
@@ -63,6 +67,8 @@
     pub(super) last_seen: Cell<u64>,
     /// Number of the last end that was acknowledged to the worker, which may forget it then.
     pub(super) acknowledged: Cell<u64>,
+    /// Ends that the store holds and whose acknowledgement waits.
+    pub(super) withheld: RefCell<WithheldEnds>,
     /// Whether an append of listed ends is in flight.
     pub(super) listed_append_in_flight: Cell<bool>,
     /// Runs that were assigned when this process first gave orders; an earlier process may have ordered them.
@@ -120,6 +126,7 @@
             instance,
             parts,
             process_started_at,
+            foreign_starts_until: now,
             worker,
             runs: RefCell::default(),
             wake: Notify::new(),
@@ -127,6 +134,7 @@
             listed: Cell::new(false),
             last_seen: Cell::new(0),
             acknowledged: Cell::new(0),
+            withheld: RefCell::default(),
             listed_append_in_flight: Cell::new(false),
             inherited: OnceCell::new(),
             appends_in_flight: Cell::new(0),
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -15,9 +15,9 @@
 
 /// Pause after a call without an answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Pause while listed ends are being appended to the store; the worker would answer a renewal at
-/// once until they are acknowledged.
-const STORING_PAUSE: Duration = Duration::from_millis(100);
+/// Pause while listed ends aren't acknowledged: they are being appended to the store, or withheld.
+/// The worker answers a renewal at once until they are acknowledged.
+const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between polls of an incarnation that hasn't answered yet. Until it has seen a call meant
 /// for it, it carries out late orders for its predecessor.
 const FIRST_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -48,8 +48,8 @@
                 Ok(listing) => {
                     self.acknowledged.set(self.acknowledged.get().max(order.last_seen));
                     self.handle_listing(&listing, sent);
-                    if self.listed_append_in_flight.get() {
-                        tokio::time::sleep(STORING_PAUSE).await;
+                    if self.listed_append_in_flight.get() || self.withholds_ends() {
+                        tokio::time::sleep(UNACKNOWLEDGED_PAUSE).await;
                     }
                 }
                 Err(WorkerError::OtherLife(by)) => self.replace(by),
@@ -81,7 +81,7 @@
     fn needs_poll(&self) -> bool {
         !self.listed.get()
             || self.has_runs()
-            || self.acknowledged.get() < self.last_seen.get()
+            || self.acknowledged.get() < self.acknowledgeable()
             || self.last_listing.get().elapsed() > IDLE_POLL_INTERVAL
     }
 
@@ -93,8 +93,9 @@
         let wait = if waits { self.parts.settings.renewal_wait } else { Duration::ZERO };
         // Each end is acknowledged once: a worker that restarts under the same id numbers its ends
         // from 1 again, and would forget new ends by a repeated acknowledgement.
-        let is_acknowledged = self.acknowledged.get() >= self.last_seen.get();
-        let last_seen = if is_acknowledged { 0 } else { self.last_seen.get() };
+        let acknowledgeable = self.acknowledgeable();
+        let is_acknowledged = self.acknowledged.get() >= acknowledgeable;
+        let last_seen = if is_acknowledged { 0 } else { acknowledgeable };
         RenewOrder { lease_until, fencing_token: self.fencing_token(), last_seen, wait }
     }
 
@@ -169,7 +170,7 @@
                 continue;
             }
             let run = runs.open.entry(key).or_insert_with(|| {
-                Run::of_earlier_process(Phase::Running, self.process_started_at)
+                Run::of_earlier_process(Phase::Running, self.foreign_starts_until)
             });
             run.phase = Phase::Running;
             run.may_have_begun = true;
--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -28,8 +28,8 @@
     pub(super) fn unanswered_start_record(&self, key: &RunKey) -> Option<KeyedRecord> {
         let sent = match self.runs.borrow().open.get(key) {
             Some(run) => run.unanswered_start?,
-            // Only an earlier process can have ordered it.
-            None => self.process_started_at,
+            // Only an earlier process can have ordered it, or an order for an earlier incarnation have begun it.
+            None => self.foreign_starts_until,
         };
         let remaining = self.remaining_time(sent)?;
         Some(self.record_of_unanswered(key, &self.instance, remaining))
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -482,6 +482,24 @@
         self.ends.contains_key(&format!("end/{task}/{attempt}"))
     }
 
+    /// Returns whether the end of a run is known, or is included in the plan of its job: another end of the run would
+    /// change nothing.
+    #[must_use]
+    pub fn includes_end(&self, task: &TaskId, attempt: u32) -> bool {
+        if self.has_end(task, attempt) {
+            return true;
+        }
+        let Some(plan) = self.jobs.get(&task.job).and_then(|job| job.plan.as_ref()) else {
+            return false;
+        };
+        let is_open = plan.open.iter().any(|open| open.number == task.occurrence);
+        let is_over = !is_open && task.occurrence < plan.next_occurrence;
+        let is_past = |current: &TaskPlan| {
+            current.attempt > attempt || (current.attempt == attempt && !current.may_be_running())
+        };
+        is_over || plan.task(task).is_some_and(is_past)
+    }
+
     /// Returns whether a refusal of a run is known that no plan includes yet.
     #[must_use]
     pub fn has_refusal(&self, task: &TaskId, attempt: u32) -> bool {
