fix: an end of a gang isn't acknowledged while a member's start may still be carried out

What callers saw (in tests): a member of a gang started again after the gang had been done and the end of another member acknowledged, which counts for all of them (the soak's checker reads it so, too). The member's first start had no answer, and its worker restarted under its id within 12 s.

Cause: only the agent of the member's worker knew of the start without an answer. The other members' agents acknowledged their ends at once.

Fix: the agent stores the record of a gang member's unanswered start before it repeats the start, that is before the gang can be complete. The record goes to all processes. An end of a gang is acknowledged only by a view of the state as of the end that holds no unanswered start of a member. A process that takes over a start that the process before it may have sent stores the record as well. The repeat waits for one append; while the store doesn't answer, such a gang waits.

--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -136,6 +136,7 @@
         let mut unanswered = 0;
         let mut refused = 0;
         loop {
+            self.announce_unanswered_start(&wanted.key).await;
             let Some(lease_until) = self.lease_until() else {
                 tokio::time::sleep(START_RETRY).await;
                 continue;
@@ -253,7 +254,7 @@
         }
     }
 
-    fn still_wants(&self, key: &RunKey) -> bool {
+    pub(super) fn still_wants(&self, key: &RunKey) -> bool {
         let table = self.parts.table.borrow();
         !self.is_draining()
             && !self.is_in_drained_domain()
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -31,6 +31,8 @@
     pub may_have_begun: bool,
     /// When the last start was sent that got no definite answer, so that it may be carried out late.
     pub unanswered_start: Option<Instant>,
+    /// Whether the store holds a record of an unanswered start, written before the run's end.
+    pub is_announced: bool,
     /// Whether the run may hold resources. One that only an earlier process may have ordered, and that the worker
     /// doesn't list, holds none.
     pub may_hold_resources: bool,
@@ -64,6 +66,7 @@
             known_since: now,
             listed_at: now,
             unanswered_start: None,
+            is_announced: false,
             may_hold_resources: true,
             poll_in_flight: false,
             stop_in_flight: false,
--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -21,6 +21,8 @@
 
 /// Longest time between two checks for unanswered starts of earlier incarnations.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause before a failed append of a gang member's record is retried.
+const ANNOUNCE_RETRY: Duration = Duration::from_millis(150);
 
 impl Incarnation {
     /// Returns the record of a run's start without an answer, if there is one. For a run that this incarnation rejects
@@ -35,6 +37,36 @@
         Some(self.record_of_unanswered(key, &self.instance, remaining))
     }
 
+    /// Stores the record of a gang member's start without an answer, before the start is repeated. The end of one
+    /// member counts for all, so the other members' agents have to know of the start before the gang can be complete.
+    /// Returns early if the run isn't wanted any more.
+    pub(super) async fn announce_unanswered_start(&self, key: &RunKey) {
+        while let Some(record) = self.record_to_announce(key) {
+            match self.parts.store.append(STATE_TOPIC, &[record], None).await {
+                Ok(_) => {
+                    if let Some(run) = self.runs.borrow_mut().open.get_mut(key) {
+                        run.is_announced = true;
+                    }
+                }
+                Err(_) => tokio::time::sleep(ANNOUNCE_RETRY).await,
+            }
+        }
+    }
+
+    fn record_to_announce(&self, key: &RunKey) -> Option<KeyedRecord> {
+        let is_in_gang = self.parts.table.borrow().is_in_gang(&key.0);
+        if !is_in_gang || self.has_ended() || !self.still_wants(key) {
+            return None;
+        }
+        let sent = {
+            let runs = self.runs.borrow();
+            let run = runs.open.get(key).filter(|run| !run.is_announced)?;
+            run.unanswered_start?
+        };
+        let remaining = self.remaining_time(sent)?;
+        Some(self.record_of_unanswered(key, &self.instance, remaining))
+    }
+
     /// Returns the records of all starts without an answer, for the end of this incarnation.
     pub(super) fn unanswered_start_records(&self) -> Vec<KeyedRecord> {
         let successor = self.successor_of_same_worker();
--- a/crates/rampbay-jobs/src/agent/withheld.rs
+++ b/crates/rampbay-jobs/src/agent/withheld.rs
@@ -11,6 +11,7 @@
 
 use tokio::time::Instant;
 
+use crate::clock::Moment;
 use crate::job::TaskId;
 use crate::record::EndReason;
 use crate::worker::ListedEnd;
@@ -31,41 +32,49 @@
     task: TaskId,
     /// When the starts that this process knew of can't be carried out any more.
     until: Instant,
+    /// When the end was listed, for a member of a gang. The end counts for all members, and the state as of then shows
+    /// which of their starts got no answer.
+    gang_listed_at: Option<Moment>,
 }
 
 impl Incarnation {
-    /// Withholds the acknowledgement of a listed end, if an unanswered start of its task may still be carried out.
+    /// Withholds the acknowledgement of a listed end, if an unanswered start of its task, or of another member of its
+    /// gang, may still be carried out.
     pub(super) fn withhold(&self, end: &ListedEnd) {
         // Only these ends forbid another start of their task: it is done, or has failed too often.
         let is_final = matches!(end.reason, EndReason::Done | EndReason::Failed);
         // An incarnation with another id rejects orders that name this one's.
         let may_share_id = (self.parts.incarnation_start)(&self.instance).is_some();
-        let known_for = self.in_doubt_for(&(end.task.clone(), end.attempt));
-        let is_in_doubt = !known_for.is_zero() || self.has_unanswered_start(&end.task);
         let mut withheld = self.withheld.borrow_mut();
-        if !is_final || !may_share_id || !is_in_doubt || withheld.0.contains_key(&end.number) {
+        if !is_final || !may_share_id || withheld.0.contains_key(&end.number) {
             return;
         }
-        log::info!(
-            "event=J197 acknowledgement withheld task={} attempt={} worker={} number={} known_ms={}",
-            end.task,
-            end.attempt,
-            self.instance,
-            end.number,
-            known_for.as_millis()
-        );
-        let until = Instant::now() + known_for;
-        withheld.0.insert(end.number, WithheldEnd { task: end.task.clone(), until });
+        let known_for = self.in_doubt_for(&(end.task.clone(), end.attempt));
+        let is_in_gang = self.parts.table.borrow().is_in_gang(&end.task);
+        let withheld_end = WithheldEnd {
+            task: end.task.clone(),
+            until: Instant::now() + known_for,
+            gang_listed_at: is_in_gang.then(Moment::now),
+        };
+        if !known_for.is_zero() || self.has_unanswered_start(&end.task) {
+            log::info!(
+                "event=J197 acknowledgement withheld task={} attempt={} worker={} number={} known_ms={}",
+                end.task,
+                end.attempt,
+                self.instance,
+                end.number,
+                known_for.as_millis()
+            );
+        }
+        withheld.0.insert(end.number, withheld_end);
     }
 
     /// Returns the number up to which the worker may forget its ends.
     pub(super) fn acknowledgeable(&self) -> u64 {
         let stored = self.last_seen.get();
-        let now = Instant::now();
         let mut withheld = self.withheld.borrow_mut();
         withheld.0.retain(|number, end| {
-            *number > self.acknowledged.get()
-                && (now < end.until || self.has_unanswered_start(&end.task))
+            *number > self.acknowledged.get() && self.may_be_followed_by_start(end)
         });
         let before_first = withheld.0.keys().next().map_or(stored, |first| first - 1);
         before_first.min(stored).max(stored.saturating_sub(MAX_WITHHELD))
@@ -76,6 +85,16 @@
         self.acknowledgeable() < self.last_seen.get()
     }
 
+    /// Returns whether an unanswered start may still be carried out after an end.
+    fn may_be_followed_by_start(&self, end: &WithheldEnd) -> bool {
+        let is_older_than_end = |listed_at: Moment| {
+            self.parts.freshness.age().is_none_or(|age| age > listed_at.elapsed())
+        };
+        Instant::now() < end.until
+            || self.has_unanswered_start(&end.task)
+            || end.gang_listed_at.is_some_and(is_older_than_end)
+    }
+
     /// Returns for how long unanswered starts of a run that this process knows of may still be carried out.
     fn in_doubt_for(&self, key: &RunKey) -> Duration {
         let sent = match self.runs.borrow().open.get(key) {
@@ -86,9 +105,9 @@
         sent.map_or(Duration::ZERO, |sent| max_delay.saturating_sub(sent.elapsed()))
     }
 
-    /// Returns whether the store holds an unanswered start of a task. The task then runs only at the incarnation that
-    /// rejects the start, so the record precedes the run in the state.
+    /// Returns whether the state holds an unanswered start of a task or of another member of its gang. The task then
+    /// runs only at the incarnation that rejects the start, so the record precedes the run in the state.
     fn has_unanswered_start(&self, task: &TaskId) -> bool {
-        self.parts.table.borrow().unanswered.contains_key(task)
+        self.parts.table.borrow().has_unanswered_start(task)
     }
 }
--- a/crates/rampbay-jobs/src/recipients.rs
+++ b/crates/rampbay-jobs/src/recipients.rs
@@ -194,6 +194,10 @@
             }
             "unanswered" => {
                 let (task, attempt) = split_unanswered_name(name)?;
+                // The agents of the other members' workers need it, too, also those that begin after the gang has ended.
+                if self.is_in_gang(&task) {
+                    return None;
+                }
                 let start = self.unanswered.get(&task).and_then(|starts| starts.get(&attempt));
                 start.into_iter().for_each(|start| concerned.add(self.agent_of(&start.instance)));
             }
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -438,6 +438,24 @@
         starts.filter(move |start| start.instance == instance)
     }
 
+    /// Returns whether a task is in a gang; `false` if its job isn't known.
+    #[must_use]
+    pub fn is_in_gang(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let step = job.and_then(|job| job.submission.steps.get(task.step as usize));
+        step.is_some_and(|step| step.gang)
+    }
+
+    /// Returns whether a start of a task, or of another member of its gang, got no answer and may still be carried out.
+    #[must_use]
+    pub fn has_unanswered_start(&self, task: &TaskId) -> bool {
+        if !self.is_in_gang(task) {
+            return self.unanswered.contains_key(task);
+        }
+        let member = |index: u32| TaskId { index, ..task.clone() };
+        self.unanswered.range(member(0)..=member(u32::MAX)).next().is_some()
+    }
+
     /// Returns the status of a job as callers see it, if the job is known. A job has succeeded as soon as
     /// the store holds the ends of its last tasks, before the planner updates the plan.
     #[must_use]
--- a/crates/rampbay-jobs/tests/withheld_ends.rs
+++ b/crates/rampbay-jobs/tests/withheld_ends.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::job::TaskId;
+use rampbay_jobs::job::{Step, TaskId};
 use rampbay_jobs::plan::JobStatus;
 use rampbay_jobs::record::{EndReason, STATE_TOPIC};
 use rstest::rstest;
@@ -32,49 +32,59 @@
 const OBJECTIVE: Duration = Duration::from_millis(250);
 /// Time that a task works.
 const WORK: Duration = Duration::from_millis(300);
+/// Time that a member of a gang works: longer than its late start keeps the others waiting.
+const GANG_WORK: Duration = Duration::from_millis(1_500);
 /// Time after which no late call is carried out any more: orders take up to three seconds, calls are
 /// late by 12 s at most.
 const OVER_AFTER: Duration = Duration::from_secs(18);
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// A done end that a worker was told to forget, and how many starts there had been up to that of its run.
+/// A done end that a worker was told to forget.
 #[derive(Debug)]
 struct ForgottenEnd {
     task: TaskId,
-    starts: usize,
+    ended: Instant,
 }
 
-/// Checks that a task starts neither before nor after its end as done is acknowledged, once it has ended.
+/// Checks that no task starts after its end as done, if that is acknowledged then or later. The end of one member
+/// of a gang counts for all.
 struct EndChecker {
     site: Rc<Site>,
+    is_gang: bool,
     forgotten: Rc<RefCell<Vec<ForgottenEnd>>>,
 }
 
 impl EndChecker {
-    fn watch(site: &Rc<Site>) -> Self {
+    /// Watches tasks that work for `work` each.
+    fn watch(site: &Rc<Site>, work: Duration, is_gang: bool) -> Self {
         let forgotten: Rc<RefCell<Vec<ForgottenEnd>>> = Rc::default();
         for (index, machine) in site.machines.iter().enumerate() {
             let (forgotten, site) = (Rc::clone(&forgotten), Rc::downgrade(site));
             *machine.worker.on_acknowledge.borrow_mut() = Some(Rc::new(move |end| {
+                if end.reason != EndReason::Done {
+                    return;
+                }
                 let site = site.upgrade().expect("the site exists");
                 let starts = site.starts.borrow();
-                let run = starts.iter().rposition(|start| {
+                // The worker's present incarnation has carried out the last one of them.
+                let run = starts.iter().rfind(|start| {
                     start.task == end.task && start.attempt == end.attempt && start.machine == index
                 });
-                if end.reason == EndReason::Done {
-                    let starts = run.expect("the run was started") + 1;
-                    forgotten.borrow_mut().push(ForgottenEnd { task: end.task.clone(), starts });
-                }
+                let ended = run.expect("the run was started").at + work;
+                forgotten.borrow_mut().push(ForgottenEnd { task: end.task.clone(), ended });
             }));
         }
-        Self { site: Rc::clone(site), forgotten }
+        Self { site: Rc::clone(site), is_gang, forgotten }
     }
 
     fn check(&self) {
         assert_runs_once(&self.site);
         let starts = self.site.starts.borrow();
         for end in self.forgotten.borrow().iter() {
-            let later = starts[end.starts..].iter().find(|start| start.task == end.task);
+            let is_concerned =
+                |task: &TaskId| *task == end.task || (self.is_gang && task.job == end.task.job);
+            let later =
+                starts.iter().find(|start| start.at > end.ended && is_concerned(&start.task));
             assert!(
                 later.is_none(),
                 "{end:?} is acknowledged, and the task started again: {later:?}"
@@ -87,15 +97,17 @@
     }
 }
 
-/// Submits a job of one task whose starts are late by `late` for a time. Returns the machine.
+/// Submits a job the starts of whose first task are late by `late` for a time. Returns the machine.
 async fn submit_with_late_starts(
     site: &Rc<Site>,
+    definition: Step,
+    work: Duration,
     late: Duration,
     late_for: Duration,
 ) -> Rc<Machine> {
     let calls = Some(LateCalls::Starts(late));
     site.machines.iter().for_each(|machine| machine.worker.late_calls.set(calls));
-    site.submit(JOB, step(1, 5), Work::Ends(WORK));
+    site.submit(JOB, definition, Work::Ends(work));
     sleep(ORDERED_WITHIN).await;
     let instance = plan_of(&site.store, JOB).instance;
     let is_assigned = |machine: &&Rc<Machine>| *machine.worker.instance.borrow() == instance;
@@ -131,16 +143,25 @@
     unreached_for: u64,
     /// When the agent's process ends, and another one takes its place.
     agent_restart: Option<u64>,
+    /// Whether the processes of all agents end then.
+    all_agents: bool,
 }
 
-async fn play(case: Case) {
+async fn play(case: Case, definition: Step, work: Duration) {
     let site = Site::start(MACHINES);
-    let checker = EndChecker::watch(&site);
+    let checker = EndChecker::watch(&site, work, definition.gang);
     sleep(STARTS_WITHIN).await;
     let submitted = Instant::now();
     let after = |ms: u64| submitted + Duration::from_millis(ms);
     let late_for = Duration::from_millis(case.late_for);
-    let faulty = submit_with_late_starts(&site, Duration::from_millis(case.late), late_for).await;
+    let faulty = submit_with_late_starts(
+        &site,
+        definition,
+        work,
+        Duration::from_millis(case.late),
+        late_for,
+    )
+    .await;
     let restart = async {
         for &at in case.restarts {
             sleep_until(after(at)).await;
@@ -153,7 +174,12 @@
     let restart_agent = async {
         if let Some(at) = case.agent_restart {
             sleep_until(after(at)).await;
-            site.restart_agent(&faulty);
+            let is_restarted =
+                |machine: &&Rc<Machine>| case.all_agents || Rc::ptr_eq(machine, &faulty);
+            site.machines
+                .iter()
+                .filter(is_restarted)
+                .for_each(|machine| site.restart_agent(machine));
         }
     };
     let watch = async {
@@ -177,7 +203,19 @@
     #[values(0, 900, 4_900)] unreached_for: u64,
 ) {
     run_in_virtual_time(async move {
-        play(Case { late_for, late, restarts, unreached_for, agent_restart: None }).await;
+        play(
+            Case {
+                late_for,
+                late,
+                restarts,
+                unreached_for,
+                agent_restart: None,
+                all_agents: false,
+            },
+            step(1, 5),
+            WORK,
+        )
+        .await;
     });
 }
 
@@ -192,7 +230,30 @@
 ) {
     run_in_virtual_time(async move {
         let agent_restart = Some(agent_restart);
-        play(Case { late_for, late, restarts, unreached_for, agent_restart }).await;
+        play(
+            Case { late_for, late, restarts, unreached_for, agent_restart, all_agents: false },
+            step(1, 5),
+            WORK,
+        )
+        .await;
+    });
+}
+
+/// Guards against a gang whose member starts again after the acknowledged end of another member at another
+/// worker, which counts for all of them.
+#[rstest]
+fn done_gang_not_started_again(
+    #[values(150, 2_500)] late_for: u64,
+    #[values(6_000, 9_000, 11_900)] late: u64,
+    #[values(&[5_500], &[8_500])] restarts: &'static [u64],
+    #[values(900, 4_900)] unreached_for: u64,
+    #[values(None, Some(400), Some(900), Some(2_500))] agent_restart: Option<u64>,
+    #[values(false, true)] all_agents: bool,
+) {
+    run_in_virtual_time(async move {
+        let gang = Step { gang: true, ..step(2, 5) };
+        let case = Case { late_for, late, restarts, unreached_for, agent_restart, all_agents };
+        play(case, gang, GANG_WORK).await;
     });
 }
 
@@ -202,10 +263,11 @@
 fn withheld_end_delays_no_task() {
     run_in_virtual_time(async {
         let site = Site::start(1);
-        let checker = EndChecker::watch(&site);
+        let checker = EndChecker::watch(&site, WORK, false);
         sleep(STARTS_WITHIN).await;
         let submitted = Instant::now();
-        submit_with_late_starts(&site, Duration::from_secs(11), ORDERED_WITHIN).await;
+        submit_with_late_starts(&site, step(1, 5), WORK, Duration::from_secs(11), ORDERED_WITHIN)
+            .await;
         succeeded(&site, &checker, JOB).await;
         let took = submitted.elapsed();
         assert!(took < START_TIMEOUT + WORK + OBJECTIVE, "{took:?}");
@@ -230,11 +292,11 @@
 fn withheld_end_stored_once(#[values(1_500, 2_500, 6_000)] agent_restart: u64) {
     run_in_virtual_time(async move {
         let site = Site::start(1);
-        let checker = EndChecker::watch(&site);
+        let checker = EndChecker::watch(&site, WORK, false);
         sleep(STARTS_WITHIN).await;
         let submitted = Instant::now();
         let late = Duration::from_secs(11);
-        let machine = submit_with_late_starts(&site, late, ORDERED_WITHIN).await;
+        let machine = submit_with_late_starts(&site, step(1, 5), WORK, late, ORDERED_WITHIN).await;
         succeeded(&site, &checker, JOB).await;
         site.submit(OTHER_JOB, step(3, 1), Work::Ends(WORK));
         sleep_until(submitted + Duration::from_millis(agent_restart)).await;
