test: starts of two attempts that are carried out by one unreached incarnation

Three starts of an attempt get no answer; the run is stopped and reported as not started, and the task is bound to this worker. The first start of the next attempt gets no answer either. The worker restarts under its id, and both late starts are carried out by the new incarnation, which has seen no stop. The task runs twice, at one worker.

No change of the product.

--- a/crates/rampbay-jobs/tests/unanswered_starts.rs
+++ b/crates/rampbay-jobs/tests/unanswered_starts.rs
@@ -34,6 +34,8 @@
 /// When the faults of a case occur, in milliseconds after the start was ordered.
 #[derive(Clone, Copy, Debug)]
 struct Case {
+    /// For how long the worker's starts are late.
+    late_for: Duration,
     /// When the late start is carried out.
     late: u64,
     /// When the worker restarts, and how often.
@@ -88,7 +90,7 @@
     let after_start = |ms: u64| began + Duration::from_millis(ms) - ORDERED_WITHIN;
     let worker = Rc::clone(&faulty.worker);
     let end_late = async {
-        sleep(LATE_FOR).await;
+        sleep(case.late_for).await;
         worker.late_calls.set(None);
     };
     let restart = async {
@@ -126,8 +128,36 @@
     #[values(0, 900, 7_500)] unreached_for: u64,
 ) {
     run_in_virtual_time(async move {
-        play(Case { late, restarts, unreached_for, agent_restart: None, notice: None }, 1, false)
-            .await;
+        play(
+            Case {
+                late_for: LATE_FOR,
+                late,
+                restarts,
+                unreached_for,
+                agent_restart: None,
+                notice: None,
+            },
+            1,
+            false,
+        )
+        .await;
+    });
+}
+
+/// Guards against a task that runs twice at one worker: the starts of two attempts got no answer, and
+/// an incarnation that its agent hadn't reached carried out both.
+#[test]
+fn two_late_attempts_not_carried_out_together() {
+    run_in_virtual_time(async {
+        let case = Case {
+            late_for: Duration::from_millis(3_000),
+            late: 6_000,
+            restarts: &[5_500],
+            unreached_for: 7_500,
+            agent_restart: None,
+            notice: None,
+        };
+        play(case, 1, false).await;
     });
 }
 
@@ -141,7 +171,12 @@
 ) {
     run_in_virtual_time(async move {
         let agent_restart = Some(agent_restart);
-        play(Case { late, restarts, unreached_for, agent_restart, notice: None }, 1, false).await;
+        play(
+            Case { late_for: LATE_FOR, late, restarts, unreached_for, agent_restart, notice: None },
+            1,
+            false,
+        )
+        .await;
     });
 }
 
@@ -156,8 +191,14 @@
 ) {
     run_in_virtual_time(async move {
         let agent_restart = Some(notice + until_restart);
-        let case =
-            Case { late, restarts: &[], unreached_for: 0, agent_restart, notice: Some(notice) };
+        let case = Case {
+            late_for: LATE_FOR,
+            late,
+            restarts: &[],
+            unreached_for: 0,
+            agent_restart,
+            notice: Some(notice),
+        };
         play(case, 1, false).await;
     });
 }
@@ -170,8 +211,19 @@
     #[values(0, 7_500)] unreached_for: u64,
 ) {
     run_in_virtual_time(async move {
-        play(Case { late, restarts, unreached_for, agent_restart: None, notice: None }, 2, true)
-            .await;
+        play(
+            Case {
+                late_for: LATE_FOR,
+                late,
+                restarts,
+                unreached_for,
+                agent_restart: None,
+                notice: None,
+            },
+            2,
+            true,
+        )
+        .await;
     });
 }
 
@@ -180,6 +232,7 @@
 fn task_starts_at_same_worker_at_once() {
     run_in_virtual_time(async {
         let case = Case {
+            late_for: LATE_FOR,
             late: 6_000,
             restarts: &[],
             unreached_for: 0,
@@ -200,6 +253,7 @@
         // Longer than the agent takes to end a silent incarnation.
         let unreached_for = 11_000;
         let case = Case {
+            late_for: LATE_FOR,
             late: 6_000,
             restarts: &[RESTART],
             unreached_for,
