fix: ends are acknowledged only to an incarnation that has just answered

What callers saw (in tests): a task ran again after its end had been acknowledged, though its agent had never seen that end.

Cause: an acknowledgement without an answer was repeated until one came. After a silence in which the worker restarted under its id, the repeat was the first call that reached the new incarnation, which has seen no fencing token. It forgot the end of a run that a late start had begun there. Since acknowledgements wait for unanswered starts, they may also become due during a silence.

`next_incarnation_keeps_ends_after_silence` failed (the ends of the next incarnation aren't in the store).

Fix: an acknowledgement follows an answer of the same incarnation within 250 ms; after a call without an answer the worker is first polled. In calm, the listing that shows an end is such an answer, so nothing changes.

Left: one acknowledgement without an answer may still be carried out late by an incarnation that has run a late start.

--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -82,6 +82,8 @@
     pub(super) last_contact: Cell<Moment>,
     /// When the worker's list of runs was processed last.
     pub(super) last_listing: Cell<Instant>,
+    /// When the worker last listed its runs; `None` after a call without an answer.
+    pub(super) answered_at: Cell<Option<Instant>>,
     /// When this process discovered the incarnation.
     pub(super) discovered: Moment,
     /// When the worker's last heartbeat reached this process.
@@ -141,6 +143,7 @@
             lease_sent: Cell::new(now),
             last_contact: Cell::new(Moment::now()),
             last_listing: Cell::new(now),
+            answered_at: Cell::new(None),
             discovered: Moment::now(),
             last_heartbeat: Cell::new(None),
             record: RefCell::new(record),
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -24,6 +24,9 @@
 /// Most such polls. They cover a second, after which the regular calls have followed each other as
 /// well.
 const MAX_FIRST_POLLS: u32 = 20;
+/// Longest time since the incarnation's last answer with which ends are acknowledged to it. Another incarnation that
+/// got the call would forget ends of its own.
+const MAX_ANSWER_AGE: Duration = Duration::from_millis(250);
 /// Time after which an idle worker is polled, even if its heartbeats arrive: a start that was given
 /// up may be carried out late, and heartbeats don't list runs.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(2000);
@@ -54,6 +57,7 @@
                 }
                 Err(WorkerError::OtherLife(by)) => self.replace(by),
                 Err(error @ (WorkerError::NoAnswer | WorkerError::Refused)) => {
+                    self.answered_at.set(None);
                     if error == WorkerError::Refused {
                         self.handle_refused();
                     }
@@ -95,7 +99,8 @@
         // from 1 again, and would forget new ends by a repeated acknowledgement.
         let acknowledgeable = self.acknowledgeable();
         let is_acknowledged = self.acknowledged.get() >= acknowledgeable;
-        let last_seen = if is_acknowledged { 0 } else { acknowledgeable };
+        let answers = self.answered_at.get().is_some_and(|at| at.elapsed() <= MAX_ANSWER_AGE);
+        let last_seen = if is_acknowledged || !answers { 0 } else { acknowledgeable };
         RenewOrder { lease_until, fencing_token: self.fencing_token(), last_seen, wait }
     }
 
@@ -149,6 +154,7 @@
         let now = Instant::now();
         self.last_contact.set(Moment::now());
         self.last_listing.set(now);
+        self.answered_at.set(Some(now));
         self.clock.set(Some((listing.clock, now)));
         self.update_running(listing);
         self.end_unlisted(listing, sent);
--- a/crates/rampbay-jobs/tests/worker_restarts.rs
+++ b/crates/rampbay-jobs/tests/worker_restarts.rs
@@ -22,6 +22,7 @@
 
 const FIRST_JOB: &str = "00000000000000aa";
 const SECOND_JOB: &str = "00000000000000bb";
+const THIRD_JOB: &str = "00000000000000cc";
 const OLD: &str = "i-1~1000";
 const NEW: &str = "i-1~2000";
 /// Longer than an agent takes to start a run, to store its end, or to find that another incarnation
@@ -206,6 +207,34 @@
     });
 }
 
+/// Guards against a task that starts again after its acknowledged end: a worker falls silent before its agent
+/// has acknowledged an end, and restarts. The agent's first call that arrives is for the previous
+/// incarnation, and the next one forgets its own end, which the store doesn't hold.
+#[test]
+fn next_incarnation_keeps_ends_after_silence() {
+    run_in_virtual_time(async {
+        let rig = after_first_run().await;
+        assign(&rig.store, SECOND_JOB, OLD);
+        sleep(SETTLES_WITHIN).await;
+        rig.store.append_delay.set(Duration::from_millis(300));
+        rig.worker.end(&task(SECOND_JOB, 0), 1, EndReason::Done);
+        sleep(Duration::from_millis(100)).await;
+        rig.worker.silent.set(true);
+        sleep(Duration::from_millis(1000)).await;
+        assert!(table_of(&rig.store).has_end(&task(SECOND_JOB, 0), 1));
+        rig.worker.replace(NEW);
+        rig.worker.start_without_agent(&task(THIRD_JOB, 0), 1);
+        rig.worker.end(&task(THIRD_JOB, 0), 1, EndReason::Stopped);
+        rig.worker.end(&task(THIRD_JOB, 1), 1, EndReason::Done);
+        rig.worker.silent.set(false);
+        sleep(SETTLES_WITHIN).await;
+        rig.heartbeat(NEW, 1);
+        sleep(SETTLES_WITHIN).await;
+        assert!(table_of(&rig.store).has_end(&task(THIRD_JOB, 0), 1));
+        assert!(table_of(&rig.store).has_end(&task(THIRD_JOB, 1), 1));
+    });
+}
+
 /// Guards against a task that runs twice: a start for the previous incarnation, given up and
 /// reassigned in the meantime, is carried out late by the next incarnation.
 #[test]
