fix: a gang's start waits 300 ms at most for the record of the one before

Cause (by reading): the start of a gang's member was held back until the store had answered the append of its record; a call to the store may take seconds. The other members wait three seconds for it.

`gang_complete_although_store_is_slow` failed (no member starts), and passes. Fix: the append goes on, and the start waits for it for the time of one order.

Left: while the store is slow, the other members' agents may acknowledge an end before the record is in the state.

--- a/crates/rampbay-jobs/src/agent/orders.rs
+++ b/crates/rampbay-jobs/src/agent/orders.rs
@@ -254,7 +254,7 @@
         }
     }
 
-    pub(super) fn still_wants(&self, key: &RunKey) -> bool {
+    fn still_wants(&self, key: &RunKey) -> bool {
         let table = self.parts.table.borrow();
         !self.is_draining()
             && !self.is_in_drained_domain()
--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -31,7 +31,7 @@
     pub may_have_begun: bool,
     /// When the last start was sent that got no definite answer, so that it may be carried out late.
     pub unanswered_start: Option<Instant>,
-    /// Whether the store holds a record of an unanswered start, written before the run's end.
+    /// Whether a record of an unanswered start was sent to the store before the run's end.
     pub is_announced: bool,
     /// Whether the run may hold resources. One that only an earlier process may have ordered, and that the worker
     /// doesn't list, holds none.
--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -21,8 +21,10 @@
 
 /// Longest time between two checks for unanswered starts of earlier incarnations.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Pause before a failed append of a gang member's record is retried.
-const ANNOUNCE_RETRY: Duration = Duration::from_millis(150);
+/// Longest time for which a start is held back until the store holds the record of the one before.
+const MAX_ANNOUNCEMENT_WAIT: Duration = Duration::from_millis(300);
+/// Pause before a failed append of such a record is retried.
+const ANNOUNCEMENT_RETRY: Duration = Duration::from_millis(150);
 
 impl Incarnation {
     /// Returns the record of a run's start without an answer, if there is one. For a run that this incarnation rejects
@@ -39,32 +41,37 @@
 
     /// Stores the record of a gang member's start without an answer, before the start is repeated. The end of one
     /// member counts for all, so the other members' agents have to know of the start before the gang can be complete.
-    /// Returns early if the run isn't wanted any more.
-    pub(super) async fn announce_unanswered_start(&self, key: &RunKey) {
-        while let Some(record) = self.record_to_announce(key) {
-            match self.parts.store.append(STATE_TOPIC, &[record], None).await {
-                Ok(_) => {
-                    if let Some(run) = self.runs.borrow_mut().open.get_mut(key) {
-                        run.is_announced = true;
-                    }
-                }
-                Err(_) => tokio::time::sleep(ANNOUNCE_RETRY).await,
-            }
-        }
+    /// Doesn't wait for a store that is slow to answer: the other members wait for this one.
+    pub(super) async fn announce_unanswered_start(self: &Rc<Self>, key: &RunKey) {
+        let Some(sent) = self.take_start_to_announce(key) else { return };
+        let incarnation = Rc::clone(self);
+        let key = key.clone();
+        let stored =
+            tokio::task::spawn_local(
+                async move { incarnation.store_announcement(&key, sent).await },
+            );
+        let _ = tokio::time::timeout(MAX_ANNOUNCEMENT_WAIT, stored).await;
     }
 
-    fn record_to_announce(&self, key: &RunKey) -> Option<KeyedRecord> {
-        let is_in_gang = self.parts.table.borrow().is_in_gang(&key.0);
-        if !is_in_gang || self.has_ended() || !self.still_wants(key) {
+    /// Returns when the unanswered start of a gang's member was sent, once for each run.
+    fn take_start_to_announce(&self, key: &RunKey) -> Option<Instant> {
+        if !self.parts.table.borrow().is_in_gang(&key.0) {
             return None;
         }
-        let sent = {
-            let runs = self.runs.borrow();
-            let run = runs.open.get(key).filter(|run| !run.is_announced)?;
-            run.unanswered_start?
-        };
-        let remaining = self.remaining_time(sent)?;
-        Some(self.record_of_unanswered(key, &self.instance, remaining))
+        let mut runs = self.runs.borrow_mut();
+        let run = runs.open.get_mut(key).filter(|run| !run.is_announced)?;
+        run.is_announced = run.unanswered_start.is_some();
+        run.unanswered_start
+    }
+
+    async fn store_announcement(&self, key: &RunKey, sent: Instant) {
+        while let Some(remaining) = self.remaining_time(sent).filter(|_| !self.has_ended()) {
+            let record = self.record_of_unanswered(key, &self.instance, remaining);
+            if self.parts.store.append(STATE_TOPIC, &[record], None).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(ANNOUNCEMENT_RETRY).await;
+        }
     }
 
     /// Returns the records of all starts without an answer, for the end of this incarnation.
--- a/crates/rampbay-jobs/tests/withheld_ends.rs
+++ b/crates/rampbay-jobs/tests/withheld_ends.rs
@@ -32,6 +32,8 @@
 const OBJECTIVE: Duration = Duration::from_millis(250);
 /// Time that a task works.
 const WORK: Duration = Duration::from_millis(300);
+/// Time for which a member of a gang waits for the others.
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time that a member of a gang works: longer than its late start keeps the others waiting.
 const GANG_WORK: Duration = Duration::from_millis(1_500);
 /// Time after which no late call is carried out any more: orders take up to three seconds, calls are
@@ -257,6 +259,22 @@
     });
 }
 
+/// Guards against a gang whose members wait in vain: the record of an unanswered start isn't stored, because the
+/// store doesn't answer, and the start is held back for it.
+#[test]
+fn gang_complete_although_store_is_slow() {
+    run_in_virtual_time(async {
+        let site = Site::start(MACHINES);
+        sleep(STARTS_WITHIN).await;
+        let gang = Step { gang: true, ..step(2, 5) };
+        let late = Duration::from_secs(11);
+        submit_with_late_starts(&site, gang, GANG_WORK, late, ORDERED_WITHIN).await;
+        site.store.append_delay.set(GANG_TIMEOUT * 2);
+        sleep(GANG_TIMEOUT).await;
+        assert_eq!(site.starts_of(JOB).len(), 2);
+    });
+}
+
 /// Guards against callers that wait for an acknowledgement: the end of the task, and those of other tasks
 /// of its worker, reach the planner at once. In the end, all of them are acknowledged.
 #[test]
