fix: lost polls don't delay ends while another end is withheld

Cause: a worker answers at once while it lists ends that aren't acknowledged, so the agent polled it every 100 ms, one call after the other. Where a third of the calls get no answer, each of which holds up the next poll by 0.9 s, the agent saw nothing for most of the time. Before, a call that waits for an end covered a second.

Evidence: `lost_poll_delays_no_end` failed, and passes.

Fix: while ends are withheld, polls don't wait for earlier ones, and renewals follow each other every second as before.

--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -382,6 +382,7 @@
             () = self.give_orders() => {}
             () = self.renew_forever() => {}
             () = self.poll_until_listed() => {}
+            () = self.poll_while_withholding() => {}
             () = self.register_forever() => {}
             () = self.watch_departure() => {}
             () = self.take_over_unanswered_starts() => {}
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -15,15 +15,17 @@
 
 /// Pause after a call without an answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Pause while listed ends aren't acknowledged: they are being appended to the store, or withheld.
-/// The worker answers a renewal at once until they are acknowledged.
-const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(100);
+/// Pause while listed ends are being appended to the store; the worker would answer a renewal at
+/// once until they are acknowledged.
+const STORING_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between polls of an incarnation that hasn't answered yet. Until it has seen a call meant
 /// for it, it carries out late orders for its predecessor.
 const FIRST_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Most such polls. They cover a second, after which the regular calls have followed each other as
 /// well.
 const MAX_FIRST_POLLS: u32 = 20;
+/// Pause between polls of a worker that lists withheld ends.
+const WITHHOLDING_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time since the incarnation's last answer with which ends are acknowledged to it. Another incarnation that
 /// got the call would forget ends of its own.
 const MAX_ANSWER_AGE: Duration = Duration::from_millis(250);
@@ -51,8 +53,10 @@
                 Ok(listing) => {
                     self.acknowledged.set(self.acknowledged.get().max(order.last_seen));
                     self.handle_listing(&listing, sent);
-                    if self.listed_append_in_flight.get() || self.withholds_ends() {
-                        tokio::time::sleep(UNACKNOWLEDGED_PAUSE).await;
+                    if self.listed_append_in_flight.get() {
+                        tokio::time::sleep(STORING_PAUSE).await;
+                    } else if self.withholds_ends() {
+                        tokio::time::sleep(self.parts.settings.renewal_wait).await;
                     }
                 }
                 Err(WorkerError::OtherLife(by)) => self.replace(by),
@@ -82,6 +86,18 @@
         std::future::pending::<()>().await;
     }
 
+    /// Polls the worker while it lists withheld ends, without waiting for earlier polls; never returns. The worker
+    /// answers a renewal at once then, instead of waiting for the next end.
+    pub(super) async fn poll_while_withholding(self: &Rc<Self>) {
+        loop {
+            tokio::time::sleep(WITHHOLDING_POLL_INTERVAL).await;
+            if self.has_runs() && self.withholds_ends() && !self.has_ended() {
+                let incarnation = Rc::clone(self);
+                tokio::task::spawn_local(async move { incarnation.poll().await });
+            }
+        }
+    }
+
     fn needs_poll(&self) -> bool {
         !self.listed.get()
             || self.has_runs()
--- a/crates/rampbay-jobs/tests/withheld_ends.rs
+++ b/crates/rampbay-jobs/tests/withheld_ends.rs
@@ -15,7 +15,7 @@
 use support::site::{Machine, Site, Work};
 use support::store::MemoryStore;
 use support::worker::{FakeWorker, LateCalls};
-use support::{AgentRig, plan_of, run_in_virtual_time, seed_running_job, step, task};
+use support::{AgentRig, plan_of, run_in_virtual_time, seed_running_job, step, table_of, task};
 use tokio::time::{Instant, sleep, sleep_until};
 
 const JOB: &str = "00000000000000aa";
@@ -331,6 +331,33 @@
     });
 }
 
+/// Guards against an end that reaches the planner late: while another end was withheld, the agent polled its worker
+/// more often, and each poll without an answer held up the next one.
+#[test]
+fn lost_poll_delays_no_end() {
+    run_in_virtual_time(async {
+        let store = MemoryStore::new();
+        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(INSTANCE));
+        rig.heartbeat(INSTANCE, 1);
+        sleep(STARTS_WITHIN).await;
+        rig.worker.late_calls.set(Some(LateCalls::Starts(Duration::from_secs(11))));
+        seed_running_job(&store, JOB, 1, INSTANCE);
+        sleep(ORDERED_WITHIN).await;
+        rig.worker.late_calls.set(None);
+        seed_running_job(&store, OTHER_JOB, 1, INSTANCE);
+        sleep(Duration::from_secs(1)).await;
+        rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(rig.worker.last_acknowledged(), 0, "the end is withheld");
+        rig.worker.silent.set(true);
+        sleep(Duration::from_millis(150)).await;
+        rig.worker.silent.set(false);
+        rig.worker.end(&task(OTHER_JOB, 0), 1, EndReason::Done);
+        sleep(OBJECTIVE).await;
+        assert!(table_of(&store).has_end(&task(OTHER_JOB, 0), 1));
+    });
+}
+
 /// Guards against ends that a worker doesn't list any more: it lists 500 at once, and sends later ones
 /// only after earlier ones were acknowledged.
 #[test]
