fix: ends are listened for as soon as none is withheld any more

By reading the change as a newcomer: after a listing with withheld ends the renewals paused for a second, though the end might be free after a moment, as that of a gang is where all is calm; then nothing polled for the rest of the second. The pause now ends as soon as an end may be acknowledged or none is withheld. The same two questions have names, and the ends that an earlier process hasn't stored are called so.

--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -99,10 +99,11 @@
 
     async fn append_ends(&self, ends: Vec<PendingEnd>) {
         self.wait_for_state().await;
-        let new: Vec<&PendingEnd> = ends.iter().filter(|end| !self.is_stored(end)).collect();
-        let mut records: Vec<KeyedRecord> = new.iter().map(|end| self.end_record(end)).collect();
+        let unstored: Vec<&PendingEnd> = ends.iter().filter(|end| !self.is_stored(end)).collect();
+        let mut records: Vec<KeyedRecord> =
+            unstored.iter().map(|end| self.end_record(end)).collect();
         // In the same append as the ends: the planner starts the tasks again as soon as it reads them.
-        let ends_to_repeat = new.iter().filter(|end| end.reason != EndReason::Done);
+        let ends_to_repeat = unstored.iter().filter(|end| end.reason != EndReason::Done);
         records.extend(ends_to_repeat.filter_map(|end| self.unanswered_start_record(&end.key)));
         while !records.is_empty()
             && self.parts.store.append(STATE_TOPIC, &records, None).await.is_err()
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -55,9 +55,8 @@
                     self.handle_listing(&listing, sent);
                     if self.listed_append_in_flight.get() {
                         tokio::time::sleep(STORING_PAUSE).await;
-                    } else if self.withholds_ends() {
-                        tokio::time::sleep(self.parts.settings.renewal_wait).await;
                     }
+                    self.pause_while_withholding().await;
                 }
                 Err(WorkerError::OtherLife(by)) => self.replace(by),
                 Err(error @ (WorkerError::NoAnswer | WorkerError::Refused)) => {
@@ -98,10 +97,18 @@
         }
     }
 
+    /// Waits as long as the worker would wait for the next end, while all ends that it lists are withheld.
+    async fn pause_while_withholding(&self) {
+        let until = Instant::now() + self.parts.settings.renewal_wait;
+        while self.withholds_ends() && !self.has_ends_to_acknowledge() && Instant::now() < until {
+            tokio::time::sleep(WITHHOLDING_POLL_INTERVAL).await;
+        }
+    }
+
     fn needs_poll(&self) -> bool {
         !self.listed.get()
             || self.has_runs()
-            || self.acknowledged.get() < self.acknowledgeable()
+            || self.has_ends_to_acknowledge()
             || self.last_listing.get().elapsed() > IDLE_POLL_INTERVAL
     }
 
@@ -113,10 +120,9 @@
         let wait = if waits { self.parts.settings.renewal_wait } else { Duration::ZERO };
         // Each end is acknowledged once: a worker that restarts under the same id numbers its ends
         // from 1 again, and would forget new ends by a repeated acknowledgement.
-        let acknowledgeable = self.acknowledgeable();
-        let is_acknowledged = self.acknowledged.get() >= acknowledgeable;
         let answers = self.answered_at.get().is_some_and(|at| at.elapsed() <= MAX_ANSWER_AGE);
-        let last_seen = if is_acknowledged || !answers { 0 } else { acknowledgeable };
+        let acknowledges = answers && self.has_ends_to_acknowledge();
+        let last_seen = if acknowledges { self.acknowledgeable() } else { 0 };
         RenewOrder { lease_until, fencing_token: self.fencing_token(), last_seen, wait }
     }
 
--- a/crates/rampbay-jobs/src/agent/withheld.rs
+++ b/crates/rampbay-jobs/src/agent/withheld.rs
@@ -80,7 +80,12 @@
         before_first.min(stored).max(stored.saturating_sub(MAX_WITHHELD))
     }
 
-    /// Returns whether the worker still lists ends that the store holds.
+    /// Returns whether the worker may forget ends that haven't been acknowledged to it.
+    pub(super) fn has_ends_to_acknowledge(&self) -> bool {
+        self.acknowledged.get() < self.acknowledgeable()
+    }
+
+    /// Returns whether ends that the store holds are withheld.
     pub(super) fn withholds_ends(&self) -> bool {
         self.acknowledgeable() < self.last_seen.get()
     }
--- a/crates/rampbay-jobs/tests/withheld_ends.rs
+++ b/crates/rampbay-jobs/tests/withheld_ends.rs
@@ -32,6 +32,8 @@
 const OBJECTIVE: Duration = Duration::from_millis(250);
 /// Time that a task works.
 const WORK: Duration = Duration::from_millis(300);
+/// Time in which ends are acknowledged where all is calm.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(4);
 /// Time for which a member of a gang waits for the others.
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time that a member of a gang works: longer than its late start keeps the others waiting.
@@ -304,6 +306,28 @@
     });
 }
 
+/// Guards against callers that wait where all is calm: the acknowledgement of a gang's end waits for a view of the
+/// state, and the ends of other tasks don't.
+#[test]
+fn done_gang_delays_no_task() {
+    run_in_virtual_time(async {
+        let site = Site::start(1);
+        let checker = EndChecker::watch(&site, WORK, true);
+        sleep(STARTS_WITHIN).await;
+        for number in 0..20_u32 {
+            let job = format!("{number:016x}");
+            let is_gang = number % 2 == 0;
+            let submitted = Instant::now();
+            site.submit(&job, Step { gang: is_gang, ..step(2, 4) }, Work::Ends(WORK));
+            succeeded(&site, &checker, &job).await;
+            let took = submitted.elapsed();
+            assert!(took < WORK + OBJECTIVE, "{job}: {took:?}");
+        }
+        sleep(ACKNOWLEDGED_WITHIN).await;
+        assert_eq!(checker.forgotten(), 40);
+    });
+}
+
 /// Guards against an end that is stored twice: an agent's process takes over a worker that still lists
 /// the ends which the process before it has stored and not acknowledged.
 #[rstest]
