--- a/crates/rampbay-jobs/tests/withheld_ends.rs
+++ b/crates/rampbay-jobs/tests/withheld_ends.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -355,20 +355,25 @@
     });
 }
 
+/// Returns an agent whose worker runs the job's task after a repeat of its start; the first one may be carried out late.
+async fn agent_with_late_start() -> AgentRig {
+    let rig = AgentRig::start(MemoryStore::new(), FakeWorker::new(INSTANCE));
+    rig.heartbeat(INSTANCE, 1);
+    sleep(STARTS_WITHIN).await;
+    rig.worker.late_calls.set(Some(LateCalls::Starts(Duration::from_secs(11))));
+    seed_running_job(&rig.store, JOB, 1, INSTANCE);
+    sleep(ORDERED_WITHIN).await;
+    rig.worker.late_calls.set(None);
+    rig
+}
+
 /// Guards against an end that reaches the planner late: while another end was withheld, the agent polled its worker
 /// more often, and each poll without an answer held up the next one.
 #[test]
 fn lost_poll_delays_no_end() {
     run_in_virtual_time(async {
-        let store = MemoryStore::new();
-        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(INSTANCE));
-        rig.heartbeat(INSTANCE, 1);
-        sleep(STARTS_WITHIN).await;
-        rig.worker.late_calls.set(Some(LateCalls::Starts(Duration::from_secs(11))));
-        seed_running_job(&store, JOB, 1, INSTANCE);
-        sleep(ORDERED_WITHIN).await;
-        rig.worker.late_calls.set(None);
-        seed_running_job(&store, OTHER_JOB, 1, INSTANCE);
+        let rig = agent_with_late_start().await;
+        seed_running_job(&rig.store, OTHER_JOB, 1, INSTANCE);
         sleep(Duration::from_secs(1)).await;
         rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
         sleep(Duration::from_secs(1)).await;
@@ -378,7 +383,7 @@
         rig.worker.silent.set(false);
         rig.worker.end(&task(OTHER_JOB, 0), 1, EndReason::Done);
         sleep(OBJECTIVE).await;
-        assert!(table_of(&store).has_end(&task(OTHER_JOB, 0), 1));
+        assert!(table_of(&rig.store).has_end(&task(OTHER_JOB, 0), 1));
     });
 }
 
@@ -388,22 +393,14 @@
 fn withheld_ends_stay_below_length_of_list() {
     run_in_virtual_time(async {
         const LISTED_AT_ONCE: u64 = 500;
-        let store = MemoryStore::new();
-        let rig = AgentRig::start(Rc::clone(&store), FakeWorker::new(INSTANCE));
-        rig.heartbeat(INSTANCE, 1);
-        sleep(STARTS_WITHIN).await;
-        rig.worker.late_calls.set(Some(LateCalls::Starts(Duration::from_secs(11))));
-        seed_running_job(&store, JOB, 1, INSTANCE);
-        sleep(ORDERED_WITHIN).await;
-        rig.worker.late_calls.set(None);
+        let rig = agent_with_late_start().await;
         sleep(Duration::from_secs(1)).await;
         rig.worker.end(&task(JOB, 0), 1, EndReason::Done);
-        let listed = Cell::new(1_u64);
         for number in 0..1_000_u32 {
             rig.worker.end(&task(OTHER_JOB, number), 1, EndReason::Stopped);
-            listed.set(listed.get() + 1);
             sleep(CHECK_INTERVAL).await;
-            let unacknowledged = listed.get() - rig.worker.last_acknowledged();
+            let ends = u64::from(number) + 2;
+            let unacknowledged = ends - rig.worker.last_acknowledged();
             assert!(unacknowledged < LISTED_AT_ONCE, "{unacknowledged}");
         }
     });
