docs: a run of an earlier process may also be of an earlier incarnation

The comment of `Run::of_earlier_process` and the name of its parameter told only one of its two uses. No change of behaviour.

--- a/crates/rampbay-jobs/src/agent/runs.rs
+++ b/crates/rampbay-jobs/src/agent/runs.rs
@@ -78,10 +78,10 @@
         }
     }
 
-    /// Creates a run in a phase that an earlier process may have ordered as well, without an answer. That process had
-    /// ended at `process_started_at`.
-    pub fn of_earlier_process(phase: Phase, process_started_at: Instant) -> Self {
-        Self { unanswered_start: Some(process_started_at), ..Self::new(phase) }
+    /// Creates a run in a phase that an earlier process, or an order for an earlier incarnation, may have begun without
+    /// an answer. Such orders were sent before `sent_before`.
+    pub fn of_earlier_process(phase: Phase, sent_before: Instant) -> Self {
+        Self { unanswered_start: Some(sent_before), ..Self::new(phase) }
     }
 }
 
