test: the stand-ins for a worker carry out late starts for an earlier incarnation

What was seen: the soak's worker once refused starts whose token wasn't above all that earlier incarnations under its id had seen.

The stand-ins themselves are unchanged.

--- a/crates/rampbay-jobs/tests/worker_restarts.rs
+++ b/crates/rampbay-jobs/tests/worker_restarts.rs
@@ -12,9 +12,10 @@
 
 use rampbay_jobs::plan::TaskStatus;
 use rampbay_jobs::record::{EndReason, Record};
+use rampbay_jobs::worker::{StartOrder, StopOrder, Worker};
 use rstest::rstest;
 use support::store::MemoryStore;
-use support::worker::{FakeWorker, LateCalls};
+use support::worker::{Client, FakeWorker, LateCalls};
 use support::{
     AgentRig, job, plan_of, run_in_virtual_time, seed_running_job, step, table_of, task,
 };
@@ -270,6 +271,39 @@
     });
 }
 
+/// Guards against a fake worker that is stricter than the protocol: whatever fencing tokens and runs
+/// the previous incarnation has seen, the next one under its id carries out a late start.
+#[rstest]
+fn late_start_carried_out_by_fake_worker(
+    #[values(0, 9)] token: u64,
+    #[values(false, true)] stopped: bool,
+) {
+    run_in_virtual_time(async move {
+        let worker = FakeWorker::new(OLD);
+        worker.observe_fencing_token(token);
+        let client = Client::new(Rc::clone(&worker), OLD);
+        let (task, attempt) = (task(FIRST_JOB, 0), 1);
+        let order = StartOrder {
+            task: task.clone(),
+            attempt,
+            payload: String::new(),
+            lease_until: LATE.as_millis() as u64,
+            fencing_token: token,
+            checkpoint: String::new(),
+        };
+        worker.late_calls.set(Some(LateCalls::Starts(LATE)));
+        assert!(client.start(&order).await.is_err());
+        if stopped {
+            let stop = StopOrder { task: task.clone(), attempt, fencing_token: token };
+            client.stop(&stop).await.expect("the previous incarnation stops the run");
+        }
+        worker.replace(NEW);
+        worker.silent.set(true);
+        sleep(LATE).await;
+        assert_eq!(worker.starts(), [(task, attempt)]);
+    });
+}
+
 /// Guards against a task that runs twice: a start for the previous incarnation, given up and
 /// reassigned in the meantime, is carried out by an incarnation that its agent hasn't reached yet.
 #[test]
