fix: a worker is unblocked once its agent reports the end of a run that it picked up late

Trace: side-4's process was replaced and reached the store 5.9 s later. Eight runs had been assigned to its worker meanwhile. It started them 98 ms before the planner stopped them as not picked up (J148), and the planner blocked the worker for 5 s. Their ends came 60 ms later, with records of unanswered starts, since an earlier process of the agent might have ordered the runs (J188). So the tasks were bound to the one worker that was blocked, and waited (J152 unanswered_start) until the 5 s were over.

Cause: the block outlives its reason. A worker is blocked because its agent doesn't pick up runs; the end of such a run shows that the agent has picked it up.

Change: the planner remembers the runs for which a worker is blocked, and the end of one of them, as its agent reports it, lifts this block. Blocks after failures, stalled runs and refusals are as before.

Measured: bound_task_starts_soon_after_run_picked_up_late, both cases, fails on the code before (the task waits for over 3 s) and passes now; worker_blocked_while_run_not_picked_up passes on both.

--- a/crates/rampbay-jobs/src/planner/health.rs
+++ b/crates/rampbay-jobs/src/planner/health.rs
@@ -2,20 +2,23 @@
 //!
 //! A worker that fails every run is always free, and would be assigned more work than any other. So a
 //! worker where runs of two jobs have failed, without a successful run in between, is blocked for a
-//! while; after that one more failure is enough to block it again. A worker that refuses starts isn't
-//! tried again at once either, since its free capacity differs from what the planner knows. A job that
+//! while; after that one more failure is enough to block it again. A worker whose agent doesn't pick up
+//! a run gets no other runs until the agent reports the end of that run, or for a while. A worker that
+//! refuses starts isn't tried again at once either, since its free capacity differs from what the
+//! planner knows. A job that
 //! fails at several workers is itself at fault, and counts against none of them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use crate::job::{InstanceId, JobId};
+use crate::job::{InstanceId, JobId, TaskId};
 
 /// Number of jobs that failed, without a success in between, from which a worker is blocked.
 const FAILED_JOBS_TO_BLOCK: usize = 2;
 /// Time for which a failure counts.
 const FAILURE_RETENTION: Duration = Duration::from_secs(15);
-/// Time for which a worker is blocked after too many failures or a stalled run.
+/// Longest time for which a worker is blocked after too many failures, a stalled run or a run that its agent didn't
+/// pick up.
 const BLOCK_TIME: Duration = Duration::from_secs(5);
 /// Time for which other workers are preferred after a refused start, which is never the job's fault.
 const AVOID_TIME_AFTER_REFUSAL: Duration = Duration::from_millis(4000);
@@ -39,6 +42,9 @@
     failures: Vec<Failure>,
     avoid_until: Duration,
     block_until: Duration,
+    /// Runs that the agent didn't pick up in time, and until when the worker is blocked for them.
+    unreported: BTreeSet<(TaskId, u32)>,
+    unreported_until: Duration,
     /// Latest pause after a refusal, while nothing has started since.
     refusal_pause: Option<Duration>,
     refused_until: Duration,
@@ -101,6 +107,7 @@
         if let Some(health) = self.workers.get_mut(instance) {
             health.failures.clear();
             health.block_until = Duration::ZERO;
+            health.unblock_unreported();
         }
     }
 
@@ -110,6 +117,30 @@
         health.block_until = health.block_until.max(now + BLOCK_TIME);
     }
 
+    /// Records a run that the worker's agent didn't pick up in time.
+    pub fn record_unreported(
+        &mut self,
+        instance: &str,
+        task: &TaskId,
+        attempt: u32,
+        now: Duration,
+    ) {
+        let health = self.workers.entry(instance.to_owned()).or_default();
+        health.unreported.insert((task.clone(), attempt));
+        health.unreported_until = health.unreported_until.max(now + BLOCK_TIME);
+    }
+
+    /// Records that a worker's agent has reported the end of a run. If it's one that the agent didn't pick up in time,
+    /// the agent has picked it up since, and the worker is no longer blocked for it. Tasks whose unanswered starts bind
+    /// them to this worker would otherwise wait for the rest of the time, and nothing of their jobs would run.
+    pub fn record_end(&mut self, instance: &str, task: &TaskId, attempt: u32) {
+        if let Some(health) = self.workers.get_mut(instance)
+            && health.unreported.contains(&(task.clone(), attempt))
+        {
+            health.unblock_unreported();
+        }
+    }
+
     /// Records a refused start.
     pub fn record_refusal(&mut self, instance: &str, now: Duration) {
         let health = self.workers.entry(instance.to_owned()).or_default();
@@ -140,7 +171,17 @@
     /// Returns whether a worker is blocked, and so gets no work.
     #[must_use]
     pub fn is_blocked(&self, instance: &str, now: Duration) -> bool {
-        let is_blocked = |health: &WorkerHealth| now < health.block_until.max(health.refused_until);
-        self.workers.get(instance).is_some_and(is_blocked)
+        self.workers.get(instance).is_some_and(|health| now < health.blocked_until())
+    }
+}
+
+impl WorkerHealth {
+    fn unblock_unreported(&mut self) {
+        self.unreported.clear();
+        self.unreported_until = Duration::ZERO;
+    }
+
+    fn blocked_until(&self) -> Duration {
+        self.block_until.max(self.refused_until).max(self.unreported_until)
     }
 }
--- a/crates/rampbay-jobs/src/planner/settle.rs
+++ b/crates/rampbay-jobs/src/planner/settle.rs
@@ -55,6 +55,7 @@
     if end.reason != EndReason::NotStarted {
         health.record_start(&end.instance);
     }
+    health.record_end(&end.instance, &end.task, end.attempt);
 }
 
 /// Applies the end of a run to the plan of its task, if it is the task's current run.
--- a/crates/rampbay-jobs/src/planner/watch.rs
+++ b/crates/rampbay-jobs/src/planner/watch.rs
@@ -64,7 +64,12 @@
                     task.instance,
                     worker.record.node
                 );
-                planner.health.record_stall(&task.instance, inputs.now);
+                planner.health.record_unreported(
+                    &task.instance,
+                    &task_id,
+                    task.attempt,
+                    inputs.now,
+                );
                 moved.push(task_id);
             }
         }
--- a/crates/rampbay-jobs/tests/bound_tasks.rs
+++ b/crates/rampbay-jobs/tests/bound_tasks.rs
@@ -12,11 +12,14 @@
 use rstest::rstest;
 use support::planner::{PlannerRig, gang};
 use support::{job, run_in_virtual_time, step, task};
+use tokio::time::Instant;
 
 const JOB: &str = "00000000000000aa";
 const OTHER: &str = "00000000000000bb";
 const GONE: &str = "i-gone";
 const REMAINING: Duration = Duration::from_secs(10);
+/// Longest time for which a job may have nothing running while there is capacity for it.
+const MAX_STALL: Duration = Duration::from_secs(3);
 
 /// Records that the start of a task's first run got no answer and is rejected at an incarnation.
 fn put_unanswered(rig: &mut PlannerRig, task: &TaskId, instance: &str) {
@@ -102,6 +105,56 @@
     });
 }
 
+/// Guards against a job that has nothing running for 5 s beside free workers (soak, small site, seed 1004): the agent
+/// picked up its run too late, so the planner stopped the run and blocked the worker. Meanwhile an earlier process of
+/// the agent may have ordered the run, so the task may start at this worker only.
+#[rstest]
+fn bound_task_starts_soon_after_run_picked_up_late(
+    #[values(EndReason::Stopped, EndReason::NotStarted)] reason: EndReason,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(2);
+        let task = task(JOB, 0);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        let worker = rig.instance_of(&task);
+        while rig.status_of(&task) == TaskStatus::Running {
+            rig.advance_idle(Duration::from_secs(1)).await;
+            rig.plan();
+        }
+        put_unanswered(&mut rig, &task, &worker);
+        rig.end(&task, reason);
+        let ended = Instant::now();
+        rig.plan();
+        while rig.status_of(&task) != TaskStatus::Running {
+            rig.advance(Duration::from_millis(500)).await;
+            rig.plan();
+            assert!(ended.elapsed() < MAX_STALL, "{:?}", rig.planner.wait_reason(JOB, 0, 0));
+        }
+        assert_eq!(rig.instance_of(&task), worker);
+    });
+}
+
+/// A worker whose agent still hasn't picked up a run gets no other one.
+#[test]
+fn worker_blocked_while_run_not_picked_up() {
+    run_in_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(2);
+        rig.submit(job(JOB, 1, step(1, 1)));
+        rig.plan();
+        let worker = rig.instance_of(&task(JOB, 0));
+        while rig.status_of(&task(JOB, 0)) == TaskStatus::Running {
+            rig.advance_idle(Duration::from_secs(1)).await;
+            rig.plan();
+        }
+        rig.submit(job(OTHER, 1, step(1, 1)));
+        put_unanswered(&mut rig, &task(OTHER, 0), &worker);
+        rig.advance(Duration::from_secs(4)).await;
+        rig.plan();
+        assert_eq!(rig.status_of(&task(OTHER, 0)), TaskStatus::Waiting);
+    });
+}
+
 /// Two starts that different incarnations reject bind a task to none of them.
 #[test]
 fn task_with_two_rejecting_workers_waits() {
