fix: other workers are preferred after a run was picked up late

What callers would have seen: with the block lifted by the end of the run, a task that may start anywhere was placed at the same worker at once. If its agent holds runs back for longer, each attempt there costs another 4 s.

Change: for the time of the block, other workers are preferred to this one. A task that may start only there starts there.

--- a/crates/rampbay-jobs/src/planner/health.rs
+++ b/crates/rampbay-jobs/src/planner/health.rs
@@ -3,10 +3,10 @@
 //! A worker that fails every run is always free, and would be assigned more work than any other. So a
 //! worker where runs of two jobs have failed, without a successful run in between, is blocked for a
 //! while; after that one more failure is enough to block it again. A worker whose agent doesn't pick up
-//! a run gets no other runs until the agent reports the end of that run, or for a while. A worker that
+//! a run gets no other runs for a while, or until the agent reports the end of that run. A worker that
 //! refuses starts isn't tried again at once either, since its free capacity differs from what the
-//! planner knows. A job that
-//! fails at several workers is itself at fault, and counts against none of them.
+//! planner knows. A job that fails at several workers is itself at fault, and counts against none of
+//! them.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -117,7 +117,8 @@
         health.block_until = health.block_until.max(now + BLOCK_TIME);
     }
 
-    /// Records a run that the worker's agent didn't pick up in time.
+    /// Records a run that the worker's agent didn't pick up in time. The worker is blocked until [`Self::record_end`], and
+    /// other workers are preferred for the whole time.
     pub fn record_unreported(
         &mut self,
         instance: &str,
@@ -128,6 +129,7 @@
         let health = self.workers.entry(instance.to_owned()).or_default();
         health.unreported.insert((task.clone(), attempt));
         health.unreported_until = health.unreported_until.max(now + BLOCK_TIME);
+        health.avoid_until = health.avoid_until.max(now + BLOCK_TIME);
     }
 
     /// Records that a worker's agent has reported the end of a run. If it's one that the agent didn't pick up in time,
--- a/crates/rampbay-jobs/tests/bound_tasks.rs
+++ b/crates/rampbay-jobs/tests/bound_tasks.rs
@@ -105,6 +105,18 @@
     });
 }
 
+/// Lets the planner stop the job's run, since the agent's reports lack it. Returns the run's worker.
+async fn stop_unreported_run(rig: &mut PlannerRig) -> String {
+    let task = task(JOB, 0);
+    rig.submit(job(JOB, 1, step(1, 1)));
+    rig.plan();
+    while rig.status_of(&task) == TaskStatus::Running {
+        rig.advance_idle(Duration::from_secs(1)).await;
+        rig.plan();
+    }
+    rig.instance_of(&task)
+}
+
 /// Guards against a job that has nothing running for 5 s beside free workers (soak, small site, seed 1004): the agent
 /// picked up its run too late, so the planner stopped the run and blocked the worker. Meanwhile an earlier process of
 /// the agent may have ordered the run, so the task may start at this worker only.
@@ -115,13 +127,7 @@
     run_in_virtual_time(async move {
         let mut rig = PlannerRig::of_workers(2);
         let task = task(JOB, 0);
-        rig.submit(job(JOB, 1, step(1, 1)));
-        rig.plan();
-        let worker = rig.instance_of(&task);
-        while rig.status_of(&task) == TaskStatus::Running {
-            rig.advance_idle(Duration::from_secs(1)).await;
-            rig.plan();
-        }
+        let worker = stop_unreported_run(&mut rig).await;
         put_unanswered(&mut rig, &task, &worker);
         rig.end(&task, reason);
         let ended = Instant::now();
@@ -135,18 +141,26 @@
     });
 }
 
+/// A task that isn't bound to the worker whose agent picked up its run late starts elsewhere.
+#[test]
+fn free_task_starts_elsewhere_after_run_picked_up_late() {
+    run_in_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(2);
+        let task = task(JOB, 0);
+        let worker = stop_unreported_run(&mut rig).await;
+        rig.end(&task, EndReason::Stopped);
+        rig.plan();
+        assert_eq!(rig.status_of(&task), TaskStatus::Running);
+        assert_ne!(rig.instance_of(&task), worker);
+    });
+}
+
 /// A worker whose agent still hasn't picked up a run gets no other one.
 #[test]
 fn worker_blocked_while_run_not_picked_up() {
     run_in_virtual_time(async {
         let mut rig = PlannerRig::of_workers(2);
-        rig.submit(job(JOB, 1, step(1, 1)));
-        rig.plan();
-        let worker = rig.instance_of(&task(JOB, 0));
-        while rig.status_of(&task(JOB, 0)) == TaskStatus::Running {
-            rig.advance_idle(Duration::from_secs(1)).await;
-            rig.plan();
-        }
+        let worker = stop_unreported_run(&mut rig).await;
         rig.submit(job(OTHER, 1, step(1, 1)));
         put_unanswered(&mut rig, &task(OTHER, 0), &worker);
         rig.advance(Duration::from_secs(4)).await;
