feat: logs tell when a job's record enters a table, and which appends outlive their callers

The logs held the calls and their answers, but not when a job or its cancellation entered the table of an entry, nor that an append went on after its caller had been answered, so a stale view, a late record and a lost cancellation looked alike.

Change: J224 at each entry when a job or a cancellation is read, with the status that callers see then; J225 at the process whose batch carried records of callers that have given up.

--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -8,6 +8,7 @@
 use crate::follower::{Pace, Sink, apply_record, follow};
 use crate::freshness::Freshness;
 use crate::job::NodeName;
+use crate::keys::subject;
 use crate::outlook::OUTLOOK_KEY;
 use crate::outlook::received::ReceivedOutlook;
 use crate::planner::ProgressTable;
@@ -55,6 +56,21 @@
         }
         applied
     }
+
+    /// Logs that a job, or its cancellation, has entered a complete table. Whether it came before or after an answer to a
+    /// caller can't be told from the time of the call that appended it.
+    fn log_job_record(&self, record: &KeyedRecord) {
+        let Some(kind @ ("job" | "cancel")) = record.key.split_once('/').map(|(kind, _)| kind)
+        else {
+            return;
+        };
+        if self.agent.is_some() || record.value.is_empty() {
+            return;
+        }
+        let job = subject(&record.key).unwrap_or_default();
+        let status = self.table.borrow().status(job);
+        log::info!("event=J224 job record read job={job} kind={kind} status={status:?}");
+    }
 }
 
 impl Sink for TableSink {
@@ -70,10 +86,13 @@
 
     fn apply(&mut self, record: &KeyedRecord) {
         self.note_outlook(record, |table| table.apply(record));
+        self.log_job_record(record);
     }
 
     fn apply_and_address(&mut self, record: &KeyedRecord) -> AddressedRecord {
-        self.note_outlook(record, |table| table.apply_and_address(record))
+        let addressed = self.note_outlook(record, |table| table.apply_and_address(record));
+        self.log_job_record(record);
+        addressed
     }
 
     fn has_gap(&self) -> bool {
--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -115,6 +115,7 @@
     let records: Vec<KeyedRecord> =
         batch.iter().flat_map(|entry| entry.records.iter().cloned()).collect();
     let outcome = store.append(topic, &records, None).await;
+    log_abandoned(topic, &batch, &outcome);
     let mut following = records.len();
     for entry in batch {
         following -= entry.records.len();
@@ -126,6 +127,23 @@
     }
 }
 
+/// Largest number of records that a log line names.
+const MAX_NAMED: usize = 8;
+
+/// Logs which records were sent although their callers, who were told that the outcome is unknown, have given up.
+fn log_abandoned(topic: &str, batch: &[PendingAppend], outcome: &Outcome) {
+    let abandoned = batch.iter().filter(|entry| entry.outcome.is_closed());
+    let keys: Vec<&str> =
+        abandoned.flat_map(|entry| &entry.records).map(|record| record.key.as_str()).collect();
+    if !keys.is_empty() {
+        log::info!(
+            "event=J225 append outlived its callers topic={topic} outcome={outcome:?} records={} keys={:?}",
+            keys.len(),
+            &keys[..keys.len().min(MAX_NAMED)]
+        );
+    }
+}
+
 #[async_trait(?Send)]
 impl Layer for GroupStore {
     fn inner(&self) -> &dyn Store {
