fix: a cancellation of a job that isn't stored yet is kept

Cause: an entry whose table doesn't hold the job answered 410 and wrote nothing. The 410 acknowledges the cancelling, but the job's record is still on its way: a call without an answer may be carried out seconds later, and no view shows that it won't.

The entry's view was right when it answered.

Change: the entry stores an early cancellation under a key with a number of its own, names its caller's workspace and queue in it, and answers once it is stored. It binds a job that this caller may cancel, whether the job comes before or after it. It is removed with the job, or 120 s to 240 s after it was stored; one timer that outlives leaders covers all that are there when it starts. A repeated call is answered from the table while the record is sure to be kept for another 120 s. Whether a job is cancelled depends on the cancellations that are there, so a table that is read anew agrees with one that followed.

Why it works: job and cancellation meet in the table of records, in whatever order the store has them, under whichever leader, also after a loss of power. No view has to prove that nothing comes.

--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::admission::gate::{AdmissionGate, ForecastRefusal};
+use crate::cancel::{self, Canceller, EarlyCancel};
 use crate::clock::Moment;
 use crate::drained::DrainOrders;
 use crate::freshness::Freshness;
@@ -15,7 +16,7 @@
 use crate::plan::JobStatus;
 use crate::record::{Record, STATE_TOPIC};
 use crate::routing::{Queue, Routing};
-use crate::store::{AppendError, Store};
+use crate::store::{AppendError, Offset, Store};
 use crate::table::JobTable;
 
 /// How long before its caller's timeout a call is answered; a later answer is lost.
@@ -54,6 +55,9 @@
     /// There is no such job.
     #[error("no such job")]
     NoJob,
+    /// The caller's workspace has cancelled too many jobs that aren't known; nothing was sent to the store.
+    #[error("too many cancellations of unknown jobs")]
+    TooManyCancels,
     /// The job certainly can't be served now, and nothing was sent to the store.
     #[error("there is no room for the job")]
     NoRoom {
@@ -271,7 +275,8 @@
             return Ok(());
         }
         let Some(gate) = &self.gate else {
-            return self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
+            let record = Record::Submitted(Box::new(submission));
+            return self.append_record(&record, budget).await.map(|_| ());
         };
         let _call = gate.enter(&submission.id);
         let asked = Moment::now();
@@ -291,7 +296,7 @@
         let sent = Instant::now();
         let stored = self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
         gate.note_append(stored == Err(Refusal::Unknown), sent.elapsed());
-        stored
+        stored.map(|_| ())
     }
 
     fn is_known(&self, id: &JobId) -> bool {
@@ -304,46 +309,76 @@
         gate.confirm_view(asked, budget.until).await
     }
 
-    /// Cancels a job.
+    /// Cancels a job. If the job isn't known, the store keeps the cancellation: the job's record may still be on its way, and a
+    /// caller who is told that there is no such job considers it cancelled.
     ///
     /// # Errors
     ///
-    /// Returns [`Refusal::NoJob`] if there is no such job, or it has ended, and [`Refusal::NotCurrent`] if
-    /// that couldn't be determined in the call's time.
-    pub async fn cancel(&self, id: &JobId, budget: WaitBudget) -> Result<(), Refusal> {
+    /// Returns [`Refusal::NoJob`] if there is no such job, or it has ended; nothing of it is started after that.
+    /// [`Refusal::NotCurrent`], [`Refusal::Unavailable`] and [`Refusal::Unknown`] mean that the cancellation couldn't be
+    /// stored in the call's time, and [`Refusal::TooManyCancels`] that it isn't kept.
+    pub async fn cancel(
+        &self,
+        id: &JobId,
+        canceller: &Canceller,
+        budget: WaitBudget,
+    ) -> Result<(), Refusal> {
         let known = self.table.borrow().status(id);
-        let status = match known {
-            Some(status) => status,
-            None => self.current_status(id, budget).await?,
-        };
-        match status {
-            JobStatus::Cancelled => Ok(()),
-            JobStatus::Succeeded | JobStatus::Failed => Err(Refusal::NoJob),
-            JobStatus::Queued | JobStatus::Running => {
-                self.append_record(&Record::Cancelled(id.clone()), budget).await
+        match known {
+            Some(JobStatus::Cancelled) => Ok(()),
+            Some(JobStatus::Succeeded | JobStatus::Failed) => Err(Refusal::NoJob),
+            Some(JobStatus::Queued | JobStatus::Running) => {
+                self.append_record(&Record::Cancelled(id.clone()), budget).await.map(|_| ())
             }
+            None => self.cancel_unknown(id, canceller, budget).await,
         }
     }
 
-    /// Returns the status of a job, as of a moment after the call arrived. A caller who is told that there
-    /// is no such job considers it cancelled. In a table from before the call, a job that another entry has
-    /// accepted may be missing, and the job would run on.
-    async fn current_status(&self, id: &JobId, budget: WaitBudget) -> Result<JobStatus, Refusal> {
-        let asked = Moment::now();
-        let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
-        loop {
-            if let Some(status) = self.table.borrow().status(id) {
-                return Ok(status);
-            }
-            if self.table_freshness.is_within(asked.elapsed()) {
-                return Err(Refusal::NoJob);
+    /// Stores the cancellation of a job that the table doesn't hold.
+    async fn cancel_unknown(
+        &self,
+        id: &JobId,
+        canceller: &Canceller,
+        budget: WaitBudget,
+    ) -> Result<(), Refusal> {
+        // The cancellation is kept for a time that is measured from the position in its number.
+        self.wait_for_table(budget).await?;
+        if !self.table.borrow().keeps_early_cancel(id, canceller) {
+            if self.table.borrow().cancels().is_full_for(&canceller.workspace) {
+                return Err(Refusal::TooManyCancels);
             }
+            let position = self.table_freshness.position();
+            let cancel = EarlyCancel {
+                job: id.clone(),
+                number: cancel::number_at(position, rand::random()),
+                canceller: canceller.clone(),
+            };
+            let stored = self.append_record(&Record::EarlyCancel(Box::new(cancel)), budget).await;
+            let end = stored.map_err(|refusal| match refusal {
+                Refusal::Unavailable => Refusal::NotCurrent,
+                other => other,
+            })?;
+            // A job that was accepted before is known then, and its caller is told that it is cancelled.
+            let _ = tokio::time::timeout_at(budget.until, self.table_freshness.reach(end)).await;
+        }
+        let status = self.table.borrow().status(id);
+        match status {
+            None | Some(JobStatus::Succeeded | JobStatus::Failed) => Err(Refusal::NoJob),
+            Some(JobStatus::Queued | JobStatus::Running | JobStatus::Cancelled) => Ok(()),
+        }
+    }
+
+    /// Waits until the table is recent enough to report a job as unknown.
+    async fn wait_for_table(&self, budget: WaitBudget) -> Result<(), Refusal> {
+        let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
+        while !self.table_freshness.is_within(self.limits.table_age) {
             if Instant::now() >= budget.until {
                 return Err(Refusal::NotCurrent);
             }
-            tokio::time::sleep_until((Instant::now() + TABLE_POLL_INTERVAL).min(budget.until))
-                .await;
+            let next_check = Instant::now() + TABLE_POLL_INTERVAL;
+            tokio::time::sleep_until(next_check.min(budget.until)).await;
         }
+        Ok(())
     }
 
     /// Returns the status of a job, by the table.
@@ -374,8 +409,8 @@
         Ok(self.table.borrow().pending(queue))
     }
 
-    /// Appends a record, with retries until the store has it or the call's time is over.
-    async fn append_record(&self, record: &Record, budget: WaitBudget) -> Result<(), Refusal> {
+    /// Appends a record, with retries until the store has it or the call's time is over. Returns the offset after it.
+    async fn append_record(&self, record: &Record, budget: WaitBudget) -> Result<Offset, Refusal> {
         let _guard = self.wait_for_store().ok_or(Refusal::Unavailable)?;
         if !budget.may_send {
             // Nothing is sent, so that the caller may be told that nothing was stored.
@@ -387,7 +422,7 @@
         loop {
             let append = self.store.append(STATE_TOPIC, &records, None);
             match tokio::time::timeout_at(budget.until, append).await {
-                Ok(Ok(_)) => return Ok(()),
+                Ok(Ok(end)) => return Ok(end),
                 Ok(Err(AppendError::Unknown)) => refusal = Refusal::Unknown,
                 Ok(Err(AppendError::Refused | AppendError::Fenced)) => {}
                 Err(_) => return Err(Refusal::Unknown),
--- a/crates/rampbay-jobs/src/keys.rs
+++ b/crates/rampbay-jobs/src/keys.rs
@@ -3,6 +3,7 @@
 //! A call that got no answer may be carried out seconds later. The keys of records that several processes write without
 //! coordination end with a number, so that a late copy affects only the record that it was sent for.
 
+use crate::cancel::CancelNumber;
 use crate::job::TaskId;
 use crate::record::{EndReason, RunEnd};
 use crate::registrations::RegistrationNumber;
@@ -10,6 +11,9 @@
 
 /// Key of the leader's timers.
 pub const TIMERS_KEY: &str = "timers";
+/// Start of the name of the timer after which cancellations without jobs are removed. It ends with the highest number of
+/// the cancellations that the timer covers.
+pub const STRAY_CANCELS_TIMER: &str = "early_cancels/";
 
 /// Returns the key of a run's end. A start that failed has a key of its own, so that its record can't
 /// replace an end that was reported before.
@@ -76,12 +80,25 @@
     let (kind, name) = key.split_once('/')?;
     match kind {
         "job" | "cancel" | "losses" | "over" | "life" => Some(name),
+        "early_cancel" => Some(split_number(name).0),
         "plan" | "part" => plan_job(key),
         "worker" | "evicted" | "stopped" | "suspected" => Some(split_worker_key(key).0),
         _ => None,
     }
 }
 
+/// Returns the key of the cancellation of a job that was known where it was cancelled.
+#[must_use]
+pub fn cancel_key(job: &str) -> String {
+    format!("cancel/{job}")
+}
+
+/// Returns the key of the cancellation of a job that wasn't known where it was cancelled.
+#[must_use]
+pub fn early_cancel_key(job: &str, number: CancelNumber) -> String {
+    format!("early_cancel/{job}/{number}")
+}
+
 /// Returns the key of the runs that a job has lost.
 #[must_use]
 pub fn losses_key(job: &str) -> String {
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -61,6 +61,7 @@
 use draft::Draft;
 use events::RunEvent;
 use evict::SilentWorkers;
+use expire::StrayCancels;
 use forecast::Forecasts;
 use health::HealthTracker;
 use lost::RecentlyLost;
@@ -161,6 +162,8 @@
     registrations_ended_since: BTreeMap<InstanceId, Duration>,
     /// Time of the next check for ended jobs.
     next_expiry_check: Duration,
+    /// Cancellations without jobs.
+    stray_cancels: StrayCancels,
     settled: SettledPlans,
     /// Version of the progress table at which the runs were last checked.
     last_checked_progress: Option<u64>,
@@ -223,6 +226,7 @@
             ended_since: BTreeMap::new(),
             registrations_ended_since: BTreeMap::new(),
             next_expiry_check: Duration::ZERO,
+            stray_cancels: StrayCancels::default(),
             settled: SettledPlans::default(),
             last_checked_progress: None,
             recently_lost: RecentlyLost::default(),
@@ -274,6 +278,7 @@
         };
         self.waits.update(&waits, inputs.now);
         unanswered::expire_unanswered(&mut self.timers, &mut draft, inputs);
+        expire::expire_cancels(self, &mut draft, inputs);
         self.timers.end_round(&mut draft, inputs.now);
         expire::expire(self, &mut draft, inputs);
         expire::expire_registrations(self, &mut draft, inputs);
--- a/crates/rampbay-jobs/src/planner/expire.rs
+++ b/crates/rampbay-jobs/src/planner/expire.rs
@@ -1,22 +1,29 @@
-//! Removes records that are no longer needed: jobs that ended long ago, and ends of registrations.
+//! Removes records that are no longer needed: jobs that ended long ago, ends of registrations, and cancellations without
+//! jobs.
 
 use std::time::Duration;
 
+use crate::cancel::CancelNumber;
 use crate::job::JobId;
-use crate::keys::{life_key, losses_key, plan_key, registrations_end_key, worker_key};
+use crate::keys::{
+    STRAY_CANCELS_TIMER, cancel_key, early_cancel_key, life_key, losses_key, plan_key,
+    registrations_end_key, worker_key,
+};
 use crate::parts::part_keys;
-use crate::record::Record;
 
 use super::draft::Draft;
 use super::{Planner, RoundInputs};
 
 /// Time between two checks for jobs to remove.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1000);
-/// Time for which the end of a worker's registrations is kept; a late registration is recognized for that long. It is
-/// ten times the longest delay with which a call was seen to be carried out (12 s).
-const REGISTRATION_END_RETENTION: Duration = Duration::from_secs(120);
+/// Time for which a record is kept that decides what a late call does: the end of a worker's registrations, and the
+/// cancellation of a job that isn't stored. It is ten times the longest delay with which a call was seen to be carried
+/// out (12 s).
+const LATE_CALL_RETENTION: Duration = Duration::from_secs(120);
 /// Largest number of jobs that are removed in one round.
 const MAX_REMOVALS: usize = 16;
+/// Largest number of cancellations without jobs that are removed in one round.
+const MAX_CANCEL_REMOVALS: usize = 256;
 
 /// Removes jobs whose end this planner has known for long enough. A planner that takes over measures
 /// from its own start, so it removes them later, never earlier.
@@ -63,18 +70,62 @@
             known.entry(instance.clone()).or_insert(inputs.now);
         }
     }
-    let old = known
-        .iter()
-        .filter(|(_, since)| inputs.now.saturating_sub(**since) >= REGISTRATION_END_RETENTION);
+    let old =
+        known.iter().filter(|(_, since)| inputs.now.saturating_sub(**since) >= LATE_CALL_RETENTION);
     for (instance, _) in old {
         draft.remove(registrations_end_key(instance));
         draft.remove(life_key(instance));
     }
 }
 
+/// The wait after which cancellations without jobs are removed. One timer covers all that are there when it starts, so
+/// its elapsed time can be stored for the next leader.
+#[derive(Debug, Default)]
+pub struct StrayCancels {
+    /// Highest number that the running timer covers.
+    up_to: Option<CancelNumber>,
+    /// Time of the next check for new ones, while no timer is running.
+    next_check: Duration,
+}
+
+/// Removes cancellations whose jobs didn't come. Each is kept for [`LATE_CALL_RETENTION`] at least, and for twice as long at
+/// most, apart from the times between a leader's last record of its timers and its end.
+pub fn expire_cancels(planner: &mut Planner, draft: &mut Draft<'_>, inputs: &RoundInputs<'_>) {
+    let now = inputs.now;
+    let known = &mut planner.stray_cancels;
+    if known.up_to.is_none() {
+        if now < known.next_check {
+            return;
+        }
+        known.next_check = now + CHECK_INTERVAL;
+        let newest = inputs.table.stray_cancels().iter().map(|cancel| cancel.number).max();
+        let Some(newest) = newest else { return };
+        let inherited = planner.timers.inherited_number(STRAY_CANCELS_TIMER);
+        known.up_to = inherited.or(Some(newest));
+    }
+    let Some(up_to) = known.up_to else { return };
+    let waited = planner.timers.elapsed(format!("{STRAY_CANCELS_TIMER}{up_to}"), now);
+    if waited < LATE_CALL_RETENTION {
+        return;
+    }
+    let strays = inputs.table.stray_cancels();
+    let covered = strays.iter().filter(|cancel| cancel.number <= up_to);
+    let old: Vec<_> = covered.take(MAX_CANCEL_REMOVALS).collect();
+    if old.len() < MAX_CANCEL_REMOVALS {
+        known.up_to = None;
+    }
+    if !old.is_empty() {
+        log::info!("event=J226 cancellations without jobs removed count={}", old.len());
+    }
+    old.into_iter().for_each(|cancel| draft.remove(cancel.key.clone()));
+}
+
 fn remove(draft: &mut Draft<'_>, id: &JobId) {
     log::info!("event=J134 job removed job={id}");
-    draft.remove(Record::Cancelled(id.clone()).key());
+    draft.remove(cancel_key(id));
+    for cancel in draft.table.cancels().early_of(id) {
+        draft.remove(early_cancel_key(id, cancel.number));
+    }
     if let Some(plan) = draft.table.jobs.get(id).and_then(|job| job.plan.as_deref()) {
         part_keys(id, plan).for_each(|(_, key)| draft.remove(key));
     }
--- a/crates/rampbay-jobs/src/planner/timers.rs
+++ b/crates/rampbay-jobs/src/planner/timers.rs
@@ -72,6 +72,11 @@
         timer.elapsed(now)
     }
 
+    /// Returns the number with which the name of a timer ends that an earlier leader stored. Known only in the first round.
+    pub fn inherited_number(&self, prefix: &str) -> Option<u64> {
+        self.inherited.keys().find_map(|name| name.strip_prefix(prefix)?.parse().ok())
+    }
+
     /// Ends the timers that weren't read in this round, and stores the others when it is time.
     pub fn end_round(&mut self, draft: &mut Draft<'_>, now: Duration) {
         self.inherited.clear();
--- a/crates/rampbay-jobs/src/process.rs
+++ b/crates/rampbay-jobs/src/process.rs
@@ -60,7 +60,8 @@
     /// Logs that a job, or its cancellation, has entered a complete table. Whether it came before or after an answer to a
     /// caller can't be told from the time of the call that appended it.
     fn log_job_record(&self, record: &KeyedRecord) {
-        let Some(kind @ ("job" | "cancel")) = record.key.split_once('/').map(|(kind, _)| kind)
+        let Some(kind @ ("job" | "cancel" | "early_cancel")) =
+            record.key.split_once('/').map(|(kind, _)| kind)
         else {
             return;
         };
--- a/crates/rampbay-jobs/src/recipients.rs
+++ b/crates/rampbay-jobs/src/recipients.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 
 use crate::job::{NodeName, TaskId};
-use crate::keys::{TIMERS_KEY, plan_job, plan_key, split_unanswered_name, split_worker_key};
+use crate::keys::{
+    TIMERS_KEY, plan_job, plan_key, split_number, split_unanswered_name, split_worker_key,
+};
 use crate::outlook::OUTLOOK_KEY;
 use crate::parts::tasks_from;
 use crate::plan::JobPlan;
@@ -201,6 +203,8 @@
                 let start = self.unanswered.get(&task).and_then(|starts| starts.get(&attempt));
                 start.into_iter().for_each(|start| concerned.add(self.agent_of(&start.instance)));
             }
+            // A job that isn't known has no runs: once it is stored, it is cancelled at once.
+            "early_cancel" if !self.jobs.contains_key(split_number(name).0) => {}
             // Only the leader uses these.
             "life" | "losses" | "upkeep" | "stopped" => {}
             // Agents don't read through each other: passing the addresses of all agents on to all agents would cost the
--- a/crates/rampbay-jobs/src/record.rs
+++ b/crates/rampbay-jobs/src/record.rs
@@ -2,15 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::cancel::EarlyCancel;
 use crate::drained::DrainedDomains;
 use crate::job::{
     Checkpoint, EpochMillis, InstanceId, JobId, NodeName, Resources, ServiceName, Submission,
     TaskId,
 };
 use crate::keys::{
-    TIMERS_KEY, end_key, eviction_key, life_key, losses_key, part_key, plan_key,
-    registrations_end_key, split_number, stop_key, suspicion_key, unanswered_key, upkeep_key,
-    worker_key,
+    TIMERS_KEY, cancel_key, early_cancel_key, end_key, eviction_key, life_key, losses_key,
+    part_key, plan_key, registrations_end_key, split_number, stop_key, suspicion_key,
+    unanswered_key, upkeep_key, worker_key,
 };
 use crate::losses::{IncarnationEnd, JobLosses};
 use crate::outlook::{OUTLOOK_KEY, Outlook};
@@ -148,7 +149,7 @@
 pub enum Record {
     /// A job was accepted.
     Submitted(#[serde(with = "crate::job::stored")] Box<Submission>),
-    /// A job was cancelled.
+    /// A job was cancelled by a caller whose entry knew it.
     Cancelled(JobId),
     /// The plan of a job; wide steps are empty.
     Plan(JobId, Box<JobPlan>),
@@ -185,6 +186,8 @@
     Suspected(InstanceId),
     /// The times that the leader has waited for things that can't happen any more after a while.
     Timers(Vec<StoredTimer>),
+    /// A job was cancelled by a caller whose entry didn't know it.
+    EarlyCancel(Box<EarlyCancel>),
 }
 
 /// The process that leads, and runs the planner.
@@ -304,7 +307,7 @@
     pub fn key(&self) -> String {
         match self {
             Self::Submitted(submission) => format!("job/{}", submission.id),
-            Self::Cancelled(job) => format!("cancel/{job}"),
+            Self::Cancelled(job) => cancel_key(job),
             Self::Plan(job, _) => plan_key(job),
             Self::Ended(end) => end_key(end),
             Self::Worker(instance, _) => worker_key(instance, 0),
@@ -322,6 +325,7 @@
             Self::Stopped(stop) => stop_key(&stop.instance, 0),
             Self::Suspected(instance) => suspicion_key(instance, 0),
             Self::Timers(_) => TIMERS_KEY.to_owned(),
+            Self::EarlyCancel(cancel) => early_cancel_key(&cancel.job, cancel.number),
         }
     }
 
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -2,6 +2,7 @@
 
 mod agents;
 mod by_registration;
+mod cancels;
 mod runs;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,7 +11,7 @@
 
 use crate::drained::DrainedDomains;
 use crate::job::{InstanceId, JobId, NodeName, Submission, TaskId};
-use crate::keys::{TIMERS_KEY, split_unanswered_name, split_worker_key};
+use crate::keys::{TIMERS_KEY, split_number, split_unanswered_name, split_worker_key};
 use crate::losses::{IncarnationEnd, JobLosses};
 use crate::outlook::Outlook;
 use crate::parts::{PlanLayout, merge_head, merge_part};
@@ -24,6 +25,7 @@
 use crate::upkeep::wave::WaveNumber;
 
 use by_registration::ByRegistration;
+pub use cancels::{Cancels, MAX_EARLY_CANCELS, MAX_EARLY_CANCELS_PER_WORKSPACE, StrayCancel};
 
 /// One job.
 #[derive(Clone, Debug)]
@@ -34,7 +36,7 @@
     pub plan: Option<Rc<JobPlan>>,
     /// How that plan is laid out in the store.
     pub plan_layout: PlanLayout,
-    /// Whether its caller has cancelled it.
+    /// Whether a caller has cancelled it who may do so.
     pub cancelled: bool,
 }
 
@@ -111,8 +113,8 @@
     agents: BTreeMap<InstanceId, NodeName>,
     /// Runs that were assigned to a worker before it returned: before it registered again, having had no registration.
     assigned_before_return: BTreeMap<InstanceId, BTreeSet<(TaskId, u32)>>,
-    /// Cancelled jobs whose submissions aren't known.
-    early_cancels: BTreeSet<JobId>,
+    /// Cancellations, also of jobs that aren't known.
+    cancels: Cancels,
     /// Workers that have runs by plans that were skipped, because the jobs of the plans aren't known.
     workers_with_skipped_plans: BTreeSet<InstanceId>,
     /// Version of the members and the leader.
@@ -150,7 +152,15 @@
     fn insert(&mut self, key: &str, record: Record) {
         match record {
             Record::Submitted(submission) => self.insert_submission(*submission),
-            Record::Cancelled(id) => self.insert_cancel(id),
+            Record::Cancelled(id) => {
+                self.cancels.insert(id.clone());
+                self.update_cancelled(&id);
+            }
+            Record::EarlyCancel(cancel) => {
+                let id = cancel.job.clone();
+                self.cancels.insert_early(*cancel);
+                self.update_cancelled(&id);
+            }
             Record::Plan(id, plan) => self.insert_plan(&id, *plan),
             Record::Part(first, tasks) => self.insert_part(&first, tasks),
             Record::Ended(end) => {
@@ -311,7 +321,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let cancelled = self.early_cancels.remove(&id);
+        let cancelled = self.cancels.binds(&submission);
         let job = Job {
             submission: Rc::new(submission),
             plan: None,
@@ -322,15 +332,6 @@
         self.active.insert(id);
     }
 
-    fn insert_cancel(&mut self, id: JobId) {
-        match self.jobs.get_mut(&id) {
-            Some(job) => job.cancelled = true,
-            None => {
-                self.early_cancels.insert(id);
-            }
-        }
-    }
-
     fn insert_plan(&mut self, id: &JobId, plan: JobPlan) {
         let Some(job) = self.jobs.get_mut(id) else {
             return self
@@ -394,7 +395,13 @@
                 self.active.remove(name);
             }
             "cancel" => {
-                self.early_cancels.remove(name);
+                self.cancels.remove(name);
+                self.update_cancelled(name);
+            }
+            "early_cancel" => {
+                let (id, number) = split_number(name);
+                self.cancels.remove_early(id, number);
+                self.update_cancelled(id);
             }
             "end" | "refusal" => {
                 self.ends.remove(key);
--- a/crates/rampbay-jobs/tests/intake.rs
+++ b/crates/rampbay-jobs/tests/intake.rs
@@ -13,7 +13,7 @@
 use support::intake::IntakeRig;
 use support::leader::start_leader;
 use support::store::{MemoryStore, StoreFault};
-use support::{job, run_in_virtual_time, step, table_of, worker_record};
+use support::{canceller, job, run_in_virtual_time, step, table_of, worker_record};
 use tokio::time::{Instant, sleep};
 
 const JOB: &str = "00000000000000aa";
@@ -225,7 +225,8 @@
         rig.submit(job(JOB, 1, step(1, 1)), CALLER_WAIT).await.expect("accepted");
         sleep(Duration::from_millis(50)).await;
         assert_eq!(rig.intake.pending("queue-1"), Ok(1));
-        rig.intake.cancel(&JOB.to_owned(), rig.intake.wait_budget(None)).await.expect("cancelled");
+        let budget = rig.intake.wait_budget(None);
+        rig.intake.cancel(&JOB.to_owned(), &canceller(), budget).await.expect("cancelled");
         sleep(Duration::from_millis(50)).await;
         assert_eq!(rig.intake.known_status(&JOB.to_owned()), Ok(JobStatus::Cancelled));
         assert_eq!(rig.intake.pending("queue-1"), Ok(0));
--- a/crates/rampbay-jobs/tests/support/mod.rs
+++ b/crates/rampbay-jobs/tests/support/mod.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use rampbay_jobs::agent::{AgentHost, AgentParts, Heartbeat};
+use rampbay_jobs::cancel::Canceller;
 use rampbay_jobs::follower::Pace;
 use rampbay_jobs::job::{Resources, Step, Submission, TaskId};
 use rampbay_jobs::plan::{JobPlan, JobStatus, Occurrence, TaskPlan, TaskStatus};
@@ -108,6 +109,15 @@
     }
 }
 
+/// The caller who submits [`job`]s of priority 1.
+pub fn canceller() -> Canceller {
+    Canceller {
+        workspace: "workspace".to_owned(),
+        queue: "queue-1".to_owned(),
+        is_queue_public: false,
+    }
+}
+
 /// A step of `count` tasks that hold `devices` accelerators each.
 pub fn step(count: u32, devices: u64) -> Step {
     Step {
