fix: a known job is cancelled by its own callers only

What callers saw: a DELETE with another workspace's key, or at another queue's path, was answered 200, and the job was cancelled.

Cause: a call is admitted by its own queue and key; whose job it names was never compared.

Change: the entry compares the caller with the job by the rule that early cancellations follow (cancel.rs): the job's workspace at any path, any caller at a public queue, and for a job without an owner any caller at its queue. Others get 403 at once, and nothing is stored. A caller whose entry didn't know the job is told the same once the entry has read up to the record that it stored.

Why it works: the submission names workspace and queue, and no cancellation of a known job is stored without the check.

Tests: two cases of cancel_known_job_by_its_callers_only and cancel_by_other_workspace_job_just_accepted_refused failed before. All tests of cancels and translation pass.

--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -55,6 +55,9 @@
     /// There is no such job.
     #[error("no such job")]
     NoJob,
+    /// The job belongs to another workspace.
+    #[error("the job belongs to another workspace")]
+    NotOwner,
     /// The caller's workspace has cancelled too many jobs that aren't known; nothing was sent to the store.
     #[error("too many cancellations of unknown jobs")]
     TooManyCancels,
@@ -315,16 +318,16 @@
     /// # Errors
     ///
     /// Returns [`Refusal::NoJob`] if there is no such job, or it has ended; nothing of it is started after that.
-    /// [`Refusal::NotCurrent`], [`Refusal::Unavailable`] and [`Refusal::Unknown`] mean that the cancellation couldn't be
-    /// stored in the call's time, and [`Refusal::TooManyCancels`] that it isn't kept.
+    /// [`Refusal::NotOwner`] and [`Refusal::TooManyCancels`] mean that the job isn't cancelled by this call, and
+    /// [`Refusal::NotCurrent`], [`Refusal::Unavailable`] and [`Refusal::Unknown`] that the cancellation couldn't be stored
+    /// in the call's time.
     pub async fn cancel(
         &self,
         id: &JobId,
         canceller: &Canceller,
         budget: WaitBudget,
     ) -> Result<(), Refusal> {
-        let known = self.table.borrow().status(id);
-        match known {
+        match self.status_for(id, canceller)? {
             Some(JobStatus::Cancelled) => Ok(()),
             Some(JobStatus::Succeeded | JobStatus::Failed) => Err(Refusal::NoJob),
             Some(JobStatus::Queued | JobStatus::Running) => {
@@ -334,6 +337,17 @@
         }
     }
 
+    /// Returns the status of a job that a caller wants to cancel, if the job is known.
+    fn status_for(&self, id: &JobId, canceller: &Canceller) -> Result<Option<JobStatus>, Refusal> {
+        let table = self.table.borrow();
+        let Some(job) = table.jobs.get(id) else { return Ok(None) };
+        if canceller.may_cancel(&job.submission) {
+            Ok(table.status(id))
+        } else {
+            Err(Refusal::NotOwner)
+        }
+    }
+
     /// Stores the cancellation of a job that the table doesn't hold.
     async fn cancel_unknown(
         &self,
@@ -361,8 +375,7 @@
             // A job that was accepted before is known then, and its caller is told that it is cancelled.
             let _ = tokio::time::timeout_at(budget.until, self.table_freshness.reach(end)).await;
         }
-        let status = self.table.borrow().status(id);
-        match status {
+        match self.status_for(id, canceller)? {
             None | Some(JobStatus::Succeeded | JobStatus::Failed) => Err(Refusal::NoJob),
             Some(JobStatus::Queued | JobStatus::Running | JobStatus::Cancelled) => Ok(()),
         }
--- a/crates/rampbay-jobs/tests/cancels.rs
+++ b/crates/rampbay-jobs/tests/cancels.rs
@@ -141,6 +141,50 @@
     });
 }
 
+/// Guards against a caller who stops a job of another workspace, and against one who can't stop its own.
+#[rstest]
+#[case::own("workspace", "queue-1", Ok(()), JobStatus::Cancelled)]
+#[case::own_at_other_queue("workspace", "queue-0", Ok(()), JobStatus::Cancelled)]
+#[case::other_workspace("other", "queue-1", Err(Refusal::NotOwner), JobStatus::Running)]
+#[case::other_queue("other", "queue-0", Err(Refusal::NotOwner), JobStatus::Running)]
+fn cancel_known_job_by_its_callers_only(
+    #[case] workspace: &'static str,
+    #[case] queue: &'static str,
+    #[case] expected: Result<(), Refusal>,
+    #[case] status: JobStatus,
+) {
+    run_in_virtual_time(async move {
+        let site = Site::start(1);
+        let intake = intake(&site.store);
+        sleep(START_TIME).await;
+        site.submit(JOB, step(1, 1), Work::Ends(Duration::from_secs(60)));
+        sleep(START_TIME).await;
+        let canceller = Canceller {
+            workspace: workspace.to_owned(),
+            queue: queue.to_owned(),
+            is_queue_public: false,
+        };
+        assert_eq!(cancel_as(&intake, JOB, &canceller).await, expected);
+        sleep(START_TIME).await;
+        assert_eq!(site.status(JOB), status);
+    });
+}
+
+/// An answer that depends on whether the entry has read the job yet would acknowledge what isn't done.
+#[test]
+fn cancel_by_other_workspace_job_just_accepted_refused() {
+    run_in_virtual_time(async {
+        let store = MemoryStore::new();
+        let intake = intake(&store);
+        sleep(Duration::from_millis(100)).await;
+        store.read_delay.set(READ_DELAY);
+        store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
+        sleep(Duration::from_millis(100)).await;
+        let other = Canceller { workspace: "other".to_owned(), ..canceller() };
+        assert_eq!(cancel_as(&intake, JOB, &other).await, Err(Refusal::NotOwner));
+    });
+}
+
 /// A store that takes 250 ms an append delays the answer by no more than that.
 #[test]
 fn cancel_job_unknown_slow_store_answered_in_time() {
