fix: a job isn't said to be refused while an earlier attempt may be stored

What callers saw: a POST is answered 504 while the store is silent, comes again at the same entry and is answered 503 ("not taken and never runs"). The store comes back, the first append is carried out, and the job runs.

Change: an entry remembers for 60 s the jobs an attempt of which ended without an answer, or with its caller, and those under way. A submission of one of these that does nothing is answered 504, also where the configuration is too old to tell the queue.

Why it works: at this entry no 503 is given for a job that an append of its own may still store.

--- a/crates/rampbay-jobs/src/admission.rs
+++ b/crates/rampbay-jobs/src/admission.rs
@@ -5,7 +5,7 @@
 //! whatever isn't certain is accepted.
 
 pub mod gate;
-mod sent_jobs;
+pub(crate) mod sent_jobs;
 
 use std::ops::RangeInclusive;
 use std::time::Duration;
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -1,5 +1,7 @@
 //! Accepts callers' jobs, and answers queries for their status.
 
+mod unanswered;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +21,8 @@
 use crate::store::{AppendError, Offset, Store};
 use crate::table::JobTable;
 
+use unanswered::UnansweredJobs;
+
 /// How long before its caller's timeout a call is answered; a later answer is lost.
 const ANSWER_MARGIN: Duration = Duration::from_millis(40);
 /// A caller with more time left than this can be told to retry: the second after which callers are asked to
@@ -175,6 +179,8 @@
     routing: Rc<CurrentRouting>,
     limits: IntakeLimits,
     waiting: Cell<usize>,
+    /// Jobs that callers can't be told to be refused.
+    unanswered: UnansweredJobs,
     /// Refuses jobs by the leader's outlook, if that is wanted.
     gate: Option<AdmissionGate>,
 }
@@ -189,7 +195,16 @@
         routing: Rc<CurrentRouting>,
         limits: IntakeLimits,
     ) -> Self {
-        Self { store, table, table_freshness, routing, limits, waiting: Cell::new(0), gate: None }
+        Self {
+            store,
+            table,
+            table_freshness,
+            routing,
+            limits,
+            waiting: Cell::new(0),
+            unanswered: UnansweredJobs::default(),
+            gate: None,
+        }
     }
 
     /// Refuses jobs that certainly can't be served, by the leader's outlook.
@@ -278,8 +293,7 @@
             return Ok(());
         }
         let Some(gate) = &self.gate else {
-            let record = Record::Submitted(Box::new(submission));
-            return self.append_record(&record, budget).await.map(|_| ());
+            return self.store_job(submission, budget).await;
         };
         let _call = gate.enter(&submission.id);
         let asked = Moment::now();
@@ -297,9 +311,31 @@
         }
         gate.note_sent(&submission.id);
         let sent = Instant::now();
-        let stored = self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
+        let stored = self.store_job(submission, budget).await;
         gate.note_append(stored == Err(Refusal::Unknown), sent.elapsed());
-        stored.map(|_| ())
+        stored
+    }
+
+    async fn store_job(&self, submission: Submission, budget: WaitBudget) -> Result<(), Refusal> {
+        let id = submission.id.clone();
+        let attempt = self.unanswered.begin(&id);
+        let stored = self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
+        if stored != Err(Refusal::Unknown) {
+            attempt.settle();
+        }
+        stored.map(|_| ()).map_err(|refusal| self.refusal_of_submission(&id, refusal))
+    }
+
+    /// Returns how a submission is refused by which nothing was done: it isn't known whether the job runs if an earlier
+    /// attempt may still be carried out.
+    #[must_use]
+    pub fn refusal_of_submission(&self, id: &JobId, refusal: Refusal) -> Refusal {
+        match refusal {
+            Refusal::NotCurrent | Refusal::Unavailable if self.unanswered.may_be_stored(id) => {
+                Refusal::Unknown
+            }
+            other => other,
+        }
     }
 
     fn is_known(&self, id: &JobId) -> bool {
