fix: a cancellation that may have been sent outlives its call

What callers saw: while the store is silent, known jobs are cancelled, each client is told 504 and doesn't come back. When the store answers again, all but the first job of each entry run on.

Cause: an entry has one append under way, and its next batch leaves out the records of callers that have gone. A cancellation ended with the call that asked for it.

Change: the append of a cancellation is a task of its own, which repeats it for up to 15 s after its call unless the store has refused every attempt by then (503: nothing was stored). Appends of callers' records are a module of their own (intake/appends.rs).

Why it works: the record's caller in the batch is the task, which doesn't leave.

--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -1,8 +1,9 @@
 //! Accepts callers' jobs, and answers queries for their status.
 
+mod appends;
 mod unanswered;
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,11 +17,12 @@
 use crate::job::{JobId, Submission, WorkspaceName};
 use crate::metrics::metrics;
 use crate::plan::JobStatus;
-use crate::record::{Record, STATE_TOPIC};
+use crate::record::Record;
 use crate::routing::{Queue, Routing};
-use crate::store::{AppendError, Offset, Store};
+use crate::store::Store;
 use crate::table::JobTable;
 
+use appends::Appends;
 use unanswered::UnansweredJobs;
 
 /// How long before its caller's timeout a call is answered; a later answer is lost.
@@ -32,8 +34,6 @@
 const UNREACHABLE_WAIT: Duration = Duration::from_millis(100);
 /// Time between two checks whether the table has become current: as long as the shortest gap between reads.
 const TABLE_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Pause before an append that the store didn't accept is sent again.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Why a call is refused. Only [`Refusal::Unknown`] leaves open whether the job was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -173,12 +173,11 @@
 
 /// Accepts and cancels jobs, and answers queries for their status.
 pub struct Intake {
-    store: Rc<dyn Store>,
+    appends: Rc<Appends>,
     table: Rc<RefCell<JobTable>>,
     table_freshness: Rc<Freshness>,
     routing: Rc<CurrentRouting>,
     limits: IntakeLimits,
-    waiting: Cell<usize>,
     /// Jobs that callers can't be told to be refused.
     unanswered: UnansweredJobs,
     /// Refuses jobs by the leader's outlook, if that is wanted.
@@ -196,12 +195,11 @@
         limits: IntakeLimits,
     ) -> Self {
         Self {
-            store,
+            appends: Appends::new(store, limits.max_waiting),
             table,
             table_freshness,
             routing,
             limits,
-            waiting: Cell::new(0),
             unanswered: UnansweredJobs::default(),
             gate: None,
         }
@@ -251,23 +249,13 @@
                 Err(Refusal::NotCurrent) => {}
                 outcome => return outcome,
             }
-            let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
+            let _guard = self.appends.wait_for_store().ok_or(Refusal::NotCurrent)?;
             if tokio::time::timeout_at(budget.until, changes.changed()).await.is_err() {
                 return Err(Refusal::NotCurrent);
             }
         }
     }
 
-    /// Counts a call as waiting, unless too many wait already.
-    fn wait_for_store(&self) -> Option<Waiting<'_>> {
-        let waiting = self.waiting.get();
-        if waiting >= self.limits.max_waiting {
-            return None;
-        }
-        self.waiting.set(waiting + 1);
-        Some(Waiting(&self.waiting))
-    }
-
     fn admit_now(&self, target: CallTarget<'_>) -> Result<Admission, Refusal> {
         let routing = self.routing.get().ok_or(Refusal::NotCurrent)?;
         if !self.routing.freshness.is_within(self.limits.configuration_age) {
@@ -319,7 +307,8 @@
     async fn store_job(&self, submission: Submission, budget: WaitBudget) -> Result<(), Refusal> {
         let id = submission.id.clone();
         let attempt = self.unanswered.begin(&id);
-        let stored = self.append_record(&Record::Submitted(Box::new(submission)), budget).await;
+        let record = Record::Submitted(Box::new(submission));
+        let stored = self.appends.append(&record, budget).await;
         if stored != Err(Refusal::Unknown) {
             attempt.settle();
         }
@@ -344,7 +333,7 @@
 
     /// Waits until the table holds all that the store had acknowledged when a call arrived. Returns whether it does.
     async fn confirm_view(&self, gate: &AdmissionGate, asked: Moment, budget: WaitBudget) -> bool {
-        let Some(_guard) = self.wait_for_store() else { return false };
+        let Some(_guard) = self.appends.wait_for_store() else { return false };
         gate.confirm_view(asked, budget.until).await
     }
 
@@ -367,7 +356,8 @@
             Some(JobStatus::Cancelled) => Ok(()),
             Some(JobStatus::Succeeded | JobStatus::Failed) => Err(Refusal::NoJob),
             Some(JobStatus::Queued | JobStatus::Running) => {
-                self.append_record(&Record::Cancelled(id.clone()), budget).await.map(|_| ())
+                let record = Record::Cancelled(id.clone());
+                self.appends.append_cancel(&record, budget).await.map(|_| ())
             }
             None => self.cancel_unknown(id, canceller, budget).await,
         }
@@ -403,7 +393,8 @@
                 number: cancel::number_at(position, rand::random()),
                 canceller: canceller.clone(),
             };
-            let stored = self.append_record(&Record::EarlyCancel(Box::new(cancel)), budget).await;
+            let record = Record::EarlyCancel(Box::new(cancel));
+            let stored = self.appends.append_cancel(&record, budget).await;
             let end = stored.map_err(|refusal| match refusal {
                 Refusal::Unavailable => Refusal::NotCurrent,
                 other => other,
@@ -419,7 +410,7 @@
 
     /// Waits until the table is recent enough to report a job as unknown.
     async fn wait_for_table(&self, budget: WaitBudget) -> Result<(), Refusal> {
-        let _guard = self.wait_for_store().ok_or(Refusal::NotCurrent)?;
+        let _guard = self.appends.wait_for_store().ok_or(Refusal::NotCurrent)?;
         while !self.table_freshness.is_within(self.limits.table_age) {
             if Instant::now() >= budget.until {
                 return Err(Refusal::NotCurrent);
@@ -457,32 +448,6 @@
         }
         Ok(self.table.borrow().pending(queue))
     }
-
-    /// Appends a record, with retries until the store has it or the call's time is over. Returns the offset after it.
-    async fn append_record(&self, record: &Record, budget: WaitBudget) -> Result<Offset, Refusal> {
-        let _guard = self.wait_for_store().ok_or(Refusal::Unavailable)?;
-        if !budget.may_send {
-            // Nothing is sent, so that the caller may be told that nothing was stored.
-            let recovered = tokio::time::timeout_at(budget.until, self.store.recovered());
-            recovered.await.map_err(|_| Refusal::Unavailable)?;
-        }
-        let records = [record.encode()];
-        let mut refusal = Refusal::Unavailable;
-        loop {
-            let append = self.store.append(STATE_TOPIC, &records, None);
-            match tokio::time::timeout_at(budget.until, append).await {
-                Ok(Ok(end)) => return Ok(end),
-                Ok(Err(AppendError::Unknown)) => refusal = Refusal::Unknown,
-                Ok(Err(AppendError::Refused | AppendError::Fenced)) => {}
-                Err(_) => return Err(Refusal::Unknown),
-            }
-            let retry_at = (Instant::now() + RETRY_PAUSE).min(budget.until);
-            let _ = tokio::time::timeout_at(retry_at, self.store.recovered()).await;
-            if Instant::now() >= budget.until {
-                return Err(refusal);
-            }
-        }
-    }
 }
 
 /// Draws when a refused caller should come back, and logs and counts the refusal.
@@ -498,12 +463,3 @@
     );
     Refusal::NoRoom { retry_after }
 }
-
-/// Counts a call that waits for the store until it is dropped.
-struct Waiting<'a>(&'a Cell<usize>);
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- /dev/null
+++ b/crates/rampbay-jobs/src/intake/appends.rs
@@ -0,0 +1,194 @@
+//! Appends of the records that callers bring.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+use crate::record::{KeyedRecord, Record, STATE_TOPIC};
+use crate::store::{AppendError, Offset, Store};
+
+use super::{Refusal, WaitBudget};
+
+/// Pause before an append that the store didn't accept is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// How long a cancellation that got no answer is sent again after its call was answered: longer than the store's outages
+/// that leases bridge.
+const CANCEL_PERSISTENCE: Duration = Duration::from_secs(15);
+
+/// Outcome of an append: the offset after the record.
+type Outcome = Result<Offset, Refusal>;
+
+/// Appends records for callers. A limited number of calls waits for the store at a time.
+pub struct Appends {
+    store: Rc<dyn Store>,
+    waiting: Slots,
+    /// Cancellations whose calls have been answered.
+    persisting: Slots,
+}
+
+impl Appends {
+    /// Creates appends to a store, for which at most `max_waiting` calls wait at a time.
+    pub fn new(store: Rc<dyn Store>, max_waiting: usize) -> Rc<Self> {
+        let (waiting, persisting) = (Slots::new(max_waiting), Slots::new(max_waiting));
+        Rc::new(Self { store, waiting, persisting })
+    }
+
+    /// Counts a call as waiting, unless too many wait already.
+    pub fn wait_for_store(&self) -> Option<Slot> {
+        self.waiting.take()
+    }
+
+    /// Appends a record, with retries until the store has it or the call's time is over.
+    pub async fn append(&self, record: &Record, budget: WaitBudget) -> Outcome {
+        let _slot = self.wait_for_store().ok_or(Refusal::Unavailable)?;
+        self.wait_until_reachable(budget).await?;
+        let records = [record.encode()];
+        let mut refusal = Refusal::Unavailable;
+        loop {
+            let append = self.store.append(STATE_TOPIC, &records, None);
+            match timeout_at(budget.until, append).await {
+                Ok(Ok(end)) => return Ok(end),
+                Ok(Err(error)) => refusal = refusal_after(refusal, &error),
+                Err(_) => return Err(Refusal::Unknown),
+            }
+            self.pause(budget.until).await;
+            if Instant::now() >= budget.until {
+                return Err(refusal);
+            }
+        }
+    }
+
+    /// Appends a cancellation like [`Self::append`]. If it may have been sent when the call's time is over, or its caller
+    /// leaves, it is sent again for a while: its caller may not come back.
+    pub async fn append_cancel(self: &Rc<Self>, record: &Record, budget: WaitBudget) -> Outcome {
+        let slot = self.wait_for_store().ok_or(Refusal::Unavailable)?;
+        self.wait_until_reachable(budget).await?;
+        let (tx, rx) = oneshot::channel();
+        let cancel = PersistentAppend { appends: Rc::clone(self), record: record.encode() };
+        tokio::task::spawn_local(
+            cancel.run(budget.until, Answer { tx: Some(tx), slot: Some(slot) }),
+        );
+        rx.await.unwrap_or(Err(Refusal::Unknown))
+    }
+
+    /// Waits for a store that is known to be unreachable. Nothing is sent, so that the caller may be told that nothing was
+    /// stored.
+    async fn wait_until_reachable(&self, budget: WaitBudget) -> Result<(), Refusal> {
+        if budget.may_send {
+            return Ok(());
+        }
+        let recovered = timeout_at(budget.until, self.store.recovered()).await;
+        recovered.map_err(|_| Refusal::Unavailable)
+    }
+
+    async fn pause(&self, until: Instant) {
+        let retry_at = (Instant::now() + RETRY_PAUSE).min(until);
+        let _ = timeout_at(retry_at, self.store.recovered()).await;
+    }
+}
+
+/// Returns how a call is refused after another failed attempt: once one may have been carried out, the outcome isn't known.
+const fn refusal_after(before: Refusal, error: &AppendError) -> Refusal {
+    match error {
+        AppendError::Unknown => Refusal::Unknown,
+        AppendError::Refused | AppendError::Fenced => before,
+    }
+}
+
+/// The answer to a call, and its place among those that wait until it is answered.
+struct Answer {
+    tx: Option<oneshot::Sender<Outcome>>,
+    slot: Option<Slot>,
+}
+
+impl Answer {
+    fn give(&mut self, outcome: Outcome) {
+        self.slot = None;
+        if let Some(tx) = self.tx.take() {
+            // A caller that has left needs no answer.
+            let _ = tx.send(outcome);
+        }
+    }
+}
+
+/// The append of a cancellation, which outlives its call.
+struct PersistentAppend {
+    appends: Rc<Appends>,
+    record: KeyedRecord,
+}
+
+impl PersistentAppend {
+    async fn run(self, until: Instant, mut answer: Answer) {
+        let appends = &self.appends;
+        let records = [self.record.clone()];
+        let mut refusal = Refusal::Unavailable;
+        let mut persisting = None;
+        loop {
+            let append = appends.store.append(STATE_TOPIC, &records, None);
+            tokio::pin!(append);
+            let mut outcome = timeout_at(until, &mut append).await;
+            if outcome.is_err() {
+                answer.give(Err(Refusal::Unknown));
+                persisting = persisting.or_else(|| appends.persisting.take());
+                if persisting.is_none() {
+                    return;
+                }
+                outcome = timeout_at(until + CANCEL_PERSISTENCE, append).await;
+            }
+            match outcome {
+                Ok(Ok(end)) => return self.finish(end, &mut answer),
+                Ok(Err(error)) => refusal = refusal_after(refusal, &error),
+                Err(_) => return,
+            }
+            let give_up = until + CANCEL_PERSISTENCE;
+            appends.pause(if Instant::now() < until { until } else { give_up }).await;
+            if Instant::now() >= until {
+                answer.give(Err(refusal));
+                let is_over = Instant::now() >= give_up;
+                persisting = persisting.or_else(|| appends.persisting.take());
+                if refusal != Refusal::Unknown || is_over || persisting.is_none() {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn finish(&self, end: Offset, answer: &mut Answer) {
+        if answer.tx.as_ref().is_none_or(oneshot::Sender::is_closed) {
+            log::info!("event=J227 cancellation stored after its call key={}", self.record.key);
+        }
+        answer.give(Ok(end));
+    }
+}
+
+/// A limited number of places.
+struct Slots {
+    taken: Rc<Cell<usize>>,
+    limit: usize,
+}
+
+impl Slots {
+    fn new(limit: usize) -> Self {
+        Self { taken: Rc::default(), limit }
+    }
+
+    fn take(&self) -> Option<Slot> {
+        let taken = self.taken.get();
+        (taken < self.limit).then(|| {
+            self.taken.set(taken + 1);
+            Slot(Rc::clone(&self.taken))
+        })
+    }
+}
+
+/// A place that is taken until it is dropped.
+pub struct Slot(Rc<Cell<usize>>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/crates/rampbay-jobs/tests/cancels.rs
+++ b/crates/rampbay-jobs/tests/cancels.rs
@@ -211,6 +211,60 @@
     });
 }
 
+/// How a cancellation fails to be stored in its call's time.
+#[derive(Clone, Copy, Debug)]
+enum Unstored {
+    /// The append is under way when the caller is answered.
+    UnderWay,
+    /// The answer to the append is lost, and with it the append, when the caller leaves.
+    CallerLeft,
+    /// The store refuses it until the call's time is over.
+    Refused,
+}
+
+/// Guards against a cancellation that is dropped with its call, since its caller may not ask again: the job would run on.
+#[rstest]
+#[case::under_way(Unstored::UnderWay, true)]
+#[case::caller_left(Unstored::CallerLeft, true)]
+#[case::refused(Unstored::Refused, false)]
+fn cancellation_stored_after_its_call(
+    #[case] unstored: Unstored,
+    #[case] is_stored: bool,
+    #[values(true, false)] is_known: bool,
+) {
+    run_in_virtual_time(async move {
+        let store = MemoryStore::new();
+        let intake = Rc::new(intake(&store));
+        if is_known {
+            store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
+        }
+        sleep(Duration::from_millis(100)).await;
+        match unstored {
+            Unstored::UnderWay => {
+                store.append_delay.set(Duration::from_secs(4));
+                assert_eq!(cancel(&intake).await, Err(Refusal::Unknown));
+            }
+            Unstored::CallerLeft => {
+                store.append_delay.set(Duration::from_secs(4));
+                let call = tokio::time::timeout(Duration::from_millis(300), cancel(&intake));
+                assert!(call.await.is_err(), "the caller leaves first");
+            }
+            Unstored::Refused => {
+                store.fault.set(StoreFault::Refuses);
+                let refusal = cancel(&intake).await.expect_err("nothing is stored");
+                assert!(matches!(refusal, Refusal::NotCurrent | Refusal::Unavailable), "{refusal}");
+            }
+        }
+        store.append_delay.set(Duration::ZERO);
+        store.fault.set(StoreFault::None);
+        sleep(Duration::from_secs(10)).await;
+        let table = table_of(&store);
+        let is_cancelled = table.jobs.get(JOB).is_some_and(|job| job.cancelled);
+        let is_kept = table.keeps_early_cancel(JOB, &canceller());
+        assert_eq!(is_cancelled || is_kept, is_stored);
+    });
+}
+
 /// Guards against cancellations of unknown jobs that fill the store, and against a workspace that takes others' part of it.
 #[test]
 fn cancellations_over_bound_refused_at_once() {
