--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -383,6 +383,7 @@
     ) -> Result<(), Refusal> {
         // The cancellation is kept for a time that is measured from the position in its number.
         self.wait_for_table(budget).await?;
+        let mut is_certain = true;
         if !self.table.borrow().keeps_early_cancel(id, canceller) {
             if self.table.borrow().cancels().is_full_for(&canceller.workspace) {
                 return Err(Refusal::TooManyCancels);
@@ -399,10 +400,12 @@
                 Refusal::Unavailable => Refusal::NotCurrent,
                 other => other,
             })?;
-            // A job that was accepted before is known then, and its caller is told that it is cancelled.
-            let _ = tokio::time::timeout_at(budget.until, self.table_freshness.reach(end)).await;
+            // A job that was stored before the cancellation is known then.
+            let reached = self.table_freshness.reach(end);
+            is_certain = tokio::time::timeout_at(budget.until, reached).await.is_ok();
         }
         match self.status_for(id, canceller)? {
+            None if !is_certain => Ok(()),
             None | Some(JobStatus::Succeeded | JobStatus::Failed) => Err(Refusal::NoJob),
             Some(JobStatus::Queued | JobStatus::Running | JobStatus::Cancelled) => Ok(()),
         }
--- a/crates/rampbay-jobs/tests/cancels.rs
+++ b/crates/rampbay-jobs/tests/cancels.rs
@@ -324,6 +324,21 @@
     });
 }
 
+/// Guards against a 410, after which nothing may start, for a job that is stored already and may have been started.
+#[test]
+fn cancel_job_just_accepted_view_late_not_answered_as_unknown() {
+    run_in_virtual_time(async {
+        let store = MemoryStore::new();
+        let intake = intake(&store);
+        sleep(Duration::from_millis(100)).await;
+        store.read_delay.set(CALLER_WAIT);
+        store.put(&Record::Submitted(Box::new(job(JOB, 1, step(1, 1)))));
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(cancel(&intake).await, Ok(()));
+        assert!(table_of(&store).jobs[JOB].cancelled);
+    });
+}
+
 #[test]
 fn cancel_job_unknown_answered_in_time() {
     run_in_virtual_time(async {
