--- a/crates/rampbay-jobs/src/admission.rs
+++ b/crates/rampbay-jobs/src/admission.rs
@@ -5,6 +5,7 @@
 //! whatever isn't certain is accepted.
 
 pub mod gate;
+pub mod job_calls;
 pub(crate) mod sent_jobs;
 
 use std::ops::RangeInclusive;
--- a/crates/rampbay-jobs/src/admission/gate.rs
+++ b/crates/rampbay-jobs/src/admission/gate.rs
@@ -7,7 +7,6 @@
 //! while the leader finds the store slow. docs/design/hard-load.md names the case that remains.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +20,7 @@
 use crate::process::LiveTable;
 use crate::table::JobTable;
 
+use super::job_calls::{JobCall, JobCalls};
 use super::sent_jobs::SentJobs;
 use super::{Decision, RefusalReason, RetryAfter, decide};
 
@@ -53,8 +53,8 @@
     freshness: Rc<Freshness>,
     outlook: Rc<ReceivedOutlook>,
     sent: RefCell<SentJobs>,
-    /// Number of calls under way for each job.
-    calls: RefCell<BTreeMap<JobId, usize>>,
+    /// Calls that submit jobs.
+    calls: JobCalls,
     /// When an append of this entry last went unanswered, or was slow.
     trouble_at: Cell<Option<Moment>>,
 }
@@ -68,7 +68,7 @@
             freshness: Rc::clone(&live.freshness),
             outlook: Rc::clone(&live.outlook),
             sent: RefCell::default(),
-            calls: RefCell::default(),
+            calls: JobCalls::default(),
             trouble_at: Cell::new(None),
         }
     }
@@ -76,9 +76,8 @@
     /// Counts a call that submits a job, until the guard is dropped. While there is another one for the same job, which
     /// may yet send it, neither is refused.
     #[must_use]
-    pub fn enter(&self, job: &JobId) -> SubmitCall<'_> {
-        *self.calls.borrow_mut().entry(job.clone()).or_default() += 1;
-        SubmitCall { gate: self, job: job.clone() }
+    pub fn enter(&self, job: &JobId) -> JobCall<'_> {
+        self.calls.enter(job)
     }
 
     /// Records that a job's record is about to be sent to the store.
@@ -118,7 +117,7 @@
         self.freshness.current_for().is_some_and(is_long)
             && self.trouble_at.get().is_none_or(|at| is_long(at.elapsed()))
             && self.sent.borrow_mut().is_not_sent(job)
-            && self.calls.borrow().get(job).is_none_or(|calls| *calls <= 1)
+            && self.calls.count(job) <= 1
     }
 
     /// Waits until the table holds all that the store had acknowledged at a moment, but not so long that a call that may
@@ -135,21 +134,3 @@
         true
     }
 }
-
-/// A call that submits a job; it counts until it is dropped.
-pub struct SubmitCall<'a> {
-    gate: &'a AdmissionGate,
-    job: JobId,
-}
-
-impl Drop for SubmitCall<'_> {
-    fn drop(&mut self) {
-        let mut calls = self.gate.calls.borrow_mut();
-        if let Some(count) = calls.get_mut(&self.job) {
-            *count -= 1;
-            if *count == 0 {
-                calls.remove(&self.job);
-            }
-        }
-    }
-}
--- a/crates/rampbay-jobs/src/intake/appends.rs
+++ b/crates/rampbay-jobs/src/intake/appends.rs
@@ -67,10 +67,13 @@
         let slot = self.wait_for_store().ok_or(Refusal::Unavailable)?;
         self.wait_until_reachable(budget).await?;
         let (tx, rx) = oneshot::channel();
-        let cancel = PersistentAppend { appends: Rc::clone(self), record: record.encode() };
-        tokio::task::spawn_local(
-            cancel.run(budget.until, Answer { tx: Some(tx), slot: Some(slot) }),
-        );
+        let append = PersistentAppend {
+            appends: Rc::clone(self),
+            record: record.encode(),
+            answer: Answer { tx: Some(tx), slot: Some(slot) },
+            persisting: None,
+        };
+        tokio::task::spawn_local(append.run(budget.until));
         rx.await.unwrap_or(Err(Refusal::Unknown))
     }
 
@@ -118,49 +121,59 @@
 struct PersistentAppend {
     appends: Rc<Appends>,
     record: KeyedRecord,
+    answer: Answer,
+    /// Its place among those that go on after their calls, once it does.
+    persisting: Option<Slot>,
 }
 
 impl PersistentAppend {
-    async fn run(self, until: Instant, mut answer: Answer) {
-        let appends = &self.appends;
+    /// Repeats the append until the store has answered it. The caller is answered at `until` at the latest.
+    async fn run(mut self, until: Instant) {
+        let give_up = until + CANCEL_PERSISTENCE;
+        let appends = Rc::clone(&self.appends);
         let records = [self.record.clone()];
         let mut refusal = Refusal::Unavailable;
-        let mut persisting = None;
         loop {
             let append = appends.store.append(STATE_TOPIC, &records, None);
             tokio::pin!(append);
             let mut outcome = timeout_at(until, &mut append).await;
             if outcome.is_err() {
-                answer.give(Err(Refusal::Unknown));
-                persisting = persisting.or_else(|| appends.persisting.take());
-                if persisting.is_none() {
+                refusal = Refusal::Unknown;
+                if !self.outlive_call(refusal) {
                     return;
                 }
-                outcome = timeout_at(until + CANCEL_PERSISTENCE, append).await;
+                outcome = timeout_at(give_up, append).await;
             }
             match outcome {
-                Ok(Ok(end)) => return self.finish(end, &mut answer),
+                Ok(Ok(end)) => return self.finish(end),
                 Ok(Err(error)) => refusal = refusal_after(refusal, &error),
                 Err(_) => return,
             }
-            let give_up = until + CANCEL_PERSISTENCE;
-            appends.pause(if Instant::now() < until { until } else { give_up }).await;
-            if Instant::now() >= until {
-                answer.give(Err(refusal));
-                let is_over = Instant::now() >= give_up;
-                persisting = persisting.or_else(|| appends.persisting.take());
-                if refusal != Refusal::Unknown || is_over || persisting.is_none() {
-                    return;
-                }
+            let is_answered = Instant::now() >= until;
+            appends.pause(if is_answered { give_up } else { until }).await;
+            let now = Instant::now();
+            if now >= give_up || (now >= until && !self.outlive_call(refusal)) {
+                return;
             }
         }
     }
 
-    fn finish(&self, end: Offset, answer: &mut Answer) {
-        if answer.tx.as_ref().is_none_or(oneshot::Sender::is_closed) {
+    /// Answers the call, unless that has been done, and returns whether the append goes on: it may have been sent, and there
+    /// is a place for it.
+    fn outlive_call(&mut self, refusal: Refusal) -> bool {
+        self.answer.give(Err(refusal));
+        if refusal != Refusal::Unknown {
+            return false;
+        }
+        self.persisting = self.persisting.take().or_else(|| self.appends.persisting.take());
+        self.persisting.is_some()
+    }
+
+    fn finish(mut self, end: Offset) {
+        if self.answer.tx.as_ref().is_none_or(oneshot::Sender::is_closed) {
             log::info!("event=J227 cancellation stored after its call key={}", self.record.key);
         }
-        answer.give(Ok(end));
+        self.answer.give(Ok(end));
     }
 }
 
--- a/crates/rampbay-jobs/src/intake/unanswered.rs
+++ b/crates/rampbay-jobs/src/intake/unanswered.rs
@@ -1,16 +1,15 @@
 //! The jobs that may be on their way to the store, because an append of theirs got no answer.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 
+use crate::admission::job_calls::{JobCall, JobCalls};
 use crate::admission::sent_jobs::SentJobs;
 use crate::job::JobId;
 
 /// Remembers for which jobs this entry can't say that they aren't stored and never will be.
 #[derive(Debug, Default)]
 pub struct UnansweredJobs {
-    /// Number of attempts under way for each job.
-    under_way: RefCell<BTreeMap<JobId, usize>>,
+    under_way: JobCalls,
     unanswered: RefCell<SentJobs>,
 }
 
@@ -18,20 +17,19 @@
     /// Begins an attempt to store a job. The job counts as unanswered if the attempt is dropped, as when its caller
     /// leaves, before [`Attempt::settle`].
     pub fn begin(&self, job: &JobId) -> Attempt<'_> {
-        *self.under_way.borrow_mut().entry(job.clone()).or_default() += 1;
-        Attempt { jobs: self, job: job.clone(), is_settled: false }
+        Attempt { jobs: self, call: self.under_way.enter(job), is_settled: false }
     }
 
     /// Returns whether a job may still be stored by an attempt of this entry.
     pub fn may_be_stored(&self, job: &JobId) -> bool {
-        self.under_way.borrow().contains_key(job) || !self.unanswered.borrow_mut().is_not_sent(job)
+        self.under_way.count(job) > 0 || !self.unanswered.borrow_mut().is_not_sent(job)
     }
 }
 
 /// An attempt to store a job, under way until it is dropped.
 pub struct Attempt<'a> {
     jobs: &'a UnansweredJobs,
-    job: JobId,
+    call: JobCall<'a>,
     is_settled: bool,
 }
 
@@ -44,15 +42,8 @@
 
 impl Drop for Attempt<'_> {
     fn drop(&mut self) {
-        let mut under_way = self.jobs.under_way.borrow_mut();
-        if let Some(count) = under_way.get_mut(&self.job) {
-            *count -= 1;
-            if *count == 0 {
-                under_way.remove(&self.job);
-            }
-        }
         if !self.is_settled {
-            self.jobs.unanswered.borrow_mut().note(&self.job);
+            self.jobs.unanswered.borrow_mut().note(self.call.job());
         }
     }
 }
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -38,6 +38,53 @@
     }
 }
 
+/// What is decided about a worker whose agent is silent.
+#[derive(Clone, Copy, Debug)]
+enum Verdict {
+    Suspected,
+    Evicted,
+}
+
+impl Verdict {
+    /// Returns what is decided about a worker in this round, if anything is.
+    fn of(view: &WorkerView<'_>, planner: &Planner, table: &JobTable) -> Option<Self> {
+        let settings = &planner.settings;
+        if view.record.departed || table.evicted.contains(view.instance) {
+            return None;
+        }
+        if view.report_age >= settings.evict_after {
+            return Some(Self::Evicted);
+        }
+        let is_suspected = view.report_age >= settings.suspect_after && is_unsuspected(view, table);
+        is_suspected.then_some(Self::Suspected)
+    }
+
+    /// Returns the record of the verdict on a worker under a registration.
+    fn record(self, instance: &InstanceId, number: RegistrationNumber) -> KeyedRecord {
+        let (key, record) = match self {
+            Self::Suspected => {
+                (suspicion_key(instance, number), Record::Suspected(instance.clone()))
+            }
+            Self::Evicted => (eviction_key(instance, number), Record::Evicted(instance.clone())),
+        };
+        KeyedRecord { key, value: record.encode().value }
+    }
+
+    fn report(self, view: &WorkerView<'_>) {
+        let (event, label) = match self {
+            Self::Suspected => ("event=J220 worker suspected", "suspect"),
+            Self::Evicted => ("event=J140 worker evicted", "evict"),
+        };
+        log::warn!(
+            "{event} worker={} agent={} report_age_ms={}",
+            view.instance,
+            view.record.node,
+            view.report_age.as_millis()
+        );
+        metrics().count_decision(label);
+    }
+}
+
 /// Suspects and evicts the workers whose agents' reports are old enough for it.
 pub fn evict(
     planner: &mut Planner,
@@ -45,42 +92,19 @@
     workers: &WorkerViews<'_>,
     inputs: &RoundInputs<'_>,
 ) {
-    let settings = planner.settings;
-    let is_open = |view: &&WorkerView<'_>| {
-        !view.record.departed && !inputs.table.evicted.contains(view.instance)
-    };
-    for view in workers.views.iter().filter(is_open) {
+    for view in &workers.views {
+        let Some(verdict) = Verdict::of(view, planner, inputs.table) else { continue };
         let newest = inputs.table.registrations().newest(view.instance);
         let number = newest.map_or(0, |(number, _)| number);
-        if view.report_age >= settings.evict_after {
-            log::warn!(
-                "event=J140 worker evicted worker={} agent={} report_age_ms={}",
-                view.instance,
-                view.record.node,
-                view.report_age.as_millis()
-            );
-            metrics().count_decision("evict");
-            planner.silent.note(view.instance, number);
-            let value = Record::Evicted(view.instance.clone()).encode().value;
-            draft.add(KeyedRecord { key: eviction_key(view.instance, number), value });
-        } else if view.report_age >= settings.suspect_after && is_unsuspected(view, inputs) {
-            log::warn!(
-                "event=J220 worker suspected worker={} agent={} report_age_ms={}",
-                view.instance,
-                view.record.node,
-                view.report_age.as_millis()
-            );
-            metrics().count_decision("suspect");
-            planner.silent.note(view.instance, number);
-            let value = Record::Suspected(view.instance.clone()).encode().value;
-            draft.add(KeyedRecord { key: suspicion_key(view.instance, number), value });
-        }
+        verdict.report(view);
+        planner.silent.note(view.instance, number);
+        draft.add(verdict.record(view.instance, number));
     }
 }
 
 /// Returns whether a worker may be suspected, and isn't yet.
-fn is_unsuspected(view: &WorkerView<'_>, inputs: &RoundInputs<'_>) -> bool {
+fn is_unsuspected(view: &WorkerView<'_>, table: &JobTable) -> bool {
     view.record.may_be_suspected
-        && !inputs.table.is_suspected(view.instance)
-        && inputs.table.stop_in_force(view.instance).is_none()
+        && !table.is_suspected(view.instance)
+        && table.stop_in_force(view.instance).is_none()
 }
