--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -176,7 +176,7 @@
     table_freshness: Rc<Freshness>,
     routing: Rc<CurrentRouting>,
     limits: IntakeLimits,
-    /// Jobs that callers can't be told to be refused.
+    /// Jobs that an attempt of this entry may still store.
     unanswered: UnansweredJobs,
     /// Refuses jobs by the leader's outlook, if that is wanted.
     gate: Option<AdmissionGate>,
@@ -302,6 +302,7 @@
         stored
     }
 
+    /// Appends the record of a job that the table doesn't hold.
     async fn store_job(&self, submission: Submission, budget: WaitBudget) -> Result<(), Refusal> {
         let id = submission.id.clone();
         let attempt = self.unanswered.begin(&id);
--- a/crates/rampbay-jobs/src/intake/appends.rs
+++ b/crates/rampbay-jobs/src/intake/appends.rs
@@ -14,8 +14,8 @@
 
 /// Pause before an append that the store didn't accept is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
-/// How long a cancellation that got no answer is sent again after its call was answered: longer than the store's outages
-/// that leases bridge.
+/// How long a cancellation that got no answer is sent again after its call was answered: longer than an outage of the
+/// store that costs no work (9 s), and the time in which a late call is carried out (12 s).
 const CANCEL_PERSISTENCE: Duration = Duration::from_secs(15);
 
 /// Outcome of an append: the offset after the record.
@@ -101,7 +101,7 @@
     }
 }
 
-/// The answer to a call, and its place among those that wait until it is answered.
+/// The answer to a call, which counts as waiting until it is answered.
 struct Answer {
     tx: Option<oneshot::Sender<Outcome>>,
     slot: Option<Slot>,
@@ -122,7 +122,7 @@
     appends: Rc<Appends>,
     record: KeyedRecord,
     answer: Answer,
-    /// Its place among those that go on after their calls, once it does.
+    /// Counts it among those that go on after their calls, once it does.
     persisting: Option<Slot>,
 }
 
@@ -158,8 +158,8 @@
         }
     }
 
-    /// Answers the call, unless that has been done, and returns whether the append goes on: it may have been sent, and there
-    /// is a place for it.
+    /// Answers the call, unless that has been done, and returns whether the append goes on: it may have been sent, and not
+    /// too many others go on.
     fn outlive_call(&mut self, refusal: Refusal) -> bool {
         self.answer.give(Err(refusal));
         if refusal != Refusal::Unknown {
@@ -177,7 +177,7 @@
     }
 }
 
-/// A limited number of places.
+/// Limits how many calls do something at a time.
 struct Slots {
     taken: Rc<Cell<usize>>,
     limit: usize,
@@ -197,7 +197,7 @@
     }
 }
 
-/// A place that is taken until it is dropped.
+/// A call that counts towards a limit until this is dropped.
 pub struct Slot(Rc<Cell<usize>>);
 
 impl Drop for Slot {
--- a/crates/rampbay-jobs/src/intake/unanswered.rs
+++ b/crates/rampbay-jobs/src/intake/unanswered.rs
@@ -6,7 +6,7 @@
 use crate::admission::sent_jobs::SentJobs;
 use crate::job::JobId;
 
-/// Remembers for which jobs this entry can't say that they aren't stored and never will be.
+/// The jobs that an attempt of this entry may still store: the attempt is under way, or got no answer.
 #[derive(Debug, Default)]
 pub struct UnansweredJobs {
     under_way: JobCalls,
--- a/crates/rampbay-jobs/src/planner/evict.rs
+++ b/crates/rampbay-jobs/src/planner/evict.rs
@@ -41,7 +41,9 @@
 /// What is decided about a worker whose agent is silent.
 #[derive(Clone, Copy, Debug)]
 enum Verdict {
+    /// The agent has to register the worker anew.
     Suspected,
+    /// The worker's runs are given up.
     Evicted,
 }
 
