review: a case on a job that is lost without a start

A job whose starts got no answer at three minions that had just crashed shows as failed. Tried: three of six minions go dark for 5.2 s one after the other, each idle.

--- a/review/stand_ins_2/minion.py
+++ b/review/stand_ins_2/minion.py
@@ -50,6 +50,7 @@
         self.number = self.fence = self.lease_until = self.sequence = 0
         self.ends_changed = asyncio.Event()
         self.is_up = True
+        self.back = asyncio.Event()
         self.state = "ready"
 
     def clock(self):
@@ -61,7 +62,7 @@
         self.tasks = [asyncio.ensure_future(self.work()), asyncio.ensure_future(self.beat())]
         self.site.note(f"minion {self.name} up id={self.id}")
 
-    async def crash(self):
+    def end_life(self):
         """Ends the life with all of its runs, without a word."""
         self.is_up = False
         for run in list(self.running.values()):
@@ -69,9 +70,23 @@
         self.running = {}
         for task in self.tasks:
             task.cancel()
-        await self.server.stop()
         self.site.note(f"minion {self.name} crashed id={self.id}")
 
+    async def crash(self):
+        """Ends the life for good: its address refuses connections."""
+        self.end_life()
+        await self.server.stop()
+
+    async def crash_dark(self, seconds):
+        """Ends the life; the address is silent for a while, and then a new life begins there."""
+        self.end_life()
+        back = self.back
+        await asyncio.sleep(seconds)
+        await self.server.stop()
+        back.set()
+        self.begin_life()
+        await self.start()
+
     async def beat(self):
         while True:
             self.sequence += 1
@@ -117,6 +132,7 @@
 
     async def answer(self, request):
         if not self.is_up:
+            await self.back.wait()
             return None
         wanted = request.headers.get("x-rampbay-expect-instance")
         if wanted not in (None, self.id):
