review: a case on one job that stops the service

The head of a plan with over 7,900 started tasks of narrow steps is larger than a record of the store may be, and the leader repeats its append without end. Tried: a job of 1,250 steps of 8 checkpointing tasks, then a job of one task.

--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -104,10 +104,14 @@
         self.record.write(f"{time.monotonic() - self.began:9.3f} {text}\n")
         self.record.flush()
 
+    def step_of(self, task):
+        """Returns the step of a task, as it was submitted."""
+        job, _, step, _ = task.split(".")
+        return self.jobs[job]["steps"][int(step)]
+
     def demand_of(self, task):
         """Returns the GPUs of a task."""
-        job, _, step, _ = task.split(".")
-        return self.jobs[job]["steps"][int(step)].get("gpu", 0) if job in self.jobs else 0
+        return self.step_of(task).get("gpu", 0)
 
     def note_start(self, minion, run):
         self.starts.append((time.monotonic(), run.task, run.attempt, minion.name))
--- a/review/stand_ins_2/minion.py
+++ b/review/stand_ins_2/minion.py
@@ -13,7 +13,8 @@
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 6000
 STOP_S = 0.2
-GANG_S = 3.0
+TICK_S = 0.01
+CHECKPOINT_S = 0.5
 
 
 class Run:
@@ -26,6 +27,12 @@
         self.work_s = int(fields.get("work", "1000")) / 1000
         self.outcome = fields.get("end", "done")
         self.stops_at = None
+        self.saves = False
+
+    def saved(self):
+        """Returns the checkpoint of a task that saves its progress; 16 hex digits, as on the pages."""
+        steps = int((time.monotonic() - self.began) / CHECKPOINT_S) if self.saves else 0
+        return f"{int(steps * CHECKPOINT_S * 1000):08x}{self.task[:8]}" if steps else ""
 
     def percent(self):
         return min(99, int((time.monotonic() - self.began) / max(self.work_s, 0.001) * 100))
@@ -102,7 +109,7 @@
 
     async def work(self):
         while True:
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(TICK_S)
             now = time.monotonic()
             lapsed = self.clock() > self.lease_until
             for run in list(self.running.values()):
@@ -159,15 +166,20 @@
         if attempt <= self.highest.get(task, 0):
             return self.reply(409, {"reason": "old"})
         if key not in self.running:
-            if self.site.demand_of(task) > self.capacity["gpu"] - self.used():
+            if not self.has_room(task):
                 return self.reply(409, {"reason": "room"})
             run = Run(task, attempt, body["spec"])
+            run.saves = self.site.step_of(task).get("checkpointing", False)
             self.running[key] = run
             self.site.note_start(self, run)
         return self.reply(200, {})
 
-    def used(self):
-        return sum(self.site.demand_of(run.task) for run in self.running.values())
+    def has_room(self, task):
+        """Returns whether a task fits beside what runs here."""
+        held = [self.site.step_of(run.task) for run in self.running.values()]
+        wanted = self.site.step_of(task)
+        return all(sum(step.get(name, 0) for step in held) + wanted.get(name, 0) <= total
+                   for name, total in self.capacity.items())
 
     def run_stop(self, body, fence):
         self.fence = fence
@@ -195,5 +207,5 @@
                 await asyncio.wait_for(self.ends_changed.wait(), until - time.monotonic())
             except asyncio.TimeoutError:
                 break
-        running = [[r.task, r.attempt, "", r.percent()] for r in self.running.values()]
+        running = [[r.task, r.attempt, r.saved(), r.percent()] for r in self.running.values()]
         return self.reply(200, {"running": running, "finished": self.finished[:500]})
--- a/review/stand_ins_2/store.py
+++ b/review/stand_ins_2/store.py
@@ -91,7 +91,7 @@
     """The store."""
 
     def __init__(self, host, port):
-        self.logs, self.groups = {}, {}
+        self.logs, self.groups, self.too_large = {}, {}, 0
         self.server = Server(host, port, self.answer)
         self.address = (host, port)
 
@@ -123,6 +123,7 @@
             records.append(body[4:4 + length])
             body = body[4 + length:]
         if len(request.body) > CALL_BYTES or any(len(r) > RECORD_BYTES for r in records):
+            self.too_large += 1
             return Response(413)
         log = self.log(topic, part)
         if log.waiting * APPEND_S > MAX_QUEUE_S:
