review: a case on a task that is done and started again

A minion that has started again under its id carries out a start for the life before, and its end as done is taken note of after the task was started again. Tried: one of six minions restarts, idle, three times. The case on the reserve gives way to it.

Its number is 5; the large job is 7 now, the pending jobs 8.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,6 @@
-"""A job of many narrow steps, which the entry accepts, stops the leader for ever."""
+"""A task is done and started again: a minion's new life carries out a start that was meant for the life before."""
 
 import asyncio
-import json
 import pathlib
 import sys
 import time
@@ -9,48 +8,52 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
 
-import minion  # noqa: E402
-from deployment import PREFIX, CannotRun, queue, run_case  # noqa: E402
+from deployment import CannotRun, queue, run_case  # noqa: E402
 
 SIDES = 6
-MANY_STEPS = 1250  # of 8 tasks each: the 10,000 tasks that an entry accepts
-FEW_STEPS = 100
-AT_ONCE = 150  # tasks that fit at a minion
-TIME_S = 75.0
-STILL_S = 3.0
-PROBE_S = 20.0
+ROUNDS = 3
+FIRST_BEAT_S = 0.5  # of a new life; PROTOCOL: "roughly every `heartbeat_ms`", 1,500
+WORK_MS = 100
+ROUND_S = 18.0
+
+
+def starts_after_noted_ends(site):
+    """Returns the starts that follow a run of their task that ended `done`, if that end was taken note of."""
+    found = []
+    for noted, task, attempt, how in site.acknowledged:
+        ended = [at for at, other, number, end in site.ends if (other, number, end) == (task, attempt, "done")]
+        if how != "done" or not ended:
+            continue
+        for at, other, number, name in site.starts:
+            if other == task and number > attempt and at > ended[0]:
+                found.append(f"{task} run {attempt} ended done at {ended[0] - site.began:.3f} s and was taken note of at "
+                             f"{noted - site.began:.3f} s, run {number} started at {at - site.began:.3f} s")
+    return found
 
 
 async def case(site, has_trouble):
-    minion.TICK_S = 0.05
     await site.start([queue()])
-    step = {"count": 8, "cpu": 128000 // AT_ONCE, "mem_mb": 10, "estimate_ms": 2000, "checkpointing": True}
-    job = site.new_job([step] * (MANY_STEPS if has_trouble else FEW_STEPS), "work=2000")
-    site.note(f"body of {len(json.dumps(site.jobs[job]))} bytes")
-    if await site.submit(0, job) != 200:
-        raise CannotRun("the job isn't accepted")
-    end, last = time.monotonic() + TIME_S, 0
-    while time.monotonic() < end:
-        await asyncio.sleep(1.0)
-        done = sum(how == "done" for _, _, _, how in site.ends)
-        running = sum(len(each.running) for each in site.minions)
-        site.note(f"tasks done {done}, running {running}, state {len(site.store.log('keyed.rampbay').records)} records")
-        if done >= 8 * len(site.jobs[job]["steps"]) or (done == last and running == 0 and done > 0):
-            break
-        last = done
-    small = site.new_job([{"count": 1, "cpu": 1000, "mem_mb": 10, "gpu": 1, "estimate_ms": 1000}], "work=1000")
-    if await site.submit(1, small) != 200:
-        raise CannotRun("the small job isn't accepted")
-    accepted = time.monotonic()
-    while time.monotonic() < accepted + PROBE_S and not site.begun(small):
-        await asyncio.sleep(0.25)
-    waited = time.monotonic() - accepted
-    site.note(f"refused for their size: {site.store.too_large}")
-    if waited > STILL_S:
-        return (f"LOST: a job of one task hadn't begun {waited:.1f} s after it was accepted, on minions with nothing "
-                f"else to do; the store has refused {site.store.too_large} appends for their size")
-    return None
+    await asyncio.sleep(2.0)
+    for _ in range(ROUNDS):
+        began = time.monotonic()
+        if has_trouble:
+            # One minion of six crashes, idle, and starts again under its id.
+            restart = asyncio.ensure_future(site.minions[0].start_again(FIRST_BEAT_S))
+            await asyncio.sleep(0.05)
+        # A job of a task for each minion, so that the new life gets one of them.
+        job = site.new_job([{"count": SIDES, "cpu": 1000, "mem_mb": 1000, "gpu": 8, "estimate_ms": WORK_MS}],
+                           f"work={WORK_MS}")
+        if await site.submit(0, job) != 200:
+            raise CannotRun("a job isn't accepted")
+        await asyncio.sleep(max(0.0, began + ROUND_S - time.monotonic()))
+        if has_trouble:
+            await restart
+    await asyncio.sleep(3.0)
+    found = starts_after_noted_ends(site)
+    for text in found:
+        site.note(text)
+    return f"TWICE: {len(found)} times; {found[0]}" if found else None
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, case, sides=SIDES))
+    sys.exit(run_case(FOLDER, case, sides=SIDES, gpus=8, tells_born=True))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Jobs that were only assigned to a lost minion aren't counted as pending, though none of their tasks has begun."""
+"""A job of many narrow steps, which the entry accepts, stops the leader for ever."""
 
 import asyncio
 import json
@@ -9,61 +9,46 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "stand_ins_2"))
 
+import minion  # noqa: E402
 from deployment import PREFIX, CannotRun, queue, run_case  # noqa: E402
 
 SIDES = 6
-JOBS = 6
-VISIBLE_S = 3.0 + 2.0  # RULES: accepted over `visible_ms` + 2 s before
-WATCH_S = 9.0
-
-
-async def fill(site):
-    """Fills all minions but one with work, and returns the one that is left."""
-    for index in range(SIDES - 1):
-        job = site.new_job([{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 8,
-                             "estimate_ms": 90000}], "work=90000")
-        if await site.submit(index % 2, job) != 200:
-            raise CannotRun("a job that fills a minion isn't accepted")
-
-    async def is_full():
-        return len(site.starts) == SIDES - 1
-
-    await site.until(is_full, 15, "the minions aren't full")
-    busy = {minion for _, _, _, minion in site.starts}
-    return next(minion for minion in site.minions if minion.name not in busy)
+MANY_STEPS = 1250  # of 8 tasks each: the 10,000 tasks that an entry accepts
+FEW_STEPS = 100
+AT_ONCE = 150  # tasks that fit at a minion
+TIME_S = 75.0
+STILL_S = 3.0
+PROBE_S = 20.0
 
 
 async def case(site, has_trouble):
+    minion.TICK_S = 0.05
     await site.start([queue()])
-    idle = await fill(site)
-    await asyncio.sleep(2.0)
-    if has_trouble:
-        await idle.crash()
-    accepted = {}
-    for index in range(JOBS):
-        job = site.new_job([{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1,
-                             "estimate_ms": 3000}], "work=3000")
-        if await site.submit(index % 2, job) == 200:
-            accepted[job] = time.monotonic()
-    if len(accepted) < JOBS:
-        raise CannotRun("the jobs aren't accepted")
-    broken, end = [], time.monotonic() + WATCH_S
+    step = {"count": 8, "cpu": 128000 // AT_ONCE, "mem_mb": 10, "estimate_ms": 2000, "checkpointing": True}
+    job = site.new_job([step] * (MANY_STEPS if has_trouble else FEW_STEPS), "work=2000")
+    site.note(f"body of {len(json.dumps(site.jobs[job]))} bytes")
+    if await site.submit(0, job) != 200:
+        raise CannotRun("the job isn't accepted")
+    end, last = time.monotonic() + TIME_S, 0
     while time.monotonic() < end:
+        await asyncio.sleep(1.0)
+        done = sum(how == "done" for _, _, _, how in site.ends)
+        running = sum(len(each.running) for each in site.minions)
+        site.note(f"tasks done {done}, running {running}, state {len(site.store.log('keyed.rampbay').records)} records")
+        if done >= 8 * len(site.jobs[job]["steps"]) or (done == last and running == 0 and done > 0):
+            break
+        last = done
+    small = site.new_job([{"count": 1, "cpu": 1000, "mem_mb": 10, "gpu": 1, "estimate_ms": 1000}], "work=1000")
+    if await site.submit(1, small) != 200:
+        raise CannotRun("the small job isn't accepted")
+    accepted = time.monotonic()
+    while time.monotonic() < accepted + PROBE_S and not site.begun(small):
         await asyncio.sleep(0.25)
-        for entry in range(2):
-            sent = time.monotonic()
-            status, answer = await site.ask(entry, "GET", PREFIX)
-            # Jobs that were accepted long enough before the call, and hadn't begun when it was answered.
-            due = [job for job, at in accepted.items() if sent - at > VISIBLE_S and not site.begun(job)]
-            if status == 200 and due:
-                pending = json.loads(answer)["pending"]
-                site.note(f"pending={pending}, accepted over {VISIBLE_S} s before and not begun: {len(due)}")
-                if pending * 2 < len(due):
-                    broken.append((entry, pending, len(due)))
-    if broken:
-        entry, pending, due = broken[0]
-        return (f"MIXED: edge-{entry + 1} gives pending={pending} while {due} such jobs haven't begun "
-                f"({len(broken)} answers)")
+    waited = time.monotonic() - accepted
+    site.note(f"refused for their size: {site.store.too_large}")
+    if waited > STILL_S:
+        return (f"LOST: a job of one task hadn't begun {waited:.1f} s after it was accepted, on minions with nothing "
+                f"else to do; the store has refused {site.store.too_large} appends for their size")
     return None
 
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A job stands still beside two idle minions on a fleet that is nearly empty, since they are kept for urgent work."""
+"""Jobs that were only assigned to a lost minion aren't counted as pending, though none of their tasks has begun."""
 
 import asyncio
 import json
@@ -11,49 +11,61 @@
 
 from deployment import PREFIX, CannotRun, queue, run_case  # noqa: E402
 
-SIDES = 14
-GPUS = 8
-SPREAD = 12
-STILL_S = 3.0  # RULES: "for 3 s, a job has nothing running"
-FINISH_S = 14.0  # `finish_s`
-WATCH_S = 45.0
+SIDES = 6
+JOBS = 6
+VISIBLE_S = 3.0 + 2.0  # RULES: accepted over `visible_ms` + 2 s before
+WATCH_S = 9.0
 
 
-async def case(site, has_trouble):
-    await site.start([queue(priority=1, skew=3.0)])
-    await asyncio.sleep(4.0)
-    if has_trouble:
-        # One small task a minion, as callers ask for who want to survive the loss of a machine.
-        spread = site.new_job([{"count": SPREAD, "cpu": 1000, "mem_mb": 1000, "gpu": 1, "anti_affinity": 1,
-                                "estimate_ms": 100_000}], "work=100000")
-        if await site.submit(0, spread) != 200:
-            raise CannotRun("the spread job isn't accepted")
+async def fill(site):
+    """Fills all minions but one with work, and returns the one that is left."""
+    for index in range(SIDES - 1):
+        job = site.new_job([{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 8,
+                             "estimate_ms": 90000}], "work=90000")
+        if await site.submit(index % 2, job) != 200:
+            raise CannotRun("a job that fills a minion isn't accepted")
+
+    async def is_full():
+        return len(site.starts) == SIDES - 1
 
-        async def is_spread():
-            return len(site.starts) == SPREAD
+    await site.until(is_full, 15, "the minions aren't full")
+    busy = {minion for _, _, _, minion in site.starts}
+    return next(minion for minion in site.minions if minion.name not in busy)
 
-        await site.until(is_spread, 10, "the spread job doesn't start")
+
+async def case(site, has_trouble):
+    await site.start([queue()])
+    idle = await fill(site)
     await asyncio.sleep(2.0)
-    job = site.new_job([{"count": 1, "cpu": 52000, "mem_mb": 110000, "gpu": GPUS,
-                         "estimate_ms": 30_000}], "work=2000")
-    if await site.submit(1, job) != 200:
-        raise CannotRun("the job isn't accepted")
-    accepted = time.monotonic()
-    while time.monotonic() < accepted + WATCH_S and not site.begun(job):
-        await asyncio.sleep(0.1)
-        idle = sum(not each.running for each in site.minions)
-        used = sum(site.demand_of(run.task) for each in site.minions for run in each.running.values())
-        if not site.begun(job) and (idle < 2 or used * 2 >= SIDES * GPUS):
-            raise CannotRun("there isn't room for the job twice over on a fleet that is half empty")
-    waited = time.monotonic() - accepted
-    _, answer = await site.ask(0, "GET", PREFIX + job)
-    site.note(f"the job waited {waited:.1f} s, state {json.loads(answer)['state']}")
-    # From `finish_s` after the traffic has ended, a job may not stand still for 3 s beside such room.
-    if waited > FINISH_S + STILL_S:
-        return (f"LOST: a job had nothing running for {waited:.1f} s beside two idle minions with room for it each, "
-                f"{SPREAD} of {SIDES * GPUS} GPUs in use")
+    if has_trouble:
+        await idle.crash()
+    accepted = {}
+    for index in range(JOBS):
+        job = site.new_job([{"count": 1, "cpu": 1000, "mem_mb": 1000, "gpu": 1,
+                             "estimate_ms": 3000}], "work=3000")
+        if await site.submit(index % 2, job) == 200:
+            accepted[job] = time.monotonic()
+    if len(accepted) < JOBS:
+        raise CannotRun("the jobs aren't accepted")
+    broken, end = [], time.monotonic() + WATCH_S
+    while time.monotonic() < end:
+        await asyncio.sleep(0.25)
+        for entry in range(2):
+            sent = time.monotonic()
+            status, answer = await site.ask(entry, "GET", PREFIX)
+            # Jobs that were accepted long enough before the call, and hadn't begun when it was answered.
+            due = [job for job, at in accepted.items() if sent - at > VISIBLE_S and not site.begun(job)]
+            if status == 200 and due:
+                pending = json.loads(answer)["pending"]
+                site.note(f"pending={pending}, accepted over {VISIBLE_S} s before and not begun: {len(due)}")
+                if pending * 2 < len(due):
+                    broken.append((entry, pending, len(due)))
+    if broken:
+        entry, pending, due = broken[0]
+        return (f"MIXED: edge-{entry + 1} gives pending={pending} while {due} such jobs haven't begun "
+                f"({len(broken)} answers)")
     return None
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(FOLDER, case, sides=SIDES, gpus=GPUS))
+    sys.exit(run_case(FOLDER, case, sides=SIDES))
--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -64,9 +64,10 @@
 class Site:
     """Store, entries, side machines with their minions, and the record of what was seen."""
 
-    def __init__(self, case_folder, entries=2, sides=3, gpus=8, racks=3):
+    def __init__(self, case_folder, entries=2, sides=3, gpus=8, racks=3, tells_born=False):
         self.record = open(case_folder / "record.txt", "w")
         self.began = time.monotonic()
+        self.tells_born = tells_born
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rampbay-review-"))
         self.jobs, self.starts, self.ends, self.acknowledged = {}, [], [], []
         self.entry_count, self.side_count, self.gpus, self.racks = entries, sides, gpus, racks
@@ -121,9 +122,11 @@
         self.ends.append((time.monotonic(), run.task, run.attempt, how))
         self.note(f"end {run.task}/{run.attempt} at {minion.name} {how}")
 
-    def note_acknowledged(self, minion, row):
-        self.acknowledged.append((time.monotonic(), row[1], row[2], row[3]))
-        self.note(f"taken note of {row[1]}/{row[2]} {row[3]} at {minion.name}")
+    def note_acknowledged(self, minion, row, counts):
+        """Records that an end was taken note of, and whether that counts."""
+        if counts:
+            self.acknowledged.append((time.monotonic(), row[1], row[2], row[3]))
+        self.note(f"taken note of {row[1]}/{row[2]} {row[3]} at {minion.name} counts={counts}")
 
     def begun(self, job):
         """Returns whether a task of a job has begun."""
@@ -185,6 +188,7 @@
         for process in self.entries + self.sides:
             process.start()
         for minion in self.minions:
+            minion.tells_born = self.tells_born
             await minion.start()
         await self.until(self.is_ready, 25, "the entries aren't ready")
 
--- a/review/stand_ins_2/minion.py
+++ b/review/stand_ins_2/minion.py
@@ -47,12 +47,19 @@
         self.capacity, self.service = capacity, service
         self.server = Server(address[0], address[1], self.answer)
         self.tasks = []
+        # Whether its lives share an id, and it tells when each began.
+        self.tells_born = False
+        self.id = ""
         self.begin_life()
 
     def begin_life(self):
         """Begins a life, which knows nothing of earlier ones."""
-        self.id = f"i-{uuid.uuid4().hex[:8]}"
+        if not (self.tells_born and self.id):
+            self.id = f"i-{uuid.uuid4().hex[:8]}"
+        self.born = int(time.time() * 1000)
         self.started = time.monotonic()
+        # Numbers of ends that were listed when the lease lapsed.
+        self.lapsed_ends = set()
         self.running, self.finished, self.highest = {}, [], {}
         self.number = self.fence = self.lease_until = self.sequence = 0
         self.ends_changed = asyncio.Event()
@@ -69,6 +76,17 @@
         self.tasks = [asyncio.ensure_future(self.work()), asyncio.ensure_future(self.beat())]
         self.site.note(f"minion {self.name} up id={self.id}")
 
+    async def start_again(self, first_beat_s):
+        """Crashes and begins a new life at once, whose first heartbeat comes after a while."""
+        self.end_life()
+        await self.server.stop()
+        self.begin_life()
+        await self.server.start()
+        self.tasks = [asyncio.ensure_future(self.work())]
+        self.site.note(f"minion {self.name} up again id={self.id} born={self.born}")
+        await asyncio.sleep(first_beat_s)
+        self.tasks.append(asyncio.ensure_future(self.beat()))
+
     def end_life(self):
         """Ends the life with all of its runs, without a word."""
         self.is_up = False
@@ -101,6 +119,8 @@
                     "zone": self.zone, "version": "v1", "slots": 8, "state": self.state,
                     "cold_left_ms": 0, "capacity": self.capacity, "labels": self.labels,
                     "clock_ms": self.clock(), "seq": self.sequence}
+            if self.tells_born:
+                body["born"] = self.born
             status, _ = await call(self.control, "POST", f"/rampbay/instances/{self.id}/heartbeat",
                                    {"Content-Type": "application/json"},
                                    json.dumps(body).encode(), 1.0)
@@ -112,6 +132,8 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             lapsed = self.clock() > self.lease_until
+            if lapsed:
+                self.lapsed_ends.update(row[0] for row in self.finished)
             for run in list(self.running.values()):
                 if lapsed:
                     self.end(run, "lapsed")
@@ -132,6 +154,8 @@
         self.ends_changed = asyncio.Event()
 
     def reply(self, status, value):
+        if self.tells_born:
+            value = {**value, "born": self.born}
         return Response(status, {**value, "clock_ms": self.clock()})
 
     def extend(self, deadline):
@@ -199,7 +223,8 @@
         seen = body.get("last_seen", 0)
         for row in self.finished:
             if row[0] <= seen:
-                self.site.note_acknowledged(self, row)
+                # RULES: the note doesn't count if the lease lapsed between the end and it.
+                self.site.note_acknowledged(self, row, row[0] not in self.lapsed_ends)
         self.finished = [row for row in self.finished if row[0] > seen]
         until = time.monotonic() + min(body.get("wait_ms", 0), 2000) / 1000
         while not self.finished and time.monotonic() < until:
