agent: store the ends that a restarted worker lists

A worker restarted under its id, carried out a start that was meant for its earlier incarnation and ended it as done; the task was started elsewhere 77 ms later, and its first end acknowledged 13 s after that.

Cause: before an agent removes the registration of a replaced incarnation, it stops that incarnation's runs at the worker. It asked only whether such a run went on, not whether it had ended. The leader then gave the run up as lost, and the end that the new incarnation listed was stale.

Change: the stop is followed by the worker's list; an end that it holds is stored as that of the run, before the registration is removed. The same where the next incarnation takes over an unanswered start. The next incarnation isn't registered, so its leases aren't renewed, before the runs of the earlier one are settled. An end as done, or as failed and not counted yet, of a run that was given up still counts as long as its task hasn't started again.

Tried first: asking also for runs whose end the store holds. A restarted worker that was silent for 0.3 s was then registered after 0.7 s (next_incarnation_reached_soon_after_first_calls_are_lost failed). EndChecker moved from withheld_ends to the test support, unchanged.

--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -7,7 +7,7 @@
 use crate::keys::{end_key, refusal_key};
 use crate::metrics::metrics;
 use crate::record::{EndReason, KeyedRecord, Record, RunEnd, STATE_TOPIC, encode};
-use crate::worker::Listing;
+use crate::worker::{ListedEnd, Listing};
 
 use super::incarnation::Incarnation;
 use super::runs::RunKey;
@@ -135,7 +135,7 @@
     /// Returns whether an earlier process has stored an end that the worker lists.
     fn is_stored(&self, end: &PendingEnd) -> bool {
         let (task, attempt) = &end.key;
-        end.number > 0 && self.parts.table.borrow().includes_end(task, *attempt)
+        end.number > 0 && self.parts.table.borrow().includes_end(task, *attempt, end.reason)
     }
 
     fn end_record(&self, end: &PendingEnd) -> KeyedRecord {
@@ -163,3 +163,23 @@
         KeyedRecord { key, value: encode(&Record::Ended(Box::new(end))) }
     }
 }
+
+/// Returns the record of an end that another incarnation lists, of a run that was ordered for `instance`.
+pub(super) fn end_record_at(instance: &str, end: &ListedEnd) -> KeyedRecord {
+    metrics().count_end(end.reason.label());
+    log::warn!(
+        "event=J228 run ended at the next incarnation task={} attempt={} reason={:?} worker={instance} number={}",
+        end.task,
+        end.attempt,
+        end.reason,
+        end.number
+    );
+    let end = RunEnd {
+        task: end.task.clone(),
+        attempt: end.attempt,
+        reason: end.reason,
+        checkpoint: end.checkpoint.clone(),
+        instance: instance.to_owned(),
+    };
+    KeyedRecord { key: end_key(&end), value: encode(&Record::Ended(Box::new(end))) }
+}
--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -1,7 +1,7 @@
 //! One incarnation of a worker, from its discovery until it has certainly ended.
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use crate::job::{InstanceId, Resources};
 use crate::record::{ProgressReport, RunProgress, WorkerRecord};
 use crate::registrations::RegistrationNumber;
-use crate::worker::{Worker, WorkerMillis};
+use crate::worker::{ListedEnd, Worker, WorkerMillis};
 
 use super::held_back::HeldBack;
 use super::runs::{Phase, RunKey, Runs};
@@ -109,8 +109,9 @@
     pub(super) has_ceased: Cell<bool>,
     /// Id of the incarnation that replaced this one, once known.
     pub(super) successor: RefCell<Option<InstanceId>>,
-    /// Runs that whichever incarnation answers now certainly doesn't start by orders for this one.
-    pub(super) stopped_at_successor: RefCell<BTreeSet<RunKey>>,
+    /// Runs that whichever incarnation answers now certainly doesn't start any more by orders for this one, each with its
+    /// end, if that incarnation lists one.
+    pub(super) stopped_at_successor: RefCell<BTreeMap<RunKey, Option<ListedEnd>>>,
     is_abandoned: Cell<bool>,
     abandoned: Notify,
 }
--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -157,7 +157,11 @@
             // The registration is gone, so the leader is reassigning the worker's runs. The worker
             // is registered again only once it has no runs and no job's plan names it: otherwise
             // the runs that are still to be reassigned would be started here too.
-            None => is_empty && !table.has_runs_assigned_to(&self.instance),
+            None => {
+                is_empty
+                    && !table.has_runs_assigned_to(&self.instance)
+                    && !self.has_registered_predecessor(&table)
+            }
         }
     }
 
@@ -183,8 +187,11 @@
             || Record::LifeOver(self.instance.clone(), Box::new(self.describe_end())).encode();
         let incarnation_end = registrations_end.is_some().then(incarnation_end);
         let keys = numbers.into_iter().map(|number| worker_key(&self.instance, number));
-        keys.chain(table.eviction_keys(&self.instance))
-            .map(removal)
+        let removals = keys.chain(table.eviction_keys(&self.instance)).map(removal);
+        // The planner gives up what is still assigned once the registration is gone, so ends come first.
+        let ends = self.end_records_of_successor();
+        ends.into_iter()
+            .chain(removals)
             .chain(registrations_end)
             .chain(incarnation_end)
             .chain(self.unanswered_start_records())
--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -14,8 +14,9 @@
 use crate::job::InstanceId;
 use crate::keys::unanswered_key;
 use crate::record::{KeyedRecord, Record, STATE_TOPIC, UnansweredStart, removal};
-use crate::worker::StopOrder;
+use crate::worker::{StopOrder, StoppedRun};
 
+use super::ends::end_record_at;
 use super::incarnation::Incarnation;
 use super::runs::RunKey;
 
@@ -80,9 +81,9 @@
         let stopped = self.stopped_at_successor.borrow();
         let (stored, own) = (self.stored_unanswered_starts(), self.own_unanswered_starts());
         let rejected_by = |key: &RunKey| match &successor {
-            Some(successor) if stopped.contains(key) => Some(successor),
+            Some(successor) if stopped.contains_key(key) => Some(successor),
             // An incarnation with another id rejects all orders that name this one's id.
-            None if stopped.contains(key) => None,
+            None if stopped.contains_key(key) => None,
             _ => Some(&self.instance),
         };
         let mut starts = stored.clone();
@@ -169,9 +170,11 @@
         let worker = (self.parts.connect)(&start.address, &start.instance);
         let (task, attempt) = (start.task.clone(), start.attempt);
         let order = StopOrder { task, attempt, fencing_token: self.fencing_token() };
-        if !matches!(worker.stop_in_any_incarnation(&order).await, Ok(true)) {
-            return;
-        }
+        let end = match worker.stop_in_any_incarnation(&order).await {
+            Ok(StoppedRun::NotThere) => None,
+            Ok(StoppedRun::Ended(end)) => Some(end_record_at(&start.instance, &end)),
+            Ok(StoppedRun::Unsettled) | Err(_) => return,
+        };
         let is_same_worker =
             (self.parts.compare_incarnations)(&start.instance, &self.instance).is_some();
         let record = if is_same_worker {
@@ -180,7 +183,9 @@
         } else {
             removal(unanswered_key(&order.task, attempt))
         };
-        if let Ok(end) = self.parts.store.append(STATE_TOPIC, &[record], None).await {
+        // The task may start again as soon as the planner reads the second record.
+        let records: Vec<KeyedRecord> = end.into_iter().chain([record]).collect();
+        if let Ok(end) = self.parts.store.append(STATE_TOPIC, &records, None).await {
             self.parts.freshness.reach(end).await;
         }
     }
--- a/crates/rampbay-jobs/src/plan.rs
+++ b/crates/rampbay-jobs/src/plan.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::job::{Checkpoint, InstanceId, JobId, Submission, TaskId};
+use crate::record::EndReason;
 
 /// State of a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +46,19 @@
     pub const fn may_be_running(&self) -> bool {
         matches!(self.status, TaskStatus::Running | TaskStatus::Stopping)
     }
+
+    /// Returns whether the end of a run still counts: the run is the latest one and goes on, or it was given up, the
+    /// task hasn't started again, and the end says that its work is done, or that it failed, which isn't counted yet.
+    #[must_use]
+    pub fn accepts_end(&self, attempt: u32, reason: EndReason) -> bool {
+        let is_given_up = self.status == TaskStatus::Waiting;
+        let counts_late = match reason {
+            EndReason::Done => true,
+            EndReason::Failed => self.failed_attempt != attempt,
+            _ => false,
+        };
+        self.attempt == attempt && (self.may_be_running() || (is_given_up && counts_late))
+    }
 }
 
 /// One occurrence of a job's steps.
--- a/crates/rampbay-jobs/src/planner/settle.rs
+++ b/crates/rampbay-jobs/src/planner/settle.rs
@@ -64,8 +64,7 @@
     let Some(step) = submission.steps.get(end.task.step as usize) else { return };
     let current = draft.plan(&end.task.job).and_then(|plan| plan.task(&end.task));
     let Some(current) = current else { return };
-    let is_current = current.may_be_running() && current.attempt == end.attempt;
-    if !is_current {
+    if !current.accepts_end(end.attempt, end.reason) {
         log::info!(
             "event=J131 stale end task={} attempt={} current={} reason={:?}",
             end.task,
--- a/crates/rampbay-jobs/src/table/runs.rs
+++ b/crates/rampbay-jobs/src/table/runs.rs
@@ -52,10 +52,10 @@
         self.ends.contains_key(&format!("end/{task}/{attempt}"))
     }
 
-    /// Returns whether the end of a run is known, or is included in the plan of its job: another end of the run would
-    /// change nothing.
+    /// Returns whether the end of a run is known, or is included in the plan of its job: an end of the run for this
+    /// reason would change nothing.
     #[must_use]
-    pub fn includes_end(&self, task: &TaskId, attempt: u32) -> bool {
+    pub fn includes_end(&self, task: &TaskId, attempt: u32, reason: EndReason) -> bool {
         if self.has_end(task, attempt) {
             return true;
         }
@@ -65,7 +65,7 @@
         let is_open = plan.open.iter().any(|open| open.number == task.occurrence);
         let is_over = !is_open && task.occurrence < plan.next_occurrence;
         let is_past = |current: &TaskPlan| {
-            current.attempt > attempt || (current.attempt == attempt && !current.may_be_running())
+            current.attempt >= attempt && !current.accepts_end(attempt, reason)
         };
         is_over || plan.task(task).is_some_and(is_past)
     }
--- a/crates/rampbay-jobs/src/worker.rs
+++ b/crates/rampbay-jobs/src/worker.rs
@@ -118,6 +118,38 @@
     pub ended: Vec<ListedEnd>,
 }
 
+/// State of a run after its stop, by the list of the incarnation that answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoppedRun {
+    /// The run may go on, or its end may not be listed yet.
+    Unsettled,
+    /// The run has ended.
+    Ended(ListedEnd),
+    /// The run never started there, and never will.
+    NotThere,
+}
+
+impl StoppedRun {
+    /// Returns the state of a run by a list that was requested after its stop was answered. `max_ends` is the number of
+    /// ends that the worker lists at most.
+    #[must_use]
+    pub fn from_listing(order: &StopOrder, listing: Listing, max_ends: usize) -> Self {
+        let is_running = listing
+            .running
+            .iter()
+            .any(|run| run.task == order.task && run.attempt == order.attempt);
+        let is_cut_off = listing.ended.len() >= max_ends;
+        let mut ends = listing.ended.into_iter();
+        let end = ends.find(|end| end.task == order.task && end.attempt == order.attempt);
+        match end {
+            _ if is_running => Self::Unsettled,
+            Some(end) => Self::Ended(end),
+            None if is_cut_off => Self::Unsettled,
+            None => Self::NotThere,
+        }
+    }
+}
+
 /// One incarnation of a worker.
 #[async_trait(?Send)]
 pub trait Worker {
@@ -128,13 +160,19 @@
     /// Returns an error if no answer came or another incarnation answered.
     async fn start(&self, order: &StartOrder) -> Result<Started, WorkerError>;
 
-    /// Stops a run at whichever incarnation answers at the worker's address: an order meant for the
-    /// previous incarnation may have been carried out by the next one, if both share an id. Returns
-    /// whether the run is certainly over, or will never start. The default implementation is for
-    /// workers that carry out an order only in the incarnation that it is meant for: there is nothing
-    /// to stop then.
-    async fn stop_in_any_incarnation(&self, _order: &StopOrder) -> Result<bool, WorkerError> {
-        Ok(true)
+    /// Stops a run at whichever incarnation answers at the worker's address, and then reads that
+    /// incarnation's list: an order meant for the previous incarnation may have been carried out by
+    /// the next one, if both share an id. The default implementation is for workers that carry out an
+    /// order only in the incarnation that it is meant for: there is nothing to stop then.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the stop or the list got no answer.
+    async fn stop_in_any_incarnation(
+        &self,
+        _order: &StopOrder,
+    ) -> Result<StoppedRun, WorkerError> {
+        Ok(StoppedRun::NotThere)
     }
 
     /// Orders a stop. Once the stop is answered, the run ends, or never starts if it hasn't
--- a/crates/rampbay-jobs/tests/planner.rs
+++ b/crates/rampbay-jobs/tests/planner.rs
@@ -57,6 +57,42 @@
     });
 }
 
+/// Guards against a task that starts again although its worker lists the end of a run that the leader has given up.
+#[rstest]
+#[case::done(EndReason::Done, TaskStatus::Done, 0)]
+#[case::failed(EndReason::Failed, TaskStatus::Waiting, 1)]
+#[case::lapsed(EndReason::Lapsed, TaskStatus::Waiting, 0)]
+fn end_of_given_up_run_counts_until_task_starts_again(
+    #[case] reason: EndReason,
+    #[case] status: TaskStatus,
+    #[case] failures: u32,
+) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(1);
+        rig.submit(Submission { attempts: 3, ..job(JOB, 1, step(2, 1)) });
+        rig.plan();
+        let (attempt, instance) = rig.latest_run(&task(JOB, 0));
+        rig.remove_worker(&instance);
+        rig.plan();
+        assert_eq!(rig.statuses(JOB), vec![TaskStatus::Waiting; 2]);
+        // A copy of the end may arrive as well.
+        for _ in 0..2 {
+            let end = RunEnd {
+                task: task(JOB, 0),
+                attempt,
+                reason,
+                checkpoint: String::new(),
+                instance: instance.clone(),
+            };
+            rig.put(&Record::Ended(Box::new(end)));
+            rig.plan();
+        }
+        assert_eq!(rig.statuses(JOB), vec![status, TaskStatus::Waiting]);
+        let plan = rig.table.jobs[JOB].plan.clone().expect("the job is planned");
+        assert_eq!(plan.task(&task(JOB, 0)).expect("the task is planned").failures, failures);
+    });
+}
+
 /// Guards against evicting a worker that has just registered because its agent has never reported.
 /// The worker was evicted again after each return. Seen on the bench.
 #[test]
--- a/crates/rampbay-jobs/tests/support/site.rs
+++ b/crates/rampbay-jobs/tests/support/site.rs
@@ -65,6 +65,8 @@
     agent: RefCell<Option<AgentRig>>,
     /// Number of its worker's current incarnation, from 0.
     incarnation: Cell<u32>,
+    /// Time from which its worker sends heartbeats.
+    heartbeats_from: Cell<Instant>,
     /// Time at which its worker leaves, once the worker has given notice.
     leaves_at: Cell<Option<Instant>>,
     /// Number of its worker's accelerators, which the next heartbeat reports.
@@ -106,6 +108,7 @@
                 worker: FakeWorker::new(&id(index)),
                 agent: RefCell::default(),
                 incarnation: Cell::new(0),
+                heartbeats_from: Cell::new(Instant::now()),
                 leaves_at: Cell::new(None),
                 devices: Cell::new(DEVICES),
                 reported_devices: Cell::new(DEVICES),
@@ -331,6 +334,14 @@
 }
 
 impl Machine {
+    /// Starts the worker's next incarnation at once, under the same id. It sends its first heartbeat after a pause.
+    pub fn restart_at_once(&self, pause: Duration) {
+        let incarnation = self.incarnation.get() + 1;
+        self.incarnation.set(incarnation);
+        self.heartbeats_from.set(Instant::now() + pause);
+        self.worker.replace(&format!("i-{}~{}", self.index, incarnation * 1000));
+    }
+
     /// Ends the worker's incarnation, and starts another one after a pause in which the worker doesn't listen.
     fn start_incarnation(self: &Rc<Self>, incarnation: u32, instance: &str, pause: Duration) {
         self.incarnation.set(incarnation);
@@ -348,7 +359,8 @@
 
     /// Sends the worker's heartbeat to the agent, if both are running.
     fn send_heartbeat(&self, sequence: u64) {
-        if self.worker.gone.get() || self.worker.silent.get() {
+        let is_early = Instant::now() < self.heartbeats_from.get();
+        if is_early || self.worker.gone.get() || self.worker.silent.get() {
             return;
         }
         let instance = self.worker.instance.borrow().clone();
--- a/crates/rampbay-jobs/tests/support/worker.rs
+++ b/crates/rampbay-jobs/tests/support/worker.rs
@@ -10,9 +10,10 @@
 use rampbay_jobs::job::{EpochMillis, TaskId};
 use rampbay_jobs::record::{EndReason, RunProgress};
 use rampbay_jobs::worker::{
-    ListedEnd, Listing, Refusal, RenewOrder, StartOrder, Started, StopOrder, Worker, WorkerError,
+    ListedEnd, Listing, Refusal, RenewOrder, StartOrder, Started, StopOrder, StoppedRun, Worker,
+    WorkerError,
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Fault in how a worker handles starts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -80,12 +81,16 @@
     pub on_start: RefCell<Option<OnStart>>,
     /// Called for each end that the agent acknowledges.
     pub on_acknowledge: RefCell<Option<OnAcknowledge>>,
+    /// Whether stops get no answer and have no effect.
+    pub loses_stops: Cell<bool>,
     /// Whether runs go on although their stop was answered.
     pub ignores_stops: Cell<bool>,
     /// Calls to carry out late.
     pub late_calls: Cell<Option<LateCalls>>,
 }
 
+/// Most ends that a worker lists at once.
+const MAX_LISTED_ENDS: usize = 500;
 /// How long a caller waits for an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -101,6 +106,7 @@
             start_fault: Cell::default(),
             on_start: RefCell::default(),
             on_acknowledge: RefCell::default(),
+            loses_stops: Cell::new(false),
             ignores_stops: Cell::new(false),
             late_calls: Cell::default(),
         })
@@ -216,6 +222,20 @@
         true
     }
 
+    /// Lists what runs, and the ends with numbers above `last_seen`.
+    fn listing(&self, last_seen: u64) -> Listing {
+        let state = self.state.borrow();
+        let running = state.running.iter().map(|((task, attempt), started_at)| RunProgress {
+            task: task.clone(),
+            attempt: *attempt,
+            percent: percent_after(started_at.elapsed()),
+            ran_ms: 0,
+            checkpoint: String::new(),
+        });
+        let ended = state.ended.iter().filter(|end| end.number > last_seen).cloned();
+        Listing { clock: self.clock(), running: running.collect(), ended: ended.collect() }
+    }
+
     fn take_lease(&self, until: u64) {
         let most = self.clock() + 6000;
         let mut state = self.state.borrow_mut();
@@ -288,10 +308,10 @@
             return Err(WorkerError::Refused);
         }
         if self.worker.silent.get() {
-            tokio::time::sleep(CALL_TIMEOUT).await;
+            sleep(CALL_TIMEOUT).await;
             return Err(WorkerError::NoAnswer);
         }
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        sleep(Duration::from_millis(1)).await;
         // Orders name only the worker; only listings distinguish its incarnations.
         if name(&self.worker.instance.borrow()) != name(&self.instance) {
             return Err(WorkerError::OtherLife(None));
@@ -308,12 +328,12 @@
     ) -> Result<T, WorkerError> {
         let worker = Rc::clone(&self.worker);
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(after).await;
+            sleep(after).await;
             if !worker.gone.get() {
                 carry_out(&worker);
             }
         });
-        tokio::time::sleep(CALL_TIMEOUT).await;
+        sleep(CALL_TIMEOUT).await;
         Err(WorkerError::NoAnswer)
     }
 
@@ -361,12 +381,16 @@
         if fault == StartFault::None {
             return Ok(Started::Yes);
         }
-        tokio::time::sleep(CALL_TIMEOUT).await;
+        sleep(CALL_TIMEOUT).await;
         Err(WorkerError::NoAnswer)
     }
 
     async fn stop(&self, order: &StopOrder) -> Result<(), WorkerError> {
         self.reach().await?;
+        if self.worker.loses_stops.get() {
+            sleep(CALL_TIMEOUT).await;
+            return Err(WorkerError::NoAnswer);
+        }
         if !self.worker.accept_fencing_token(order.fencing_token) {
             return Err(WorkerError::NoAnswer);
         }
@@ -383,13 +407,12 @@
         Ok(())
     }
 
-    async fn stop_in_any_incarnation(&self, order: &StopOrder) -> Result<bool, WorkerError> {
+    async fn stop_in_any_incarnation(&self, order: &StopOrder) -> Result<StoppedRun, WorkerError> {
         match self.stop(order).await {
-            Err(WorkerError::OtherLife(_)) => return Ok(true),
+            Err(WorkerError::OtherLife(_)) => return Ok(StoppedRun::NotThere),
             stopped => stopped?,
         }
-        let key = (order.task.clone(), order.attempt);
-        Ok(!self.worker.state.borrow().running.contains_key(&key))
+        Ok(StoppedRun::from_listing(order, self.worker.listing(0), MAX_LISTED_ENDS))
     }
 
     async fn renew(&self, order: &RenewOrder) -> Result<Listing, WorkerError> {
@@ -413,22 +436,9 @@
             if new || Instant::now() >= deadline || self.worker.silent.get() {
                 break;
             }
-            tokio::time::sleep(Duration::from_millis(5)).await;
+            sleep(Duration::from_millis(5)).await;
         }
         self.reach_incarnation().await?;
-        let state = self.worker.state.borrow();
-        let running = state.running.iter().map(|((task, attempt), started_at)| RunProgress {
-            task: task.clone(),
-            attempt: *attempt,
-            percent: percent_after(started_at.elapsed()),
-            ran_ms: 0,
-            checkpoint: String::new(),
-        });
-        let ended = state.ended.iter().filter(|end| end.number > order.last_seen).cloned();
-        Ok(Listing {
-            clock: self.worker.clock(),
-            running: running.collect(),
-            ended: ended.collect(),
-        })
+        Ok(self.worker.listing(order.last_seen))
     }
 }
--- a/crates/rampbay-jobs/tests/withheld_ends.rs
+++ b/crates/rampbay-jobs/tests/withheld_ends.rs
@@ -3,15 +3,14 @@
 
 mod support;
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use rampbay_jobs::job::{Step, TaskId};
+use rampbay_jobs::job::Step;
 use rampbay_jobs::plan::JobStatus;
 use rampbay_jobs::record::{EndReason, STATE_TOPIC};
 use rstest::rstest;
-use support::acknowledged::assert_runs_once;
+use support::acknowledged::EndChecker;
 use support::site::{Machine, Site, Work};
 use support::store::MemoryStore;
 use support::worker::{FakeWorker, LateCalls};
@@ -43,64 +42,6 @@
 const OVER_AFTER: Duration = Duration::from_secs(18);
 const CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// A done end that a worker was told to forget.
-#[derive(Debug)]
-struct ForgottenEnd {
-    task: TaskId,
-    ended: Instant,
-}
-
-/// Checks that no task starts after its end as done, if that is acknowledged then or later. The end of one member
-/// of a gang counts for all.
-struct EndChecker {
-    site: Rc<Site>,
-    is_gang: bool,
-    forgotten: Rc<RefCell<Vec<ForgottenEnd>>>,
-}
-
-impl EndChecker {
-    /// Watches tasks that work for `work` each.
-    fn watch(site: &Rc<Site>, work: Duration, is_gang: bool) -> Self {
-        let forgotten: Rc<RefCell<Vec<ForgottenEnd>>> = Rc::default();
-        for (index, machine) in site.machines.iter().enumerate() {
-            let (forgotten, site) = (Rc::clone(&forgotten), Rc::downgrade(site));
-            *machine.worker.on_acknowledge.borrow_mut() = Some(Rc::new(move |end| {
-                if end.reason != EndReason::Done {
-                    return;
-                }
-                let site = site.upgrade().expect("the site exists");
-                let starts = site.starts.borrow();
-                // The worker's present incarnation has carried out the last one of them.
-                let run = starts.iter().rfind(|start| {
-                    start.task == end.task && start.attempt == end.attempt && start.machine == index
-                });
-                let ended = run.expect("the run was started").at + work;
-                forgotten.borrow_mut().push(ForgottenEnd { task: end.task.clone(), ended });
-            }));
-        }
-        Self { site: Rc::clone(site), is_gang, forgotten }
-    }
-
-    fn check(&self) {
-        assert_runs_once(&self.site);
-        let starts = self.site.starts.borrow();
-        for end in self.forgotten.borrow().iter() {
-            let is_concerned =
-                |task: &TaskId| *task == end.task || (self.is_gang && task.job == end.task.job);
-            let later =
-                starts.iter().find(|start| start.at > end.ended && is_concerned(&start.task));
-            assert!(
-                later.is_none(),
-                "{end:?} is acknowledged, and the task started again: {later:?}"
-            );
-        }
-    }
-
-    fn forgotten(&self) -> usize {
-        self.forgotten.borrow().len()
-    }
-}
-
 /// Submits a job the starts of whose first task are late by `late` for a time. Returns the machine.
 async fn submit_with_late_starts(
     site: &Rc<Site>,
