--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -7,7 +7,8 @@
 use crate::keys::{end_key, refusal_key};
 use crate::metrics::metrics;
 use crate::record::{EndReason, KeyedRecord, Record, RunEnd, STATE_TOPIC, encode};
-use crate::worker::{ListedEnd, Listing};
+use crate::store::split_into_appends;
+use crate::worker::{ListedEnd, Listing, checkpoint_to_keep};
 
 use super::incarnation::Incarnation;
 use super::runs::RunKey;
@@ -40,7 +41,7 @@
             .map(|end| PendingEnd {
                 key: (end.task.clone(), end.attempt),
                 reason: end.reason,
-                checkpoint: end.checkpoint.clone(),
+                checkpoint: checkpoint_to_keep(&end.checkpoint).to_owned(),
                 number: end.number,
             })
             .collect();
@@ -100,18 +101,18 @@
     async fn append_ends(&self, ends: Vec<PendingEnd>) {
         self.wait_for_state().await;
         let unstored: Vec<&PendingEnd> = ends.iter().filter(|end| !self.is_stored(end)).collect();
-        let mut records: Vec<KeyedRecord> =
-            unstored.iter().map(|end| self.end_record(end)).collect();
-        // In the same append as the ends: the planner starts the tasks again as soon as it reads them.
+        // Before the ends: the planner starts the tasks again as soon as it reads them.
         let ends_to_repeat = unstored.iter().filter(|end| end.reason != EndReason::Done);
-        records.extend(ends_to_repeat.filter_map(|end| self.unanswered_start_record(&end.key)));
-        while !records.is_empty()
-            && self.parts.store.append(STATE_TOPIC, &records, None).await.is_err()
-        {
-            if self.has_ended() {
-                return;
+        let unanswered = ends_to_repeat.filter_map(|end| self.unanswered_start_record(&end.key));
+        let mut records: Vec<KeyedRecord> = unanswered.collect();
+        records.extend(unstored.iter().map(|end| self.end_record(end)));
+        for group in split_into_appends(&records) {
+            while self.parts.store.append(STATE_TOPIC, group, None).await.is_err() {
+                if self.has_ended() {
+                    return;
+                }
+                tokio::time::sleep(RETRY_PAUSE).await;
             }
-            tokio::time::sleep(RETRY_PAUSE).await;
         }
         let mut runs = self.runs.borrow_mut();
         for end in ends {
@@ -178,7 +179,7 @@
         task: end.task.clone(),
         attempt: end.attempt,
         reason: end.reason,
-        checkpoint: end.checkpoint.clone(),
+        checkpoint: checkpoint_to_keep(&end.checkpoint).to_owned(),
         instance: instance.to_owned(),
     };
     KeyedRecord { key: end_key(&end), value: encode(&Record::Ended(Box::new(end))) }
--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -23,6 +23,9 @@
 /// Time between two calls that check whether a deregistered worker has stopped listening.
 const DEPARTURE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum bytes of all checkpoints in a report. The others are known once their runs end.
+const MAX_REPORTED_CHECKPOINT_BYTES: usize = 128 << 10;
+
 /// Why an incarnation has certainly ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EndCause {
@@ -347,12 +350,17 @@
     pub fn report(&self) -> ProgressReport {
         let runs = self.runs.borrow();
         let running = runs.open.iter().filter(|(_, run)| run.phase == Phase::Running);
-        let runs = running.map(|((task, attempt), run)| RunProgress {
-            task: task.clone(),
-            attempt: *attempt,
-            percent: run.percent,
-            ran_ms: (run.listed_at - run.known_since).as_millis() as u64,
-            checkpoint: run.checkpoint.clone(),
+        let mut checkpoint_bytes = 0;
+        let runs = running.map(|((task, attempt), run)| {
+            checkpoint_bytes += run.checkpoint.len();
+            let has_room = checkpoint_bytes <= MAX_REPORTED_CHECKPOINT_BYTES;
+            RunProgress {
+                task: task.clone(),
+                attempt: *attempt,
+                percent: run.percent,
+                ran_ms: (run.listed_at - run.known_since).as_millis() as u64,
+                checkpoint: if has_room { run.checkpoint.clone() } else { String::new() },
+            }
         });
         let silent_ms = self.last_contact.get().elapsed().as_millis() as u64;
         ProgressReport { silent_ms, runs: runs.collect() }
--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -7,11 +7,13 @@
 use crate::losses::IncarnationEnd;
 use crate::record::{KeyedRecord, Record, STATE_TOPIC, encode, removal};
 use crate::registrations::{RegistrationNumber, next_number, number_at};
-use crate::store::Offset;
+use crate::store::{AppendError, Offset, split_into_appends};
 use crate::table::JobTable;
 
 use super::incarnation::Incarnation;
 
+/// Largest number of runs that the end of an incarnation names. Of more, it is left open which had begun.
+const MAX_IN_FLIGHT_RUNS: usize = 1024;
 /// Pause before a failed append is retried.
 const REGISTER_RETRY: Duration = Duration::from_millis(300);
 /// How long this process leaves the registration to a later process of the same machine: longer
@@ -41,6 +43,13 @@
                     self.log_registered(end, records.len());
                     self.parts.freshness.reach(end).await;
                 }
+                Err(AppendError::TooLarge) => {
+                    log::error!(
+                        "event=J230 record left out, it is too large for the store key=worker/{}",
+                        self.instance
+                    );
+                    let _ = changes.changed().await;
+                }
                 Err(_) => tokio::time::sleep(REGISTER_RETRY).await,
             }
         }
@@ -172,7 +181,8 @@
     }
 
     /// Returns the records that end all known registrations of the worker, including any of them
-    /// that are appended later.
+    /// that are appended later. Ends of runs come first: the planner gives up what is still assigned once the
+    /// registration is gone.
     fn removal_records(&self) -> Vec<KeyedRecord> {
         let table = self.parts.table.borrow();
         let known = table.registrations().numbers(&self.instance);
@@ -188,27 +198,32 @@
         let incarnation_end = registrations_end.is_some().then(incarnation_end);
         let keys = numbers.into_iter().map(|number| worker_key(&self.instance, number));
         let removals = keys.chain(table.eviction_keys(&self.instance)).map(removal);
-        // The planner gives up what is still assigned once the registration is gone, so ends come first.
-        let ends = self.end_records_of_successor();
-        ends.into_iter()
-            .chain(removals)
-            .chain(registrations_end)
-            .chain(incarnation_end)
-            .chain(self.unanswered_start_records())
-            .collect()
+        let mut records = self.unanswered_start_records();
+        records.extend(self.end_records_of_successor());
+        records.extend(removals.chain(registrations_end).chain(incarnation_end));
+        records
     }
 
     /// Returns how the incarnation ended and which runs may have crashed it, for the leader.
     fn describe_end(&self) -> IncarnationEnd {
         let runs = self.listed.get().then(|| self.runs.borrow().unfinished());
+        let runs = runs.filter(|runs| runs.len() <= MAX_IN_FLIGHT_RUNS);
         IncarnationEnd { gave_notice: self.is_draining(), runs }
     }
 
+    async fn append_removal(&self) -> Result<Offset, AppendError> {
+        let records = self.removal_records();
+        let mut end = 0;
+        for group in split_into_appends(&records) {
+            end = self.parts.store.append(STATE_TOPIC, group, None).await?;
+        }
+        Ok(end)
+    }
+
     /// Ends all registrations of the worker, and waits until the table shows that.
     pub(super) async fn unregister(&self) {
         loop {
-            let records = self.removal_records();
-            if let Ok(end) = self.parts.store.append(STATE_TOPIC, &records, None).await {
+            if let Ok(end) = self.append_removal().await {
                 let report = removal(self.instance.clone());
                 // If this fails, the remaining report is ignored, since its worker is gone.
                 let _ = self.parts.store.report(&[report]).await;
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -7,7 +7,7 @@
 
 use crate::clock::Moment;
 use crate::record::EndReason;
-use crate::worker::{Listing, RenewOrder, WorkerError};
+use crate::worker::{Listing, RenewOrder, WorkerError, checkpoint_to_keep};
 
 use super::ends::PendingEnd;
 use super::incarnation::{EndCause, Incarnation};
@@ -205,7 +205,7 @@
             run.may_hold_resources = true;
             run.percent = progress.percent;
             run.listed_at = Instant::now();
-            run.checkpoint.clone_from(&progress.checkpoint);
+            checkpoint_to_keep(&progress.checkpoint).clone_into(&mut run.checkpoint);
         }
     }
 
--- a/crates/rampbay-jobs/src/agent/successor.rs
+++ b/crates/rampbay-jobs/src/agent/successor.rs
@@ -85,7 +85,8 @@
     fn possibly_ordered_runs(&self) -> BTreeSet<RunKey> {
         let table = self.parts.table.borrow();
         let assigned = table.runs_assigned_to(&self.instance);
-        let assigned = assigned.into_iter().filter(|(task, attempt)| !table.has_end(task, *attempt));
+        let assigned =
+            assigned.into_iter().filter(|(task, attempt)| !table.has_end(task, *attempt));
         let unanswered = table.unanswered_at(&self.instance);
         let unanswered = unanswered.map(|start| (start.task.clone(), start.attempt));
         let runs = self.runs.borrow();
--- a/crates/rampbay-jobs/src/intake.rs
+++ b/crates/rampbay-jobs/src/intake.rs
@@ -17,9 +17,9 @@
 use crate::job::{JobId, Submission, WorkspaceName};
 use crate::metrics::metrics;
 use crate::plan::JobStatus;
-use crate::record::Record;
+use crate::record::{KeyedRecord, Record};
 use crate::routing::{Queue, Routing};
-use crate::store::Store;
+use crate::store::{Store, StoreLimits};
 use crate::table::JobTable;
 
 use appends::Appends;
@@ -63,6 +63,9 @@
     /// The caller's workspace has cancelled too many jobs that aren't known; nothing was sent to the store.
     #[error("too many cancellations of unknown jobs")]
     TooManyCancels,
+    /// The job is larger than what the store takes as a record; nothing was sent to the store.
+    #[error("the job is too large")]
+    TooLarge,
     /// The job certainly can't be served now, and nothing was sent to the store.
     #[error("there is no room for the job")]
     NoRoom {
@@ -180,6 +183,7 @@
     unanswered: UnansweredJobs,
     /// Refuses jobs by the leader's outlook, if that is wanted.
     gate: Option<AdmissionGate>,
+    store_limits: StoreLimits,
 }
 
 impl Intake {
@@ -200,9 +204,16 @@
             limits,
             unanswered: UnansweredJobs::default(),
             gate: None,
+            store_limits: StoreLimits::default(),
         }
     }
 
+    /// Sets the sizes that the store takes.
+    #[must_use]
+    pub fn with_store_limits(self, store_limits: StoreLimits) -> Self {
+        Self { store_limits, ..self }
+    }
+
     /// Refuses jobs that certainly can't be served, by the leader's outlook.
     #[must_use]
     pub fn with_gate(self, gate: AdmissionGate) -> Self {
@@ -272,14 +283,18 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Refusal::NoRoom`] if the job certainly can't be served, [`Refusal::Unavailable`] if it certainly
-    /// wasn't stored, and [`Refusal::Unknown`] if it may have been.
+    /// Returns [`Refusal::TooLarge`] if the store doesn't take as much, [`Refusal::NoRoom`] if the job certainly can't be
+    /// served, [`Refusal::Unavailable`] if it certainly wasn't stored, and [`Refusal::Unknown`] if it may have been.
     pub async fn submit(&self, submission: Submission, budget: WaitBudget) -> Result<(), Refusal> {
         if self.is_known(&submission.id) {
             return Ok(());
         }
+        let record = Record::Submitted(Box::new(submission.clone())).encode();
+        if !self.store_limits.allow_record(&record) {
+            return Err(self.refusal_of_submission(&submission.id, Refusal::TooLarge));
+        }
         let Some(gate) = &self.gate else {
-            return self.store_job(submission, budget).await;
+            return self.store_job(&submission.id, record, budget).await;
         };
         let _call = gate.enter(&submission.id);
         let asked = Moment::now();
@@ -297,21 +312,24 @@
         }
         gate.note_sent(&submission.id);
         let sent = Instant::now();
-        let stored = self.store_job(submission, budget).await;
+        let stored = self.store_job(&submission.id, record, budget).await;
         gate.note_append(stored == Err(Refusal::Unknown), sent.elapsed());
         stored
     }
 
     /// Appends the record of a job that the table doesn't hold.
-    async fn store_job(&self, submission: Submission, budget: WaitBudget) -> Result<(), Refusal> {
-        let id = submission.id.clone();
-        let attempt = self.unanswered.begin(&id);
-        let record = Record::Submitted(Box::new(submission));
-        let stored = self.appends.append(&record, budget).await;
+    async fn store_job(
+        &self,
+        id: &JobId,
+        record: KeyedRecord,
+        budget: WaitBudget,
+    ) -> Result<(), Refusal> {
+        let attempt = self.unanswered.begin(id);
+        let stored = self.appends.append(record, budget).await;
         if stored != Err(Refusal::Unknown) {
             attempt.settle();
         }
-        stored.map(|_| ()).map_err(|refusal| self.refusal_of_submission(&id, refusal))
+        stored.map(|_| ()).map_err(|refusal| self.refusal_of_submission(id, refusal))
     }
 
     /// Returns how a submission is refused by which nothing was done: it isn't known whether the job runs if an earlier
--- a/crates/rampbay-jobs/src/intake/appends.rs
+++ b/crates/rampbay-jobs/src/intake/appends.rs
@@ -42,15 +42,16 @@
     }
 
     /// Appends a record, with retries until the store has it or the call's time is over.
-    pub async fn append(&self, record: &Record, budget: WaitBudget) -> Outcome {
+    pub async fn append(&self, record: KeyedRecord, budget: WaitBudget) -> Outcome {
         let _slot = self.wait_for_store().ok_or(Refusal::Unavailable)?;
         self.wait_until_reachable(budget).await?;
-        let records = [record.encode()];
+        let records = [record];
         let mut refusal = Refusal::Unavailable;
         loop {
             let append = self.store.append(STATE_TOPIC, &records, None);
             match timeout_at(budget.until, append).await {
                 Ok(Ok(end)) => return Ok(end),
+                Ok(Err(AppendError::TooLarge)) => return Err(Refusal::TooLarge),
                 Ok(Err(error)) => refusal = refusal_after(refusal, &error),
                 Err(_) => return Err(Refusal::Unknown),
             }
@@ -97,7 +98,7 @@
 const fn refusal_after(before: Refusal, error: &AppendError) -> Refusal {
     match error {
         AppendError::Unknown => Refusal::Unknown,
-        AppendError::Refused | AppendError::Fenced => before,
+        AppendError::Refused | AppendError::Fenced | AppendError::TooLarge => before,
     }
 }
 
--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -208,12 +208,14 @@
     #[must_use]
     pub fn chains_ms(&self, durations: &[u64]) -> Vec<u64> {
         let mut chains = durations.to_vec();
-        for index in (0..chains.len()).rev() {
-            let dependents = self.steps.iter().enumerate().skip(index + 1);
-            let dependents =
-                dependents.filter(|(_, step)| step.depends_on.contains(&(index as u32)));
-            let longest = dependents.map(|(dependent, _)| chains[dependent]).max();
-            chains[index] += longest.unwrap_or(0);
+        let mut longest_after = vec![0; chains.len()];
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            chains[index] += longest_after[index];
+            for &earlier in &step.depends_on {
+                if let Some(after) = longest_after.get_mut(earlier as usize) {
+                    *after = chains[index].max(*after);
+                }
+            }
         }
         chains
     }
--- a/crates/rampbay-jobs/src/leader.rs
+++ b/crates/rampbay-jobs/src/leader.rs
@@ -2,6 +2,7 @@
 //! the store.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +17,7 @@
 use crate::planner::{Planner, ProgressTable, RoundInputs};
 use crate::process::follow_progress;
 use crate::record::{KeyedRecord, Leader, Record, STATE_TOPIC};
-use crate::store::{AppendError, Fence, Offset, Store, split_into_appends};
+use crate::store::{AppendError, Fence, Offset, Store, StoreLimits, split_into_appends};
 use crate::table::JobTable;
 use crate::upkeep::driver::{UpkeepParts, WaveService};
 
@@ -59,6 +60,15 @@
 #[derive(Debug)]
 struct Deposed;
 
+/// Why an append of a leader isn't repeated.
+#[derive(Debug)]
+enum WriteError {
+    /// Another process leads.
+    Deposed,
+    /// The store doesn't take as much.
+    TooLarge,
+}
+
 /// Stands for election and plans while this process leads; never returns.
 pub async fn run(parts: LeaderParts, planner: impl Fn() -> Planner) {
     let term: Term = tokio::sync::watch::channel(None).0;
@@ -99,20 +109,70 @@
 
 impl Writer<'_> {
     /// Appends the records, and retries until the store has answered.
-    async fn append(&mut self, records: &[KeyedRecord]) -> Result<Offset, Deposed> {
+    async fn append(&mut self, records: &[KeyedRecord]) -> Result<Offset, WriteError> {
         loop {
             match self.store.append(STATE_TOPIC, records, Some(&self.fence)).await {
                 Ok(end) => {
                     self.fence.sequence += 1;
                     return Ok(end);
                 }
-                Err(AppendError::Fenced) => return Err(Deposed),
+                Err(AppendError::Fenced) => return Err(WriteError::Deposed),
+                Err(AppendError::TooLarge) => return Err(WriteError::TooLarge),
                 Err(AppendError::Refused | AppendError::Unknown) => {
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
         }
     }
+
+    /// Appends the records together or, if the store doesn't take as much, one after the other. Returns the offset
+    /// after them, and the records that the store doesn't take alone, either.
+    async fn append_divided<'r>(
+        &mut self,
+        records: &'r [KeyedRecord],
+    ) -> Result<(Option<Offset>, Vec<&'r KeyedRecord>), Deposed> {
+        match self.append(records).await {
+            Ok(end) => return Ok((Some(end), Vec::new())),
+            Err(WriteError::Deposed) => return Err(Deposed),
+            Err(WriteError::TooLarge) => {}
+        }
+        let (mut end, mut refused) = (None, Vec::new());
+        for record in records {
+            match self.append(std::slice::from_ref(record)).await {
+                Ok(offset) => end = Some(offset),
+                Err(WriteError::Deposed) => return Err(Deposed),
+                Err(WriteError::TooLarge) => refused.push(record),
+            }
+        }
+        Ok((end, refused))
+    }
+}
+
+/// Records that the store doesn't take, which are left out of the appends.
+#[derive(Debug, Default)]
+struct OversizedRecords {
+    logged: BTreeSet<String>,
+}
+
+impl OversizedRecords {
+    /// Leaves out the records that are larger than the store takes, and logs each of their keys once.
+    fn leave_out(&mut self, records: Vec<KeyedRecord>, limits: &StoreLimits) -> Vec<KeyedRecord> {
+        let (allowed, oversized): (Vec<KeyedRecord>, Vec<KeyedRecord>) =
+            records.into_iter().partition(|record| limits.allow_record(record));
+        oversized.iter().for_each(|record| self.note(record));
+        allowed
+    }
+
+    fn note(&mut self, record: &KeyedRecord) {
+        if self.logged.insert(record.key.clone()) {
+            metrics().count_decision("record_too_large");
+            log::error!(
+                "event=J230 record left out, it is too large for the store key={} bytes={}",
+                record.key,
+                record.size()
+            );
+        }
+    }
 }
 
 async fn lead_once(parts: &LeaderParts, generation: u64, planner: Planner) -> Deposed {
@@ -146,12 +206,13 @@
     let fence = Fence { writer: WRITER.to_owned(), epoch, sequence: 0 };
     let mut writer = Writer { store: parts.candidate.store.as_ref(), fence };
     let leader = Record::Leader(Leader { node: parts.candidate.node.clone(), epoch });
-    let end = writer.append(&[leader.encode()]).await?;
+    let end = writer.append(&[leader.encode()]).await.map_err(|_| Deposed)?;
     parts.candidate.freshness.reach(end).await;
     log::info!("event=J120 leadership gained generation={generation} epoch={epoch} position={end}");
     let started = Instant::now();
     let mut waves = WaveService::new(parts.upkeep.as_ref(), epoch);
     let mut outlook = OutlookForecaster::new(epoch);
+    let mut oversized = OversizedRecords::default();
     loop {
         let round_started = Instant::now();
         let mut changes = parts.candidate.freshness.subscribe();
@@ -160,14 +221,21 @@
             new.into_iter().for_each(|new| board.post(new));
         };
         let records = decide(parts, &mut planner, &mut waves, progress, started.elapsed(), publish);
+        let records = oversized.leave_out(records, &planner.store_limits());
         let took = round_started.elapsed();
         let interval = MIN_ROUND_INTERVAL.max(took * ROUND_INTERVAL_FACTOR);
         let idle = records.is_empty();
         for group in split_into_appends(&records) {
             let sent = Instant::now();
-            let end = writer.append(group).await?;
+            let (end, refused) = writer.append_divided(group).await?;
             board.note_append(sent.elapsed());
-            parts.candidate.freshness.reach(end).await;
+            if let Some(end) = end {
+                parts.candidate.freshness.reach(end).await;
+            }
+            for record in refused {
+                oversized.note(record);
+                planner.note_refused_record(record);
+            }
         }
         if idle {
             let _ = tokio::time::timeout(IDLE_TIMEOUT, changes.changed()).await;
--- a/crates/rampbay-jobs/src/losses.rs
+++ b/crates/rampbay-jobs/src/losses.rs
@@ -190,7 +190,26 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobLosses(pub BTreeMap<UnitKey, UnitLosses>);
 
+/// Largest number of units of a job whose losses are kept: 200 kB, if each of them has lost the most runs.
+const MAX_UNITS: usize = 160;
+
 impl JobLosses {
+    /// Drops the least suspect units if there are more than are kept.
+    pub fn drop_least_suspect(&mut self) {
+        let excess = self.0.len().saturating_sub(MAX_UNITS);
+        if excess == 0 {
+            return;
+        }
+        let suspicion = |unit: &UnitLosses| {
+            let was_youngest = unit.0.iter().any(|lost| lost.was_youngest);
+            (unit.0.len(), was_youngest, unit.latest())
+        };
+        let mut keys: Vec<UnitKey> = self.0.keys().cloned().collect();
+        keys.sort_by_cached_key(|key| self.0.get(key).map(suspicion));
+        keys.truncate(excess);
+        self.0.retain(|key, _| !keys.contains(key));
+    }
+
     /// Discards losses at workers whose incarnations turned out to be alive: they were disconnected, not crashed.
     pub fn discard(&mut self, is_alive: impl Fn(&str) -> bool) {
         self.0.values_mut().for_each(|unit| unit.0.retain(|lost| !is_alive(&lost.instance)));
--- a/crates/rampbay-jobs/src/plan.rs
+++ b/crates/rampbay-jobs/src/plan.rs
@@ -116,6 +116,12 @@
 }
 
 impl JobPlan {
+    /// Creates the plan of a job that has failed and starts nothing more, also in its other occurrences.
+    #[must_use]
+    pub const fn failed(occurrences: u32) -> Self {
+        Self { status: JobStatus::Failed, open: Vec::new(), next_occurrence: occurrences }
+    }
+
     /// Iterates over the tasks of all open occurrences, with their ids.
     pub fn tasks<'a>(
         &'a self,
--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -50,6 +50,7 @@
 use crate::parts::PlanLayout;
 use crate::record::KeyedRecord;
 use crate::routing::Routing;
+use crate::store::StoreLimits;
 use crate::table::JobTable;
 use crate::upkeep::load::WorkerDrains;
 
@@ -114,6 +115,8 @@
     pub placement: Placement,
     /// Layout in which job plans are written.
     pub plan_layout: PlanLayout,
+    /// The sizes that the store takes.
+    pub store_limits: StoreLimits,
 }
 
 /// Inputs of one round.
@@ -284,7 +287,19 @@
         expire::expire_registrations(self, &mut draft, inputs);
         self.events = draft.take_events();
         self.observe_changed_plans(&draft, inputs);
-        draft.into_records(self.settings.plan_layout)
+        draft.into_records(self.settings.plan_layout, &self.settings.store_limits)
+    }
+
+    /// Returns the sizes that the store takes.
+    #[must_use]
+    pub const fn store_limits(&self) -> StoreLimits {
+        self.settings.store_limits
+    }
+
+    /// Records that the store has refused a record for its size, although the settings allow it.
+    pub fn note_refused_record(&mut self, record: &KeyedRecord) {
+        let limits = &mut self.settings.store_limits;
+        limits.record_bytes = limits.record_bytes.min(record.size());
     }
 
     /// Returns the reason why a step of a job waits, if it does.
--- a/crates/rampbay-jobs/src/planner/draft.rs
+++ b/crates/rampbay-jobs/src/planner/draft.rs
@@ -5,9 +5,11 @@
 
 use crate::job::{JobId, Submission, TaskId};
 use crate::losses::JobLosses;
+use crate::metrics::metrics;
 use crate::parts::{PlanLayout, changes, changes_to_whole};
 use crate::plan::{JobPlan, TaskStatus};
 use crate::record::{KeyedRecord, Record, removal};
+use crate::store::StoreLimits;
 use crate::table::JobTable;
 
 use super::events::{RunChange, RunEvent, StopReason};
@@ -139,8 +141,9 @@
 
     /// Returns the records of all changes. Plans come before the removals of the ends that they contain, and losses
     /// before the plans that no longer name the lost runs: if a leader fails between the two, the next one finds the
-    /// loss again, and counts it once. Plans are written in the layout `wanted`.
-    pub fn into_records(self, wanted: PlanLayout) -> Vec<KeyedRecord> {
+    /// loss again, and counts it once. Plans are written in the layout `wanted`. A job whose plan has a record that the
+    /// store doesn't take has failed: its tasks can't go on, and the records of other jobs must not wait for it.
+    pub fn into_records(self, wanted: PlanLayout, limits: &StoreLimits) -> Vec<KeyedRecord> {
         let table = self.table;
         let is_new = |id: &JobId, plan: &JobPlan| {
             table.jobs.get(id).and_then(|job| job.plan.as_deref()) != Some(plan)
@@ -149,11 +152,22 @@
         let plans = plans.flat_map(|(id, plan)| {
             let job = table.jobs.get(&id);
             let kept = job.and_then(|job| job.plan.as_deref());
-            let form = job.map(|job| job.plan_layout).unwrap_or_default();
-            match wanted {
-                PlanLayout::InParts => changes(&id, kept, form, &plan),
-                PlanLayout::Whole => changes_to_whole(&id, kept, form, &plan),
-            }
+            let layout = job.map(|job| job.plan_layout).unwrap_or_default();
+            let write = |plan: &JobPlan| match wanted {
+                PlanLayout::InParts | PlanLayout::AllInParts => changes(&id, kept, layout, plan),
+                PlanLayout::Whole => changes_to_whole(&id, kept, layout, plan),
+            };
+            let records = write(&plan);
+            let too_large = records.iter().find(|record| !limits.allow_record(record));
+            let Some(too_large) = too_large else { return records };
+            log::error!(
+                "event=J229 job given up, its plan is too large for the store job={id} key={} bytes={}",
+                too_large.key,
+                too_large.size()
+            );
+            metrics().count_decision("give_up_too_large");
+            let occurrences = job.map_or(0, |job| job.submission.occurrence_count());
+            write(&JobPlan::failed(occurrences))
         });
         let is_new_loss =
             |id: &JobId, new: &JobLosses| table.losses.get(id).map(Rc::as_ref) != Some(new);
--- a/crates/rampbay-jobs/src/planner/expire.rs
+++ b/crates/rampbay-jobs/src/planner/expire.rs
@@ -126,8 +126,10 @@
     for cancel in draft.table.cancels().early_of(id) {
         draft.remove(early_cancel_key(id, cancel.number));
     }
-    if let Some(plan) = draft.table.jobs.get(id).and_then(|job| job.plan.as_deref()) {
-        part_keys(id, plan).for_each(|(_, key)| draft.remove(key));
+    if let Some(job) = draft.table.jobs.get(id) {
+        let plan = job.plan.as_deref().into_iter();
+        let keys = plan.flat_map(|plan| part_keys(id, plan, job.plan_layout));
+        keys.for_each(|key| draft.remove(key));
     }
     draft.remove(plan_key(id));
     if draft.table.losses.contains_key(id) {
--- a/crates/rampbay-jobs/src/planner/lost.rs
+++ b/crates/rampbay-jobs/src/planner/lost.rs
@@ -171,6 +171,7 @@
                 planner.recently_lost.0.len()
             );
         }
+        draft.edit_losses(&id).drop_least_suspect();
     }
 }
 
--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -4,13 +4,19 @@
 use std::rc::Rc;
 
 use crate::job::{EpochMillis, JobId, Step, Submission, TaskId, USEFUL_OBJECTIVES, WorkspaceName};
-use crate::plan::{JobStatus, Occurrence, TaskPlan, TaskStatus};
+use crate::plan::{JobPlan, JobStatus, Occurrence, TaskPlan, TaskStatus};
 
 use super::RoundInputs;
 use super::draft::Draft;
 use super::forecast::Forecasts;
 use super::policy::PlacementPolicy;
 
+/// Largest number of tasks in the open occurrences of a job, unless a single one has more. A round of the leader with as
+/// many waiting tasks takes some tens of milliseconds.
+const MAX_OPEN_TASKS: u32 = 1024;
+/// Largest number of lasting tasks in the open occurrences of a job: as many as a job may have.
+const MAX_LASTING_TASKS: u32 = 10_000;
+
 /// A step of which some tasks wait and may start.
 #[derive(Clone, Debug)]
 pub struct WaitingStep {
@@ -95,14 +101,14 @@
         for occurrence in plan.iter().flat_map(|plan| &plan.open) {
             waiting.extend(ready_steps(context, occurrence, forecasts));
         }
-        let mut next = plan.map_or(0, |plan| plan.next_occurrence);
-        while next < submission.occurrence_count() && is_due(&submission, next, inputs.wall) {
-            waiting.extend(ready_steps(
-                context,
-                &Occurrence::not_started(&submission, next),
-                forecasts,
-            ));
-            next += 1;
+        let next = plan.map_or(0, |plan| plan.next_occurrence);
+        let last = next.saturating_add(openable_occurrences(&submission, plan));
+        for number in next..last.min(submission.occurrence_count()) {
+            if !is_due(&submission, number, inputs.wall) {
+                break;
+            }
+            let occurrence = Occurrence::not_started(&submission, number);
+            waiting.extend(ready_steps(context, &occurrence, forecasts));
         }
     }
     waiting
@@ -127,6 +133,18 @@
     guaranteed: bool,
 }
 
+/// Returns how many further occurrences of a job may be opened: at least one at a time, and no more while their tasks
+/// exceed the limit. Every round walks the open ones, so one job with many due times would slow down all others.
+fn openable_occurrences(submission: &Submission, plan: Option<&JobPlan>) -> u32 {
+    let tasks: u32 = submission.steps.iter().map(|step| step.count.max(1)).sum();
+    // An occurrence of lasting tasks stays open, and must not keep later ones from opening.
+    let is_lasting = submission.steps.iter().any(|step| step.long_running);
+    let limit = if is_lasting { MAX_LASTING_TASKS } else { MAX_OPEN_TASKS };
+    let allowed = (limit / tasks.max(1)).max(1);
+    let open = plan.map_or(0, |plan| plan.open.len());
+    allowed.saturating_sub(u32::try_from(open).unwrap_or(u32::MAX))
+}
+
 fn is_due(submission: &Submission, number: u32, wall: EpochMillis) -> bool {
     !submission.is_timed() || submission.due_at(number) <= wall
 }
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -10,6 +10,7 @@
 use crate::parts::PlanLayout;
 use crate::planner::{Placement, PlannerSettings};
 use crate::record::Member;
+use crate::store::StoreLimits;
 
 /// Maximum rate of this process's clock relative to a worker's, in thousandths: a worker's clock may be that
 /// much slower.
@@ -28,6 +29,8 @@
 
 /// Largest value of `checkpoint_s`, in seconds: one hour.
 const MAX_CHECKPOINT_S: f64 = 3600.0;
+/// Smallest value of `record_bytes`, in bytes: the largest part of a plan fits.
+const MIN_RECORD_BYTES: usize = 64 << 10;
 /// Largest value of `restore_ms`, in milliseconds: one hour.
 const MAX_RESTORE_MS: f64 = 3_600_000.0;
 
@@ -96,6 +99,12 @@
     /// are running. All processes read both.
     #[serde(default)]
     pub wide_accounts: PlanLayout,
+    /// Maximum size of a record of the store, in bytes.
+    #[serde(default = "default_record_bytes")]
+    pub record_bytes: usize,
+    /// Maximum size of an append to the store, in bytes.
+    #[serde(default = "default_append_bytes")]
+    pub append_bytes: usize,
     /// Bandwidth of the machine's link, in megabits a second; 0 if it isn't known.
     #[serde(default)]
     pub link_mbps: f64,
@@ -134,6 +143,14 @@
     250.0
 }
 
+fn default_record_bytes() -> usize {
+    StoreLimits::default().record_bytes
+}
+
+fn default_append_bytes() -> usize {
+    StoreLimits::default().append_bytes
+}
+
 const fn default_cores() -> f64 {
     1.0
 }
@@ -191,6 +208,9 @@
         if !(0.0..=MAX_RESTORE_MS).contains(&self.restore_ms) {
             return Err(out_of_range("restore_ms", self.restore_ms, MAX_RESTORE_MS));
         }
+        if self.record_bytes < MIN_RECORD_BYTES || self.append_bytes < self.record_bytes {
+            return invalid("record_bytes is below 65536, or append_bytes below record_bytes");
+        }
         if self.peer_port == self.metrics_port {
             return invalid("peer_port and metrics_port are the same");
         }
@@ -234,6 +254,12 @@
         Duration::from_millis(self.lease_ms / STOP_RECORD_LEASE_FRACTION)
     }
 
+    /// Returns the sizes that the store takes.
+    #[must_use]
+    pub const fn store_limits(&self) -> StoreLimits {
+        StoreLimits { record_bytes: self.record_bytes, append_bytes: self.append_bytes }
+    }
+
     /// Returns the settings of an agent.
     #[must_use]
     pub fn agent(&self) -> AgentSettings {
@@ -279,6 +305,7 @@
             restore_time: seconds(self.restore_ms / 1000.0),
             placement: self.placement,
             plan_layout: self.wide_accounts,
+            store_limits: self.store_limits(),
         }
     }
 }
--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -19,10 +19,13 @@
 /// store 60 times slower.
 pub const BYTES_PER_APPEND: usize = 512 << 10;
 
+/// Maximum bytes of an append of records that stay together: three quarters of what the store accepts in one call.
+const MAX_BYTES_TOGETHER: usize = 3 * BYTES_PER_APPEND;
+
 /// Divides records into appends of at most [`BYTES_PER_APPEND`]. An append may be larger if it is a single record, or if it
-/// ends with records about one job or worker, which stay together: the next leader must not find half of a gang started,
-/// nor a job that starts again because only its plan was removed. The plan of 20,000 tasks takes 0.8 MB, and the store
-/// accepts two megabytes a call.
+/// ends with records about one job or worker, which stay together up to [`MAX_BYTES_TOGETHER`]: the next leader must not
+/// find half of a gang started, nor a job that starts again because only its plan was removed. The plan of 20,000 tasks
+/// takes 0.8 MB.
 pub fn split_into_appends(records: &[KeyedRecord]) -> impl Iterator<Item = &[KeyedRecord]> {
     let mut bytes = 0;
     records.chunk_by(move |before, next| {
@@ -30,12 +33,46 @@
         bytes += next.size();
         let about = subject(&before.key);
         let is_about_one = about.is_some() && about == subject(&next.key);
-        let fits = bytes <= BYTES_PER_APPEND || is_about_one;
+        let fits = bytes <= BYTES_PER_APPEND || (is_about_one && bytes <= MAX_BYTES_TOGETHER);
         bytes = if fits { bytes } else { 0 };
         fits
     })
 }
 
+/// The sizes that a store takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLimits {
+    /// Maximum size of a record, in bytes, with its key.
+    pub record_bytes: usize,
+    /// Maximum size of an append, in bytes.
+    pub append_bytes: usize,
+}
+
+impl Default for StoreLimits {
+    fn default() -> Self {
+        Self { record_bytes: 256 << 10, append_bytes: 2 << 20 }
+    }
+}
+
+/// Bytes that a record takes beside its key and its value: the length of both, and of the key.
+const RECORD_HEADER_BYTES: usize = 5;
+
+impl StoreLimits {
+    /// Returns whether the store takes a record.
+    #[must_use]
+    pub const fn allow_record(&self, record: &KeyedRecord) -> bool {
+        record.size() + RECORD_HEADER_BYTES <= self.record_bytes
+    }
+
+    /// Returns whether the store takes records in one append.
+    #[must_use]
+    pub fn allow_append(&self, records: &[KeyedRecord]) -> bool {
+        let bytes = records.iter().map(|record| record.size() + RECORD_HEADER_BYTES);
+        bytes.sum::<usize>() <= self.append_bytes
+            && records.iter().all(|record| self.allow_record(record))
+    }
+}
+
 /// Marks the appends of one writer, so that the store refuses older writers and answers a
 /// repeated append again without carrying it out twice.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,6 +97,9 @@
     /// The append may have been carried out, or may still be.
     #[error("no answer to the append")]
     Unknown,
+    /// Nothing was done: a record, or the whole append, is larger than the store takes. A repetition would fail, too.
+    #[error("the append is larger than the store takes")]
+    TooLarge,
 }
 
 /// Why a read did not succeed.
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -124,11 +124,12 @@
 impl JobTable {
     /// Replaces the whole state by the newest record of each key, given in any order. Jobs are applied before their
     /// plans, which would be skipped without them. Workers are applied before plans, too, so that they don't count as
-    /// returned, and after the ends of their registrations.
+    /// returned, and after the ends of their registrations. Parts of plans are applied before the heads: a step that a
+    /// head holds is newer than a part of it, which a leader of an earlier release left behind.
     pub fn load(&mut self, records: &[KeyedRecord]) {
         *self = Self::default();
         let is_of = |kind: &'static str| move |record: &&KeyedRecord| record.key.starts_with(kind);
-        const FIRST: [&str; 3] = ["over/", "job/", "worker/"];
+        const FIRST: [&str; 4] = ["over/", "job/", "worker/", "part/"];
         for kind in FIRST {
             records.iter().filter(is_of(kind)).for_each(|record| self.apply(record));
         }
--- a/crates/rampbay-jobs/src/worker.rs
+++ b/crates/rampbay-jobs/src/worker.rs
@@ -150,6 +150,16 @@
     }
 }
 
+/// Maximum length of a checkpoint, in bytes. A longer one isn't kept: its task would start anew, and the records with
+/// it would be too large for the store.
+pub const MAX_CHECKPOINT_BYTES: usize = 2048;
+
+/// Returns a checkpoint if it isn't too long to be kept; otherwise an empty one.
+#[must_use]
+pub fn checkpoint_to_keep(checkpoint: &str) -> &str {
+    if checkpoint.len() <= MAX_CHECKPOINT_BYTES { checkpoint } else { "" }
+}
+
 /// One incarnation of a worker.
 #[async_trait(?Send)]
 pub trait Worker {
@@ -168,10 +178,7 @@
     /// # Errors
     ///
     /// Returns an error if the stop or the list got no answer.
-    async fn stop_in_any_incarnation(
-        &self,
-        _order: &StopOrder,
-    ) -> Result<StoppedRun, WorkerError> {
+    async fn stop_in_any_incarnation(&self, _order: &StopOrder) -> Result<StoppedRun, WorkerError> {
         Ok(StoppedRun::NotThere)
     }
 
--- a/crates/rampbay-jobs/tests/entry_switches.rs
+++ b/crates/rampbay-jobs/tests/entry_switches.rs
@@ -183,7 +183,7 @@
             return;
         };
         let (id, plan) = self.jobs.remove(place);
-        part_keys(&id, &plan).for_each(|(_, key)| self.store.remove(&key));
+        part_keys(&id, &plan, PlanLayout::InParts).for_each(|key| self.store.remove(&key));
         self.store.remove(&plan_key(&id));
         self.store.remove(&format!("job/{id}"));
     }
--- a/crates/rampbay-jobs/tests/intake.rs
+++ b/crates/rampbay-jobs/tests/intake.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use rampbay_jobs::intake::{CallTarget, Refusal};
+use rampbay_jobs::job::Submission;
 use rampbay_jobs::plan::JobStatus;
 use rampbay_jobs::record::{Record, STATE_TOPIC};
 use rampbay_jobs::routing::Routing;
@@ -356,3 +357,19 @@
         assert_eq!(rig.live.table.borrow().jobs[JOB].status(), JobStatus::Cancelled);
     });
 }
+
+/// Guards against a job that is accepted, or refused for ever, although the store doesn't take its record.
+#[test]
+fn too_large_job_refused_at_once() {
+    run_in_virtual_time(async {
+        let rig = IntakeRig::start();
+        sleep(Duration::from_millis(100)).await;
+        let payload = "x".repeat(300 << 10);
+        let large = Submission { payload, ..job("00000000000000ff", 1, step(1, 1)) };
+        let sent = Instant::now();
+        let refused = rig.submit(large, Duration::from_secs(3)).await;
+        assert_eq!(refused, Err(Refusal::TooLarge));
+        assert!(sent.elapsed() < Duration::from_millis(10));
+        assert!(rig.store.all(STATE_TOPIC).iter().all(|record| !record.key.starts_with("job/")));
+    });
+}
--- a/crates/rampbay-jobs/tests/parts.rs
+++ b/crates/rampbay-jobs/tests/parts.rs
@@ -5,25 +5,33 @@
 
 mod support;
 
+use std::time::Duration;
+
 use proptest::prelude::*;
 use rampbay_jobs::job::Submission;
+use rampbay_jobs::losses::{JobLosses, LostRun, UnitKey};
 use rampbay_jobs::parts::{PlanLayout, TASKS_PER_PART, changes, changes_to_whole};
 use rampbay_jobs::plan::{JobPlan, JobStatus, Occurrence, TaskPlan, TaskStatus};
 use rampbay_jobs::planner::Planner;
 use rampbay_jobs::record::{KeyedRecord, Record};
 use rampbay_jobs::settings::Settings;
-use rampbay_jobs::store::{BYTES_PER_APPEND, split_into_appends};
+use rampbay_jobs::store::{BYTES_PER_APPEND, StoreLimits, split_into_appends};
 use rampbay_jobs::table::JobTable;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
+use support::leader::start_leader;
 use support::planner::PlannerRig;
+use support::store::MemoryStore;
 use support::{
-    job, property, run_in_virtual_time, running_plan, settings, step, task, worker_record,
+    job, plan_of, property, run_in_virtual_time, running_plan, settings, step, table_of, task,
+    worker_record,
 };
+use tokio::time::sleep;
 
 const JOB: &str = "00000000000000aa";
+const OTHER: &str = "00000000000000bb";
 
 /// A job of a wide step, and a narrow one after it.
 fn wide_job(width: u32) -> Submission {
@@ -289,6 +297,172 @@
     assert!(groups.iter().all(|group| bytes(&records[group.clone()]) <= most));
 }
 
+/// A job of many narrow steps.
+fn narrow_job(steps: usize, width: u32) -> Submission {
+    let steps = vec![step(width, 1); steps];
+    Submission { steps, occurrences: 3, interval_ms: 10, ..job(JOB, 1, step(1, 1)) }
+}
+
+fn done_plan(submission: &Submission, occurrences: u32) -> JobPlan {
+    let mut open = Vec::new();
+    for number in 0..occurrences {
+        let mut occurrence = Occurrence::not_started(submission, number);
+        for task in occurrence.steps.iter_mut().flatten() {
+            task.status = TaskStatus::Done;
+            task.attempt = 3;
+            task.instance = "i-0123456789abcdef~1700000000000".to_owned();
+            task.failed_at = task.instance.clone();
+            task.checkpoint = "0123456789abcdef".to_owned();
+        }
+        open.push(occurrence);
+    }
+    JobPlan { status: JobStatus::Running, open, next_occurrence: occurrences }
+}
+
+/// Guards against a plan that outgrows the largest record of the store, so that no job starts any more (LOST).
+#[rstest]
+#[case::many_narrow_steps(1250, 8, 1)]
+#[case::narrower_steps(2400, 4, 1)]
+#[case::steps_of_one(10_000, 1, 1)]
+#[case::one_wide_step(1, 10_000, 1)]
+#[case::occurrences(40, 8, 3)]
+#[case::many_occurrences(1, 1, 1024)]
+#[case::lasting_occurrences(1, 1, 10_000)]
+fn records_of_large_plan_fit(#[case] steps: usize, #[case] width: u32, #[case] occurrences: u32) {
+    let limits = StoreLimits::default();
+    let submission = Submission { occurrences, ..narrow_job(steps, width) };
+    let mut view = StoreView::new(submission.clone());
+    let plan = done_plan(&submission, occurrences);
+    let records = view.write(&plan);
+    let largest = records.iter().map(KeyedRecord::size).max();
+    assert!(records.iter().all(|record| limits.allow_record(record)), "{largest:?} bytes");
+    assert!(split_into_appends(&records).all(|group| limits.allow_append(group)));
+    assert_eq!(view.plan(), plan);
+    assert_eq!(view.plan_after_reload(1), plan);
+}
+
+/// The end of one task writes about as many bytes, however many narrow steps the job has.
+#[rstest]
+fn bytes_of_one_end_independent_of_steps(#[values(1, 8, 9, 1250)] steps: usize) {
+    const MAX_BYTES: usize = 6 << 10;
+    let submission = narrow_job(steps, 8);
+    let mut view = StoreView::new(submission.clone());
+    let mut plan = done_plan(&submission, 1);
+    plan.open[0].steps[steps / 2][3].status = TaskStatus::Running;
+    view.write(&plan);
+    plan.open[0].steps[steps / 2][3].status = TaskStatus::Done;
+    let written = bytes(&view.write(&plan));
+    println!("{steps} steps: {written} bytes");
+    assert!(written < MAX_BYTES, "{written} bytes");
+}
+
+/// A plan whose narrow steps an earlier release has written into the head is read, and written in parts at its next
+/// change.
+#[test]
+fn narrow_steps_of_earlier_release_converted() {
+    let submission = narrow_job(1000, 8);
+    let mut view = StoreView::new(submission.clone());
+    let mut plan = done_plan(&submission, 1);
+    plan.open[0].steps[7][3].status = TaskStatus::Running;
+    view.append(&[Record::Plan(JOB.to_owned(), Box::new(plan.clone())).encode()]);
+    assert_eq!(view.plan(), plan);
+    plan.open[0].steps[7][3].status = TaskStatus::Done;
+    let records = view.write(&plan);
+    assert!(records.iter().all(|record| StoreLimits::default().allow_record(record)));
+    assert_eq!(view.plan(), plan);
+    assert_eq!(view.plan_after_reload(2), plan);
+}
+
+/// A leader of an earlier release writes narrow steps into the head, and leaves their parts behind. They don't replace
+/// what the head holds when the state is read anew.
+#[rstest]
+fn parts_left_by_earlier_release_ignored(#[values(1, 2, 3, 4)] seed: u64) {
+    let submission = narrow_job(20, 8);
+    let mut view = StoreView::new(submission.clone());
+    let mut plan = done_plan(&submission, 1);
+    plan.open[0].steps[7][3].status = TaskStatus::Running;
+    view.write(&plan);
+    assert!(view.newest.keys().any(|key| key.starts_with("part/")));
+    plan.open[0].steps[7][3].status = TaskStatus::Done;
+    view.append(&[Record::Plan(JOB.to_owned(), Box::new(plan.clone())).encode()]);
+    assert_eq!(view.plan(), plan);
+    assert_eq!(view.plan_after_reload(seed), plan);
+}
+
+/// Guards against a leader that repeats an append for ever because one job's plan is too large: that job fails, and the
+/// others go on.
+#[test]
+fn job_with_too_large_plan_given_up() {
+    run_in_virtual_time(async {
+        let mut rig = PlannerRig::of_workers(2);
+        rig.settings.store_limits.record_bytes = 500;
+        rig.replace_planner();
+        let narrow = Submission { occurrences: 0, ..narrow_job(8, 8) };
+        rig.submit(narrow);
+        rig.submit(job(OTHER, 1, step(1, 1)));
+        rig.plan();
+        assert_eq!(rig.job_status(JOB), JobStatus::Failed);
+        assert_eq!(rig.statuses(OTHER), [TaskStatus::Running]);
+    });
+}
+
+/// As above, where only the store knows its limit.
+#[test]
+fn leader_passes_over_record_that_store_refuses() {
+    run_in_virtual_time(async {
+        let store = MemoryStore::new();
+        store.max_record_bytes.set(Some(500));
+        store.put(&Record::Worker("i-1".to_owned(), Box::new(worker_record("side-1", "r1", 8))));
+        store.put(&Record::Submitted(Box::new(Submission { occurrences: 0, ..narrow_job(8, 8) })));
+        store.put(&Record::Submitted(Box::new(job(OTHER, 1, step(1, 1)))));
+        start_leader(&store, "entry-1", 1, None);
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(plan_of(&store, OTHER).status, TaskStatus::Running);
+        assert_eq!(table_of(&store).status(JOB), Some(JobStatus::Failed));
+        assert!(store.too_large.get() <= 4, "{} refused", store.too_large.get());
+    });
+}
+
+/// Guards against one job whose due times slow down every round, and fill its plan: few of them are open at a time.
+#[rstest]
+fn due_occurrences_opened_a_few_at_a_time(#[values(1, 40)] steps: usize) {
+    run_in_virtual_time(async move {
+        let mut rig = PlannerRig::of_workers(200);
+        let times = Submission { occurrences: 1_000_000, interval_ms: 1, ..narrow_job(steps, 8) };
+        rig.submit(Submission { first_run_ms: 1, ..times });
+        rig.wall = 2_000_000_000;
+        rig.plan();
+        rig.plan();
+        let plan = rig.table.jobs[JOB].plan.clone().expect("the job is planned");
+        let tasks: usize = plan.open.iter().flat_map(|open| &open.steps).map(Vec::len).sum();
+        assert!((8 * steps..=1024).contains(&tasks), "{tasks} tasks are open");
+    });
+}
+
+/// The losses of a job fit into a record, whatever it has lost; the most suspect ones are kept.
+#[test]
+fn losses_of_wide_job_fit() {
+    let lost = |attempt: u32, at: u64| LostRun {
+        attempt,
+        instance: "i".repeat(150),
+        node: "side".repeat(10),
+        at,
+        ..LostRun::default()
+    };
+    let mut losses = JobLosses::default();
+    for index in 0..10_000 {
+        let unit = losses.0.entry(UnitKey { occurrence: 0, step: 0, index }).or_default();
+        let count = if index == 77 { 5 } else { 1 };
+        (1..=count).for_each(|attempt| {
+            _ = unit.add(LostRun { may_have_begun: true, ..lost(attempt, u64::from(index)) })
+        });
+    }
+    losses.drop_least_suspect();
+    assert!(losses.0.contains_key(&UnitKey { occurrence: 0, step: 0, index: 77 }));
+    let record = Record::Losses(JOB.to_owned(), Box::new(losses)).encode();
+    assert!(StoreLimits::default().allow_record(&record), "{} bytes", record.size());
+}
+
 /// A change that a round may make to a plan.
 #[derive(Clone, Debug)]
 enum Change {
@@ -375,4 +549,27 @@
         let parts = view.newest.keys().filter(|key| key.starts_with("part/")).count();
         prop_assert_eq!(parts, 0);
     }
+
+    /// As above, with steps that are stored in the head or in parts, depending on how many tasks are open.
+    #[test]
+    fn any_rounds_of_narrow_steps_read_as_written(
+        steps in 1_usize..9,
+        width in 1_u32..9,
+        rounds in prop::collection::vec(prop::collection::vec(change(), 1..6), 1..12),
+        seed in any::<u64>(),
+    ) {
+        let submission = narrow_job(steps, width);
+        let mut view = StoreView::new(submission.clone());
+        let mut plan = JobPlan::default();
+        for round in &rounds {
+            round.iter().for_each(|change| apply_change(change, &mut plan, &submission));
+            view.write(&plan);
+            prop_assert_eq!(&view.plan(), &plan);
+            prop_assert_eq!(&view.plan_after_reload(seed), &plan);
+        }
+        plan.open.clear();
+        view.write(&plan);
+        let parts = view.newest.keys().filter(|key| key.starts_with("part/")).count();
+        prop_assert_eq!(parts, 0);
+    }
 }
--- a/crates/rampbay-jobs/tests/support/store.rs
+++ b/crates/rampbay-jobs/tests/support/store.rs
@@ -54,6 +54,10 @@
     appended: Notify,
     /// The current fault.
     pub fault: Cell<StoreFault>,
+    /// Maximum size of a record, in bytes with its key; larger ones are refused.
+    pub max_record_bytes: Cell<Option<usize>>,
+    /// Number of appends that were refused for their size.
+    pub too_large: Cell<u32>,
     /// How long every append takes.
     pub append_delay: Cell<Duration>,
     /// How long every answer to a read takes.
@@ -203,6 +207,11 @@
         if self.fault.get() == StoreFault::Refuses {
             return Err(AppendError::Refused);
         }
+        let is_too_large = |max: usize| records.iter().any(|record| record.size() > max);
+        if self.max_record_bytes.get().is_some_and(is_too_large) {
+            self.too_large.set(self.too_large.get() + 1);
+            return Err(AppendError::TooLarge);
+        }
         if fence.is_none() && self.holds_appends.get() {
             self.held.borrow_mut().push((topic.to_owned(), records.to_vec()));
             std::future::pending::<()>().await;
--- a/crates/rampbay-peer/src/direct.rs
+++ b/crates/rampbay-peer/src/direct.rs
@@ -199,7 +199,9 @@
         let outcome = self.store.append(topic, records, fence).await;
         // A store whose append queue is full rejects appends although the path works.
         if outcome != Err(AppendError::Refused) {
-            self.record_outcome(matches!(outcome, Ok(_) | Err(AppendError::Fenced)));
+            let is_answered =
+                matches!(outcome, Ok(_) | Err(AppendError::Fenced | AppendError::TooLarge));
+            self.record_outcome(is_answered);
         }
         outcome
     }
--- a/crates/rampbay-peer/src/gateway.rs
+++ b/crates/rampbay-peer/src/gateway.rs
@@ -92,7 +92,7 @@
                 () = self.gateway_unreachable(gateway.as_ref()) => Err(AppendError::Unknown),
             };
             match outcome {
-                Ok(_) | Err(AppendError::Fenced) => {
+                Ok(_) | Err(AppendError::Fenced | AppendError::TooLarge) => {
                     self.record_append(started.elapsed());
                     return outcome;
                 }
--- a/crates/rampbay-peer/src/group.rs
+++ b/crates/rampbay-peer/src/group.rs
@@ -115,6 +115,10 @@
     let records: Vec<KeyedRecord> =
         batch.iter().flat_map(|entry| entry.records.iter().cloned()).collect();
     let outcome = store.append(topic, &records, None).await;
+    if outcome == Err(AppendError::TooLarge) && batch.len() > 1 {
+        append_singly(store, topic, batch).await;
+        return;
+    }
     log_abandoned(topic, &batch, &outcome);
     let mut following = records.len();
     for entry in batch {
@@ -127,6 +131,16 @@
     }
 }
 
+/// Appends the records of each caller by themselves: those of one are too large, and the others can be stored.
+async fn append_singly(store: &dyn Store, topic: &str, batch: Vec<PendingAppend>) {
+    for entry in batch {
+        let outcome = store.append(topic, &entry.records, None).await;
+        log_abandoned(topic, std::slice::from_ref(&entry), &outcome);
+        // A caller that has given up doesn't receive the outcome.
+        let _ = entry.outcome.send(outcome);
+    }
+}
+
 /// Largest number of records that a log line names.
 const MAX_NAMED: usize = 8;
 
--- a/crates/rampbay-peer/src/metered.rs
+++ b/crates/rampbay-peer/src/metered.rs
@@ -63,6 +63,7 @@
         Err(AppendError::Refused) => "refused",
         Err(AppendError::Fenced) => "fenced",
         Err(AppendError::Unknown) => "unknown",
+        Err(AppendError::TooLarge) => "too_large",
     }
 }
 
--- a/crates/rampbay-peer/tests/group.rs
+++ b/crates/rampbay-peer/tests/group.rs
@@ -30,6 +30,8 @@
     slowness: Cell<u32>,
     kept: RefCell<Vec<KeyedRecord>>,
     appends: Cell<u32>,
+    /// Larger values are refused, in bytes.
+    max_value_bytes: Cell<Option<usize>>,
 }
 
 impl SerialStore {
@@ -55,6 +57,10 @@
         drop(append_lock);
         self.queued.set(self.queued.get() - 1);
         self.appends.set(self.appends.get() + 1);
+        let is_too_large = |max: usize| records.iter().any(|record| record.value.len() > max);
+        if self.max_value_bytes.get().is_some_and(is_too_large) {
+            return Err(AppendError::TooLarge);
+        }
         self.kept.borrow_mut().extend_from_slice(records);
         Ok(self.kept.borrow().len() as Offset)
     }
@@ -193,3 +199,26 @@
         }
     });
 }
+
+/// Guards against callers whose records aren't stored because those of another one in the same batch are too large.
+#[test]
+fn record_too_large_refused_alone() {
+    run_in_virtual_time(async {
+        let store = Rc::new(SerialStore::default());
+        store.max_value_bytes.set(Some(8));
+        let group = process(&store);
+        let appends = (0..6).map(|number| {
+            let group = Rc::clone(&group);
+            let value = if number == 3 { vec![1; 9] } else { vec![1] };
+            async move {
+                let records = [KeyedRecord { value, ..record(number) }];
+                group.append(STATE_TOPIC, &records, None).await
+            }
+        });
+        let outcomes = futures_util::future::join_all(appends).await;
+        for (number, outcome) in outcomes.iter().enumerate() {
+            assert_eq!(*outcome == Err(AppendError::TooLarge), number == 3, "{outcomes:?}");
+        }
+        assert_eq!(store.kept.borrow().len(), 5);
+    });
+}
