agent: leave unanswered starts of other machines' workers alone

An incarnation is now registered after the removal of the one before, so the record of an unanswered start may name one that nobody has registered yet. Agents of other workers at the same address then took the start for one of a gone worker, and removed its record; the task started elsewhere while the late start was carried out. Addresses differ between machines, so no caller can have met it.

The agent of such an incarnation is now that of the worker's earlier ones.

--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -151,8 +151,14 @@
     fn starts_of_predecessors(&self) -> Vec<Rc<UnansweredStart>> {
         let table = self.parts.table.borrow();
         let address = self.record.borrow().address.clone();
+        let compare = self.parts.compare_incarnations;
+        // An incarnation that isn't registered yet has the agent of the earlier ones of its worker.
+        let agent_of_worker = |instance: &str| {
+            let of_worker = || table.find_agent(|known| compare(known, instance).is_some());
+            table.agent_of(instance).or_else(of_worker)
+        };
         let is_of_other_agent = |start: &Rc<UnansweredStart>| {
-            table.agent_of(&start.instance).is_some_and(|agent| *agent != self.parts.node)
+            agent_of_worker(&start.instance).is_some_and(|agent| *agent != self.parts.node)
         };
         let is_of_predecessor = |start: &&Rc<UnansweredStart>| {
             start.instance != self.instance
--- a/crates/rampbay-jobs/src/table.rs
+++ b/crates/rampbay-jobs/src/table.rs
@@ -310,6 +310,11 @@
         self.agents.get(instance)
     }
 
+    /// Returns the agent of the first worker, registered or gone, whose id matches a predicate.
+    pub fn find_agent(&self, is_match: impl Fn(&str) -> bool) -> Option<&NodeName> {
+        self.agents.iter().find(|(instance, _)| is_match(instance)).map(|(_, agent)| agent)
+    }
+
     /// Returns whether a run was assigned to a worker before the worker returned, after its registration was gone.
     /// While it was gone, the planner may have given the run up, by a decision that hasn't been read yet.
     #[must_use]
