planner: a job has begun once a worker lists a run of it

The jobs were assigned to a worker that was lost before their starts.

Cause: the status of a job became Running when a task was assigned, and nothing set it back.

Change: the leader marks a job by what workers list: the end of a run other than a failed start, a report that names a run, the runs that were listed as an incarnation ended. The mark stands in the plan as before. A job whose last ends are stored is shown as succeeded, marked or not.

--- a/crates/rampbay-jobs/src/planner.rs
+++ b/crates/rampbay-jobs/src/planner.rs
@@ -5,6 +5,7 @@
 //! the store has kept its record. The state that a planner keeps between rounds (such as [`health`]) only
 //! influences choices, so it may be lost when another planner takes over; what must not be lost is in the table.
 
+mod begun;
 pub mod completion;
 mod departure;
 mod displace;
@@ -258,6 +259,7 @@
         self.observe_ended_runs(inputs);
         let mut draft = Draft::new(inputs.table);
         settle::apply_ends(&mut draft, inputs, &mut self.health);
+        begun::note_begun_jobs(&mut draft, inputs);
         if !std::mem::replace(&mut self.lost_runs_checked, true) {
             lost::give_up_lost_runs(self, &mut draft, inputs);
         }
--- a/crates/rampbay-jobs/src/planner/place.rs
+++ b/crates/rampbay-jobs/src/planner/place.rs
@@ -3,7 +3,7 @@
 use crate::job::{Checkpoint, InstanceId};
 use crate::losses::Isolation;
 use crate::metrics::metrics;
-use crate::plan::{JobPlan, JobStatus, Occurrence, TaskStatus};
+use crate::plan::{JobPlan, Occurrence, TaskStatus};
 
 use super::displace::{Scope, Stops, find_preemption, free_capacity, hold_workers, may_hold};
 use super::draft::Draft;
@@ -379,7 +379,6 @@
     let id = waiting.task(index);
     let plan = draft.edit(&waiting.job);
     open_occurrences_up_to(plan, waiting);
-    plan.status = JobStatus::Running;
     let Some(task) = plan.task_mut(&id) else { return };
     task.status = TaskStatus::Running;
     task.attempt += 1;
--- a/crates/rampbay-jobs/src/planner/settle.rs
+++ b/crates/rampbay-jobs/src/planner/settle.rs
@@ -10,6 +10,7 @@
 use crate::table::JobTable;
 
 use super::RoundInputs;
+use super::begun::note_begun;
 use super::draft::Draft;
 use super::events::{RunChange, RunEvent, StopReason};
 use super::health::HealthTracker;
@@ -28,6 +29,9 @@
             continue;
         }
         record_health(end, inputs, health);
+        if end.reason != EndReason::NotStarted {
+            note_begun(draft, &end.task.job);
+        }
         apply_end(draft, inputs, end);
     }
 }
--- a/crates/rampbay-jobs/src/table/runs.rs
+++ b/crates/rampbay-jobs/src/table/runs.rs
@@ -14,7 +14,7 @@
     pub fn status(&self, id: &str) -> Option<JobStatus> {
         let job = self.jobs.get(id)?;
         let status = job.status();
-        let has_ended = status == JobStatus::Running && self.all_done(job);
+        let has_ended = !status.is_final() && self.all_done(job);
         Some(if has_ended { JobStatus::Succeeded } else { status })
     }
 
