agent: let the worker's own answers decide over odd heartbeats

Cause: the highest sequence number counted for good, and an incarnation that only a heartbeat named ended the earlier ones, whose heartbeats were then ignored.

Change: an incarnation ends earlier ones once it has answered itself. Until then it is called with the fencing token of the registered one, so that a real worker doesn't reject its agent's orders after the call. Starts over an hour ahead of the clock are rejected. Heartbeats with lower numbers that rise for a second count.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -126,6 +126,9 @@
 /// another incarnation answers.
 const MAX_REMEMBERED_ENDED: usize = 32;
 
+/// Largest plausible difference between a worker's clock and this process's, in milliseconds.
+const MAX_CLOCK_SKEW_MS: u64 = 3_600_000;
+
 /// Pause before a failed append of the process's stop is retried.
 const STOP_RETRY: Duration = Duration::from_millis(100);
 
@@ -145,51 +148,79 @@
         })
     }
 
-    /// Handles a heartbeat.
-    pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
+    /// Handles a heartbeat. Returns whether the worker may have sent it: one of an incarnation that starts in the future
+    /// comes from another writer.
+    pub fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) -> bool {
+        let started_at = (self.parts.incarnation_start)(&heartbeat.instance);
+        let latest_start = (self.parts.wall_clock)().saturating_add(MAX_CLOCK_SKEW_MS);
+        if started_at.is_some_and(|started_at| started_at > latest_start) {
+            log::warn!(
+                "event=J232 heartbeat of an incarnation that starts in the future ignored worker={}",
+                heartbeat.instance
+            );
+            return false;
+        }
         if self.is_superseded(&heartbeat.instance) {
             log::info!(
                 "event=J171 heartbeat of an ended worker incarnation ignored worker={} sequence={}",
                 heartbeat.instance,
                 heartbeat.sequence
             );
-            return;
+            return true;
         }
         let mut record = heartbeat.record;
         record.node.clone_from(&self.parts.node);
-        record.may_be_suspected = (self.parts.incarnation_start)(&heartbeat.instance).is_none();
+        record.may_be_suspected = started_at.is_none();
         if let Some(remaining) = heartbeat.remaining.filter(|_| record.draining) {
-            record.leaves_at = (self.parts.wall_clock)() + remaining.as_millis() as u64;
+            let remaining_ms = u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX);
+            record.leaves_at = (self.parts.wall_clock)().saturating_add(remaining_ms);
         }
         let incarnation = self.get_or_create(&heartbeat.instance, &record);
         incarnation.handle_heartbeat(heartbeat.sequence, record);
+        true
     }
 
-    /// Returns whether an incarnation has ended for good, or a later one of its worker is known.
+    /// Returns whether an incarnation has ended for good, or a later one of its worker has answered.
     fn is_superseded(&self, instance: &str) -> bool {
-        let is_earlier = |known: &InstanceId| {
-            (self.parts.compare_incarnations)(instance, known) == Some(Ordering::Less)
+        let is_earlier = |known: &Rc<Incarnation>| {
+            known.is_confirmed()
+                && (self.parts.compare_incarnations)(instance, &known.instance)
+                    == Some(Ordering::Less)
         };
         self.ended.borrow().iter().any(|ended| ended == instance)
-            || self.incarnations.borrow().keys().any(is_earlier)
+            || self.incarnations.borrow().values().any(is_earlier)
     }
 
     /// Ends every incarnation that a later one of the same worker has replaced. The later one
     /// rejects calls that are meant for the earlier one instead of answering them, so no call would
-    /// show that the earlier one is over.
+    /// show that the earlier one is over. A later one of which only a heartbeat is known may be the invention of
+    /// another writer.
     fn end_predecessors(&self) {
         let incarnations = self.incarnations.borrow();
         for incarnation in incarnations.values() {
-            let is_later = |other: &&InstanceId| {
-                (self.parts.compare_incarnations)(&incarnation.instance, other)
-                    == Some(Ordering::Less)
+            let is_later = |other: &&Rc<Incarnation>| {
+                other.is_confirmed()
+                    && (self.parts.compare_incarnations)(&incarnation.instance, &other.instance)
+                        == Some(Ordering::Less)
             };
-            if let Some(successor) = incarnations.keys().rfind(is_later) {
-                incarnation.replace(Some(successor.clone()));
+            if let Some(successor) = incarnations.values().rfind(is_later) {
+                incarnation.replace(Some(successor.instance.clone()));
             }
         }
     }
 
+    /// Ends the earlier incarnations of a worker as soon as this one has answered; never returns.
+    async fn end_predecessors_of(&self, incarnation: &Incarnation) {
+        let mut changes = self.parts.freshness.subscribe();
+        while !incarnation.is_confirmed() {
+            if changes.changed().await.is_err() {
+                break;
+            }
+        }
+        self.end_predecessors();
+        std::future::pending::<()>().await;
+    }
+
     /// Handles a deregistration: marks as departed the most recently discovered incarnation that
     /// satisfies `is_meant` and hasn't ended.
     pub fn deregister(&self, is_meant: impl Fn(&str) -> bool) {
@@ -277,6 +308,7 @@
             tokio::select! {
                 () = running.run() => {}
                 () = running.abandoned() => {}
+                () = host.end_predecessors_of(&running) => {}
             }
             if running.has_ended_for_good() {
                 host.remember_ended(&running);
--- a/crates/rampbay-jobs/src/agent/incarnation.rs
+++ b/crates/rampbay-jobs/src/agent/incarnation.rs
@@ -26,6 +26,17 @@
 /// Maximum bytes of all checkpoints in a report. The others are known once their runs end.
 const MAX_REPORTED_CHECKPOINT_BYTES: usize = 128 << 10;
 
+/// Time for which heartbeats have lower numbers than an earlier one before they count.
+const NUMBERS_START_AGAIN_AFTER: Duration = Duration::from_secs(1);
+
+/// Heartbeats whose numbers are lower than that of an earlier one.
+#[derive(Clone, Copy, Debug)]
+struct OvertakenHeartbeats {
+    highest: u64,
+    /// When the first of them came.
+    since: Moment,
+}
+
 /// Why an incarnation has certainly ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum EndCause {
@@ -101,8 +112,12 @@
     pub(super) was_registered: Cell<bool>,
     /// Reason for which assigned runs are held back, as logged last.
     pub(super) logged_held_back: Cell<Option<HeldBack>>,
+    /// Whether the worker has answered as this incarnation.
+    pub(super) confirmed: Cell<bool>,
     /// Highest sequence number of a heartbeat that was handled.
     heartbeat_sequence: Cell<u64>,
+    /// Heartbeats since then whose numbers are lower.
+    overtaken: Cell<Option<OvertakenHeartbeats>>,
     /// When the worker was found to have departed. Its leases are never renewed again.
     pub(super) departed_since: Cell<Option<Instant>>,
     /// Whether the worker has deregistered.
@@ -157,7 +172,9 @@
             registration_number: Cell::new(None),
             was_registered: Cell::new(false),
             logged_held_back: Cell::new(None),
+            confirmed: Cell::new(false),
             heartbeat_sequence: Cell::new(0),
+            overtaken: Cell::new(None),
             departed_since: Cell::new(departed_since),
             has_deregistered: Cell::new(false),
             end_cause: Cell::new(None),
@@ -170,12 +187,13 @@
     }
 
     /// Handles a heartbeat. If a later one has been handled before, this one only shows that the
-    /// worker could be heard.
+    /// worker could be heard, unless the numbers start again.
     pub(super) fn handle_heartbeat(&self, sequence: u64, record: WorkerRecord) {
         self.last_contact.set(Moment::now());
-        if sequence < self.heartbeat_sequence.get() {
+        if sequence < self.heartbeat_sequence.get() && !self.start_numbers_again(sequence) {
             return;
         }
+        self.overtaken.set(None);
         self.heartbeat_sequence.set(sequence);
         self.last_heartbeat.set(Some(Moment::now()));
         let mut known = self.record.borrow_mut();
@@ -198,6 +216,35 @@
         }
     }
 
+    /// Returns whether a heartbeat with a lower number than an earlier one counts: such heartbeats have come for a while,
+    /// with rising numbers, and no other. Then the high number was another writer's. Late heartbeats come singly, or
+    /// together.
+    fn start_numbers_again(&self, sequence: u64) -> bool {
+        let Some(overtaken) = self.overtaken.get() else {
+            let since = Moment::now();
+            self.overtaken.set(Some(OvertakenHeartbeats { highest: sequence, since }));
+            return false;
+        };
+        if sequence <= overtaken.highest {
+            return false;
+        }
+        self.overtaken.set(Some(OvertakenHeartbeats { highest: sequence, ..overtaken }));
+        let starts_again = overtaken.since.elapsed() >= NUMBERS_START_AGAIN_AFTER;
+        if starts_again {
+            log::warn!(
+                "event=J233 heartbeat numbers start again worker={} sequence={sequence} before={}",
+                self.instance,
+                self.heartbeat_sequence.get()
+            );
+        }
+        starts_again
+    }
+
+    /// Returns whether the worker has answered as this incarnation, so that it is known by more than heartbeats.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.confirmed.get() || self.listed.get()
+    }
+
     /// Compares the times at which this process discovered two incarnations.
     pub(super) fn compare_discovery(&self, other: &Self) -> std::cmp::Ordering {
         self.discovered.cmp(&other.discovered)
--- a/crates/rampbay-jobs/src/agent/registering.rs
+++ b/crates/rampbay-jobs/src/agent/registering.rs
@@ -169,7 +169,7 @@
             None => {
                 is_empty
                     && !table.has_runs_assigned_to(&self.instance)
-                    && !self.has_registered_predecessor(&table)
+                    && self.registered_predecessor(&table).is_none()
             }
         }
     }
--- a/crates/rampbay-jobs/src/agent/renewals.rs
+++ b/crates/rampbay-jobs/src/agent/renewals.rs
@@ -42,6 +42,10 @@
                     tokio::time::timeout(Duration::from_millis(500), self.wake.notified()).await;
                 continue;
             }
+            if let Err(error) = self.confirm().await {
+                self.handle_call_error(error).await;
+                continue;
+            }
             let order = self.renew_order();
             let sent = Instant::now();
             if order.lease_until.is_some() {
@@ -58,19 +62,40 @@
                     }
                     self.pause_while_withholding().await;
                 }
-                Err(WorkerError::OtherLife(by)) => self.replace(by),
-                Err(error @ (WorkerError::NoAnswer | WorkerError::Refused)) => {
-                    self.answered_at.set(None);
-                    if error == WorkerError::Refused {
-                        self.handle_refused();
-                    }
-                    self.end_if_silent();
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                }
+                Err(error) => self.handle_call_error(error).await,
             }
         }
     }
 
+    async fn handle_call_error(&self, error: WorkerError) {
+        let is_refused = error == WorkerError::Refused;
+        if let WorkerError::OtherLife(by) = error {
+            self.replace(by);
+            return;
+        }
+        self.answered_at.set(None);
+        if is_refused {
+            self.handle_refused();
+        }
+        self.end_if_silent();
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+
+    /// Makes sure that the worker is this incarnation, if an earlier one is registered. The call carries the earlier
+    /// one's fencing token: should the earlier one still be there, since another writer has sent the heartbeat, it would
+    /// reject its own orders after a higher token.
+    async fn confirm(&self) -> Result<(), WorkerError> {
+        let predecessor = || self.registered_predecessor(&self.parts.table.borrow());
+        let Some(predecessor) = (!self.is_confirmed()).then(predecessor).flatten() else {
+            return Ok(());
+        };
+        let fencing_token = self.token_for(&predecessor);
+        self.worker.renew(&RenewOrder { fencing_token, ..self.poll_order() }).await?;
+        self.confirmed.set(true);
+        self.parts.freshness.notify();
+        Ok(())
+    }
+
     /// Polls the worker until the incarnation has answered once, without waiting for earlier polls;
     /// then never returns.
     pub(super) async fn poll_until_listed(self: &Rc<Self>) {
@@ -138,6 +163,9 @@
 
     /// Polls the worker once, concurrently with the renewal that waits for an end.
     pub(super) async fn poll(self: &Rc<Self>) {
+        if self.confirm().await.is_err() {
+            return;
+        }
         let sent = Instant::now();
         let order = self.poll_order();
         if let Ok(listing) = self.worker.renew(&order).await {
--- a/crates/rampbay-jobs/src/agent/successor.rs
+++ b/crates/rampbay-jobs/src/agent/successor.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crate::fencing::FencingToken;
+use crate::job::InstanceId;
 use crate::record::KeyedRecord;
 use crate::table::JobTable;
 use crate::worker::{StopOrder, StoppedRun};
@@ -65,14 +66,15 @@
         ends.map(|end| end_record_at(&self.instance, end)).collect()
     }
 
-    /// Returns whether an earlier incarnation of this worker is registered by this machine. Its runs may have been
-    /// carried out here, and aren't settled before its registration is removed.
-    pub(super) fn has_registered_predecessor(&self, table: &JobTable) -> bool {
-        table.workers.iter().any(|(instance, worker)| {
-            worker.node == self.parts.node
-                && (self.parts.compare_incarnations)(instance, &self.instance)
-                    == Some(Ordering::Less)
-        })
+    /// Returns the latest of the earlier incarnations of this worker that this machine has registered. Their runs may
+    /// have been carried out here, and aren't settled before their registrations are removed.
+    pub(super) fn registered_predecessor(&self, table: &JobTable) -> Option<InstanceId> {
+        let compare = self.parts.compare_incarnations;
+        let own = table.workers.iter().filter(|(_, worker)| worker.node == self.parts.node);
+        let earlier = own
+            .map(|(instance, _)| instance)
+            .filter(|instance| compare(instance, &self.instance) == Some(Ordering::Less));
+        earlier.max_by(|one, other| compare(one, other).unwrap_or(Ordering::Equal)).cloned()
     }
 
     /// Returns the fencing token for orders to the next incarnation, which may reject this
