--- a/crates/rampbay-jobs/src/agent/ends.rs
+++ b/crates/rampbay-jobs/src/agent/ends.rs
@@ -165,8 +165,8 @@
     }
 }
 
-/// Returns the record of an end that another incarnation lists, of a run that was ordered for `instance`.
-pub(super) fn end_record_at(instance: &str, end: &ListedEnd) -> KeyedRecord {
+/// Counts and logs an end that the next incarnation lists, of a run that was ordered for `instance`.
+pub(super) fn log_end_at_successor(instance: &str, end: &ListedEnd) {
     metrics().count_end(end.reason.label());
     log::warn!(
         "event=J228 run ended at the next incarnation task={} attempt={} reason={:?} worker={instance} number={}",
@@ -175,6 +175,10 @@
         end.reason,
         end.number
     );
+}
+
+/// Returns the record of an end that the next incarnation lists, of a run that was ordered for `instance`.
+pub(super) fn record_of_end_at_successor(instance: &str, end: &ListedEnd) -> KeyedRecord {
     let end = RunEnd {
         task: end.task.clone(),
         attempt: end.attempt,
--- a/crates/rampbay-jobs/src/agent/successor.rs
+++ b/crates/rampbay-jobs/src/agent/successor.rs
@@ -18,7 +18,7 @@
 use crate::table::JobTable;
 use crate::worker::{StopOrder, StoppedRun};
 
-use super::ends::end_record_at;
+use super::ends::{log_end_at_successor, record_of_end_at_successor};
 use super::incarnation::Incarnation;
 use super::runs::RunKey;
 
@@ -36,7 +36,10 @@
                 let order = StopOrder { task: task.clone(), attempt, fencing_token };
                 let end = match self.worker.stop_in_any_incarnation(&order).await {
                     Ok(StoppedRun::NotThere) => None,
-                    Ok(StoppedRun::Ended(end)) => Some(end),
+                    Ok(StoppedRun::Ended(end)) => {
+                        log_end_at_successor(&self.instance, &end);
+                        Some(end)
+                    }
                     Ok(StoppedRun::Unsettled) | Err(_) => {
                         tokio::time::sleep(STOP_RETRY).await;
                         continue;
@@ -63,7 +66,7 @@
     pub(super) fn end_records_of_successor(&self) -> Vec<KeyedRecord> {
         let stopped = self.stopped_at_successor.borrow();
         let ends = stopped.values().flatten();
-        ends.map(|end| end_record_at(&self.instance, end)).collect()
+        ends.map(|end| record_of_end_at_successor(&self.instance, end)).collect()
     }
 
     /// Returns the latest of the earlier incarnations of this worker that this machine has registered. Their runs may
--- a/crates/rampbay-jobs/src/agent/unanswered.rs
+++ b/crates/rampbay-jobs/src/agent/unanswered.rs
@@ -16,7 +16,7 @@
 use crate::record::{KeyedRecord, Record, STATE_TOPIC, UnansweredStart, removal};
 use crate::worker::{StopOrder, StoppedRun};
 
-use super::ends::end_record_at;
+use super::ends::{log_end_at_successor, record_of_end_at_successor};
 use super::incarnation::Incarnation;
 use super::runs::RunKey;
 
@@ -178,7 +178,10 @@
         let order = StopOrder { task, attempt, fencing_token: self.fencing_token() };
         let end = match worker.stop_in_any_incarnation(&order).await {
             Ok(StoppedRun::NotThere) => None,
-            Ok(StoppedRun::Ended(end)) => Some(end_record_at(&start.instance, &end)),
+            Ok(StoppedRun::Ended(end)) => {
+                log_end_at_successor(&start.instance, &end);
+                Some(record_of_end_at_successor(&start.instance, &end))
+            }
             Ok(StoppedRun::Unsettled) | Err(_) => return,
         };
         let is_same_worker =
