--- a/crates/rampbay-jobs/src/store.rs
+++ b/crates/rampbay-jobs/src/store.rs
@@ -23,7 +23,7 @@
 const MAX_BYTES_TOGETHER: usize = 3 * BYTES_PER_APPEND;
 
 /// Divides records into appends of at most [`BYTES_PER_APPEND`]. An append may be larger if it is a single record, or if it
-/// ends with records about one job or worker, which stay together up to [`MAX_BYTES_TOGETHER`]: the next leader must not
+/// ends with records about one job or worker, which stay together up to three times as many bytes: the next leader must not
 /// find half of a gang started, nor a job that starts again because only its plan was removed. The plan of 20,000 tasks
 /// takes 0.8 MB.
 pub fn split_into_appends(records: &[KeyedRecord]) -> impl Iterator<Item = &[KeyedRecord]> {
--- a/crates/rampbay-jobs/tests/parts.rs
+++ b/crates/rampbay-jobs/tests/parts.rs
@@ -453,9 +453,10 @@
     for index in 0..10_000 {
         let unit = losses.0.entry(UnitKey { occurrence: 0, step: 0, index }).or_default();
         let count = if index == 77 { 5 } else { 1 };
-        (1..=count).for_each(|attempt| {
-            _ = unit.add(LostRun { may_have_begun: true, ..lost(attempt, u64::from(index)) })
-        });
+        for attempt in 1..=count {
+            let lost = lost(attempt, u64::from(index));
+            unit.add(LostRun { may_have_begun: true, ..lost });
+        }
     }
     losses.drop_least_suspect();
     assert!(losses.0.contains_key(&UnitKey { occurrence: 0, step: 0, index: 77 }));
