--- a/crates/rampbay-jobs/src/planner/queue.rs
+++ b/crates/rampbay-jobs/src/planner/queue.rs
@@ -11,8 +11,7 @@
 use super::forecast::Forecasts;
 use super::policy::PlacementPolicy;
 
-/// Largest number of tasks in the open occurrences of a job, unless a single one has more. A round of the leader with as
-/// many waiting tasks takes some tens of milliseconds.
+/// Largest number of tasks in the open occurrences of a job, unless a single one has more.
 const MAX_OPEN_TASKS: u32 = 2048;
 /// Largest number of lasting tasks in the open occurrences of a job: as many as a job may have.
 const MAX_LASTING_TASKS: u32 = 10_000;
--- a/crates/rampbay-jobs/tests/parts.rs
+++ b/crates/rampbay-jobs/tests/parts.rs
@@ -1,4 +1,4 @@
-//! Plans of wide jobs, stored in parts.
+//! Plans of wide jobs, and of jobs of many steps, stored in parts.
 //!
 //! The fault: each end of one of 360 tasks wrote the plans of all 360, and sent them to every entry and to every agent with
 //! one of these tasks: 4.3 MB to each entry for one job, without checkpoints.
@@ -525,30 +525,40 @@
     }
 }
 
+/// Plays rounds, and checks after each of them that the plan is read as it was written, and that no part is left once the
+/// job is over.
+fn check_rounds(
+    submission: &Submission,
+    rounds: &[Vec<Change>],
+    seed: u64,
+) -> Result<(), TestCaseError> {
+    let mut view = StoreView::new(submission.clone());
+    let mut plan = JobPlan::default();
+    for round in rounds {
+        round.iter().for_each(|change| apply_change(change, &mut plan, submission));
+        view.write(&plan);
+        prop_assert_eq!(&view.plan(), &plan);
+        prop_assert_eq!(&view.plan_after_reload(seed), &plan);
+    }
+    plan.open.clear();
+    view.write(&plan);
+    let parts = view.newest.keys().filter(|key| key.starts_with("part/")).count();
+    prop_assert_eq!(parts, 0);
+    Ok(())
+}
+
+fn rounds() -> impl Strategy<Value = Vec<Vec<Change>>> {
+    prop::collection::vec(prop::collection::vec(change(), 1..6), 1..12)
+}
+
 proptest! {
     #![proptest_config(property::config(300))]
 
     /// Whatever rounds do to a plan, a reader that follows and one that reloads the state, in any order, have the plan as
     /// it was written.
     #[test]
-    fn any_rounds_read_as_written(
-        width in 1_u32..60,
-        rounds in prop::collection::vec(prop::collection::vec(change(), 1..6), 1..12),
-        seed in any::<u64>(),
-    ) {
-        let submission = wide_job(width);
-        let mut view = StoreView::new(submission.clone());
-        let mut plan = JobPlan::default();
-        for round in &rounds {
-            round.iter().for_each(|change| apply_change(change, &mut plan, &submission));
-            view.write(&plan);
-            prop_assert_eq!(&view.plan(), &plan);
-            prop_assert_eq!(&view.plan_after_reload(seed), &plan);
-        }
-        plan.open.clear();
-        view.write(&plan);
-        let parts = view.newest.keys().filter(|key| key.starts_with("part/")).count();
-        prop_assert_eq!(parts, 0);
+    fn any_rounds_read_as_written(width in 1_u32..60, rounds in rounds(), seed in any::<u64>()) {
+        check_rounds(&wide_job(width), &rounds, seed)?;
     }
 
     /// As above, with steps that are stored in the head or in parts, depending on how many tasks are open.
@@ -556,21 +566,9 @@
     fn any_rounds_of_narrow_steps_read_as_written(
         steps in 1_usize..9,
         width in 1_u32..9,
-        rounds in prop::collection::vec(prop::collection::vec(change(), 1..6), 1..12),
+        rounds in rounds(),
         seed in any::<u64>(),
     ) {
-        let submission = narrow_job(steps, width);
-        let mut view = StoreView::new(submission.clone());
-        let mut plan = JobPlan::default();
-        for round in &rounds {
-            round.iter().for_each(|change| apply_change(change, &mut plan, &submission));
-            view.write(&plan);
-            prop_assert_eq!(&view.plan(), &plan);
-            prop_assert_eq!(&view.plan_after_reload(seed), &plan);
-        }
-        plan.open.clear();
-        view.write(&plan);
-        let parts = view.newest.keys().filter(|key| key.starts_with("part/")).count();
-        prop_assert_eq!(parts, 0);
+        check_rounds(&narrow_job(steps, width), &rounds, seed)?;
     }
 }
