server: bound what all clients of an address make a process hold

What callers saw: in a trial, clients that don't behave ended a process; it ran out of memory. With 4,100 descriptors taken by connections that send half a head, an ordinary job wasn't answered.

Cause: each request had a limit, their sum had none. The server accepted any number of connections, left the size of a head to the HTTP library (some 400 kB each), and kept the frames of a body as they came, each with an overhead of its own, up to 1 or 4 MiB a body.

Change: one budget in memory and descriptors of the machine (`memory_mb`, `max_fds`), divided among the addresses. A connection holds 16 KiB of it, and reserves what a head, a body or a response needs beyond that, before it is read. Once a part is used up, connections give way that have held most for longest without progress, but none whose request is being handled; who gets no room is refused with 503. Frames are copied into one buffer, so that a byte of a body holds two at most. Reads of 4 KiB keep the library's read buffer from growing. Receive buffers are bounded.

The largest body and head, chunks of one byte, pipelined requests and `Expect: 100-continue` are served by a server whose budget is smaller than one body (tests/server.rs).

--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -40,6 +40,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of clients that weren't served.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ClientLabels {
+    /// What they connected to.
+    pub address: &'static str,
+    /// `refused`, or `evicted` if their connection was closed.
+    pub outcome: &'static str,
+}
+
 /// A label that says what happened.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct KindLabel {
@@ -129,6 +138,8 @@
     pub state: Family<KindLabel, Gauge>,
     /// Log lines that were dropped because they weren't read in time.
     pub dropped_lines: Counter,
+    /// Clients that were refused or disconnected because others held all that clients may hold.
+    pub clients: Family<ClientLabels, Counter>,
 }
 
 impl Metrics {
@@ -158,6 +169,7 @@
             tree_depth: Gauge::default(),
             state: Family::default(),
             dropped_lines: Counter::default(),
+            clients: Family::default(),
         };
         metrics.register();
         metrics
@@ -209,6 +221,8 @@
         let machines = self.wave_machines.clone();
         registry.register("wave_machines", "Machines of maintenance waves", machines);
         registry.register("dropped_log_lines", "Log lines dropped", self.dropped_lines.clone());
+        let clients = self.clients.clone();
+        registry.register("clients_unserved", "Clients refused or disconnected", clients);
     }
 
     /// Counts a decision.
@@ -232,6 +246,11 @@
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a client that wasn't served.
+    pub fn count_client(&self, address: &'static str, outcome: &'static str) {
+        self.clients.get_or_create(&ClientLabels { address, outcome }).inc();
+    }
+
     /// Counts an order.
     pub fn count_order(&self, kind: &'static str) {
         self.orders.get_or_create(&KindLabel { kind }).inc();
--- a/crates/rampbay-jobs/src/settings.rs
+++ b/crates/rampbay-jobs/src/settings.rs
@@ -31,6 +31,20 @@
 const MAX_CHECKPOINT_S: f64 = 3600.0;
 /// Smallest value of `record_bytes`, in bytes: the largest part of a plan fits.
 const MIN_RECORD_BYTES: usize = 64 << 10;
+/// Smallest value of `memory_mb`: the process itself takes some megabytes.
+const MIN_MEMORY_MB: usize = 32;
+/// Memory of a machine that isn't known: that of the smallest one.
+const UNKNOWN_MEMORY_MB: usize = 128;
+/// Smallest value of `max_fds`.
+const MIN_FDS: usize = 400;
+/// Descriptors of a machine that isn't known: the usual limit of a process.
+const UNKNOWN_FDS: usize = 1024;
+/// Descriptors that are kept for files.
+const FILE_FDS: usize = 200;
+/// Range of the parts that clients get, in percent. The process itself needs the rest.
+const CLIENT_PERCENT: std::ops::RangeInclusive<usize> = 5..=80;
+/// Range of `max_head_bytes`: from the smallest buffer of the HTTP library to the largest body.
+const HEAD_BYTES: std::ops::RangeInclusive<usize> = (8 << 10)..=(1 << 20);
 /// Largest value of `restore_ms`, in milliseconds: one hour.
 const MAX_RESTORE_MS: f64 = 3_600_000.0;
 
@@ -114,6 +128,21 @@
     /// Factor on `cpu_share`: how many times as fast as one core the share runs.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Memory of the machine, in megabytes; 0 if it isn't known.
+    #[serde(default)]
+    pub memory_mb: usize,
+    /// Descriptors that the process may open; 0 if it isn't known.
+    #[serde(default)]
+    pub max_fds: usize,
+    /// Part of the memory that clients may make the process hold, in percent.
+    #[serde(default = "default_client_memory_percent")]
+    pub client_memory_percent: usize,
+    /// Part of the descriptors for sockets that connections of clients may take, in percent.
+    #[serde(default = "default_client_fds_percent")]
+    pub client_fds_percent: usize,
+    /// Largest head of a request, in bytes.
+    #[serde(default = "default_max_head_bytes")]
+    pub max_head_bytes: usize,
     /// Lowest level of log lines.
     #[serde(default = "default_log_level")]
     pub log_level: String,
@@ -151,6 +180,18 @@
     StoreLimits::default().append_bytes
 }
 
+const fn default_client_memory_percent() -> usize {
+    25
+}
+
+const fn default_client_fds_percent() -> usize {
+    75
+}
+
+const fn default_max_head_bytes() -> usize {
+    64 << 10
+}
+
 const fn default_cores() -> f64 {
     1.0
 }
@@ -211,12 +252,46 @@
         if self.record_bytes < MIN_RECORD_BYTES || self.append_bytes < self.record_bytes {
             return invalid("record_bytes is below 65536, or append_bytes below record_bytes");
         }
+        self.check_client_limits()?;
         if self.peer_port == self.metrics_port {
             return invalid("peer_port and metrics_port are the same");
         }
         Ok(self)
     }
 
+    /// Checks what clients may make the process hold.
+    fn check_client_limits(&self) -> Result<(), SettingsError> {
+        let invalid = |text: String| Err(SettingsError::Invalid(text));
+        if self.memory_mb != 0 && self.memory_mb < MIN_MEMORY_MB {
+            return invalid(format!("memory_mb is below {MIN_MEMORY_MB}"));
+        }
+        if self.max_fds != 0 && self.max_fds < MIN_FDS {
+            return invalid(format!("max_fds is below {MIN_FDS}"));
+        }
+        let percents = [self.client_memory_percent, self.client_fds_percent];
+        if percents.iter().any(|percent| !CLIENT_PERCENT.contains(percent)) {
+            return invalid("a percentage for clients isn't from 5 to 80".to_owned());
+        }
+        if !HEAD_BYTES.contains(&self.max_head_bytes) {
+            return invalid("max_head_bytes isn't from 8192 to 1048576".to_owned());
+        }
+        Ok(())
+    }
+
+    /// Returns the memory that all clients together may make the process hold, in bytes.
+    #[must_use]
+    pub const fn client_bytes(&self) -> usize {
+        let memory_mb = if self.memory_mb == 0 { UNKNOWN_MEMORY_MB } else { self.memory_mb };
+        (memory_mb << 20) / 100 * self.client_memory_percent
+    }
+
+    /// Returns the largest number of connections that all clients together may open.
+    #[must_use]
+    pub const fn client_connections(&self) -> usize {
+        let fds = if self.max_fds == 0 { UNKNOWN_FDS } else { self.max_fds };
+        (fds - FILE_FDS) * self.client_fds_percent / 100
+    }
+
     /// Returns the time after which all leases have expired, counted from when the last renewal was sent.
     #[must_use]
     pub fn lease_expiry(&self) -> Duration {
--- a/crates/rampbay-peer/src/lib.rs
+++ b/crates/rampbay-peer/src/lib.rs
@@ -1,6 +1,7 @@
 //! HTTP between rampbay's processes, and access to the store through peers.
 //!
-//! [`client`] and [`server`] are thin wrappers over hyper for one thread. The layers over the store
+//! [`client`] and [`server`] are thin wrappers over hyper for one thread; a [`budget`] bounds what
+//! the clients of a server make the process hold. The layers over the store
 //! are stores themselves, each wrapping the next ([`stack`]): [`direct`] tracks whether the
 //! process's direct path is available, [`relay`] goes through peers while it isn't, [`gateway`]
 //! hands appends to the leader, [`group`] batches them, [`tail`] reads through peers, [`metered`]
@@ -10,12 +11,15 @@
 //! [`tree`] of all entries. [`entry`] and [`agent`] assemble the two kinds of processes.
 
 pub mod agent;
+mod body;
+pub mod budget;
 pub mod client;
 pub mod direct;
 pub mod entry;
 pub mod gateway;
 pub mod group;
 pub mod metered;
+mod metered_stream;
 pub mod peer;
 pub mod protocol;
 pub mod relay;
--- a/crates/rampbay-peer/src/server.rs
+++ b/crates/rampbay-peer/src/server.rs
@@ -1,4 +1,7 @@
 //! A single-threaded HTTP server that completes open calls before it ends.
+//!
+//! What its clients make the process hold stays within a [`Budget`]. A client that gets no room is
+//! refused with 503, and the connection of one that has held much for long is closed.
 
 use std::cell::Cell;
 use std::future::Future;
@@ -8,14 +11,17 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, header};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use crate::body::{self, BodyError, HeldBytes, ResponseBody};
+use crate::budget::{Account, Budget, Reservation};
+use crate::metered_stream::{Exchange, MeteredStream};
+
 /// Longest time from the start of a connection, or the end of a call, until the next header is
 /// complete.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -25,6 +31,19 @@
 /// Pause after a failed accept, so that the server doesn't spin while the process has no file
 /// descriptors left.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Longest time in which an evicted connection may still send the refusal of its request.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
+/// Receive buffer of a connection, in bytes. It bounds what arrives and isn't read.
+const RECEIVE_BUFFER: u32 = 32 << 10;
+/// Connections that wait to be accepted if nothing else is set. Each holds up to a receive buffer.
+pub const DEFAULT_BACKLOG: u32 = 512;
+/// Largest head of a request if nothing else is set, in bytes.
+pub const DEFAULT_HEAD_BYTES: usize = 64 << 10;
+/// Response to a connection for which there is no room.
+const NO_ROOM: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n\
+    connection: close\r\ncontent-length: 0\r\n\r\n";
+/// Value of `Retry-After` for a request for which there is no room, in seconds.
+const RETRY_AFTER_S: u32 = 1;
 
 /// A request that was read completely.
 #[derive(Clone, Debug)]
@@ -75,7 +94,11 @@
         Self { status, content_type, body: body.into(), retry_after_s: None }
     }
 
-    fn into_response(self, closes_connection: bool) -> Response<Full<Bytes>> {
+    fn into_response(self, closes_connection: bool, account: &Account) -> Response<ResponseBody> {
+        let Some(body) = HeldBytes::reserve(self.body, account) else {
+            account.count_refusal();
+            return Self::no_room().into_response(true, account);
+        };
         let mut response = Response::builder().status(self.status);
         if !self.content_type.is_empty() {
             response = response.header(header::CONTENT_TYPE, self.content_type);
@@ -86,8 +109,14 @@
         if closes_connection {
             response = response.header(header::CONNECTION, "close");
         }
-        let fallback = || Response::new(Full::new(Bytes::new()));
-        response.body(Full::new(self.body)).unwrap_or_else(|_| fallback())
+        let fallback = || Response::new(ResponseBody::default());
+        response.body(ResponseBody::new(body)).unwrap_or_else(|_| fallback())
+    }
+
+    /// Creates the response to a request for which there is no room.
+    fn no_room() -> Self {
+        let retry_after_s = Some(RETRY_AFTER_S);
+        Self { retry_after_s, ..Self::status(StatusCode::SERVICE_UNAVAILABLE) }
     }
 }
 
@@ -122,7 +151,21 @@
     }
 }
 
-/// Serves `address` until the state is [`ServerState::Closed`] and all open calls are answered.
+/// What the clients of an address may send and hold.
+#[derive(Clone)]
+pub struct ServerLimits {
+    /// Largest head of a request, in bytes, at least 8 KiB.
+    pub head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Largest number of connections that wait to be accepted.
+    pub backlog: u32,
+    /// What all clients together may make the process hold.
+    pub budget: Rc<Budget>,
+}
+
+/// Serves `address` like [`serve_within`], without a bound on what its clients make the process
+/// hold.
 ///
 /// # Errors
 ///
@@ -131,30 +174,56 @@
     address: SocketAddr,
     body_limit: usize,
     handler: Handler,
+    closing: watch::Receiver<ServerState>,
+) -> std::io::Result<()> {
+    let limits = ServerLimits {
+        head_bytes: DEFAULT_HEAD_BYTES,
+        body_bytes: body_limit,
+        backlog: DEFAULT_BACKLOG,
+        budget: Budget::unlimited(),
+    };
+    serve_within(address, limits, handler, closing).await
+}
+
+/// Serves `address` until the state is [`ServerState::Closed`] and all open calls are answered.
+///
+/// # Errors
+///
+/// Returns an error if the address can't be bound.
+pub async fn serve_within(
+    address: SocketAddr,
+    limits: ServerLimits,
+    handler: Handler,
     mut closing: watch::Receiver<ServerState>,
 ) -> std::io::Result<()> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = listen(address, limits.backlog)?;
     let connections = Rc::new(Cell::new(0));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = closing.wait_for(|state| *state == ServerState::Closed) => break,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let guard = InFlight::new(&connections);
-                let connection = Connection {
-                    handler: Rc::clone(&handler),
-                    closing: closing.clone(),
-                    body_limit,
-                };
-                tokio::task::spawn_local(async move {
-                    connection.serve(stream).await;
-                    drop(guard);
-                });
-            }
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY).await,
-        }
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let Ok(account) = limits.budget.admit().await else {
+            limits.budget.count_refusal();
+            // Without room there is nothing to wait with: the client may not get the response.
+            let _ = stream.try_write(NO_ROOM);
+            continue;
+        };
+        let guard = InFlight::new(&connections);
+        let connection = Connection {
+            handler: Rc::clone(&handler),
+            closing: closing.clone(),
+            limits: limits.clone(),
+            exchange: Rc::new(Exchange::new(account)),
+        };
+        tokio::task::spawn_local(async move {
+            connection.serve(stream).await;
+            drop(guard);
+        });
     }
     drop(listener);
     while connections.get() > 0 {
@@ -163,44 +232,90 @@
     Ok(())
 }
 
+/// Listens on `address`. Accepted connections inherit the size of the receive buffer.
+fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+        log::warn!("event=J010 receive buffer keeps its size address={address} error={error}");
+    }
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
 struct Connection {
     handler: Handler,
     closing: watch::Receiver<ServerState>,
-    body_limit: usize,
+    limits: ServerLimits,
+    exchange: Rc<Exchange>,
 }
 
 impl Connection {
     async fn serve(self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut closing = self.closing.clone();
+        let stream = MeteredStream::new(stream, Rc::clone(&self.exchange));
         let service = service_fn(|request| self.answer(request));
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT)
+            .max_buf_size(self.limits.head_bytes)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        tokio::select! {
+        let is_evicted = tokio::select! {
             _ = connection.as_mut() => return,
-            _ = closing.wait_for(|state| *state == ServerState::Closed) => {}
+            () = self.exchange.account.evicted() => true,
+            _ = closing.wait_for(|state| *state == ServerState::Closed) => false,
+        };
+        if !is_evicted {
+            connection.as_mut().graceful_shutdown();
+            tokio::select! {
+                _ = connection.as_mut() => return,
+                () = self.exchange.account.evicted() => {}
+            }
+        }
+        if self.exchange.in_request() {
+            // The request is refused, since its body isn't complete.
+            let _ = tokio::time::timeout(REFUSAL_TIME, connection).await;
         }
-        connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
     }
 
     async fn answer(
         &self,
         request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, std::convert::Infallible> {
-        let answer = match receive(request, self.body_limit).await {
-            Ok(received) => (self.handler)(received).await,
-            Err(status) => HttpResponse::status(status),
+    ) -> Result<Response<ResponseBody>, std::convert::Infallible> {
+        let account = &self.exchange.account;
+        let _in_request = self.exchange.begin_request();
+        let answer = self.receive_and_handle(request).await;
+        let closes_connection = *self.closing.borrow() != ServerState::Open || account.is_evicted();
+        Ok(answer.into_response(closes_connection, account))
+    }
+
+    async fn receive_and_handle(&self, request: Request<Incoming>) -> HttpResponse {
+        let account = &self.exchange.account;
+        let received = tokio::select! {
+            received = receive(request, self.limits.body_bytes, account) => received,
+            () = account.evicted() => Err(BodyError::NoRoom.status()),
         };
-        let closes_connection = *self.closing.borrow() != ServerState::Open;
-        Ok(answer.into_response(closes_connection))
+        // The memory of the body is reserved until the request is handled.
+        let (received, _held) = match received {
+            Ok(received) => received,
+            Err(StatusCode::SERVICE_UNAVAILABLE) => {
+                account.count_refusal();
+                return HttpResponse::no_room();
+            }
+            Err(status) => return HttpResponse::status(status),
+        };
+        let Some(_busy) = account.busy() else { return HttpResponse::no_room() };
+        (self.handler)(received).await
     }
 }
 
-async fn receive(request: Request<Incoming>, body_limit: usize) -> Result<HttpRequest, StatusCode> {
+async fn receive(
+    request: Request<Incoming>,
+    body_limit: usize,
+    account: &Account,
+) -> Result<(HttpRequest, Reservation), StatusCode> {
     let (parts, body) = request.into_parts();
     let text = |name: header::HeaderName| {
         parts.headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
@@ -208,20 +323,19 @@
     let host = text(header::HOST).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_owned();
     let authorization = text(header::AUTHORIZATION);
-    let collected = Limited::new(body, body_limit).collect();
-    let collected = tokio::time::timeout(BODY_TIMEOUT, collected)
+    let received = body::receive(body, body_limit, account);
+    let received = tokio::time::timeout(BODY_TIMEOUT, received)
         .await
         .map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
-    let body = collected.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?.to_bytes();
-    let path = parts.uri.path().to_owned();
-    let query = parts.uri.query().unwrap_or_default().to_owned();
-    Ok(HttpRequest {
+    let (body, held) = received.map_err(BodyError::status)?;
+    let request = HttpRequest {
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
         method: parts.method,
-        path,
-        query,
         host,
         authorization,
         headers: parts.headers,
         body,
-    })
+    };
+    Ok((request, held))
 }
