metrics: count calls with unknown methods under one label

What operators would have seen: the memory of an entry, and the size of its metrics, grow with each call that has a method of its own, and never shrink.

Cause: the method is a label of `rampbay_calls`, and a label keeps each of its values for good. HTTP allows any word as a method, up to the size of a head.

Change: the usual seven methods are counted by name, all others as `other`. Other labels of the metrics were read: none holds what a client chooses. The budget of clients doesn't help here, since the value stays when the client has gone.

--- a/crates/rampbay-jobs/src/metrics.rs
+++ b/crates/rampbay-jobs/src/metrics.rs
@@ -20,8 +20,8 @@
 /// Labels of a caller's call.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct CallLabels {
-    /// Method of the call.
-    pub method: String,
+    /// Method of the call, or `other`.
+    pub method: &'static str,
     /// Status of the answer.
     pub status: u16,
 }
@@ -283,7 +283,7 @@
 
     /// Counts a caller's call.
     pub fn record_call(&self, method: &str, status: u16, took: Duration) {
-        let labels = CallLabels { method: method.to_owned(), status };
+        let labels = CallLabels { method: known_method(method), status };
         self.calls.get_or_create(&labels).inc();
         self.call_seconds.observe(took.as_secs_f64());
     }
@@ -303,6 +303,14 @@
     }
 }
 
+/// Methods that are counted by name. A label keeps each of its values for good, so callers don't
+/// choose them.
+const KNOWN_METHODS: [&str; 7] = ["GET", "POST", "DELETE", "PUT", "HEAD", "OPTIONS", "PATCH"];
+
+fn known_method(method: &str) -> &'static str {
+    KNOWN_METHODS.into_iter().find(|known| *known == method).unwrap_or("other")
+}
+
 /// Returns the metrics of this process.
 pub fn metrics() -> &'static Metrics {
     static METRICS: OnceLock<Metrics> = OnceLock::new();
