--- a/crates/rampbay-peer/tests/server.rs
+++ b/crates/rampbay-peer/tests/server.rs
@@ -162,3 +162,29 @@
     let answer = on_small_server(&[head, b"body".to_vec()]);
     assert!(answer.starts_with("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200"), "{answer}");
 }
+
+/// Sends everything before anything is read, as simple clients do.
+async fn send_then_read(address: SocketAddr, request: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    // A client that is refused may find that it can't send the rest.
+    let _ = stream.write_all(request).await;
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A client whose body is too large learns that, also if it sends all of it before it reads. A
+/// connection that is closed with unread bytes is reset, and the response may be lost.
+#[rstest]
+#[case::announced([sized_head(4 * LARGEST_BODY), vec![b'a'; 4 * LARGEST_BODY]].concat())]
+#[case::in_chunks(in_chunks(65_536, 4 * LARGEST_BODY).concat())]
+fn too_large_body_refused(#[case] request: Vec<u8>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let address = start_small_server().await;
+        for _ in 0..20 {
+            let answer = send_then_read(address, &request).await;
+            assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+        }
+    });
+}
