peers: bound the memory that a call's records take

What operators would have seen: a process runs out of memory by one call of legal size at the address of its peers.

Cause: an empty record takes two bytes of a call and 48 as a value, so a body of 4 MiB held two million records, which were copied on the way to the store. The budget counted the body's bytes only.

What the records take is reserved from the budget while the call is handled, beside its body; without room the call gets 503 before anything is done. The wire format stays.

--- a/crates/rampbay-peer/src/body.rs
+++ b/crates/rampbay-peer/src/body.rs
@@ -7,8 +7,8 @@
 
 use crate::budget::{Account, Reservation};
 
-/// Bytes of a body that the price of a connection covers.
-const BODY_ALLOWANCE: usize = 4 << 10;
+/// Bytes of a body, and of what is made of it, that the price of a connection covers.
+pub const ALLOWANCE: usize = 4 << 10;
 
 /// Why a body wasn't received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,7 +61,7 @@
         }
         if length > buf.capacity() {
             let capacity = next_capacity(length, announced, limit);
-            let beyond_allowance = capacity.saturating_sub(BODY_ALLOWANCE);
+            let beyond_allowance = capacity.saturating_sub(ALLOWANCE);
             held.grow_to(beyond_allowance).await.map_err(|_| BodyError::NoRoom)?;
             buf.reserve_exact(capacity - buf.len());
         }
@@ -97,7 +97,7 @@
     /// Reserves the memory of a response. Returns `None` if there is no room for it.
     #[must_use]
     pub fn reserve(bytes: Bytes, account: &Account) -> Option<Self> {
-        if bytes.len() <= BODY_ALLOWANCE {
+        if bytes.len() <= ALLOWANCE {
             return Some(Self::small(bytes));
         }
         let mut held = account.reservation();
--- a/crates/rampbay-peer/src/metered_stream.rs
+++ b/crates/rampbay-peer/src/metered_stream.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct Exchange {
     /// Account of the connection.
-    pub account: Account,
+    pub(crate) account: Account,
     /// Whether the head of a request is complete, and its response isn't.
     in_request: Cell<bool>,
     /// Bytes read since the last request, all of which belong to a head.
--- a/crates/rampbay-peer/src/server.rs
+++ b/crates/rampbay-peer/src/server.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::body::{self, BodyError, HeldBytes, ResponseBody};
-use crate::budget::{Account, Budget, Reservation};
+use crate::budget::{Account, Budget, Exhausted, Reservation};
 use crate::metered_stream::{Exchange, MeteredStream};
 
 /// Longest time from the start of a connection, or the end of a call, until the next header is
@@ -62,6 +62,33 @@
     pub headers: hyper::HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Memory for what is made of the request while it is handled.
+    pub memory: RequestMemory,
+}
+
+/// Reserves memory for what is made of a request while it is handled, from the budget of the
+/// clients. The default has no bound.
+#[derive(Clone, Debug, Default)]
+pub struct RequestMemory(Option<Rc<Exchange>>);
+
+impl RequestMemory {
+    /// Reserves memory, unless it is so little that the price of the connection covers it. The
+    /// reservation ends when the result is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no room now. The request should be refused then.
+    pub fn hold(&self, bytes: usize) -> Result<Option<Reservation>, Exhausted> {
+        let Some(exchange) = self.0.as_ref().filter(|_| bytes > body::ALLOWANCE) else {
+            return Ok(None);
+        };
+        let mut held = exchange.account.reservation();
+        let outcome = held.grow_now_to(bytes);
+        if outcome.is_err() {
+            exchange.account.count_refusal();
+        }
+        outcome.map(|()| Some(held))
+    }
 }
 
 /// The response to a request.
@@ -113,8 +140,9 @@
         response.body(ResponseBody::new(body)).unwrap_or_else(|_| fallback())
     }
 
-    /// Creates the response to a request for which there is no room.
-    fn no_room() -> Self {
+    /// Creates the response to a request for which there is no room: it isn't handled.
+    #[must_use]
+    pub fn no_room() -> Self {
         let retry_after_s = Some(RETRY_AFTER_S);
         Self { retry_after_s, ..Self::status(StatusCode::SERVICE_UNAVAILABLE) }
     }
@@ -294,7 +322,7 @@
     async fn receive_and_handle(&self, request: Request<Incoming>) -> HttpResponse {
         let account = &self.exchange.account;
         let received = tokio::select! {
-            received = receive(request, self.limits.body_bytes, account) => received,
+            received = receive(request, self.limits.body_bytes, &self.exchange) => received,
             () = account.evicted() => Err(BodyError::NoRoom.status()),
         };
         // The memory of the body is reserved until the request is handled.
@@ -314,7 +342,7 @@
 async fn receive(
     request: Request<Incoming>,
     body_limit: usize,
-    account: &Account,
+    exchange: &Rc<Exchange>,
 ) -> Result<(HttpRequest, Reservation), StatusCode> {
     let (parts, body) = request.into_parts();
     let text = |name: header::HeaderName| {
@@ -323,7 +351,7 @@
     let host = text(header::HOST).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default().to_owned();
     let authorization = text(header::AUTHORIZATION);
-    let received = body::receive(body, body_limit, account);
+    let received = body::receive(body, body_limit, &exchange.account);
     let received = tokio::time::timeout(BODY_TIMEOUT, received)
         .await
         .map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
@@ -336,6 +364,7 @@
         authorization,
         headers: parts.headers,
         body,
+        memory: RequestMemory(Some(Rc::clone(exchange))),
     };
     Ok((request, held))
 }
--- a/crates/rampbay-peer/src/service.rs
+++ b/crates/rampbay-peer/src/service.rs
@@ -40,6 +40,9 @@
         Box::pin(async move {
             let request: Result<StoreRequest, _> = postcard::from_bytes(&received.body);
             let Ok(request) = request else { return HttpResponse::status(StatusCode::BAD_REQUEST) };
+            let Ok(_held) = received.memory.hold(request.memory_bytes()) else {
+                return HttpResponse::no_room();
+            };
             let reply = handle_request(&service, request).await;
             match postcard::to_allocvec(&reply) {
                 Ok(body) => {
