--- a/crates/rampbay-jobs/src/job.rs
+++ b/crates/rampbay-jobs/src/job.rs
@@ -175,6 +175,16 @@
 }
 
 impl Submission {
+    /// Returns about how much memory the job takes, in bytes.
+    #[must_use]
+    pub fn memory_bytes(&self) -> usize {
+        let step = |step: &Step| {
+            let texts = step.required_label.len() + step.data_rack.len();
+            size_of::<Step>() + size_of_val(step.depends_on.as_slice()) + texts
+        };
+        size_of::<Self>() + self.payload.len() + self.steps.iter().map(step).sum::<usize>()
+    }
+
     /// Returns how many times the steps are run.
     #[must_use]
     pub fn occurrence_count(&self) -> u32 {
