agent: bound the workers that have only been heard of

What operators would have seen: an agent runs out of descriptors.

Cause: each heartbeat under a new id makes an incarnation, which the agent calls at the address that the heartbeat names.

Known ones aren't affected. A new incarnation of the real worker may be refused while others are invented faster than calls to them fail; before, it was one of thousands.

--- a/crates/rampbay-jobs/src/agent.rs
+++ b/crates/rampbay-jobs/src/agent.rs
@@ -126,6 +126,9 @@
 /// another incarnation answers.
 const MAX_REMEMBERED_ENDED: usize = 32;
 
+/// Most incarnations that have only been heard of. Each is called, so it takes descriptors.
+const MAX_UNCONFIRMED: usize = 32;
+
 /// Largest plausible difference between a worker's clock and this process's, in milliseconds.
 const MAX_CLOCK_SKEW_MS: u64 = 3_600_000;
 
@@ -180,6 +183,17 @@
         true
     }
 
+    /// Returns whether a heartbeat of an incarnation can be handled: not if it is a new one, and many others have only been
+    /// heard of. They are the invention of other writers, or go away once a call to them fails.
+    #[must_use]
+    pub fn has_room_for(&self, instance: &str) -> bool {
+        let incarnations = self.incarnations.borrow();
+        let is_unconfirmed = |incarnation: &&Rc<Incarnation>| !incarnation.is_confirmed();
+        incarnations.len() < MAX_UNCONFIRMED
+            || incarnations.contains_key(instance)
+            || incarnations.values().filter(is_unconfirmed).count() < MAX_UNCONFIRMED
+    }
+
     /// Returns whether an incarnation has ended for good, or a later one of its worker has answered.
     fn is_superseded(&self, instance: &str) -> bool {
         let is_earlier = |known: &Rc<Incarnation>| {
--- a/crates/rampbay-peer/src/server.rs
+++ b/crates/rampbay-peer/src/server.rs
@@ -85,10 +85,17 @@
         let mut held = exchange.account.reservation();
         let outcome = held.grow_now_to(bytes);
         if outcome.is_err() {
-            exchange.account.count_refusal();
+            self.count_refusal();
         }
         outcome.map(|()| Some(held))
     }
+
+    /// Counts the request as refused because clients hold all that they may.
+    pub fn count_refusal(&self) {
+        if let Some(exchange) = &self.0 {
+            exchange.account.count_refusal();
+        }
+    }
 }
 
 /// The response to a request.
