--- a/crates/rampbay-jobs/src/lib.rs
+++ b/crates/rampbay-jobs/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod admission;
 pub mod agent;
+pub mod bounded;
 pub mod cancel;
 pub mod candidacy;
 pub mod clock;
--- a/crates/rampbay-peer/src/protocol.rs
+++ b/crates/rampbay-peer/src/protocol.rs
@@ -1,12 +1,10 @@
 //! The messages between peers: the operations of the store, and pings.
 
-use std::fmt;
-
+use rampbay_jobs::bounded;
 use rampbay_jobs::job::NodeName;
 use rampbay_jobs::record::{KeyedRecord, Member};
 use rampbay_jobs::store::{AppendError, Batch, Candidacy, Fence, Offset, ReadError, Snapshot};
-use serde::de::{Error, SeqAccess, Visitor};
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::{Deserialize, Serialize};
 
 /// A request to a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -16,7 +14,7 @@
         /// Topic.
         topic: String,
         /// Records.
-        #[serde(deserialize_with = "bounded_records")]
+        #[serde(deserialize_with = "bounded::deserialize::<MAX_RECORDS, _, _>")]
         records: Vec<KeyedRecord>,
         /// Fence, if the writer has one.
         fence: Option<Fence>,
@@ -27,7 +25,7 @@
         /// Topic.
         topic: String,
         /// Records.
-        #[serde(deserialize_with = "bounded_records")]
+        #[serde(deserialize_with = "bounded::deserialize::<MAX_RECORDS, _, _>")]
         records: Vec<KeyedRecord>,
     },
     /// See [`Store::read`](rampbay_jobs::store::Store::read).
@@ -82,7 +80,7 @@
     /// processes.
     Report {
         /// The reports.
-        #[serde(deserialize_with = "bounded_records")]
+        #[serde(deserialize_with = "bounded::deserialize::<MAX_RECORDS, _, _>")]
         reports: Vec<KeyedRecord>,
     },
 }
@@ -104,44 +102,8 @@
 }
 
 /// Largest number of records in a request. The store takes 2 MiB at once, in which each would have
-/// 32 bytes; the removal of one takes about as many.
+/// 32 bytes; the removal of one takes about as many. An empty one takes two.
 const MAX_RECORDS: usize = 64 << 10;
-/// Number of records for which memory is allocated before they are read.
-const FIRST_RECORDS: usize = 64;
-
-/// Deserializes at most [`MAX_RECORDS`] records. An empty record takes two bytes of a message, and
-/// many times as much memory.
-fn bounded_records<'de, D: Deserializer<'de>>(
-    deserializer: D,
-) -> Result<Vec<KeyedRecord>, D::Error> {
-    struct Records;
-
-    impl<'de> Visitor<'de> for Records {
-        type Value = Vec<KeyedRecord>;
-
-        fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-            write!(f, "at most {MAX_RECORDS} records")
-        }
-
-        fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
-            let announced = seq.size_hint().unwrap_or(0);
-            if announced > MAX_RECORDS {
-                return Err(A::Error::invalid_length(announced, &self));
-            }
-            let mut records = Vec::with_capacity(announced.min(FIRST_RECORDS));
-            while let Some(record) = seq.next_element()? {
-                if records.len() == MAX_RECORDS {
-                    return Err(A::Error::invalid_length(MAX_RECORDS + 1, &self));
-                }
-                records.push(record);
-            }
-            Ok(records)
-        }
-    }
-
-    deserializer.deserialize_seq(Records)
-}
-
 /// The reply to a request.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum StoreReply {
