server: count what has arrived and isn't read

What operators would have seen: crowds at all addresses of a process at once exceed its machine, though the budget holds.

Cause: a connection's receive buffer of 32 KiB held up to 44 kB on Linux, and wasn't a part of its price. While chunks of one byte are parsed, much waits there: 109 MB in 2,450 connections.

Change: the receive buffer is 16 KiB, and the price of a connection is 32 KiB with it.

--- a/crates/rampbay-peer/src/budget.rs
+++ b/crates/rampbay-peer/src/budget.rs
@@ -20,8 +20,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Memory that a connection holds, in bytes: its read buffer, its state, and a small body.
-pub const CONNECTION_BYTES: usize = 16 << 10;
+/// Receive buffer of a connection, in bytes. It bounds what has arrived and isn't read.
+pub(crate) const RECEIVE_BUFFER: usize = 16 << 10;
+/// Memory that a connection holds, in bytes: its receive and read buffers, its state, and a small
+/// body.
+pub const CONNECTION_BYTES: usize = RECEIVE_BUFFER + (16 << 10);
 /// Shortest time between two log lines on clients that were refused or disconnected.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
--- a/crates/rampbay-peer/src/server.rs
+++ b/crates/rampbay-peer/src/server.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::body::{self, BodyError, HeldBytes, ResponseBody};
-use crate::budget::{Account, Budget, Exhausted, Reservation};
+use crate::budget::{Account, Budget, Exhausted, RECEIVE_BUFFER, Reservation};
 use crate::metered_stream::{Exchange, MeteredStream};
 
 /// Longest time from the start of a connection, or the end of a call, until the next header is
@@ -33,8 +33,6 @@
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 /// Longest time in which an evicted connection may still send the refusal of its request.
 const REFUSAL_TIME: Duration = Duration::from_millis(200);
-/// Receive buffer of a connection, in bytes. It bounds what arrives and isn't read.
-const RECEIVE_BUFFER: u32 = 32 << 10;
 /// Connections that wait to be accepted if nothing else is set. Each holds up to a receive buffer.
 pub const DEFAULT_BACKLOG: u32 = 512;
 /// Largest head of a request if nothing else is set, in bytes.
@@ -271,7 +269,7 @@
 fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     socket.set_reuseaddr(true)?;
-    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER) {
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER as u32) {
         log::warn!("event=J010 receive buffer keeps its size address={address} error={error}");
     }
     socket.bind(address)?;
