--- a/crates/rampbay-peer/tests/server.rs
+++ b/crates/rampbay-peer/tests/server.rs
@@ -188,3 +188,29 @@
         }
     });
 }
+
+/// A client that connects while all connections are busy is told to come back.
+#[test]
+fn newcomer_refused_while_all_busy() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), async {
+        let address = free_address().await;
+        let handler: Handler = Rc::new(|_| Box::pin(std::future::pending()));
+        let budget = Budget::new("test", BudgetLimits { bytes: 1 << 20, connections: 1 });
+        let limits = ServerLimits {
+            head_bytes: 64 << 10,
+            body_bytes: LARGEST_BODY,
+            backlog: DEFAULT_BACKLOG,
+            budget,
+        };
+        let (_closing, state) = watch::channel(ServerState::Open);
+        tokio::task::spawn_local(serve_within(address, limits, handler, state));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let mut busy = TcpStream::connect(address).await.expect("a connection");
+        busy.write_all(&sized_head(0)).await.expect("sent");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let answer = send_then_read(address, b"").await;
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+        assert!(answer.contains("retry-after: 1"), "{answer}");
+    });
+}
