--- a/crates/rampbay-peer/src/metered_stream.rs
+++ b/crates/rampbay-peer/src/metered_stream.rs
@@ -132,6 +132,8 @@
             self.exchange.account.count_refusal();
             return Poll::Ready(Err(io::Error::other(exhausted)));
         }
+        // The buffer is touched only once something has arrived.
+        ready!(self.stream.poll_read_ready(cx))?;
         let size = buf.remaining().min(READ_BYTES);
         let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
--- a/crates/rampbay-peer/src/server.rs
+++ b/crates/rampbay-peer/src/server.rs
@@ -127,6 +127,7 @@
     }
 
     fn into_response(self, closes_connection: bool, account: &Account) -> Response<ResponseBody> {
+        // Only reads have large responses, so nothing has been done that the client doesn't learn of.
         let Some(body) = HeldBytes::reserve(self.body, account) else {
             account.count_refusal();
             return Self::no_room().into_response(true, account);
@@ -319,7 +320,8 @@
     ) -> Result<Response<ResponseBody>, std::convert::Infallible> {
         let account = &self.exchange.account;
         let _in_request = self.exchange.begin_request();
-        let answer = self.receive_and_handle(request).await;
+        // Boxed, since an idle connection has room for this future.
+        let answer = Box::pin(self.receive_and_handle(request)).await;
         let closes_connection = *self.closing.borrow() != ServerState::Open || account.is_evicted();
         Ok(answer.into_response(closes_connection, account))
     }
